--- /dev/null
+++ b/fakes/engine.py
@@ -0,0 +1,338 @@
+"""HTTP stand-in for a model engine, OpenAI-compatible, with resumable streams.
+
+Tokens are numbered and tagged with their generation, so that a lost, repeated or
+foreign token is visible in the answer. Paths below ``/fake/`` inject faults.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import re
+import time
+from hashlib import sha256
+from typing import Any
+from uuid import uuid4
+
+from aiohttp import web
+
+from fakes.engine_model import EngineLimits, EngineModel
+
+LENGTH_HINT = re.compile(r"length=(\d+)")
+KEPT_SECONDS = 30.0
+PREFIX_BLOCK_BYTES = 256
+
+
+class Stream:
+    """Events of one generation, kept for a while so that it can be resumed."""
+
+    def __init__(self, generation_id: str, streamed: bool) -> None:
+        self.generation_id = generation_id
+        self.streamed = streamed
+        self.events: list[bytes] = []
+        self.finished = False
+        self.changed = asyncio.Event()
+        self.reader_count = 0
+        self.abandoned_at = 0.0
+
+    def append(self, event: bytes, finished: bool = False) -> None:
+        """Add an event and wake the readers."""
+        self.events.append(event)
+        self.finished = finished
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class FakeEngine:
+    """One engine process."""
+
+    def __init__(self, limits: EngineLimits, load_lag_seconds: float = 0.2) -> None:
+        self.model = EngineModel(limits)
+        self.load_lag_seconds = load_lag_seconds
+        self.streams_by_id: dict[str, Stream] = {}
+        self.started_count = 0
+        self.cancelled_count = 0
+        self.leaving = False
+        self.stalled = False
+        self.crash_text = ""
+        self.fencing_enforced = True
+        self.fencing_number = 0
+        self.orders: list[dict[str, Any]] = []
+        self.loads: list[tuple[float, dict[str, Any]]] = []
+        self._wake = asyncio.Event()
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(client_max_size=8 * 1024 * 1024)
+        application.add_routes(
+            [
+                web.post("/v1/completions", self.generate),
+                web.post("/v1/chat/completions", self.generate),
+                web.get("/v1/generations/{id}/stream", self.resume),
+                web.delete("/v1/generations/{id}", self.cancel),
+                web.get("/load", self.load),
+                web.get("/cache_events", self.cache_events),
+                web.post("/orders", self.order),
+                web.get("/orders", self.list_orders),
+                web.post("/fake/{fault}", self.inject),
+                web.get("/fake/state", self.state),
+            ]
+        )
+        application.cleanup_ctx.append(self._run_steps)
+        return application
+
+    async def _run_steps(self, application: web.Application) -> Any:
+        task = asyncio.create_task(self._step_forever())
+        yield
+        task.cancel()
+
+    async def _step_forever(self) -> None:
+        while True:
+            if not self.model.waiting and not self.model.running:
+                self._wake.clear()
+                self._note_load()
+                await self._wake.wait()
+            if self.stalled:
+                await asyncio.sleep(0.02)
+                continue
+            result = self.model.step()
+            finished = set(result.finished_ids)
+            for generation_id in result.produced_ids:
+                self._publish(generation_id, generation_id in finished)
+            self._note_load()
+            self._drop_abandoned()
+            await asyncio.sleep(result.seconds)
+
+    def _publish(self, generation_id: str, finished: bool) -> None:
+        stream = self.streams_by_id.get(generation_id)
+        if stream is None:
+            return
+        index = len(stream.events) + 1
+        choice = {"index": 0, "text": f"{generation_id}:{index} "}
+        choice["finish_reason"] = "stop" if finished else None
+        body = json.dumps({"id": generation_id, "choices": [choice]})
+        stream.append(f"id: {index}\ndata: {body}\n\n".encode())
+        if finished:
+            stream.append(f"id: {index + 1}\ndata: [DONE]\n\n".encode(), True)
+
+    def _drop_abandoned(self) -> None:
+        limit = time.monotonic() - KEPT_SECONDS
+        for generation_id, stream in list(self.streams_by_id.items()):
+            if stream.reader_count == 0 and 0 < stream.abandoned_at < limit:
+                self._forget(generation_id)
+
+    def _forget(self, generation_id: str) -> None:
+        self.streams_by_id.pop(generation_id, None)
+        self.model.cancel(generation_id)
+
+    async def generate(self, request: web.Request) -> web.StreamResponse:
+        """Start a generation and answer it whole or as a stream."""
+        if self.leaving:
+            return web.json_response({"error": "leaving"}, status=503)
+        text = await request.text()
+        if self.crash_text and self.crash_text in text:
+            raise SystemExit(13)
+        body = json.loads(text)
+        prompt = body.get("messages", body.get("prompt"))
+        prompt_text = json.dumps(prompt, separators=(",", ":"), ensure_ascii=False)
+        hint = LENGTH_HINT.search(prompt_text)
+        length = int(hint[1]) if hint else 1 + len(text) % 40
+        generation_id = f"g-{uuid4().hex[:12]}"
+        limit = body.get("max_completion_tokens") or body.get("max_tokens") or length
+        self.started_count += 1
+        stream = Stream(generation_id, bool(body.get("stream")))
+        self.streams_by_id[generation_id] = stream
+        self.model.add(
+            generation_id,
+            max(1, len(prompt_text) // 4),
+            min(length, limit),
+            int(body.get("priority", 0)),
+            _prefix_blocks(prompt_text.encode()),
+        )
+        self._wake.set()
+        if stream.streamed:
+            return await self._send_stream(request, stream, 0)
+        return await self._send_whole(request, stream)
+
+    async def _send_whole(
+        self, request: web.Request, stream: Stream
+    ) -> web.StreamResponse:
+        try:
+            while not stream.finished:
+                await stream.changed.wait()
+        except asyncio.CancelledError:
+            self.cancelled_count += 1
+            self._forget(stream.generation_id)
+            raise
+        token_count = len(stream.events) - 1
+        text = "".join(
+            f"{stream.generation_id}:{index + 1} " for index in range(token_count)
+        )
+        answer = {
+            "id": stream.generation_id,
+            "choices": [{"index": 0, "text": text, "finish_reason": "stop"}],
+            "usage": {"completion_tokens": token_count},
+        }
+        self._forget(stream.generation_id)
+        headers = {"X-Generation-Id": stream.generation_id}
+        return web.json_response(answer, headers=headers)
+
+    async def _send_stream(
+        self, request: web.Request, stream: Stream, sent: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "X-Generation-Id": stream.generation_id,
+            }
+        )
+        await response.prepare(request)
+        stream.reader_count += 1
+        try:
+            while True:
+                changed = stream.changed
+                if sent < len(stream.events):
+                    block = b"".join(stream.events[sent:])
+                    sent = len(stream.events)
+                    await response.write(block)
+                if stream.finished and sent == len(stream.events):
+                    break
+                await changed.wait()
+            await response.write_eof()
+        finally:
+            stream.reader_count -= 1
+            stream.abandoned_at = time.monotonic()
+        return response
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Continue a stream after ``Last-Event-ID``."""
+        stream = self.streams_by_id.get(request.match_info["id"])
+        if stream is None:
+            return web.json_response({"error": "unknown generation"}, status=404)
+        last = int(request.headers.get("Last-Event-ID", "0"))
+        return await self._send_stream(request, stream, last)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a generation and free its memory."""
+        generation_id = request.match_info["id"]
+        if generation_id in self.streams_by_id:
+            self.cancelled_count += 1
+        self._forget(generation_id)
+        return web.json_response({"cancelled": generation_id})
+
+    def _note_load(self) -> None:
+        now = time.monotonic()
+        model = self.model
+        report = {
+            "memory_capacity": model.limits.memory_tokens,
+            "memory_used": model.memory_used,
+            "running": len(model.running),
+            "running_limit": model.limits.running_limit,
+            "waiting": len(model.waiting),
+            "preemptions": model.preemption_count,
+        }
+        self.loads.append((now, report))
+        while len(self.loads) > 1 and self.loads[1][0] <= now - self.load_lag_seconds:
+            self.loads.pop(0)
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Report the load as it was some time ago."""
+        self._note_load()
+        now = time.monotonic()
+        taken_at, report = self.loads[0]
+        age = min(now - taken_at, self.load_lag_seconds)
+        return web.json_response(
+            {**report, "age_seconds": age, "leaving": self.leaving}
+        )
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Publish cache events after a sequence; every seventh one is missing."""
+        since = int(request.query.get("since", "0"))
+        events = [
+            event._asdict()
+            for event in self.model.cache_events[since:]
+            if event.sequence % 7
+        ]
+        return web.json_response({"events": events})
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Take an order; an old fencing number is refused if that is enforced."""
+        order = await request.json()
+        number = int(order.get("fencing_number", 0))
+        if self.fencing_enforced and number < self.fencing_number:
+            return web.json_response({"error": "old fencing number"}, status=409)
+        self.fencing_number = max(number, self.fencing_number)
+        self.orders.append(order)
+        return web.json_response({"accepted": True})
+
+    async def list_orders(self, request: web.Request) -> web.Response:
+        """Return the orders taken."""
+        return web.json_response({"orders": self.orders})
+
+    async def inject(self, request: web.Request) -> web.Response:
+        """Inject a fault: leaving, stall, unstall, crash_on, fencing."""
+        fault = request.match_info["fault"]
+        body = await request.json() if request.can_read_body else {}
+        if fault == "leaving":
+            self.leaving = True
+        elif fault in ("stall", "unstall"):
+            self.stalled = fault == "stall"
+        elif fault == "crash_on":
+            self.crash_text = body["text"]
+        elif fault == "fencing":
+            self.fencing_enforced = body["enforced"]
+        else:
+            raise web.HTTPNotFound
+        return web.json_response({"fault": fault})
+
+    async def state(self, request: web.Request) -> web.Response:
+        """Return counters for assertions."""
+        return web.json_response(
+            {
+                "started": self.started_count,
+                "cancelled": self.cancelled_count,
+                "running": len(self.model.running),
+                "waiting": len(self.model.waiting),
+                "memory_used": self.model.memory_used,
+                "preemptions": self.model.preemption_count,
+            }
+        )
+
+
+def _prefix_blocks(text: bytes, limit: int = 16) -> tuple[str, ...]:
+    blocks: list[str] = []
+    chained = b""
+    for index in range(min(limit, len(text) // PREFIX_BLOCK_BYTES)):
+        block = text[index * PREFIX_BLOCK_BYTES : (index + 1) * PREFIX_BLOCK_BYTES]
+        chained = sha256(chained + block).digest()[:8]
+        blocks.append(chained.hex())
+    return tuple(blocks)
+
+
+def main() -> None:
+    """Serve one engine."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--memory-tokens", type=int, default=60_000)
+    parser.add_argument("--running-limit", type=int, default=64)
+    parser.add_argument("--step-seconds", type=float, default=0.012)
+    parser.add_argument("--load-lag-seconds", type=float, default=0.2)
+    arguments = parser.parse_args()
+    limits = EngineLimits(
+        memory_tokens=arguments.memory_tokens,
+        running_limit=arguments.running_limit,
+        step_seconds=arguments.step_seconds,
+    )
+    engine = FakeEngine(limits, arguments.load_lag_seconds)
+    web.run_app(
+        engine.application(),
+        host="127.0.0.1",
+        port=arguments.port,
+        print=lambda *_: None,
+        handler_cancellation=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/object_store.py
@@ -0,0 +1,189 @@
+"""HTTP stand-in for the platform's object store: versions, conditional updates, watch.
+
+Every call is counted by kind, a waiting watch as one. Paths below ``/fake/`` inject
+outages, slowness and lost answers.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import base64
+from collections import Counter
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+VALUE_LIMIT = 1_000_000
+
+
+class Stored(NamedTuple):
+    """One object; a deleted one keeps the version of its deletion."""
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+    deleted: bool
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the object as JSON with its value in base64."""
+        return {**self._asdict(), "value": base64.b64encode(self.value).decode()}
+
+
+class FakeObjectStore:
+    """One store process."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.objects_by_key: dict[tuple[str, str], Stored] = {}
+        self.history: list[Stored] = []
+        self.calls_by_kind: Counter[str] = Counter()
+        self.down = False
+        self.delay_seconds = 0.0
+        self.lost_write_answers = 0
+        self._changed = asyncio.Event()
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(
+            client_max_size=2 * VALUE_LIMIT, middlewares=[self._faults]
+        )
+        application.add_routes(
+            [
+                web.get("/v1/objects/{kind}/{name}", self.read),
+                web.put("/v1/objects/{kind}/{name}", self.write),
+                web.delete("/v1/objects/{kind}/{name}", self.delete),
+                web.get("/v1/objects", self.list),
+                web.get("/v1/watch", self.watch),
+                web.post("/fake/faults", self.inject),
+                web.get("/fake/calls", self.calls),
+            ]
+        )
+        return application
+
+    @web.middleware
+    async def _faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        if request.path.startswith("/fake/"):
+            return await handler(request)
+        self.calls_by_kind[f"{request.method} {request.path.split('/')[2]}"] += 1
+        if self.delay_seconds:
+            await asyncio.sleep(self.delay_seconds)
+        if self.down:
+            return web.json_response({"error": "unavailable"}, status=503)
+        response = await handler(request)
+        if request.method in ("PUT", "DELETE") and self.lost_write_answers > 0:
+            self.lost_write_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    def _store(self, kind: str, name: str, value: bytes, deleted: bool) -> Stored:
+        self.revision += 1
+        stored = Stored(kind, name, self.revision, value, deleted)
+        self.objects_by_key[kind, name] = stored
+        self.history.append(stored)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return stored
+
+    def _version(self, kind: str, name: str) -> int:
+        stored = self.objects_by_key.get((kind, name))
+        return 0 if stored is None or stored.deleted else stored.version
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Return one object."""
+        key = (request.match_info["kind"], request.match_info["name"])
+        stored = self.objects_by_key.get(key)
+        if stored is None or stored.deleted:
+            return web.json_response({"error": "absent"}, status=404)
+        return web.json_response(stored.to_json())
+
+    async def write(self, request: web.Request) -> web.Response:
+        """Write one object if ``If-Match`` names its version (0: absent)."""
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        value = await request.read()
+        if len(value) > VALUE_LIMIT:
+            return web.json_response({"error": "value too large"}, status=413)
+        return self._update(request, kind, name, value, deleted=False)
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Delete one object if ``If-Match`` names its version."""
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        return self._update(request, kind, name, b"", deleted=True)
+
+    def _update(
+        self, request: web.Request, kind: str, name: str, value: bytes, deleted: bool
+    ) -> web.Response:
+        expected = int(request.headers["If-Match"])
+        version = self._version(kind, name)
+        if version != expected:
+            return web.json_response({"version": version}, status=412)
+        stored = self._store(kind, name, value, deleted)
+        return web.json_response({"version": stored.version})
+
+    async def list(self, request: web.Request) -> web.Response:
+        """Return all objects of the kinds named, with the store's revision."""
+        kinds = set(filter(None, request.query.get("kinds", "").split(",")))
+        objects = [
+            stored.to_json()
+            for stored in self.objects_by_key.values()
+            if not kinds or stored.kind in kinds
+        ]
+        return web.json_response({"revision": self.revision, "objects": objects})
+
+    async def watch(self, request: web.Request) -> web.Response:
+        """Wait for changes after a revision."""
+        since = int(request.query["since"])
+        kinds = set(filter(None, request.query.get("kinds", "").split(",")))
+        deadline = asyncio.get_running_loop().time() + float(request.query["timeout"])
+        while True:
+            changed = self._changed
+            found = [
+                stored.to_json()
+                for stored in self.history
+                if stored.version > since and (not kinds or stored.kind in kinds)
+            ]
+            remaining = deadline - asyncio.get_running_loop().time()
+            if found or remaining <= 0 or self.down:
+                break
+            try:
+                await asyncio.wait_for(changed.wait(), remaining)
+            except TimeoutError:
+                break
+        if self.down:
+            return web.json_response({"error": "unavailable"}, status=503)
+        return web.json_response({"revision": self.revision, "objects": found})
+
+    async def inject(self, request: web.Request) -> web.Response:
+        """Set faults: ``down``, ``delay_seconds``, ``lost_write_answers``."""
+        faults = await request.json()
+        self.down = faults.get("down", self.down)
+        self.delay_seconds = faults.get("delay_seconds", self.delay_seconds)
+        self.lost_write_answers = faults.get("lost_write_answers", 0)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return web.json_response({"down": self.down})
+
+    async def calls(self, request: web.Request) -> web.Response:
+        """Return the calls counted so far, by kind."""
+        return web.json_response(dict(self.calls_by_kind))
+
+
+def main() -> None:
+    """Serve one store."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    store = FakeObjectStore()
+    web.run_app(
+        store.application(),
+        host="127.0.0.1",
+        port=arguments.port,
+        print=lambda *_: None,
+        handler_cancellation=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/plain_service.py
@@ -0,0 +1,78 @@
+"""HTTP stand-in for a plain service; counts how often each key ran."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from collections import Counter
+
+from aiohttp import web
+
+
+class FakePlainService:
+    """One service process.
+
+    A call runs when its body has arrived; the answer follows after a delay, so that
+    a test can kill either side in between.
+    """
+
+    def __init__(self) -> None:
+        self.runs_by_key: Counter[str] = Counter()
+        self.delay_seconds = 0.0
+        self.cut_answers = 0
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.post("/fake/faults", self.inject),
+                web.get("/fake/runs", self.runs),
+                web.route("*", "/{path:.*}", self.run),
+            ]
+        )
+        return application
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Run a call once for each arrival."""
+        body = await request.text()
+        key = request.headers.get("Idempotency-Key", request.path)
+        self.runs_by_key[key] += 1
+        run_number = sum(self.runs_by_key.values())
+        if self.delay_seconds:
+            await asyncio.sleep(self.delay_seconds)
+        if self.cut_answers > 0:
+            self.cut_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return web.json_response(
+            {"path": request.path, "run": run_number, "body": body}
+        )
+
+    async def inject(self, request: web.Request) -> web.Response:
+        """Set faults: ``delay_seconds``, ``cut_answers``."""
+        faults = await request.json()
+        self.delay_seconds = faults.get("delay_seconds", self.delay_seconds)
+        self.cut_answers = faults.get("cut_answers", self.cut_answers)
+        return web.json_response(faults)
+
+    async def runs(self, request: web.Request) -> web.Response:
+        """Return the runs by key."""
+        return web.json_response(dict(self.runs_by_key))
+
+
+def main() -> None:
+    """Serve one plain service."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    web.run_app(
+        FakePlainService().application(),
+        host="127.0.0.1",
+        port=arguments.port,
+        print=lambda *_: None,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/processes.py
@@ -0,0 +1,295 @@
+"""Starts the stand-ins and entries as separate processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+PEER_SECRET = "loopback-only-secret-of-the-stand-ins"
+ACCOUNT_TOKENS = {"hotel": "hotel-token", "inspection": "inspection-token"}
+ADMIN_TOKEN = "admin-token"
+START_TIMEOUT_SECONDS = 20.0
+
+
+def free_port() -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def token_hash(token: str) -> str:
+    """Return the SHA-256 of a token in hexadecimal."""
+    return sha256(token.encode()).hexdigest()
+
+
+def call(
+    method: str,
+    url: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 30.0,
+) -> tuple[int, bytes, dict[str, str]]:
+    """Return status, body and headers of one HTTP call.
+
+    Bodies other than bytes are sent as JSON.
+    """
+    data = body if body is None or isinstance(body, bytes) else json.dumps(body)
+    if isinstance(data, str):
+        data = data.encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    for name, value in (headers or {}).items():
+        request.add_header(name, value)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, response.read(), dict(response.headers)
+    except urllib.error.HTTPError as error:
+        return error.code, error.read(), dict(error.headers)
+
+
+class Fleet:
+    """Processes of one test or demo; `stop` ends exactly these.
+
+    Parameters
+    ----------
+    settings_text : str
+        TOML that is added to the settings of every entry.
+    """
+
+    def __init__(self, settings_text: str = "") -> None:
+        self.settings_text = settings_text
+        self.folder = tempfile.TemporaryDirectory(prefix="carawayhitch-")
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.ports_by_name: dict[str, int] = {}
+        self.vms: list[dict[str, Any]] = []
+        self.entry_ports: dict[str, tuple[int, int]] = {}
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def url(self, name: str) -> str:
+        """Return the base URL of a process."""
+        return f"http://127.0.0.1:{self.ports_by_name[name]}"
+
+    def log_text(self, name: str) -> str:
+        """Return what a process wrote to its standard error."""
+        return (Path(self.folder.name) / f"{name}.log").read_text()
+
+    def start_module(self, name: str, module: str, *arguments: str) -> None:
+        """Start ``python -m module --port ...`` and wait until it listens."""
+        port = self.ports_by_name.get(name) or free_port()
+        self.ports_by_name[name] = port
+        self._spawn(
+            name, [sys.executable, "-m", module, "--port", str(port), *arguments]
+        )
+        self._wait_for_port(name, port)
+
+    def _spawn(self, name: str, command: list[str]) -> None:
+        root = Path(__file__).parent.parent
+        with (Path(self.folder.name) / f"{name}.log").open("ab") as log:
+            self.processes_by_name[name] = subprocess.Popen(
+                command, cwd=root, stdout=log, stderr=log
+            )
+
+    def _wait_for_port(self, name: str, port: int) -> None:
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            with socket.socket() as probe:
+                if probe.connect_ex(("127.0.0.1", port)) == 0:
+                    return
+            if self.processes_by_name[name].poll() is not None:
+                break
+            time.sleep(0.03)
+        raise RuntimeError(f"{name} does not listen:\n{self.log_text(name)}")
+
+    def start_platform(self, vm_list_lag_seconds: float = 0.2) -> None:
+        """Start the object store and the VM list."""
+        self.start_module("store", "fakes.object_store")
+        self.start_module(
+            "vm_list", "fakes.vm_list", "--lag-seconds", str(vm_list_lag_seconds)
+        )
+
+    def start_engine(self, name: str, *arguments: str, zone: str = "a") -> None:
+        """Start an engine and list its VM."""
+        self.start_module(name, "fakes.engine", *arguments)
+        self.list_vm(name, "engine", {"model": "quotes"}, zone)
+
+    def start_service(self, name: str, service: str, zone: str = "a") -> None:
+        """Start a plain service and list its VM."""
+        self.start_module(name, "fakes.plain_service")
+        self.list_vm(name, "service", {"service": service}, zone)
+
+    def list_vm(self, name: str, kind: str, labels: dict[str, str], zone: str) -> None:
+        """Put a VM on the platform's list."""
+        self.vms = [vm for vm in self.vms if vm["id"] != name]
+        self.vms.append(
+            {
+                "id": name,
+                "address": f"127.0.0.1:{self.ports_by_name[name]}",
+                "zone": zone,
+                "region": "r1",
+                "kind": kind,
+                "labels": labels,
+                "leaving": False,
+            }
+        )
+        self.publish_vms()
+
+    def publish_vms(self) -> None:
+        """Send the list of VMs to its stand-in."""
+        call("PUT", self.url("vm_list") + "/fake/vms", self.vms)
+
+    def put_object(
+        self, kind: str, name: str, value: dict[str, Any], version: int = 0
+    ) -> int:
+        """Write a declared object to the store and return its version."""
+        url = f"{self.url('store')}/v1/objects/{kind}/{name}"
+        status, body, _ = call(
+            "PUT", url, {"name": name, **value}, {"If-Match": str(version)}
+        )
+        if status != 200:
+            raise RuntimeError(f"{kind}/{name}: {status} {body!r}")
+        return json.loads(body)["version"]
+
+    def put_defaults(self) -> None:
+        """Declare two ranks, one group of engines, one service, two accounts."""
+        self.put_object(
+            "rank_class", "urgent", {"priority": 0, "maximum_wait_seconds": 10.0}
+        )
+        self.put_object(
+            "rank_class",
+            "patient",
+            {"priority": 10, "floor": 0.1, "maximum_wait_seconds": 120.0},
+        )
+        self.put_object("serving_group", "quotes", {"selector": {"model": "quotes"}})
+        self.put_object(
+            "serving_group", "register", {"selector": {"service": "register"}}
+        )
+        self.put_object(
+            "plain_service",
+            "register",
+            {
+                "routes": [
+                    {"method": "POST", "path_prefix": "/guides", "idempotent": False},
+                    {"method": "POST", "path_prefix": "/search", "idempotent": True},
+                ]
+            },
+        )
+        for account, token in ACCOUNT_TOKENS.items():
+            self.put_object(
+                "client_account", account, {"token_sha256s": [token_hash(token)]}
+            )
+        self.put_object("binding", "quotes", {"group": "quotes", "rank": "patient"})
+        self.put_object(
+            "binding",
+            "lookups",
+            {
+                "group": "quotes",
+                "rank": "urgent",
+                "request_selector": {"work": "lookup"},
+                "precedence": 10,
+            },
+        )
+        self.put_object(
+            "binding",
+            "register",
+            {
+                "group": "register",
+                "rank": "urgent",
+                "request_selector": {"service": "register"},
+                "precedence": 20,
+            },
+        )
+
+    def start_entry(self, name: str, zone: str = "a", wait: bool = True) -> None:
+        """Start an entry process and wait until it is ready."""
+        ports = self.entry_ports.get(name) or (free_port(), free_port())
+        self.entry_ports[name] = ports
+        self.ports_by_name[name] = ports[0]
+        path = Path(self.folder.name) / f"{name}.toml"
+        path.write_text(self._settings(name, zone))
+        self._spawn(
+            name,
+            [sys.executable, "-m", "carawayhitch", "serve", "--settings", str(path)],
+        )
+        if wait:
+            self.wait_ready(name)
+
+    def _settings(self, name: str, zone: str) -> str:
+        http_port, peer_port = self.entry_ports[name]
+        seeds = ", ".join(
+            f'{{address = "127.0.0.1", peer_port = {peer}}}'
+            for other, (_, peer) in self.entry_ports.items()
+            if other != name
+        )
+        return f"""
+[node]
+id = "{name}"
+zone = "{zone}"
+region = "r1"
+http_port = {http_port}
+peer_port = {peer_port}
+[peers]
+keys = [{{id = 1, secret = "{PEER_SECRET}"}}]
+seeds = [{seeds}]
+[store]
+url = "{self.url("store")}"
+[platform]
+vm_list_url = "{self.url("vm_list")}/v1/vms"
+[admin]
+token_sha256 = "{token_hash(ADMIN_TOKEN)}"
+{self.settings_text}
+"""
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until an entry takes calls."""
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            if self.processes_by_name[name].poll() is not None:
+                break
+            try:
+                status, _, _ = call("GET", self.url(name) + "/readyz", timeout=2.0)
+            except OSError:
+                status = 0
+            if status == 200:
+                return
+            time.sleep(0.05)
+        raise RuntimeError(f"{name} is not ready:\n{self.log_text(name)}")
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process of this fleet."""
+        self.processes_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill one process and wait for its end."""
+        process = self.processes_by_name[name]
+        process.kill()
+        process.wait()
+
+    def wait_exit(self, name: str, timeout: float = 30.0) -> int:
+        """Return the exit status of a process that ends by itself."""
+        return self.processes_by_name[name].wait(timeout)
+
+    def stop(self) -> None:
+        """End every process that this fleet started."""
+        for process in self.processes_by_name.values():
+            if process.poll() is None:
+                # A stopped process only ends on SIGKILL.
+                os.kill(process.pid, signal.SIGKILL)
+        for process in self.processes_by_name.values():
+            process.wait()
+        self.folder.cleanup()
--- /dev/null
+++ b/fakes/vm_list.py
@@ -0,0 +1,56 @@
+"""HTTP stand-in for the platform's lagging list of live and leaving VMs."""
+
+from __future__ import annotations
+
+import argparse
+import time
+from typing import Any
+
+from aiohttp import web
+
+
+class FakeVmList:
+    """The list as it was ``lag_seconds`` ago."""
+
+    def __init__(self, lag_seconds: float) -> None:
+        self.lag_seconds = lag_seconds
+        self.versions: list[tuple[float, list[dict[str, Any]]]] = [(0.0, [])]
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application()
+        application.add_routes(
+            [web.get("/v1/vms", self.list), web.put("/fake/vms", self.replace)]
+        )
+        return application
+
+    async def list(self, request: web.Request) -> web.Response:
+        """Return the VMs known some time ago."""
+        limit = time.monotonic() - self.lag_seconds
+        known = [vms for since, vms in self.versions if since <= limit]
+        return web.json_response({"vms": known[-1] if known else []})
+
+    async def replace(self, request: web.Request) -> web.Response:
+        """Replace the list; readers see it after the lag."""
+        vms = await request.json()
+        since = time.monotonic() if len(self.versions) > 1 else 0.0
+        self.versions.append((since, vms))
+        return web.json_response({"count": len(vms)})
+
+
+def main() -> None:
+    """Serve one list."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--lag-seconds", type=float, default=0.5)
+    arguments = parser.parse_args()
+    web.run_app(
+        FakeVmList(arguments.lag_seconds).application(),
+        host="127.0.0.1",
+        port=arguments.port,
+        print=lambda *_: None,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/carawayhitch/__main__.py
@@ -0,0 +1,7 @@
+"""Run the command line with ``python -m carawayhitch``."""
+
+from __future__ import annotations
+
+from carawayhitch.cli import main
+
+raise SystemExit(main())
--- /dev/null
+++ b/src/carawayhitch/backends/__init__.py
@@ -0,0 +1,37 @@
+"""The outside world: each function turns an action into I/O and I/O into events."""
+
+from __future__ import annotations
+
+from carawayhitch.backends._calls import (
+    CallContent,
+    Caller,
+    Submit,
+    UpstreamCall,
+    UpstreamSessions,
+)
+from carawayhitch.backends._engines import (
+    cancel_generation,
+    resume_generation,
+    run_generation,
+)
+from carawayhitch.backends._object_store import StoreClient, call_store
+from carawayhitch.backends._plain_services import run_service_call
+from carawayhitch.backends._platform import read_load, read_vm_list
+from carawayhitch.backends._sessions import open_session
+
+__all__ = [
+    "CallContent",
+    "Caller",
+    "StoreClient",
+    "Submit",
+    "UpstreamCall",
+    "UpstreamSessions",
+    "call_store",
+    "cancel_generation",
+    "open_session",
+    "read_load",
+    "read_vm_list",
+    "resume_generation",
+    "run_generation",
+    "run_service_call",
+]
--- /dev/null
+++ b/src/carawayhitch/backends/_engines.py
@@ -0,0 +1,122 @@
+"""Model engines: generations, resumed streams, cancellation."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from carawayhitch.backends._calls import UpstreamCall
+from carawayhitch.codecs import answer_token_count, engine_body, split_events
+from carawayhitch.core import actions, errors, events
+
+REFUSED_STATUSES = frozenset({429, 503})
+STREAM_CONTENT_TYPE = "text/event-stream"
+GENERATION_HEADER = "X-Generation-Id"
+
+
+def failure(
+    call: UpstreamCall, kind: events.FailureKind, sent: bool, detail: object = ""
+) -> events.UpstreamCallFailed:
+    """Return the event of a failed attempt."""
+    return events.UpstreamCallFailed(
+        call.request_id, call.attempt, kind, sent, str(detail)[:200]
+    )
+
+
+async def run_generation(call: UpstreamCall, action: actions.OpenUpstream) -> None:
+    """Send a generation to an engine and submit what it answers."""
+    url = f"http://{action.address}{call.content.path}"
+    body = engine_body(call.content.body, action.priority)
+    headers = {"Content-Type": "application/json"}
+    try:
+        async with call.session.post(url, data=body, headers=headers) as response:
+            if response.status in REFUSED_STATUSES:
+                call.submit(failure(call, "refused", False, response.status))
+            elif response.content_type == STREAM_CONTENT_TYPE:
+                await _relay(call, response)
+            else:
+                await _read_whole(call, response)
+    except aiohttp.ClientConnectorError as error:
+        call.submit(failure(call, "connect", False, error))
+    except aiohttp.ConnectionTimeoutError as error:
+        call.submit(failure(call, "connect", False, error))
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        call.submit(failure(call, "link_lost", True, error))
+
+
+async def resume_generation(call: UpstreamCall, action: actions.ResumeUpstream) -> None:
+    """Continue a stream after the last event that the caller received."""
+    url = f"http://{action.address}/v1/generations/{action.generation_id}/stream"
+    headers = {"Last-Event-ID": str(action.last_sequence)}
+    try:
+        async with call.session.get(url, headers=headers) as response:
+            if response.status != 200:
+                call.submit(failure(call, "generation_gone", True, response.status))
+            else:
+                await _relay(call, response)
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        call.submit(failure(call, "connect", True, error))
+
+
+async def cancel_generation(
+    session: aiohttp.ClientSession, address: str, generation_id: str
+) -> None:
+    """Tell an engine to stop a generation and free its memory."""
+    url = f"http://{address}/v1/generations/{generation_id}"
+    timeout = aiohttp.ClientTimeout(total=2.0)
+    try:
+        async with session.delete(url, timeout=timeout):
+            return
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        # The engine drops abandoned generations by itself after a while.
+        return
+
+
+async def _relay(call: UpstreamCall, response: aiohttp.ClientResponse) -> None:
+    generation_id = response.headers.get(GENERATION_HEADER, "")
+    call.submit(
+        events.UpstreamOpened(
+            call.request_id, call.attempt, generation_id, STREAM_CONTENT_TYPE
+        )
+    )
+    pending = b""
+    try:
+        async for received in response.content.iter_any():
+            block, pending = split_events(pending + received)
+            if block is None:
+                continue
+            await call.caller.writable()
+            call.submit(
+                events.ChunkReceived(
+                    call.request_id,
+                    call.attempt,
+                    block.first_sequence,
+                    block.last_sequence,
+                    block.data,
+                )
+            )
+            if block.is_final:
+                call.submit(events.StreamEnded(call.request_id, call.attempt))
+                return
+    except errors.MalformedMessageError as error:
+        call.submit(failure(call, "truncated", True, error.message))
+        return
+    call.submit(failure(call, "link_lost", True, "closed before the final event"))
+
+
+async def _read_whole(call: UpstreamCall, response: aiohttp.ClientResponse) -> None:
+    body = await response.read()
+    try:
+        token_count = answer_token_count(body)
+    except errors.MalformedMessageError as error:
+        call.submit(failure(call, "truncated", True, error.message))
+        return
+    call.submit(
+        events.AnswerReceived(
+            call.request_id,
+            call.attempt,
+            response.status,
+            response.content_type,
+            body,
+            token_count,
+        )
+    )
--- /dev/null
+++ b/src/carawayhitch/backends/_platform.py
@@ -0,0 +1,37 @@
+"""The platform: VM list and load of engines."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from carawayhitch.codecs import decode_load, decode_vm_list
+from carawayhitch.core import errors, events
+
+POLL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+
+
+async def read_vm_list(
+    session: aiohttp.ClientSession, url: str
+) -> events.VmListReceived | None:
+    """Return the list of VMs, or None if the platform did not answer."""
+    try:
+        async with session.get(url, timeout=POLL_TIMEOUT) as response:
+            response.raise_for_status()
+            return decode_vm_list(await response.read())
+    except (aiohttp.ClientError, TimeoutError, OSError, errors.MalformedMessageError):
+        return None
+
+
+async def read_load(
+    session: aiohttp.ClientSession, upstream_id: str, address: str, now: float
+) -> events.LoadReported | events.LoadUnavailable:
+    """Return the load of an engine."""
+    try:
+        url = f"http://{address}/load"
+        async with session.get(url, timeout=POLL_TIMEOUT) as response:
+            response.raise_for_status()
+            return decode_load(upstream_id, await response.read(), now)
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return events.LoadUnavailable(upstream_id, str(error))
+    except errors.MalformedMessageError as error:
+        return events.LoadUnavailable(upstream_id, error.message)
--- /dev/null
+++ b/src/carawayhitch/board/_board.py
@@ -0,0 +1,81 @@
+"""The blackboard: every table of one process."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from carawayhitch.core import declarations, rows
+from carawayhitch.core import settings as settings_types
+
+
+class Board(NamedTuple):
+    """Tables that controllers read; each has one controller that writes it.
+
+    The tables are dictionaries of immutable rows, named by their key. A row is
+    replaced as a whole, so that a reader never sees half a change.
+    """
+
+    settings: settings_types.Settings
+    lifecycle_by_node_id: dict[str, rows.LifecycleRow]
+    requests_by_id: dict[str, rows.RequestRow]
+    upstreams_by_id: dict[str, rows.UpstreamRow]
+    cells_by_id: dict[str, rows.CellRow]
+    members_by_id: dict[str, rows.MemberRow]
+    schedulers_by_cell_id: dict[str, tuple[str, ...]]
+    asks_by_request_id: dict[str, rows.AskRow]
+    grants_by_request_id: dict[str, rows.GrantRow]
+    crashes_by_fingerprint: dict[str, rows.CrashRow]
+    claims_by_key: dict[str, rows.ClaimRow]
+    objects_by_key: dict[tuple[str, str], rows.ObjectRow]
+    configuration_by_name: dict[str, declarations.Configuration]
+    retry_budget_by_group: dict[str, rows.BudgetRow]
+
+    @property
+    def node_id(self) -> str:
+        """Name of this process's node."""
+        return self.settings.node.id
+
+    @property
+    def configuration(self) -> declarations.Configuration | None:
+        """The configuration in force, or None before the first one."""
+        return self.configuration_by_name.get("in_force")
+
+    @property
+    def lifecycle(self) -> rows.LifecycleRow:
+        """State of this process."""
+        return self.lifecycle_by_node_id[self.settings.node.id]
+
+
+def new_board(settings: settings_types.Settings, incarnation: int) -> Board:
+    """Return an empty board.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings of the process.
+    incarnation : int
+        Number of this process, higher than that of any earlier one of the node.
+
+    Returns
+    -------
+    Board
+        Tables are empty but for the lifecycle row of this node.
+    """
+    node_id = settings.node.id
+    lifecycle = rows.LifecycleRow(node_id, incarnation, "starting")
+    return Board(
+        settings=settings,
+        lifecycle_by_node_id={node_id: lifecycle},
+        requests_by_id={},
+        upstreams_by_id={},
+        cells_by_id={},
+        members_by_id={},
+        schedulers_by_cell_id={},
+        asks_by_request_id={},
+        grants_by_request_id={},
+        crashes_by_fingerprint={},
+        claims_by_key={},
+        objects_by_key={},
+        configuration_by_name={},
+        retry_budget_by_group={},
+    )
--- /dev/null
+++ b/src/carawayhitch/cli/_logs.py
@@ -0,0 +1,32 @@
+"""Structured logs."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+from carawayhitch.core import settings as settings_types
+
+
+def configure_logs(settings: settings_types.Settings) -> Any:
+    """Configure structlog and return the logger of this node."""
+    renderer: Any = (
+        structlog.processors.JSONRenderer()
+        if settings.logs.format == "json"
+        else structlog.dev.ConsoleRenderer()
+    )
+    level = logging.getLevelName(settings.logs.level.upper())
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    return structlog.get_logger().bind(node=settings.node.id)
--- /dev/null
+++ b/src/carawayhitch/codecs/__init__.py
@@ -0,0 +1,65 @@
+"""Bytes to typed values and back; no decisions and no I/O but settings files."""
+
+from __future__ import annotations
+
+from carawayhitch.codecs._calls import (
+    answer_token_count,
+    bearer_token_sha256,
+    engine_body,
+    error_body,
+    error_event,
+    generation_target,
+    parse_labels,
+    sha256_hex,
+)
+from carawayhitch.codecs._event_stream import EventBlock, split_events
+from carawayhitch.codecs._objects import (
+    declaration_from_value,
+    decode_objects,
+    value_from_declaration,
+)
+from carawayhitch.codecs._platform import (
+    decode_cache_events,
+    decode_load,
+    decode_objects_listed,
+    decode_stored_object,
+    decode_vm_list,
+    decode_written_version,
+    encode_json,
+)
+from carawayhitch.codecs._records import mapping_from_record, record_from_mapping
+from carawayhitch.codecs._resume_tokens import (
+    ResumeToken,
+    sign_resume_token,
+    verify_resume_token,
+)
+from carawayhitch.codecs._settings_file import read_settings
+
+__all__ = [
+    "EventBlock",
+    "ResumeToken",
+    "answer_token_count",
+    "bearer_token_sha256",
+    "declaration_from_value",
+    "decode_cache_events",
+    "decode_load",
+    "decode_objects",
+    "decode_objects_listed",
+    "decode_stored_object",
+    "decode_vm_list",
+    "decode_written_version",
+    "encode_json",
+    "engine_body",
+    "error_body",
+    "error_event",
+    "generation_target",
+    "mapping_from_record",
+    "parse_labels",
+    "read_settings",
+    "record_from_mapping",
+    "sha256_hex",
+    "sign_resume_token",
+    "split_events",
+    "value_from_declaration",
+    "verify_resume_token",
+]
--- /dev/null
+++ b/src/carawayhitch/codecs/_calls.py
@@ -0,0 +1,180 @@
+"""Calls of callers: HTTP requests to events, outcomes to bodies."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+from typing import Any, TypedDict
+
+import msgspec
+
+from carawayhitch.core import errors, result_codes, rows
+
+# Prompts are hashed in blocks of this many bytes; engines publish cache events for
+# blocks of the same size.
+PREFIX_BLOCK_BYTES = 256
+BYTES_PER_TOKEN = 4
+DEFAULT_MAXIMUM_TOKENS = 32768
+
+
+class ErrorBody(TypedDict):
+    """Body of an error answer."""
+
+    code: int
+    name: str
+    ran: str
+    message: str
+
+
+class GenerationBody(TypedDict, total=False):
+    """Fields of an OpenAI-compatible request that routing needs."""
+
+    model: str
+    prompt: Any
+    messages: Any
+    stream: bool | None
+    max_tokens: int | None
+    max_completion_tokens: int | None
+
+
+_generation_decoder = msgspec.json.Decoder(GenerationBody)
+
+
+def sha256_hex(data: bytes) -> str:
+    """Return the SHA-256 of bytes in hexadecimal."""
+    return sha256(data).hexdigest()
+
+
+def bearer_token_sha256(authorization: str) -> str:
+    """Return the hash of a bearer token; of an empty one if there is none."""
+    scheme, _, token = authorization.partition(" ")
+    if scheme.lower() != "bearer":
+        token = ""
+    return sha256_hex(token.strip().encode())
+
+
+def parse_labels(header: str) -> dict[str, str]:
+    """Return the labels of a ``Carawayhitch-Labels: key=value,...`` header.
+
+    Raises
+    ------
+    MalformedMessageError
+        If a label has no ``=`` or an empty key.
+    """
+    labels: dict[str, str] = {}
+    for pair in filter(None, (part.strip() for part in header.split(","))):
+        key, separator, value = pair.partition("=")
+        if not separator or not key.strip():
+            raise errors.MalformedMessageError(
+                result_codes.MALFORMED_REQUEST,
+                f"label {pair!r} is not of the form key=value",
+            )
+        labels[key.strip()] = value.strip()
+    return labels
+
+
+def generation_target(path: str, body: bytes) -> rows.GenerationTarget:
+    """Return the target of an OpenAI-compatible request.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the body is not a JSON object with a model and a prompt or messages.
+    """
+    try:
+        decoded = _generation_decoder.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.MalformedMessageError(
+            result_codes.MALFORMED_REQUEST, f"body: {error}"
+        ) from None
+    prompt = decoded.get("messages", decoded.get("prompt"))
+    model = decoded.get("model", "")
+    if not model or prompt is None:
+        raise errors.MalformedMessageError(
+            result_codes.MALFORMED_REQUEST,
+            "body: expected 'model' and 'messages' or 'prompt'",
+        )
+    maximum_tokens = decoded.get("max_completion_tokens", decoded.get("max_tokens"))
+    if maximum_tokens is None:
+        maximum_tokens = DEFAULT_MAXIMUM_TOKENS
+    if maximum_tokens < 1:
+        raise errors.MalformedMessageError(
+            result_codes.MALFORMED_REQUEST,
+            f"body: max_tokens is {maximum_tokens}, expected at least 1",
+        )
+    text = msgspec.json.encode(prompt)
+    return rows.GenerationTarget(
+        path=path,
+        model=model,
+        stream=bool(decoded.get("stream")),
+        prompt_tokens=max(1, len(text) // BYTES_PER_TOKEN),
+        maximum_tokens=maximum_tokens,
+        prefix_blocks=prefix_blocks(text),
+    )
+
+
+def prefix_blocks(text: bytes, limit: int = 16) -> tuple[str, ...]:
+    """Return chained hashes of the leading blocks of a prompt."""
+    blocks: list[str] = []
+    chained = b""
+    block_count = min(limit, len(text) // PREFIX_BLOCK_BYTES)
+    for index in range(block_count):
+        block = text[index * PREFIX_BLOCK_BYTES : (index + 1) * PREFIX_BLOCK_BYTES]
+        chained = sha256(chained + block).digest()[:8]
+        blocks.append(chained.hex())
+    return tuple(blocks)
+
+
+def error_body(code: result_codes.ResultCode, message: str) -> bytes:
+    """Return the JSON body of an error answer."""
+    body: ErrorBody = {
+        "code": code.number,
+        "name": code.name,
+        "ran": code.ran,
+        "message": message,
+    }
+    return msgspec.json.encode({"error": body})
+
+
+def error_event(code: result_codes.ResultCode, message: str) -> bytes:
+    """Return the server-sent event that ends a broken stream."""
+    return b"event: error\ndata: " + error_body(code, message) + b"\n\n"
+
+
+def engine_body(body: bytes, priority: int) -> bytes:
+    """Return a request body for an engine with the priority of its rank.
+
+    A priority that the caller wrote is replaced, so that no caller can raise its own.
+    """
+    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    fields["priority"] = msgspec.Raw(str(priority).encode())
+    return msgspec.json.encode(fields)
+
+
+class UsageBody(TypedDict, total=False):
+    """Token counts of an engine's answer."""
+
+    completion_tokens: int
+
+
+class AnswerBody(TypedDict, total=False):
+    """Fields of an engine's whole answer that the entry reads."""
+
+    usage: UsageBody | None
+
+
+def answer_token_count(body: bytes) -> int:
+    """Return the tokens that an engine's whole answer reports.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the answer is not complete JSON.
+    """
+    try:
+        answer = msgspec.json.decode(body, type=AnswerBody)
+    except msgspec.DecodeError as error:
+        raise errors.MalformedMessageError(
+            result_codes.ANSWER_TRUNCATED, f"engine answer: {error}"
+        ) from None
+    usage = answer.get("usage")
+    return usage.get("completion_tokens", 0) if usage else 0
--- /dev/null
+++ b/src/carawayhitch/codecs/_platform.py
@@ -0,0 +1,174 @@
+"""JSON of the platform: object store, VM list, engine load and cache events."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from binascii import Error as Base64Error
+from typing import Any, NotRequired, TypedDict, TypeVar
+
+import msgspec
+
+from carawayhitch.core import errors, events, result_codes, rows
+
+Body = TypeVar("Body")
+
+
+class StoredBody(TypedDict):
+    """One object of the store; the value is in base64."""
+
+    kind: str
+    name: str
+    version: int
+    value: str
+    deleted: NotRequired[bool]
+
+
+class ListBody(TypedDict):
+    """Answer to a list or a watch."""
+
+    revision: int
+    objects: list[StoredBody]
+
+
+class WrittenBody(TypedDict):
+    """Answer to a write."""
+
+    version: int
+
+
+class VmBody(TypedDict):
+    """One VM of the platform's list."""
+
+    id: str
+    address: str
+    zone: str
+    region: str
+    kind: rows.UpstreamKind
+    labels: NotRequired[dict[str, str]]
+    leaving: NotRequired[bool]
+
+
+class VmListBody(TypedDict):
+    """The platform's list of VMs."""
+
+    vms: list[VmBody]
+
+
+class LoadBody(TypedDict):
+    """Load of an engine; ``age_seconds`` ago."""
+
+    memory_capacity: int
+    memory_used: int
+    running: int
+    running_limit: int
+    waiting: int
+    preemptions: int
+    age_seconds: NotRequired[float]
+    leaving: NotRequired[bool]
+
+
+class CacheEventBody(TypedDict):
+    """Prefix blocks that an engine stored and evicted."""
+
+    sequence: int
+    stored_blocks: NotRequired[tuple[str, ...]]
+    evicted_blocks: NotRequired[tuple[str, ...]]
+
+
+class CacheEventsBody(TypedDict):
+    """Cache events of an engine."""
+
+    events: list[CacheEventBody]
+
+
+def _decode(body: bytes, body_type: type[Body], source: str) -> Body:
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.MalformedMessageError(
+            result_codes.STORE_CALL_FAILED, f"{source}: {error}"
+        ) from None
+
+
+def _stored_object(body: StoredBody) -> events.StoredObject:
+    try:
+        value = b64decode(body["value"], validate=True)
+    except (Base64Error, ValueError) as error:
+        raise errors.MalformedMessageError(
+            result_codes.STORE_CALL_FAILED, f"store value: {error}"
+        ) from None
+    deleted = body.get("deleted", False)
+    return events.StoredObject(
+        body["kind"], body["name"], body["version"], value, deleted
+    )
+
+
+def decode_stored_object(body: bytes) -> events.StoredObject:
+    """Return one object of the store."""
+    return _stored_object(_decode(body, StoredBody, "store object"))
+
+
+def decode_objects_listed(body: bytes) -> events.ObjectsListed:
+    """Return a list of the store's objects."""
+    decoded = _decode(body, ListBody, "store list")
+    objects = tuple(_stored_object(item) for item in decoded["objects"])
+    return events.ObjectsListed(decoded["revision"], objects)
+
+
+def decode_written_version(body: bytes) -> int:
+    """Return the version that a write answered."""
+    return _decode(body, WrittenBody, "store write")["version"]
+
+
+def decode_vm_list(body: bytes) -> events.VmListReceived:
+    """Return the platform's list of VMs."""
+    decoded = _decode(body, VmListBody, "VM list")
+    return events.VmListReceived(
+        tuple(
+            events.VmListed(
+                vm["id"],
+                vm["address"],
+                vm["zone"],
+                vm["region"],
+                vm["kind"],
+                vm.get("labels", {}),
+                vm.get("leaving", False),
+            )
+            for vm in decoded["vms"]
+        )
+    )
+
+
+def decode_load(upstream_id: str, body: bytes, now: float) -> events.LoadReported:
+    """Return the load of an engine as of ``now`` minus its age."""
+    load = _decode(body, LoadBody, f"load of {upstream_id}")
+    return events.LoadReported(
+        upstream_id=upstream_id,
+        reported_at=now - max(0.0, load.get("age_seconds", 0.0)),
+        memory_capacity=load["memory_capacity"],
+        memory_used=load["memory_used"],
+        running_count=load["running"],
+        running_limit=load["running_limit"],
+        waiting_count=load["waiting"],
+        preemption_count=load["preemptions"],
+        leaving=load.get("leaving", False),
+    )
+
+
+def decode_cache_events(upstream_id: str, body: bytes) -> list[events.CacheChanged]:
+    """Return the cache events of an engine."""
+    decoded = _decode(body, CacheEventsBody, f"cache events of {upstream_id}")
+    return [
+        events.CacheChanged(
+            upstream_id,
+            event["sequence"],
+            event.get("stored_blocks", ()),
+            event.get("evicted_blocks", ()),
+        )
+        for event in decoded["events"]
+    ]
+
+
+def encode_json(value: Any) -> bytes:
+    """Return JSON."""
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/src/carawayhitch/controllers/_admission.py
@@ -0,0 +1,118 @@
+"""Admission of calls: account, limits, binding; start and end of request rows."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import NamedTuple
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._selectors import find_binding
+from carawayhitch.controllers._targets import is_idempotent
+from carawayhitch.core import actions, declarations, events, result_codes, rows
+
+OVERLOAD_RETRY_AFTER_SECONDS = 1.0
+
+decide = new_controller()
+
+
+class Admitted(NamedTuple):
+    """Declarations that apply to an admitted call."""
+
+    account: declarations.ClientAccount
+    binding: declarations.Binding
+    rank: declarations.RankClass
+
+
+def find_refusal(board: Board) -> result_codes.ResultCode | None:
+    """Return why this entry takes no call at all now, or None."""
+    if board.lifecycle.state in ("refusing", "stopped"):
+        return result_codes.DRAINING
+    if len(board.requests_by_id) >= board.settings.limits.open_requests:
+        return result_codes.ENTRY_OVERLOADED
+    if board.configuration is None:
+        return result_codes.NOT_CONFIGURED
+    return None
+
+
+def admit(
+    event: events.CallReceived, configuration: declarations.Configuration
+) -> Admitted | result_codes.ResultCode:
+    """Return the declarations for a call, or the code with which it is refused."""
+    account = configuration.accounts_by_token_sha256.get(event.token_sha256)
+    if account is None:
+        return result_codes.UNKNOWN_ACCOUNT
+    binding = find_binding(configuration, account, event.labels)
+    if binding is None:
+        return result_codes.NO_BINDING
+    if not is_idempotent(event.target) and not event.idempotency_key:
+        return result_codes.KEY_REQUIRED
+    rank = configuration.rank_classes_by_name[binding.rank]
+    return Admitted(account, binding, rank)
+
+
+def refuse(request_id: str, code: result_codes.ResultCode, rank: str = "") -> Actions:
+    """Return the actions that refuse a call before a row exists for it."""
+    retry_after = OVERLOAD_RETRY_AFTER_SECONDS if code.http_status == 503 else 0.0
+    return (
+        actions.Count(code, rank),
+        actions.RefuseCall(request_id, code, code.meaning, retry_after),
+    )
+
+
+@decide.register(events.CallReceived)
+def _admit_call(
+    event: events.CallReceived, board: Board, now: float, random: Random
+) -> Actions:
+    refusal = find_refusal(board)
+    if refusal is not None:
+        return refuse(event.request_id, refusal)
+    configuration = board.configuration
+    assert configuration is not None
+    admitted = admit(event, configuration)
+    if isinstance(admitted, result_codes.ResultCode):
+        return refuse(event.request_id, admitted)
+    wait_seconds = admitted.rank.maximum_wait_seconds
+    if event.wait_seconds:
+        wait_seconds = min(wait_seconds, event.wait_seconds)
+    row = rows.RequestRow(
+        request_id=event.request_id,
+        account=admitted.account.name,
+        group=admitted.binding.group,
+        rank=admitted.rank.name,
+        binding=admitted.binding.name,
+        target=event.target,
+        fingerprint=event.fingerprint,
+        body_sha256=event.body_sha256,
+        idempotency_key=event.idempotency_key,
+        received_at=now,
+        deadline=now + wait_seconds,
+    )
+    board.requests_by_id[event.request_id] = row
+    return (
+        actions.SetTimer(row.deadline, events.WaitExpired(event.request_id)),
+        actions.Emit(events.RequestAdmitted(event.request_id)),
+    )
+
+
+@decide.register(events.RequestEnded)
+def _remove_row(
+    event: events.RequestEnded, board: Board, now: float, random: Random
+) -> Actions:
+    row = board.requests_by_id.pop(event.request_id, None)
+    if row is None:
+        return ()
+    fields = {
+        "request_id": row.request_id,
+        "account": row.account,
+        "rank": row.rank,
+        "upstream": row.upstream_id,
+        "tokens": row.token_count,
+        "complete": event.complete,
+        "code": event.code.name if event.code else "",
+        "seconds": round(now - row.received_at, 4),
+    }
+    logged = actions.Log("info", "request ended", fields)
+    if event.code is None:
+        return (logged,)
+    return (logged, actions.Count(event.code, row.rank))
--- /dev/null
+++ b/src/carawayhitch/controllers/_cells.py
@@ -0,0 +1,92 @@
+"""Cells of upstreams and the entries that schedule them, by rendezvous hashing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._selectors import matches
+from carawayhitch.core import rows
+
+SCHEDULER_CANDIDATES = 3
+SCHEDULING_STATES = frozenset({"alive", "suspect"})
+
+
+def rendezvous_score(subject: str, candidate: str) -> int:
+    """Return the weight of a candidate for a subject; the highest one owns it."""
+    digest = blake2b(f"{subject}\0{candidate}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def ranked(subject: str, candidates: Iterable[str]) -> list[str]:
+    """Return candidates in rendezvous order, the owner first."""
+    return sorted(
+        candidates,
+        key=lambda candidate: (-rendezvous_score(subject, candidate), candidate),
+    )
+
+
+def divide_group(
+    group: str, region: str, upstream_ids: Iterable[str], cell_size: int
+) -> list[rows.CellRow]:
+    """Divide the upstreams of a group into cells of about ``cell_size``.
+
+    Rendezvous hashing keeps most upstreams in their cell when one is added.
+    """
+    members = sorted(upstream_ids)
+    cell_count = max(1, -(-len(members) // cell_size))
+    cell_ids = [f"{group}/{region}/{index}" for index in range(cell_count)]
+    upstreams_by_cell: dict[str, list[str]] = {cell_id: [] for cell_id in cell_ids}
+    for upstream_id in members:
+        upstreams_by_cell[ranked(upstream_id, cell_ids)[0]].append(upstream_id)
+    return [
+        rows.CellRow(cell_id, group, region, tuple(ids))
+        for cell_id, ids in upstreams_by_cell.items()
+        if ids
+    ]
+
+
+def derive_cells(board: Board) -> dict[str, rows.CellRow]:
+    """Return the cells of every serving group, by id."""
+    configuration = board.configuration
+    if configuration is None:
+        return {}
+    cell_size = board.settings.scheduling.cell_size
+    cells: dict[str, rows.CellRow] = {}
+    for group in configuration.serving_groups_by_name.values():
+        ids_by_region: dict[str, list[str]] = {}
+        for upstream in board.upstreams_by_id.values():
+            if matches(group.selector, upstream.labels):
+                ids_by_region.setdefault(upstream.region, []).append(
+                    upstream.upstream_id
+                )
+        for region, upstream_ids in ids_by_region.items():
+            for cell in divide_group(group.name, region, upstream_ids, cell_size):
+                cells[cell.cell_id] = cell
+    return cells
+
+
+def derive_schedulers(
+    cells: Mapping[str, rows.CellRow],
+    members: Iterable[rows.MemberRow],
+    node_id: str,
+) -> dict[str, tuple[str, ...]]:
+    """Return for each cell the entries that schedule it, in order of failover.
+
+    Entries of the cell's region come first. A node that knows no other one names
+    itself.
+    """
+    able = [member for member in members if member.state in SCHEDULING_STATES]
+    ids_by_region: dict[str, list[str]] = {}
+    for member in able:
+        ids_by_region.setdefault(member.region, []).append(member.node_id)
+    everyone = [member.node_id for member in able] or [node_id]
+    return {
+        cell.cell_id: tuple(
+            ranked(cell.cell_id, ids_by_region.get(cell.region) or everyone)[
+                :SCHEDULER_CANDIDATES
+            ]
+        )
+        for cell in cells.values()
+    }
--- /dev/null
+++ b/src/carawayhitch/controllers/_controller.py
@@ -0,0 +1,63 @@
+"""The shape that all controllers share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from functools import cache, singledispatch
+from random import Random
+from typing import Any
+
+from carawayhitch.board import Board
+from carawayhitch.core import actions
+
+Actions = Sequence[actions.Action]
+Handler = Callable[[Any, Board, float, Random], Actions]
+
+
+def new_controller() -> Any:
+    """Return a ``singledispatch`` function over event types that does nothing.
+
+    A controller module registers its handlers on it, each called as
+    ``handler(event, board, now, random)`` and returning actions.
+    """
+
+    @singledispatch
+    def decide(event: Any, board: Board, now: float, random: Random) -> Actions:
+        return ()
+
+    return decide
+
+
+def handles(controller: Any, event_type: type[Any]) -> bool:
+    """Return whether a controller registered a handler for an event type."""
+    return controller.dispatch(event_type) is not controller.dispatch(object)
+
+
+def combine(controllers: Sequence[Any]) -> Handler:
+    """Return one decision function that runs controllers in their order.
+
+    Parameters
+    ----------
+    controllers : sequence of controllers
+        Results of `new_controller`, in the order in which they see an event.
+    """
+
+    @cache
+    def controllers_of(event_type: Any) -> tuple[Any, ...]:
+        return tuple(
+            controller.dispatch(event_type)
+            for controller in controllers
+            if handles(controller, event_type)
+        )
+
+    def decide(event: Any, board: Board, now: float, random: Random) -> Actions:
+        event_type: Any = type(event)
+        handlers = controllers_of(event_type)
+        if len(handlers) == 1:
+            return handlers[0](event, board, now, random)
+        decided: list[actions.Action] = []
+        for handler in handlers:
+            decided.extend(handler(event, board, now, random))
+        return decided
+
+    return decide
--- /dev/null
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -0,0 +1,77 @@
+"""Lifecycle of the process: ready, draining, refusing, stopped."""
+
+from __future__ import annotations
+
+from random import Random
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.core import actions, events
+
+GRACE_TIMER = "drain_grace"
+LIMIT_TIMER = "drain_limit"
+
+decide = new_controller()
+
+
+@decide.register(events.ConfigurationChanged)
+def _become_ready(
+    event: events.ConfigurationChanged, board: Board, now: float, random: Random
+) -> Actions:
+    lifecycle = board.lifecycle
+    if lifecycle.state == "starting":
+        board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(state="ready")
+    return ()
+
+
+@decide.register(events.StopRequested)
+def _drain(
+    event: events.StopRequested, board: Board, now: float, random: Random
+) -> Actions:
+    lifecycle = board.lifecycle
+    if event.immediate or lifecycle.state == "stopped":
+        return _stop(board)
+    if lifecycle.state in ("draining", "refusing"):
+        return ()
+    drain = board.settings.drain
+    board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(
+        state="draining", deadline=now + drain.limit_seconds
+    )
+    grace_deadline = now + drain.readiness_grace_seconds
+    return (
+        actions.Log("info", "draining", {"open_requests": len(board.requests_by_id)}),
+        actions.SetTimer(grace_deadline, events.TimerFired(GRACE_TIMER)),
+        actions.SetTimer(now + drain.limit_seconds, events.TimerFired(LIMIT_TIMER)),
+    )
+
+
+@decide.register(events.TimerFired)
+def _drain_further(
+    event: events.TimerFired, board: Board, now: float, random: Random
+) -> Actions:
+    lifecycle = board.lifecycle
+    if event.name == GRACE_TIMER and lifecycle.state == "draining":
+        board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(state="refusing")
+        return () if board.requests_by_id else _stop(board)
+    if event.name == LIMIT_TIMER and lifecycle.state != "stopped":
+        return _stop(board)
+    return ()
+
+
+@decide.register(events.RequestEnded)
+def _stop_when_empty(
+    event: events.RequestEnded, board: Board, now: float, random: Random
+) -> Actions:
+    if board.lifecycle.state == "refusing" and not board.requests_by_id:
+        return _stop(board)
+    return ()
+
+
+def _stop(board: Board) -> Actions:
+    board.lifecycle_by_node_id[board.node_id] = board.lifecycle._replace(
+        state="stopped"
+    )
+    return (
+        actions.Log("info", "stopped", {"open_requests": len(board.requests_by_id)}),
+        actions.StopProcess(),
+    )
--- /dev/null
+++ b/src/carawayhitch/controllers/_placement.py
@@ -0,0 +1,339 @@
+"""Placement at the entry: asks the scheduler of a cell for an upstream."""
+
+from __future__ import annotations
+
+from random import Random
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._cells import derive_schedulers
+from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._targets import admission_size
+from carawayhitch.core import actions, events, messages, result_codes, rows
+
+ASK_LIMIT = 6
+PROGRESS_TIMER = "progress"
+WAITING_PHASES = frozenset({"asking"})
+GRANTED_PHASES = frozenset({"claiming", "opening", "relaying"})
+
+decide = new_controller()
+
+
+def choose_cell(board: Board, group: str, random: Random) -> rows.CellRow | None:
+    """Return a cell of the group, in this entry's region if there is one."""
+    cells = [cell for cell in board.cells_by_id.values() if cell.group == group]
+    region = board.settings.node.region
+    nearby = [cell for cell in cells if cell.region == region] or cells
+    return random.choice(nearby) if nearby else None
+
+
+def choose_scheduler(board: Board, cell_id: str, ask_count: int) -> str:
+    """Return the entry to ask; repeated asks move on in the order of failover."""
+    candidates = board.schedulers_by_cell_id.get(cell_id) or (board.node_id,)
+    if ask_count >= len(candidates):
+        return board.node_id
+    return candidates[ask_count]
+
+
+def end_request(
+    row: rows.RequestRow,
+    code: result_codes.ResultCode,
+    retry_after: float = 0.0,
+    message: str = "",
+) -> Actions:
+    """Return the actions that end a request with an error answer."""
+    return (
+        actions.RefuseCall(row.request_id, code, message or code.meaning, retry_after),
+        actions.Emit(events.RequestEnded(row.request_id, False, code)),
+    )
+
+
+def _ask(board: Board, row: rows.RequestRow, now: float) -> Actions:
+    size = admission_size(row.target)
+    message = messages.AdmissionAsk(
+        sender_id=board.node_id,
+        request_id=row.request_id,
+        attempt=row.attempt,
+        cell_id=row.cell_id,
+        group=row.group,
+        account=row.account,
+        rank=row.rank,
+        binding=row.binding,
+        fingerprint=row.fingerprint,
+        prompt_tokens=size.prompt_tokens,
+        maximum_tokens=size.maximum_tokens,
+        prefix_blocks=size.prefix_blocks,
+        excluded_upstream_ids=row.excluded_upstream_ids,
+        deadline=row.deadline,
+    )
+    timeout = board.settings.scheduling.ask_timeout_seconds
+    asked = row._replace(ask_deadline=now + timeout, queued=False)
+    board.requests_by_id[row.request_id] = asked
+    timed_out = events.AskTimedOut(row.request_id, row.attempt, row.ask_count)
+    return (
+        actions.Send(row.scheduler_id, message),
+        actions.SetTimer(asked.ask_deadline, timed_out),
+    )
+
+
+def _current(
+    board: Board, request_id: str, attempt: int, phases: frozenset[str]
+) -> rows.RequestRow | None:
+    row = board.requests_by_id.get(request_id)
+    if row is None or row.attempt != attempt or row.phase not in phases:
+        return None
+    return row
+
+
+@decide.register(events.RequestAdmitted)
+def _place(
+    event: events.RequestAdmitted, board: Board, now: float, random: Random
+) -> Actions:
+    row = board.requests_by_id.get(event.request_id)
+    if row is None:
+        return ()
+    cell = choose_cell(board, row.group, random)
+    if cell is None:
+        return end_request(row, result_codes.NO_UPSTREAM, retry_after=1.0)
+    scheduler_id = choose_scheduler(board, cell.cell_id, 0)
+    row = row._replace(
+        phase="asking", cell_id=cell.cell_id, scheduler_id=scheduler_id, ask_count=0
+    )
+    return _ask(board, row, now)
+
+
+@decide.register(events.AskTimedOut)
+def _ask_next(
+    event: events.AskTimedOut, board: Board, now: float, random: Random
+) -> Actions:
+    row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
+    if row is None or row.queued or row.ask_count != event.ask_count:
+        return ()
+    ask_count = row.ask_count + 1
+    if ask_count >= ASK_LIMIT:
+        return end_request(row, result_codes.SCHEDULER_UNAVAILABLE, retry_after=1.0)
+    scheduler_id = choose_scheduler(board, row.cell_id, ask_count)
+    row = row._replace(scheduler_id=scheduler_id, ask_count=ask_count)
+    return (
+        actions.Count(result_codes.RETRY_ASK, row.rank),
+        *_ask(board, row, now),
+    )
+
+
+@decide.register(messages.AdmissionQueued)
+def _note_queued(
+    event: messages.AdmissionQueued, board: Board, now: float, random: Random
+) -> Actions:
+    row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
+    if row is not None and row.scheduler_id == event.sender_id:
+        board.requests_by_id[row.request_id] = row._replace(queued=True)
+    return ()
+
+
+@decide.register(messages.AdmissionGrant)
+def _use_grant(
+    event: messages.AdmissionGrant, board: Board, now: float, random: Random
+) -> Actions:
+    row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
+    if row is None:
+        return _return_grant(event, board)
+    if now >= event.deadline:
+        row = row._replace(attempt=row.attempt + 1)
+        board.requests_by_id[row.request_id] = row
+        return (
+            *_return_grant(event, board),
+            actions.Count(result_codes.RETRY_GRANT_EXPIRED, row.rank),
+            actions.Emit(events.RequestAdmitted(row.request_id)),
+        )
+    board.requests_by_id[row.request_id] = row._replace(
+        phase="claiming",
+        scheduler_id=event.sender_id,
+        upstream_id=event.upstream_id,
+        address=event.address,
+        priority=event.priority,
+    )
+    return (actions.Emit(events.UpstreamGranted(row.request_id)),)
+
+
+def _return_grant(event: messages.AdmissionGrant, board: Board) -> Actions:
+    current = board.requests_by_id.get(event.request_id)
+    if (
+        current is not None
+        and current.attempt == event.attempt
+        and current.upstream_id == event.upstream_id
+    ):
+        return ()
+    finished = messages.Finished(
+        sender_id=board.node_id,
+        request_id=event.request_id,
+        attempt=event.attempt,
+        cell_id=event.cell_id,
+        token_count=0,
+        complete=False,
+        upstream_failed=False,
+    )
+    return (actions.Send(event.sender_id, finished),)
+
+
+@decide.register(messages.AdmissionRefusal)
+def _refuse(
+    event: messages.AdmissionRefusal, board: Board, now: float, random: Random
+) -> Actions:
+    row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
+    if row is None:
+        return ()
+    return end_request(row, event.code, event.retry_after)
+
+
+@decide.register(events.WaitExpired)
+def _expire(
+    event: events.WaitExpired, board: Board, now: float, random: Random
+) -> Actions:
+    row = board.requests_by_id.get(event.request_id)
+    if row is None or row.phase not in WAITING_PHASES:
+        return ()
+    return end_request(row, result_codes.WAIT_EXPIRED, retry_after=5.0)
+
+
+@decide.register(events.RequestEnded)
+def _tell_scheduler(
+    event: events.RequestEnded, board: Board, now: float, random: Random
+) -> Actions:
+    row = board.requests_by_id.get(event.request_id)
+    if row is None or not row.scheduler_id:
+        return ()
+    if row.phase in WAITING_PHASES:
+        withdrawn = messages.AskWithdrawn(
+            board.node_id, row.request_id, row.attempt, row.cell_id
+        )
+        return (actions.Send(row.scheduler_id, withdrawn),)
+    return (
+        actions.Send(
+            row.scheduler_id,
+            finished_message(board, row, event.complete, event.upstream_failed),
+        ),
+    )
+
+
+def finished_message(
+    board: Board, row: rows.RequestRow, complete: bool, upstream_failed: bool
+) -> messages.Finished:
+    """Return the message that gives the upstream of a request back."""
+    return messages.Finished(
+        sender_id=board.node_id,
+        request_id=row.request_id,
+        attempt=row.attempt,
+        cell_id=row.cell_id,
+        token_count=row.token_count,
+        complete=complete,
+        upstream_failed=upstream_failed,
+    )
+
+
+@decide.register(events.ProcessStarted)
+def _start_progress(
+    event: events.ProcessStarted, board: Board, now: float, random: Random
+) -> Actions:
+    return (_next_progress(board, now),)
+
+
+def _next_progress(board: Board, now: float) -> actions.SetTimer:
+    interval = board.settings.scheduling.progress_interval_seconds
+    return actions.SetTimer(now + interval, events.TimerFired(PROGRESS_TIMER))
+
+
+@decide.register(events.TimerFired)
+def _send_progress(
+    event: events.TimerFired, board: Board, now: float, random: Random
+) -> Actions:
+    if event.name != PROGRESS_TIMER:
+        return ()
+    sent = [
+        actions.Send(scheduler_id, message)
+        for scheduler_id, message in progress_messages(board)
+    ]
+    return (*sent, _next_progress(board, now))
+
+
+def progress_messages(board: Board) -> list[tuple[str, messages.Progress]]:
+    """Return one progress message for each scheduler and cell in use."""
+    rows_by_cell: dict[tuple[str, str], list[rows.RequestRow]] = {}
+    for row in board.requests_by_id.values():
+        if row.scheduler_id:
+            key = (row.scheduler_id, row.cell_id)
+            rows_by_cell.setdefault(key, []).append(row)
+    return [
+        (
+            scheduler_id,
+            messages.Progress(
+                sender_id=board.node_id,
+                cell_id=cell_id,
+                running=tuple(
+                    running_request(row) for row in found if row.phase in GRANTED_PHASES
+                ),
+                waiting_request_ids=tuple(
+                    row.request_id for row in found if row.phase in WAITING_PHASES
+                ),
+            ),
+        )
+        for (scheduler_id, cell_id), found in rows_by_cell.items()
+    ]
+
+
+def running_request(row: rows.RequestRow) -> messages.RunningRequest:
+    """Return what a scheduler needs to know of a running request."""
+    size = admission_size(row.target)
+    return messages.RunningRequest(
+        request_id=row.request_id,
+        attempt=row.attempt,
+        group=row.group,
+        account=row.account,
+        rank=row.rank,
+        binding=row.binding,
+        fingerprint=row.fingerprint,
+        upstream_id=row.upstream_id,
+        prompt_tokens=size.prompt_tokens,
+        maximum_tokens=size.maximum_tokens,
+        token_count=row.token_count,
+    )
+
+
+@decide.register(messages.ProgressAck)
+def _ask_again(
+    event: messages.ProgressAck, board: Board, now: float, random: Random
+) -> Actions:
+    decided: list[actions.Action] = []
+    for request_id in event.unknown_request_ids:
+        row = board.requests_by_id.get(request_id)
+        if row is not None and row.phase in WAITING_PHASES:
+            decided.extend(_ask(board, row, now))
+    return decided
+
+
+@decide.register(events.UpstreamsChanged)
+@decide.register(events.MembershipChanged)
+def _move_cells(
+    event: events.UpstreamsChanged | events.MembershipChanged,
+    board: Board,
+    now: float,
+    random: Random,
+) -> Actions:
+    derived = derive_schedulers(
+        board.cells_by_id, board.members_by_id.values(), board.node_id
+    )
+    board.schedulers_by_cell_id.clear()
+    board.schedulers_by_cell_id.update(derived)
+    decided: list[actions.Action] = []
+    for row in list(board.requests_by_id.values()):
+        decided.extend(_follow_scheduler(board, row, now))
+    return decided
+
+
+def _follow_scheduler(board: Board, row: rows.RequestRow, now: float) -> Actions:
+    candidates = board.schedulers_by_cell_id.get(row.cell_id)
+    if not row.scheduler_id or not candidates or candidates[0] == row.scheduler_id:
+        return ()
+    moved = row._replace(scheduler_id=candidates[0], ask_count=0)
+    board.requests_by_id[row.request_id] = moved
+    if row.phase in WAITING_PHASES:
+        return _ask(board, moved, now)
+    return ()
--- /dev/null
+++ b/src/carawayhitch/controllers/_selectors.py
@@ -0,0 +1,27 @@
+"""Selectors: which labels match which declarations."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from carawayhitch.core import declarations
+
+
+def matches(selector: Mapping[str, str], labels: Mapping[str, str]) -> bool:
+    """Return whether labels carry every pair of a selector; an empty one matches."""
+    return all(labels.get(key) == value for key, value in selector.items())
+
+
+def find_binding(
+    configuration: declarations.Configuration,
+    account: declarations.ClientAccount,
+    request_labels: Mapping[str, str],
+) -> declarations.Binding | None:
+    """Return the binding with the highest precedence that selects the request."""
+    account_labels = {**account.labels, "account": account.name}
+    for binding in configuration.bindings_by_precedence:
+        if matches(binding.account_selector, account_labels) and matches(
+            binding.request_selector, request_labels
+        ):
+            return binding
+    return None
--- /dev/null
+++ b/src/carawayhitch/core/_actions.py
@@ -0,0 +1,217 @@
+"""Actions that controllers return and that the node performs."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from carawayhitch.core._messages import PeerMessage
+from carawayhitch.core._result_codes import ResultCode
+
+
+class Emit(NamedTuple):
+    """Feed an event to the controllers directly after the current one."""
+
+    event: Any
+
+
+class SetTimer(NamedTuple):
+    """Feed an event at a time (seconds of the node clock).
+
+    Timers are not cancelled: handlers check whether the event still applies.
+    """
+
+    deadline: float
+    event: Any
+
+
+class Send(NamedTuple):
+    """Send a message to an entry; to itself it becomes an event."""
+
+    node_id: str
+    message: PeerMessage
+
+
+class SendToAddress(NamedTuple):
+    """Send a message to an entry that is not a member yet."""
+
+    address: str
+    peer_port: int
+    message: PeerMessage
+
+
+class OpenUpstream(NamedTuple):
+    """Send the request's stored body to an upstream.
+
+    Parameters
+    ----------
+    fresh_connection : bool
+        Use a connection of its own that no library may send twice over.
+    """
+
+    request_id: str
+    attempt: int
+    upstream_id: str
+    address: str
+    priority: int
+    fresh_connection: bool
+
+
+class ResumeUpstream(NamedTuple):
+    """Continue a generation after ``last_sequence``."""
+
+    request_id: str
+    attempt: int
+    address: str
+    generation_id: str
+    last_sequence: int
+
+
+class CloseUpstream(NamedTuple):
+    """Close the upstream connection; cancel the generation if it still runs."""
+
+    request_id: str
+    cancel_generation: bool
+
+
+class StartStream(NamedTuple):
+    """Send status and headers of a streamed answer to the caller."""
+
+    request_id: str
+    upstream_id: str
+    address: str
+    generation_id: str
+    account: str
+    group: str
+    content_type: str
+
+
+class ForwardChunk(NamedTuple):
+    """Pass bytes of a stream to the caller."""
+
+    request_id: str
+    data: bytes
+
+
+class FinishStream(NamedTuple):
+    """End a streamed answer."""
+
+    request_id: str
+
+
+class SendAnswer(NamedTuple):
+    """Send a whole answer to the caller."""
+
+    request_id: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+class RefuseCall(NamedTuple):
+    """Answer with an error, or end a started stream with an error event."""
+
+    request_id: str
+    code: ResultCode
+    message: str
+    retry_after: float = 0.0
+
+
+class PollLoad(NamedTuple):
+    """Read the load of an upstream."""
+
+    upstream_id: str
+    address: str
+
+
+class PollVmList(NamedTuple):
+    """Read the platform's list of VMs."""
+
+
+class ReadObject(NamedTuple):
+    """Read one object of the store."""
+
+    operation_id: str
+    kind: str
+    name: str
+
+
+class WriteObject(NamedTuple):
+    """Write one object if its version still is ``expected_version`` (0: absent)."""
+
+    operation_id: str
+    kind: str
+    name: str
+    value: bytes
+    expected_version: int
+
+
+class ListObjects(NamedTuple):
+    """Read all declared objects of the store."""
+
+    operation_id: str
+
+
+class WatchObjects(NamedTuple):
+    """Wait for changes after a revision."""
+
+    operation_id: str
+    revision: int
+
+
+class CheckConfiguration(NamedTuple):
+    """Decode all objects of the board and check them as a whole."""
+
+    revision: int
+
+
+class PullObjects(NamedTuple):
+    """Read the objects that a peer has and this node lacks."""
+
+    node_id: str
+    revision: int
+
+
+class Count(NamedTuple):
+    """Add to the counter of a result code."""
+
+    code: ResultCode
+    rank: str = ""
+
+
+class Log(NamedTuple):
+    """Write one structured log line."""
+
+    level: str
+    event: str
+    fields: dict[str, Any]
+
+
+class StopProcess(NamedTuple):
+    """End the process; nothing of it runs any more."""
+
+
+Action = (
+    Emit
+    | SetTimer
+    | Send
+    | SendToAddress
+    | OpenUpstream
+    | ResumeUpstream
+    | CloseUpstream
+    | StartStream
+    | ForwardChunk
+    | FinishStream
+    | SendAnswer
+    | RefuseCall
+    | PollLoad
+    | PollVmList
+    | ReadObject
+    | WriteObject
+    | ListObjects
+    | WatchObjects
+    | CheckConfiguration
+    | PullObjects
+    | Count
+    | Log
+    | StopProcess
+)
--- /dev/null
+++ b/src/carawayhitch/core/_events.py
@@ -0,0 +1,335 @@
+"""Events that controllers handle; peer messages are events as well."""
+
+from __future__ import annotations
+
+from typing import Any, Literal, NamedTuple
+
+from carawayhitch.core._declarations import Labels
+from carawayhitch.core._result_codes import ResultCode
+from carawayhitch.core._rows import GenerationTarget, ServiceTarget, UpstreamKind
+
+FailureKind = Literal[
+    "connect",
+    "refused",
+    "link_lost",
+    "stalled",
+    "truncated",
+    "generation_gone",
+]
+
+
+class ProcessStarted(NamedTuple):
+    """The node loop runs; controllers set their first timers."""
+
+    incarnation: int
+
+
+class StopRequested(NamedTuple):
+    """The process was asked to stop; ``immediate`` after a second signal."""
+
+    immediate: bool
+
+
+class CallReceived(NamedTuple):
+    """A call of a caller, decoded but not yet authenticated.
+
+    Parameters
+    ----------
+    token_sha256 : str
+        SHA-256 of the bearer token in hexadecimal.
+    labels : dict of str to str
+        Request labels, including ``model`` and ``path``.
+    fingerprint : str
+        SHA-256 of path and canonical body; equal for resent requests.
+    wait_seconds : float
+        Longest wait that the caller accepts; 0 for the configured limit.
+    """
+
+    request_id: str
+    token_sha256: str
+    labels: Labels
+    target: GenerationTarget | ServiceTarget
+    fingerprint: str
+    body_sha256: str
+    idempotency_key: str = ""
+    wait_seconds: float = 0.0
+
+
+class ResumeReceived(NamedTuple):
+    """A caller presents a verified resume token."""
+
+    request_id: str
+    token_sha256: str
+    account: str
+    group: str
+    upstream_id: str
+    address: str
+    generation_id: str
+    last_sequence: int
+
+
+class CallerGone(NamedTuple):
+    """The caller closed its connection before the answer ended."""
+
+    request_id: str
+
+
+class UpstreamOpened(NamedTuple):
+    """An upstream answered with a success status and a stream follows."""
+
+    request_id: str
+    attempt: int
+    generation_id: str
+    content_type: str
+
+
+class ChunkReceived(NamedTuple):
+    """Whole server-sent events of a stream.
+
+    Parameters
+    ----------
+    first_sequence, last_sequence : int
+        Sequence numbers of the first and last event in ``data``.
+    data : bytes
+        The events as received, complete with their blank lines.
+    """
+
+    request_id: str
+    attempt: int
+    first_sequence: int
+    last_sequence: int
+    data: bytes
+
+
+class StreamEnded(NamedTuple):
+    """The stream closed after its final event."""
+
+    request_id: str
+    attempt: int
+
+
+class AnswerReceived(NamedTuple):
+    """A whole answer, complete and checked against its declared length."""
+
+    request_id: str
+    attempt: int
+    status: int
+    content_type: str
+    body: bytes
+    token_count: int = 0
+
+
+class UpstreamCallFailed(NamedTuple):
+    """A call to an upstream failed.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether any byte of the request may have reached the upstream.
+    """
+
+    request_id: str
+    attempt: int
+    kind: FailureKind
+    sent: bool
+    detail: str = ""
+
+
+class VmListed(NamedTuple):
+    """One VM of the platform's list."""
+
+    vm_id: str
+    address: str
+    zone: str
+    region: str
+    kind: UpstreamKind
+    labels: Labels
+    leaving: bool
+
+
+class VmListReceived(NamedTuple):
+    """The platform's list of VMs; it lags."""
+
+    vms: tuple[VmListed, ...]
+
+
+class LoadReported(NamedTuple):
+    """Load of one engine as of ``reported_at`` (seconds of the node clock)."""
+
+    upstream_id: str
+    reported_at: float
+    memory_capacity: int
+    memory_used: int
+    running_count: int
+    running_limit: int
+    waiting_count: int
+    preemption_count: int
+    leaving: bool
+
+
+class LoadUnavailable(NamedTuple):
+    """An engine did not answer a load poll."""
+
+    upstream_id: str
+    detail: str
+
+
+class CacheChanged(NamedTuple):
+    """Prefix blocks that an engine stored and evicted; events may have gaps."""
+
+    upstream_id: str
+    sequence: int
+    stored_blocks: tuple[str, ...]
+    evicted_blocks: tuple[str, ...]
+
+
+class StoredObject(NamedTuple):
+    """One object as the store holds it; version 0 means that it is absent."""
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+    deleted: bool = False
+
+
+class ObjectsListed(NamedTuple):
+    """All objects of the store as of a revision."""
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+
+
+class ObjectsChanged(NamedTuple):
+    """Objects changed up to a revision, from a watch or from a peer."""
+
+    source: str
+    revision: int
+    objects: tuple[StoredObject, ...]
+
+
+class ObjectRead(NamedTuple):
+    """Answer to ``ReadObject``."""
+
+    operation_id: str
+    stored: StoredObject
+
+
+class ObjectWritten(NamedTuple):
+    """Answer to ``WriteObject``.
+
+    Parameters
+    ----------
+    accepted : bool
+        False if the version did not match and nothing was written.
+    """
+
+    operation_id: str
+    accepted: bool
+    version: int
+
+
+class StoreCallFailed(NamedTuple):
+    """A store call failed; a write may still have taken or take effect."""
+
+    operation_id: str
+    detail: str
+
+
+class ConfigurationChecked(NamedTuple):
+    """Answer to ``CheckConfiguration``: decoded declarations, or what is wrong."""
+
+    revision: int
+    declarations: tuple[Any, ...]
+    problems: tuple[str, ...]
+
+
+class TimerFired(NamedTuple):
+    """A named timer without further data."""
+
+    name: str
+    subject: str = ""
+
+
+class AskTimedOut(NamedTuple):
+    """The scheduler did not answer the numbered ask in time."""
+
+    request_id: str
+    attempt: int
+    ask_count: int
+
+
+class WaitExpired(NamedTuple):
+    """The deadline of a request passed; it applies only while the request waits."""
+
+    request_id: str
+
+
+class StallCheck(NamedTuple):
+    """Time to check whether a stream still receives bytes."""
+
+    request_id: str
+    attempt: int
+
+
+class UpstreamsChanged(NamedTuple):
+    """Upstreams, their labels or the serving groups changed."""
+
+
+class MembershipChanged(NamedTuple):
+    """The set of entries that can schedule changed."""
+
+
+class ConfigurationChanged(NamedTuple):
+    """Another configuration is in force."""
+
+    revision: int
+
+
+class RequestAdmitted(NamedTuple):
+    """Admission stored a request row; placement takes over."""
+
+    request_id: str
+
+
+class UpstreamGranted(NamedTuple):
+    """Placement holds a grant for the request; claims and streams take over."""
+
+    request_id: str
+
+
+class ClaimGranted(NamedTuple):
+    """The call may be sent upstream once; idempotent calls get this at once."""
+
+    request_id: str
+
+
+class RequestEnded(NamedTuple):
+    """The request left this entry with an outcome.
+
+    Parameters
+    ----------
+    complete : bool
+        Whether the caller received the whole answer.
+    code : ResultCode or None
+        Outcome other than success.
+    """
+
+    request_id: str
+    complete: bool
+    code: ResultCode | None
+    upstream_failed: bool = False
+
+
+class RetryRequested(NamedTuple):
+    """A call failed in a way that allows another attempt elsewhere."""
+
+    request_id: str
+    code: ResultCode
+    final_code: ResultCode
+
+
+class UpstreamDied(NamedTuple):
+    """An upstream lost all its running requests at once."""
+
+    upstream_id: str
--- /dev/null
+++ b/src/carawayhitch/core/_messages.py
@@ -0,0 +1,166 @@
+"""Messages between entries; each is also the event that its receipt raises."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from carawayhitch.core._result_codes import ResultCode
+from carawayhitch.core._rows import CrashRow, MemberRow
+
+
+class AdmissionAsk(NamedTuple):
+    """Ask the scheduler of a cell for an upstream.
+
+    Parameters
+    ----------
+    attempt : int
+        Number of this ask for the request; a repeated one has the same number.
+    deadline : float
+        Time at which the entry gives up (seconds of the local node clock). The codec
+        sends the seconds that remain, because the clocks of VMs differ.
+    """
+
+    sender_id: str
+    request_id: str
+    attempt: int
+    cell_id: str
+    group: str
+    account: str
+    rank: str
+    binding: str
+    fingerprint: str
+    prompt_tokens: int
+    maximum_tokens: int
+    prefix_blocks: tuple[str, ...]
+    excluded_upstream_ids: tuple[str, ...]
+    deadline: float
+
+
+class AdmissionGrant(NamedTuple):
+    """Answer to an ask: run the request on this upstream before the deadline."""
+
+    sender_id: str
+    request_id: str
+    attempt: int
+    cell_id: str
+    upstream_id: str
+    address: str
+    priority: int
+    deadline: float
+
+
+class AdmissionQueued(NamedTuple):
+    """Answer to an ask that waits; the entry need not repeat it until the deadline."""
+
+    sender_id: str
+    request_id: str
+    attempt: int
+    cell_id: str
+
+
+class AdmissionRefusal(NamedTuple):
+    """Answer to an ask that is not queued."""
+
+    sender_id: str
+    request_id: str
+    attempt: int
+    cell_id: str
+    code: ResultCode
+    retry_after: float
+
+
+class AskWithdrawn(NamedTuple):
+    """The caller left or the deadline passed while the ask waited."""
+
+    sender_id: str
+    request_id: str
+    attempt: int
+    cell_id: str
+
+
+class RunningRequest(NamedTuple):
+    """Progress of one running request, enough to rebuild the scheduler's row."""
+
+    request_id: str
+    attempt: int
+    group: str
+    account: str
+    rank: str
+    binding: str
+    fingerprint: str
+    upstream_id: str
+    prompt_tokens: int
+    maximum_tokens: int
+    token_count: int
+
+
+class Progress(NamedTuple):
+    """State of one entry's requests in one cell; renews their asks and grants."""
+
+    sender_id: str
+    cell_id: str
+    running: tuple[RunningRequest, ...]
+    waiting_request_ids: tuple[str, ...]
+
+
+class ProgressAck(NamedTuple):
+    """Answer to ``Progress``: the scheduler lives and does not know these asks."""
+
+    sender_id: str
+    cell_id: str
+    unknown_request_ids: tuple[str, ...]
+
+
+class Finished(NamedTuple):
+    """A granted request ended; ``upstream_failed`` if its upstream died under it."""
+
+    sender_id: str
+    request_id: str
+    attempt: int
+    cell_id: str
+    token_count: int
+    complete: bool
+    upstream_failed: bool
+
+
+class Probe(NamedTuple):
+    """Failure detection probe with piggybacked state."""
+
+    sender_id: str
+    sequence: int
+    members: tuple[MemberRow, ...]
+    crashes: tuple[CrashRow, ...]
+
+
+class ProbeAck(NamedTuple):
+    """Answer to a probe; ``subject_id`` is the member that proved alive."""
+
+    sender_id: str
+    sequence: int
+    subject_id: str
+    members: tuple[MemberRow, ...]
+    crashes: tuple[CrashRow, ...]
+
+
+class IndirectProbe(NamedTuple):
+    """Request to probe ``subject_id`` on behalf of the sender."""
+
+    sender_id: str
+    sequence: int
+    subject_id: str
+    members: tuple[MemberRow, ...]
+
+
+PeerMessage = (
+    AdmissionAsk
+    | AdmissionGrant
+    | AdmissionQueued
+    | AdmissionRefusal
+    | AskWithdrawn
+    | Progress
+    | ProgressAck
+    | Finished
+    | Probe
+    | ProbeAck
+    | IndirectProbe
+)
--- /dev/null
+++ b/src/carawayhitch/core/_result_codes.py
@@ -0,0 +1,187 @@
+"""Numbered result codes of every refusal, retry and failure."""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+Ran = Literal["no", "yes", "unknown"]
+
+
+class ResultCode(NamedTuple):
+    """One numbered outcome.
+
+    Parameters
+    ----------
+    number : int
+        1xxx not run, 2xxx ran or may have run, 3xxx retry, 4xxx peer or store
+        message, 5xxx operator error.
+    name : str
+        Stable upper-case name, also the metric label.
+    ran : {"no", "yes", "unknown"}
+        Whether the request ran at an upstream.
+    http_status : int
+        Status sent to the caller; 0 for codes that are never sent.
+    meaning : str
+        One sentence for the table in the docs and for error bodies.
+    """
+
+    number: int
+    name: str
+    ran: Ran
+    http_status: int
+    meaning: str
+
+
+UNKNOWN_ACCOUNT = ResultCode(
+    1001, "UNKNOWN_ACCOUNT", "no", 401, "The bearer token belongs to no account."
+)
+BODY_TOO_LARGE = ResultCode(
+    1002, "BODY_TOO_LARGE", "no", 413, "The request body exceeds the limit."
+)
+MALFORMED_REQUEST = ResultCode(
+    1003, "MALFORMED_REQUEST", "no", 400, "The request could not be decoded."
+)
+NO_BINDING = ResultCode(
+    1004, "NO_BINDING", "no", 404, "No binding selects this caller and request."
+)
+NO_UPSTREAM = ResultCode(
+    1005, "NO_UPSTREAM", "no", 503, "No upstream of the serving group is available."
+)
+QUEUE_FULL = ResultCode(
+    1006, "QUEUE_FULL", "no", 429, "The queue of this rank or account is full."
+)
+WAIT_EXPIRED = ResultCode(
+    1007, "WAIT_EXPIRED", "no", 503, "The request's deadline passed in the queue."
+)
+DRAINING = ResultCode(
+    1008, "DRAINING", "no", 503, "This entry is stopping and accepts no new work."
+)
+KEY_REQUIRED = ResultCode(
+    1009, "KEY_REQUIRED", "no", 400, "The call needs an Idempotency-Key header."
+)
+KEY_REUSED = ResultCode(
+    1010, "KEY_REUSED", "no", 422, "The key was used before with another request."
+)
+STORE_UNAVAILABLE = ResultCode(
+    1011, "STORE_UNAVAILABLE", "no", 503, "The claim could not be recorded."
+)
+SUSPECT_REFUSED = ResultCode(
+    1012, "SUSPECT_REFUSED", "no", 422, "This request crashed two upstreams."
+)
+NOT_CONFIGURED = ResultCode(
+    1013, "NOT_CONFIGURED", "no", 503, "This entry has no configuration yet."
+)
+UPSTREAM_REFUSED = ResultCode(
+    1014, "UPSTREAM_REFUSED", "no", 503, "The upstream refused before running it."
+)
+ENTRY_OVERLOADED = ResultCode(
+    1015, "ENTRY_OVERLOADED", "no", 503, "This entry has too many open requests."
+)
+KEY_INVALID = ResultCode(
+    1016, "KEY_INVALID", "no", 400, "The issued key is not signed by this system."
+)
+RESUME_INVALID = ResultCode(
+    1017, "RESUME_INVALID", "no", 400, "The resume token is not valid here."
+)
+NOT_FOUND = ResultCode(1018, "NOT_FOUND", "no", 404, "The path is not served.")
+JOURNAL_FULL = ResultCode(
+    1019, "JOURNAL_FULL", "no", 503, "The claim journal has no room left."
+)
+SCHEDULER_UNAVAILABLE = ResultCode(
+    1020, "SCHEDULER_UNAVAILABLE", "no", 503, "No scheduler answered in time."
+)
+
+UPSTREAM_FAILED = ResultCode(
+    2001, "UPSTREAM_FAILED", "unknown", 502, "The upstream failed during the call."
+)
+STREAM_LOST = ResultCode(
+    2002, "STREAM_LOST", "yes", 502, "The generation was lost after its first token."
+)
+OUTCOME_UNKNOWN = ResultCode(
+    2003, "OUTCOME_UNKNOWN", "unknown", 409, "An earlier call with the key may run."
+)
+KEY_EXPIRED = ResultCode(
+    2004, "KEY_EXPIRED", "unknown", 409, "The key is too old to know its outcome."
+)
+ANSWER_TRUNCATED = ResultCode(
+    2005, "ANSWER_TRUNCATED", "unknown", 502, "The upstream's answer was incomplete."
+)
+STALLED = ResultCode(
+    2006, "STALLED", "unknown", 504, "The upstream sent nothing until the deadline."
+)
+RESULT_NOT_KEPT = ResultCode(
+    2007, "RESULT_NOT_KEPT", "yes", 409, "The call ran; its answer was not kept."
+)
+CALLER_GONE = ResultCode(
+    2008, "CALLER_GONE", "unknown", 0, "The caller closed before the end."
+)
+
+RETRY_CONNECT = ResultCode(
+    3001, "RETRY_CONNECT", "no", 0, "No connection; tried at another upstream."
+)
+RETRY_REFUSED = ResultCode(
+    3002, "RETRY_REFUSED", "no", 0, "The upstream refused; tried at another one."
+)
+RETRY_BEFORE_FIRST_TOKEN = ResultCode(
+    3003, "RETRY_BEFORE_FIRST_TOKEN", "unknown", 0, "Failed before the first token."
+)
+RESUME_LINK_LOST = ResultCode(
+    3004, "RESUME_LINK_LOST", "yes", 0, "Link closed; same generation resumed."
+)
+RESUME_STALLED = ResultCode(
+    3005, "RESUME_STALLED", "yes", 0, "Link stalled; same generation resumed."
+)
+RETRY_ASK = ResultCode(
+    3006, "RETRY_ASK", "no", 0, "The scheduler did not answer; asked again."
+)
+RETRY_CLAIM_CONFLICT = ResultCode(
+    3007, "RETRY_CLAIM_CONFLICT", "no", 0, "Journal changed; claim written again."
+)
+RETRY_GRANT_EXPIRED = ResultCode(
+    3008, "RETRY_GRANT_EXPIRED", "no", 0, "The grant's deadline passed; asked again."
+)
+RETRY_BUDGET_EMPTY = ResultCode(
+    3009, "RETRY_BUDGET_EMPTY", "no", 0, "A retry was not made: budget used up."
+)
+
+PEER_SIGNATURE_INVALID = ResultCode(
+    4001, "PEER_SIGNATURE_INVALID", "no", 0, "A peer message had a wrong signature."
+)
+PEER_MESSAGE_MALFORMED = ResultCode(
+    4002, "PEER_MESSAGE_MALFORMED", "no", 0, "A peer message could not be decoded."
+)
+PEER_MESSAGE_REPLAYED = ResultCode(
+    4003, "PEER_MESSAGE_REPLAYED", "no", 0, "A peer message was old or repeated."
+)
+STORE_CALL_FAILED = ResultCode(
+    4004, "STORE_CALL_FAILED", "unknown", 0, "A store call failed or timed out."
+)
+CONFIGURATION_REJECTED = ResultCode(
+    4005, "CONFIGURATION_REJECTED", "no", 0, "A configuration failed its checks."
+)
+CACHE_EVENT_GAP = ResultCode(
+    4006, "CACHE_EVENT_GAP", "no", 0, "Cache events of an upstream had a gap."
+)
+
+INVALID_SETTING = ResultCode(
+    5001, "INVALID_SETTING", "no", 0, "A settings file has a wrong value."
+)
+INVALID_DECLARATION = ResultCode(
+    5002, "INVALID_DECLARATION", "no", 400, "A declaration has a wrong value."
+)
+CHANGE_CONFLICT = ResultCode(
+    5003, "CHANGE_CONFLICT", "no", 409, "Another change was accepted first."
+)
+OPERATOR_REFUSED = ResultCode(
+    5004, "OPERATOR_REFUSED", "no", 403, "The operator token is not valid."
+)
+CHANGE_UNKNOWN = ResultCode(
+    5005, "CHANGE_UNKNOWN", "unknown", 503, "The store did not confirm the change."
+)
+
+codes_by_name: dict[str, ResultCode] = {
+    value.name: value for value in list(vars().values()) if type(value) is ResultCode
+}
+codes_by_number: dict[int, ResultCode] = {
+    code.number: code for code in codes_by_name.values()
+}
--- /dev/null
+++ b/src/carawayhitch/core/_settings.py
@@ -0,0 +1,155 @@
+"""Settings of one process, read once from a TOML file at start."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, NamedTuple
+
+from msgspec import Meta
+
+PositiveSeconds = Annotated[float, Meta(gt=0)]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class NodeSettings(NamedTuple):
+    """Identity and addresses of this process."""
+
+    id: str
+    zone: str
+    region: str
+    address: str = "127.0.0.1"
+    http_port: Port = 8080
+    peer_port: Port = 8081
+
+
+class PeerKey(NamedTuple):
+    """One shared key for messages between entries; two are valid in a rotation."""
+
+    id: Annotated[int, Meta(ge=0, le=255)]
+    secret: Annotated[str, Meta(min_length=32)]
+
+
+class SeedPeer(NamedTuple):
+    """Address of another entry, used until gossip has filled the membership."""
+
+    address: str
+    peer_port: Port
+
+
+class PeerSettings(NamedTuple):
+    """Membership and messages between entries."""
+
+    keys: tuple[PeerKey, ...]
+    seeds: tuple[SeedPeer, ...] = ()
+    probe_interval_seconds: PositiveSeconds = 1.0
+    probe_timeout_seconds: PositiveSeconds = 0.3
+    suspicion_timeout_seconds: PositiveSeconds = 3.0
+    indirect_probe_count: Annotated[int, Meta(ge=0)] = 3
+
+
+class StoreSettings(NamedTuple):
+    """The platform's object store."""
+
+    url: str
+    token: str = ""
+    timeout_seconds: PositiveSeconds = 2.0
+    watch_timeout_seconds: PositiveSeconds = 30.0
+    watchers_per_zone: Annotated[int, Meta(ge=1)] = 2
+
+
+class PlatformSettings(NamedTuple):
+    """The platform's list of VMs."""
+
+    vm_list_url: str
+    vm_list_interval_seconds: PositiveSeconds = 2.0
+
+
+class SchedulingSettings(NamedTuple):
+    """Cells, grants and engine memory."""
+
+    cell_size: Annotated[int, Meta(ge=1)] = 12
+    ask_timeout_seconds: PositiveSeconds = 0.1
+    grant_lifetime_seconds: PositiveSeconds = 2.0
+    settle_seconds: PositiveSeconds = 1.0
+    progress_interval_seconds: PositiveSeconds = 1.0
+    progress_lifetime_seconds: PositiveSeconds = 5.0
+    load_interval_seconds: PositiveSeconds = 0.5
+    memory_target: Share = 0.9
+    charge_window_seconds: PositiveSeconds = 10.0
+
+
+class StreamSettings(NamedTuple):
+    """Relays between upstreams and callers."""
+
+    connect_timeout_seconds: PositiveSeconds = 1.0
+    stall_timeout_seconds: PositiveSeconds = 5.0
+    first_byte_timeout_seconds: PositiveSeconds = 60.0
+    buffer_bytes: Annotated[int, Meta(ge=1024)] = 65536
+    resume_lifetime_seconds: PositiveSeconds = 300.0
+    attempt_limit: Annotated[int, Meta(ge=1)] = 3
+
+
+class RetrySettings(NamedTuple):
+    """Retry budget: a share of the calls plus a small constant rate."""
+
+    budget_share: Share = 0.1
+    budget_minimum_per_second: PositiveSeconds = 1.0
+    backoff_base_seconds: PositiveSeconds = 0.05
+    backoff_limit_seconds: PositiveSeconds = 2.0
+
+
+class IdempotencySettings(NamedTuple):
+    """Claims of keys for calls that must not be repeated."""
+
+    journal_shards: Annotated[int, Meta(ge=1)] = 16
+    batch_interval_seconds: PositiveSeconds = 0.02
+    claim_timeout_seconds: PositiveSeconds = 3.0
+    retention_seconds: PositiveSeconds = 86400.0
+    issued_key_lifetime_seconds: PositiveSeconds = 300.0
+    stored_answer_bytes: Annotated[int, Meta(ge=0)] = 4096
+
+
+class LimitSettings(NamedTuple):
+    """Limits that protect the process itself."""
+
+    body_bytes: Annotated[int, Meta(ge=1024)] = 4_194_304
+    open_requests: Annotated[int, Meta(ge=1)] = 2000
+    default_deadline_seconds: PositiveSeconds = 600.0
+
+
+class DrainSettings(NamedTuple):
+    """Graceful stop."""
+
+    readiness_grace_seconds: PositiveSeconds = 5.0
+    limit_seconds: PositiveSeconds = 900.0
+
+
+class LogSettings(NamedTuple):
+    """Structured logs."""
+
+    format: Literal["json", "console"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class AdminSettings(NamedTuple):
+    """Operators' interface; the token is stored as its SHA-256 in hexadecimal."""
+
+    token_sha256: str = ""
+
+
+class Settings(NamedTuple):
+    """All settings of one process; passed whole to whoever needs any of them."""
+
+    node: NodeSettings
+    peers: PeerSettings
+    store: StoreSettings
+    platform: PlatformSettings
+    scheduling: SchedulingSettings = SchedulingSettings()
+    streams: StreamSettings = StreamSettings()
+    retries: RetrySettings = RetrySettings()
+    idempotency: IdempotencySettings = IdempotencySettings()
+    limits: LimitSettings = LimitSettings()
+    drain: DrainSettings = DrainSettings()
+    logs: LogSettings = LogSettings()
+    admin: AdminSettings = AdminSettings()
+    trace_file: str = ""
--- /dev/null
+++ b/src/carawayhitch/frontend/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP interface of an entry."""
+
+from __future__ import annotations
+
+from carawayhitch.frontend._server import serve
+
+__all__ = ["serve"]
--- /dev/null
+++ b/src/carawayhitch/frontend/_caller.py
@@ -0,0 +1,152 @@
+"""The caller's side of a call over a sanic request."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import singledispatch
+from typing import Any
+
+from sanic import Request
+from sanic.response import HTTPResponse, raw
+
+from carawayhitch import codecs
+from carawayhitch.core import actions
+from carawayhitch.core import settings as settings_types
+
+JSON_CONTENT_TYPE = "application/json"
+RESUME_HEADER = "Carawayhitch-Resume"
+RAN_HEADER = "Carawayhitch-Ran"
+
+
+class SanicCaller:
+    """Writes the outcome of one call to its HTTP response.
+
+    The node calls the plain methods; the request handler awaits `respond`. Chunks go
+    straight to the transport, because the library's send path costs more than the
+    rest of the relay together.
+    """
+
+    def __init__(
+        self, request: Request, settings: settings_types.Settings, unix_time: Any
+    ) -> None:
+        self.request = request
+        self.settings = settings
+        self.unix_time = unix_time
+        self._begun: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._unsent: list[bytes] = []
+        self._transport: Any = None
+
+    def start_stream(self, action: actions.StartStream) -> None:
+        """Send status and headers of a stream."""
+        self._begin(action)
+
+    def answer(self, action: actions.SendAnswer) -> None:
+        """Send a whole answer."""
+        self._begin(action)
+
+    def refuse(self, action: actions.RefuseCall) -> None:
+        """Send an error; a started stream ends without its final chunk."""
+        if not self._begun.done():
+            self._begin(action)
+            return
+        self.write(codecs.error_event(action.code, action.message))
+        self._end(complete=False)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of a stream."""
+        if self._transport is None:
+            self._unsent.append(data)
+        elif not self._transport.is_closing():
+            self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def finish_stream(self) -> None:
+        """End a stream."""
+        self._end(complete=True)
+
+    async def writable(self) -> None:
+        """Wait until the caller has taken enough of what was written."""
+        transport = self._transport
+        if transport is None:
+            return
+        if transport.get_write_buffer_size() > self.settings.streams.buffer_bytes:
+            protocol: Any = self.request.protocol
+            await protocol.send(b"")
+
+    def _begin(self, action: Any) -> None:
+        if not self._begun.done():
+            self._begun.set_result(action)
+
+    def _end(self, complete: bool) -> None:
+        if not self._ended.done():
+            self._ended.set_result(complete)
+
+    async def respond(self) -> HTTPResponse | None:
+        """Send the outcome; return a response if it is not a stream."""
+        return await _respond(await self._begun, self)
+
+    async def respond_stream(self, action: actions.StartStream) -> None:
+        """Send a stream until it ends."""
+        token = codecs.ResumeToken(
+            action.upstream_id,
+            action.address,
+            action.generation_id,
+            action.account,
+            action.group,
+            self.unix_time() + self.settings.streams.resume_lifetime_seconds,
+        )
+        signed = codecs.sign_resume_token(token, self.settings.peers.keys)
+        response = await self.request.respond(
+            content_type=action.content_type,
+            headers={RESUME_HEADER: signed, "Cache-Control": "no-store"},
+        )
+        assert response is not None
+        await response.send(b"")
+        self._transport = self.request.transport
+        unsent, self._unsent = self._unsent, []
+        for data in unsent:
+            self.write(data)
+        if await self._ended:
+            await response.eof()
+        elif self._transport is not None:
+            self._transport.close()
+
+
+@singledispatch
+async def _respond(action: Any, caller: SanicCaller) -> HTTPResponse | None:
+    raise TypeError(f"no response for {action!r}")
+
+
+@_respond.register(actions.SendAnswer)
+async def _respond_whole(
+    action: actions.SendAnswer, caller: SanicCaller
+) -> HTTPResponse | None:
+    return raw(action.body, action.status, content_type=action.content_type)
+
+
+@_respond.register(actions.RefuseCall)
+async def _respond_refusal(
+    action: actions.RefuseCall, caller: SanicCaller
+) -> HTTPResponse | None:
+    return refusal_response(action)
+
+
+@_respond.register(actions.StartStream)
+async def _respond_streamed(
+    action: actions.StartStream, caller: SanicCaller
+) -> HTTPResponse | None:
+    await caller.respond_stream(action)
+    return None
+
+
+def refusal_response(action: actions.RefuseCall) -> HTTPResponse:
+    """Return the error answer of a refused call."""
+    headers: dict[str, str] = {RAN_HEADER: action.code.ran}
+    if action.retry_after:
+        headers["Retry-After"] = str(max(1, round(action.retry_after)))
+    return raw(
+        codecs.error_body(action.code, action.message),
+        action.code.http_status,
+        headers=headers,
+        content_type=JSON_CONTENT_TYPE,
+    )
--- /dev/null
+++ b/src/carawayhitch/node/_node.py
@@ -0,0 +1,189 @@
+"""The runtime of one process: feeds events to controllers and performs actions."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Coroutine
+from random import Random
+from typing import Any, NamedTuple, Protocol
+
+import aiohttp
+import structlog
+
+from carawayhitch import controllers
+from carawayhitch.backends import (
+    CallContent,
+    StoreClient,
+    UpstreamSessions,
+    open_session,
+)
+from carawayhitch.board import Board, new_board
+from carawayhitch.core import actions, events, result_codes
+from carawayhitch.core import settings as settings_types
+from carawayhitch.node._metrics import Metrics, new_metrics
+from carawayhitch.node._performers import perform
+
+MAXIMUM_DECISIONS_IN_A_ROW = 10_000
+
+
+class CallerConnection(Protocol):
+    """The caller's side of a call, implemented by the front end."""
+
+    async def writable(self) -> None:
+        """Wait until the caller has taken enough of what was written."""
+
+    def start_stream(self, action: actions.StartStream) -> None:
+        """Send status and headers of a stream."""
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of a stream."""
+
+    def finish_stream(self) -> None:
+        """End a stream."""
+
+    def answer(self, action: actions.SendAnswer) -> None:
+        """Send a whole answer."""
+
+    def refuse(self, action: actions.RefuseCall) -> None:
+        """Send an error, or break off a started stream."""
+
+
+class OpenCall(NamedTuple):
+    """Resources of a call that the board does not hold."""
+
+    content: CallContent
+    caller: CallerConnection
+
+
+class Node:
+    """One entry process without its HTTP server.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    log : structlog logger
+        Where `Log` actions go.
+    random : Random, optional
+        Generator for decisions.
+    """
+
+    def __init__(
+        self,
+        settings: settings_types.Settings,
+        log: Any = None,
+        random: Random | None = None,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = time.time_ns() // 1000
+        self.board: Board = new_board(settings, self.incarnation)
+        self.random = random or Random()
+        self.log = log or structlog.get_logger()
+        self.metrics: Metrics = new_metrics()
+        self.calls_by_request_id: dict[str, OpenCall] = {}
+        self.upstream_tasks_by_request_id: dict[str, asyncio.Task[None]] = {}
+        self.stopped = asyncio.Event()
+        self._pending: deque[Any] = deque()
+        self._deciding = False
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._emitted: list[Any] = []
+        self.sessions: UpstreamSessions | None = None
+        self.platform_session: aiohttp.ClientSession | None = None
+        self.store: StoreClient | None = None
+
+    def now(self) -> float:
+        """Return the node clock in seconds."""
+        return time.monotonic()
+
+    async def start(self) -> None:
+        """Open the client sessions and feed the first event."""
+        self.sessions = UpstreamSessions(
+            reused=open_session(self.settings, fresh_connections=False),
+            fresh=open_session(self.settings, fresh_connections=True),
+        )
+        self.platform_session = open_session(self.settings, fresh_connections=False)
+        self.store = StoreClient(self.platform_session, self.settings)
+        self.submit(events.ProcessStarted(self.incarnation))
+
+    async def close(self) -> None:
+        """Cancel what still runs and close the client sessions."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.sessions is not None:
+            await self.sessions.reused.close()
+            await self.sessions.fresh.close()
+        if self.platform_session is not None:
+            await self.platform_session.close()
+
+    def submit(self, event: Any) -> None:
+        """Feed an event to the controllers and perform their actions.
+
+        Events that arise meanwhile wait until the current one is done.
+        """
+        self._pending.append(event)
+        if self._deciding:
+            return
+        self._deciding = True
+        try:
+            self._decide_pending()
+        finally:
+            self._deciding = False
+
+    def _decide_pending(self) -> None:
+        for _ in range(MAXIMUM_DECISIONS_IN_A_ROW):
+            if not self._pending:
+                return
+            event = self._pending.popleft()
+            decided = controllers.decide(event, self.board, self.now(), self.random)
+            for action in decided:
+                perform(action, self)
+            self._pending.extendleft(reversed(self._emitted))
+            self._emitted.clear()
+        self.log.error("event loop of decisions", pending=len(self._pending))
+        asyncio.get_running_loop().call_soon(self._resume_deciding)
+
+    def _resume_deciding(self) -> None:
+        if self._pending:
+            self.submit(self._pending.popleft())
+
+    def emit(self, event: Any) -> None:
+        """Feed an event directly after the current one."""
+        self._emitted.append(event)
+
+    def set_timer(self, deadline: float, event: Any) -> None:
+        """Feed an event at a time of the node clock."""
+        delay = max(0.0, deadline - self.now())
+        asyncio.get_running_loop().call_later(delay, self._fire, event)
+
+    def _fire(self, event: Any) -> None:
+        if not self.stopped.is_set():
+            self.submit(event)
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine; its errors are logged."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    def _task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log.error("task failed", error=repr(task.exception()))
+
+    def spawn_answer(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run a coroutine and feed the event that it returns, if any."""
+
+        async def answer() -> None:
+            event = await work
+            if event is not None:
+                self.submit(event)
+
+        self.spawn(answer())
+
+    def count(self, code: result_codes.ResultCode, rank: str) -> None:
+        """Add to the counter of a result code."""
+        self.metrics.outcomes.labels(str(code.number), code.name, rank).inc()
--- /dev/null
+++ b/src/carawayhitch/node/_performers.py
@@ -0,0 +1,213 @@
+"""What the node does for each action."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from carawayhitch import codecs
+from carawayhitch.backends import (
+    UpstreamCall,
+    call_store,
+    cancel_generation,
+    read_load,
+    read_vm_list,
+    resume_generation,
+    run_generation,
+    run_service_call,
+)
+from carawayhitch.core import actions, events, rows
+
+if TYPE_CHECKING:
+    from carawayhitch.node._node import Node
+
+
+@singledispatch
+def perform(action: Any, node: Node) -> None:
+    """Perform one action of a controller."""
+    raise TypeError(f"unknown action {action!r}; expected a type of core.actions")
+
+
+@perform.register(actions.Emit)
+def _emit(action: actions.Emit, node: Node) -> None:
+    node.emit(action.event)
+
+
+@perform.register(actions.SetTimer)
+def _set_timer(action: actions.SetTimer, node: Node) -> None:
+    node.set_timer(action.deadline, action.event)
+
+
+@perform.register(actions.Send)
+def _send(action: actions.Send, node: Node) -> None:
+    if action.node_id == node.settings.node.id:
+        node.submit(action.message)
+
+
+@perform.register(actions.OpenUpstream)
+def _open_upstream(action: actions.OpenUpstream, node: Node) -> None:
+    row = node.board.requests_by_id[action.request_id]
+    call = _upstream_call(action, node, action.fresh_connection)
+    if call is not None:
+        _run_call(node, call, _start_call(row.target, action, call, row))
+
+
+@singledispatch
+def _start_call(
+    target: Any, action: actions.OpenUpstream, call: UpstreamCall, row: rows.RequestRow
+) -> Any:
+    raise TypeError(f"no backend for target {target!r}")
+
+
+@_start_call.register(rows.GenerationTarget)
+def _start_generation(
+    target: rows.GenerationTarget,
+    action: actions.OpenUpstream,
+    call: UpstreamCall,
+    row: rows.RequestRow,
+) -> Any:
+    return run_generation(call, action)
+
+
+@_start_call.register(rows.ServiceTarget)
+def _start_service_call(
+    target: rows.ServiceTarget,
+    action: actions.OpenUpstream,
+    call: UpstreamCall,
+    row: rows.RequestRow,
+) -> Any:
+    return run_service_call(call, action, target, row.idempotency_key)
+
+
+@perform.register(actions.ResumeUpstream)
+def _resume_upstream(action: actions.ResumeUpstream, node: Node) -> None:
+    call = _upstream_call(action, node, fresh_connection=True)
+    if call is not None:
+        _run_call(node, call, resume_generation(call, action))
+
+
+def _upstream_call(
+    action: actions.OpenUpstream | actions.ResumeUpstream,
+    node: Node,
+    fresh_connection: bool,
+) -> UpstreamCall | None:
+    opened = node.calls_by_request_id.get(action.request_id)
+    if opened is None:
+        node.submit(events.CallerGone(action.request_id))
+        return None
+    assert node.sessions is not None
+    session = node.sessions.fresh if fresh_connection else node.sessions.reused
+    return UpstreamCall(
+        request_id=action.request_id,
+        attempt=action.attempt,
+        content=opened.content,
+        caller=opened.caller,
+        session=session,
+        settings=node.settings,
+        submit=node.submit,
+    )
+
+
+def _run_call(node: Node, call: UpstreamCall, work: Any) -> None:
+    _stop_call(node, call.request_id)
+    node.upstream_tasks_by_request_id[call.request_id] = node.spawn(work)
+
+
+def _stop_call(node: Node, request_id: str) -> None:
+    task = node.upstream_tasks_by_request_id.pop(request_id, None)
+    if task is not None:
+        task.cancel()
+
+
+@perform.register(actions.CloseUpstream)
+def _close_upstream(action: actions.CloseUpstream, node: Node) -> None:
+    _stop_call(node, action.request_id)
+    row = node.board.requests_by_id.get(action.request_id)
+    if action.cancel_generation and row is not None and row.generation_id:
+        assert node.sessions is not None
+        node.spawn(
+            cancel_generation(node.sessions.reused, row.address, row.generation_id)
+        )
+
+
+@perform.register(actions.StartStream)
+def _start_stream(action: actions.StartStream, node: Node) -> None:
+    opened = node.calls_by_request_id.get(action.request_id)
+    if opened is not None:
+        opened.caller.start_stream(action)
+
+
+@perform.register(actions.ForwardChunk)
+def _forward_chunk(action: actions.ForwardChunk, node: Node) -> None:
+    opened = node.calls_by_request_id.get(action.request_id)
+    if opened is not None:
+        opened.caller.write(action.data)
+
+
+@perform.register(actions.FinishStream)
+def _finish_stream(action: actions.FinishStream, node: Node) -> None:
+    opened = node.calls_by_request_id.get(action.request_id)
+    if opened is not None:
+        opened.caller.finish_stream()
+
+
+@perform.register(actions.SendAnswer)
+def _send_answer(action: actions.SendAnswer, node: Node) -> None:
+    opened = node.calls_by_request_id.get(action.request_id)
+    if opened is not None:
+        opened.caller.answer(action)
+
+
+@perform.register(actions.RefuseCall)
+def _refuse_call(action: actions.RefuseCall, node: Node) -> None:
+    opened = node.calls_by_request_id.get(action.request_id)
+    if opened is not None:
+        opened.caller.refuse(action)
+
+
+@perform.register(actions.PollLoad)
+def _poll_load(action: actions.PollLoad, node: Node) -> None:
+    assert node.platform_session is not None
+    node.spawn_answer(
+        read_load(node.platform_session, action.upstream_id, action.address, node.now())
+    )
+
+
+@perform.register(actions.PollVmList)
+def _poll_vm_list(action: actions.PollVmList, node: Node) -> None:
+    assert node.platform_session is not None
+    url = node.settings.platform.vm_list_url
+    node.spawn_answer(read_vm_list(node.platform_session, url))
+
+
+@perform.register(actions.ReadObject)
+@perform.register(actions.WriteObject)
+@perform.register(actions.ListObjects)
+@perform.register(actions.WatchObjects)
+def _call_store(action: Any, node: Node) -> None:
+    assert node.store is not None
+    node.spawn_answer(call_store(node.store, action))
+
+
+@perform.register(actions.CheckConfiguration)
+def _check_configuration(action: actions.CheckConfiguration, node: Node) -> None:
+    declared, problems = codecs.decode_objects(node.board.objects_by_key.values())
+    checked = events.ConfigurationChecked(
+        action.revision, tuple(declared), tuple(problems)
+    )
+    node.emit(checked)
+
+
+@perform.register(actions.Count)
+def _count(action: actions.Count, node: Node) -> None:
+    node.count(action.code, action.rank)
+
+
+@perform.register(actions.Log)
+def _log(action: actions.Log, node: Node) -> None:
+    getattr(node.log, action.level)(action.event, **action.fields)
+
+
+@perform.register(actions.StopProcess)
+def _stop_process(action: actions.StopProcess, node: Node) -> None:
+    node.stopped.set()
--- /dev/null
+++ b/tests/core/test_result_codes.py
@@ -0,0 +1,35 @@
+"""The table of result codes in the docs and the codes in the package agree."""
+
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+
+from carawayhitch.core import result_codes
+
+PAGE = Path(__file__).parents[2] / "docs" / "result-codes.md"
+
+
+def table_row(code: result_codes.ResultCode) -> str:
+    status = code.http_status or "-"
+    return f"| {code.number} | `{code.name}` | {code.ran} | {status} | {code.meaning} |"
+
+
+class ResultCodesTest(unittest.TestCase):
+    def test_page_lists_exactly_the_codes(self):
+        """Guards against codes that operators cannot look up."""
+        rows = [
+            line
+            for line in PAGE.read_text().splitlines()
+            if line.startswith("| ") and line[2].isdigit()
+        ]
+        expected = [
+            table_row(code) for _, code in sorted(result_codes.codes_by_number.items())
+        ]
+        self.assertEqual(rows, expected)
+
+    def test_numbers_are_unique(self):
+        """Guards against two codes that share a number and so a counter."""
+        self.assertEqual(
+            len(result_codes.codes_by_number), len(result_codes.codes_by_name)
+        )
