Record events and replay them against the decision code

Cause: tests and operators need to see after the fact why a request was placed, refused or retried, and decisions must not depend on anything but board, event, time and random generator. Ruled out: recording only external messages, because timers then replay at other times; recording bodies, because they may be private and no decision reads them. Before: no replay. Conclusion: chains of emitted events now run in controllers.decide_chain, which the node and the replay share.

--- a/src/carawayhitch/cli/_main.py
+++ b/src/carawayhitch/cli/_main.py
@@ -5,7 +5,6 @@
 import argparse
 import sys
 from collections.abc import Sequence
-from functools import partial
 
 import uvloop
 
@@ -13,6 +12,7 @@
 from carawayhitch.cli._logs import configure_logs
 from carawayhitch.core import errors
 from carawayhitch.frontend import serve
+from carawayhitch.node import replay_trace
 
 USAGE_STATUS = 2
 
@@ -34,8 +34,13 @@
     serve_parser = commands.add_parser("serve", help="run one entry process")
     serve_parser.add_argument("--settings", required=True, help="TOML file")
     serve_parser.set_defaults(run=run_serve)
+    replay_parser = commands.add_parser(
+        "replay", help="compare a recorded trace with the decision code"
+    )
+    replay_parser.add_argument("trace", help="file of JSON lines")
+    replay_parser.set_defaults(run=run_replay)
     version_parser = commands.add_parser("version", help="print the version")
-    version_parser.set_defaults(run=partial(run_version))
+    version_parser.set_defaults(run=run_version)
     return parser
 
 
@@ -47,6 +52,25 @@
     return 0
 
 
+def run_replay(options: argparse.Namespace) -> int:
+    """Replay a trace; the status is 1 if the actions differ from the stated ones."""
+    try:
+        with open(options.trace, "rb") as lines:
+            result = replay_trace(lines, options.trace)
+    except OSError as error:
+        print(f"carawayhitch: {options.trace}: {error.strerror}", file=sys.stderr)
+        return USAGE_STATUS
+    for difference in result.differences:
+        print(f"{options.trace}:{difference.line_number}: {difference.event}")
+        print(f"  stated:  {difference.stated}")
+        print(f"  decided: {difference.decided}")
+    print(
+        f"{result.event_count} events, {result.action_count} actions,"
+        f" {len(result.differences)} differences"
+    )
+    return 1 if result.differences else 0
+
+
 def run_version(options: argparse.Namespace) -> int:
     """Print the version."""
     print(__version__)
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -34,10 +34,20 @@
     verify_resume_token,
 )
 from carawayhitch.codecs._settings_file import read_settings
+from carawayhitch.codecs._traces import (
+    TraceHeader,
+    TraceStep,
+    decode_trace,
+    encode_header,
+    encode_step,
+    without_private_data,
+)
 
 __all__ = [
     "EventBlock",
     "ResumeToken",
+    "TraceHeader",
+    "TraceStep",
     "answer_token_count",
     "bearer_token_sha256",
     "declaration_from_value",
@@ -46,9 +56,12 @@
     "decode_objects",
     "decode_objects_listed",
     "decode_stored_object",
+    "decode_trace",
     "decode_vm_list",
     "decode_written_version",
+    "encode_header",
     "encode_json",
+    "encode_step",
     "engine_body",
     "error_body",
     "error_event",
@@ -62,4 +75,5 @@
     "split_events",
     "value_from_declaration",
     "verify_resume_token",
+    "without_private_data",
 ]
--- /dev/null
+++ b/src/carawayhitch/codecs/_traces.py
@@ -0,0 +1,193 @@
+"""Recorded events and actions as JSON lines."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from carawayhitch.codecs._records import mapping_from_record, record_from_mapping
+from carawayhitch.core import (
+    actions,
+    declarations,
+    errors,
+    events,
+    messages,
+    result_codes,
+    rows,
+)
+from carawayhitch.core import settings as settings_types
+
+TYPE_KEY = "type"
+BYTES_KEY = "base64"
+LENGTH_KEY = "length"
+CODE_KEY = "result_code"
+# Bodies of callers and upstreams are recorded by length only: they may be private,
+# and no decision reads them.
+PRIVATE_FIELDS = frozenset({"data", "body"})
+REMOVED_SECRET = "removed-from-the-recorded-trace-file"
+
+
+class TraceHeader(NamedTuple):
+    """Everything but the events that decisions depend on."""
+
+    settings: settings_types.Settings
+    incarnation: int
+    seed: int
+
+
+class TraceStep(NamedTuple):
+    """One event and the actions that followed, or None if they are not stated."""
+
+    line_number: int
+    now: float
+    event: Any
+    actions: tuple[Any, ...] | None
+
+
+class HeaderBody(TypedDict):
+    """First line of a trace."""
+
+    settings: dict[str, Any]
+    incarnation: int
+    seed: int
+
+
+class StepBody(TypedDict):
+    """Every other line of a trace."""
+
+    now: float
+    event: dict[str, Any]
+    actions: NotRequired[list[dict[str, Any]]]
+
+
+def _record_types() -> Iterator[tuple[str, Any]]:
+    for namespace in (actions, declarations, events, messages, rows):
+        for name, value in vars(namespace).items():
+            if isinstance(value, type) and hasattr(value, "_fields"):
+                yield name, value
+
+
+record_types_by_name: dict[str, Any] = dict(_record_types())
+
+
+def to_plain(value: Any, field: str = "") -> Any:
+    """Return a value as JSON types; records carry the name of their type."""
+    if isinstance(value, result_codes.ResultCode):
+        return {CODE_KEY: value.name}
+    if hasattr(value, "_fields"):
+        plain = {name: to_plain(getattr(value, name), name) for name in value._fields}
+        return {TYPE_KEY: type(value).__name__, **plain}
+    if isinstance(value, bytes):
+        if field in PRIVATE_FIELDS:
+            return {LENGTH_KEY: len(value)}
+        return {BYTES_KEY: b64encode(value).decode()}
+    if isinstance(value, tuple | list | set | frozenset):
+        return [to_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {str(key): to_plain(item) for key, item in value.items()}
+    return value
+
+
+def from_plain(plain: Any) -> Any:
+    """Return the value that `to_plain` gave; lists become tuples."""
+    if isinstance(plain, list):
+        return tuple(from_plain(item) for item in plain)
+    if not isinstance(plain, dict):
+        return plain
+    if TYPE_KEY in plain and plain[TYPE_KEY] in record_types_by_name:
+        fields = {
+            name: from_plain(item) for name, item in plain.items() if name != TYPE_KEY
+        }
+        return record_types_by_name[plain[TYPE_KEY]](**fields)
+    if plain.keys() == {CODE_KEY}:
+        return result_codes.codes_by_name[plain[CODE_KEY]]
+    if plain.keys() == {BYTES_KEY}:
+        return b64decode(plain[BYTES_KEY])
+    if plain.keys() == {LENGTH_KEY}:
+        return bytes(plain[LENGTH_KEY])
+    return {key: from_plain(item) for key, item in plain.items()}
+
+
+def without_private_data(value: Any) -> Any:
+    """Return a value as a trace gives it back, for comparisons."""
+    return from_plain(to_plain(value))
+
+
+def _without_secrets(settings: settings_types.Settings) -> settings_types.Settings:
+    keys = tuple(key._replace(secret=REMOVED_SECRET) for key in settings.peers.keys)
+    return settings._replace(
+        peers=settings.peers._replace(keys=keys),
+        store=settings.store._replace(token=""),
+        admin=settings.admin._replace(token_sha256=""),
+    )
+
+
+def encode_header(header: TraceHeader) -> bytes:
+    """Return the first line of a trace, without secrets."""
+    body: HeaderBody = {
+        "settings": mapping_from_record(_without_secrets(header.settings)),
+        "incarnation": header.incarnation,
+        "seed": header.seed,
+    }
+    return msgspec.json.encode(body) + b"\n"
+
+
+def encode_step(now: float, event: Any, decided: Iterable[Any]) -> bytes:
+    """Return one line of a trace."""
+    body: StepBody = {
+        "now": now,
+        "event": to_plain(event),
+        "actions": [to_plain(action) for action in decided],
+    }
+    return msgspec.json.encode(body) + b"\n"
+
+
+def decode_trace(
+    lines: Iterable[bytes], source: str
+) -> tuple[TraceHeader, Iterator[TraceStep]]:
+    """Return the header and the steps of a trace.
+
+    Raises
+    ------
+    MalformedMessageError
+        If a line cannot be decoded; names file and line.
+    """
+    numbered = enumerate(lines, start=1)
+    try:
+        _, first = next(numbered)
+        header = msgspec.json.decode(first, type=HeaderBody)
+    except (StopIteration, msgspec.MsgspecError) as error:
+        raise _malformed(source, 1, error) from None
+    settings = record_from_mapping(
+        settings_types.Settings, header["settings"], f"{source}:1"
+    )
+    trace_header = TraceHeader(settings, header["incarnation"], header["seed"])
+    return trace_header, _decode_steps(numbered, source)
+
+
+def _decode_steps(
+    numbered: Iterator[tuple[int, bytes]], source: str
+) -> Iterator[TraceStep]:
+    for number, line in numbered:
+        try:
+            body = msgspec.json.decode(line, type=StepBody)
+            stated = body.get("actions")
+            yield TraceStep(
+                number,
+                body["now"],
+                from_plain(body["event"]),
+                None if stated is None else from_plain(stated),
+            )
+        except (msgspec.MsgspecError, TypeError, ValueError, KeyError) as error:
+            raise _malformed(source, number, error) from None
+
+
+def _malformed(
+    source: str, number: int, error: Exception
+) -> errors.MalformedMessageError:
+    return errors.MalformedMessageError(
+        result_codes.INVALID_TRACE, f"{source}:{number}: {error}"
+    )
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -6,6 +6,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+from carawayhitch.board import Board
 from carawayhitch.controllers import (
     _admission,
     _configuration,
@@ -17,9 +22,11 @@
     _streams,
     _upstreams,
 )
+from carawayhitch.controllers._chain import run_chain
 from carawayhitch.controllers._controller import Actions, combine
+from carawayhitch.core import actions
 
-__all__ = ["CONTROLLERS", "Actions", "decide"]
+__all__ = ["CONTROLLERS", "Actions", "decide", "decide_chain"]
 
 # Admission removes the row of an ended request, so it runs after every controller
 # that still reads the row; the lifecycle then counts the rows that are left.
@@ -36,3 +43,10 @@
 )
 
 decide = combine(CONTROLLERS)
+
+
+def decide_chain(
+    event: Any, board: Board, now: float, random: Random
+) -> Iterator[actions.Action]:
+    """Yield the actions of an event and of all events that it raises."""
+    return run_chain(decide, event, board, now, random)
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -178,6 +178,9 @@
 CHANGE_UNKNOWN = ResultCode(
     5005, "CHANGE_UNKNOWN", "unknown", 503, "The store did not confirm the change."
 )
+INVALID_TRACE = ResultCode(
+    5006, "INVALID_TRACE", "no", 0, "A line of a trace file could not be decoded."
+)
 
 codes_by_name: dict[str, ResultCode] = {
     value.name: value for value in list(vars().values()) if type(value) is ResultCode
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -125,10 +125,11 @@
 
 
 class LogSettings(NamedTuple):
-    """Structured logs."""
+    """Structured logs, and a file for recorded events; empty for none."""
 
     format: Literal["json", "console"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
+    trace_file: str = ""
 
 
 class AdminSettings(NamedTuple):
@@ -152,4 +153,3 @@
     drain: DrainSettings = DrainSettings()
     logs: LogSettings = LogSettings()
     admin: AdminSettings = AdminSettings()
-    trace_file: str = ""
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import time
 from collections import deque
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
@@ -24,8 +25,7 @@
 from carawayhitch.core import settings as settings_types
 from carawayhitch.node._metrics import Metrics, new_metrics
 from carawayhitch.node._performers import perform
-
-MAXIMUM_DECISIONS_IN_A_ROW = 10_000
+from carawayhitch.node._recorder import TraceRecorder
 
 
 class CallerConnection(Protocol):
@@ -66,20 +66,21 @@
         Checked settings.
     log : structlog logger
         Where `Log` actions go.
-    random : Random, optional
-        Generator for decisions.
+    seed : int, optional
+        Seed of the random generator for decisions; recorded in traces.
     """
 
     def __init__(
         self,
         settings: settings_types.Settings,
         log: Any = None,
-        random: Random | None = None,
+        seed: int | None = None,
     ) -> None:
         self.settings = settings
         self.incarnation = time.time_ns() // 1000
         self.board: Board = new_board(settings, self.incarnation)
-        self.random = random or Random()
+        self.seed = secrets.randbits(64) if seed is None else seed
+        self.random = Random(self.seed)
         self.log = log or structlog.get_logger()
         self.metrics: Metrics = new_metrics()
         self.calls_by_request_id: dict[str, OpenCall] = {}
@@ -88,7 +89,7 @@
         self._pending: deque[Any] = deque()
         self._deciding = False
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._emitted: list[Any] = []
+        self._recorder: TraceRecorder | None = None
         self.sessions: UpstreamSessions | None = None
         self.platform_session: aiohttp.ClientSession | None = None
         self.store: StoreClient | None = None
@@ -105,6 +106,8 @@
         )
         self.platform_session = open_session(self.settings, fresh_connections=False)
         self.store = StoreClient(self.platform_session, self.settings)
+        if self.settings.logs.trace_file:
+            self._recorder = TraceRecorder(self.settings, self.incarnation, self.seed)
         self.submit(events.ProcessStarted(self.incarnation))
 
     async def close(self) -> None:
@@ -112,6 +115,8 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._recorder is not None:
+            self._recorder.close()
         if self.sessions is not None:
             await self.sessions.reused.close()
             await self.sessions.fresh.close()
@@ -133,25 +138,24 @@
             self._deciding = False
 
     def _decide_pending(self) -> None:
-        for _ in range(MAXIMUM_DECISIONS_IN_A_ROW):
-            if not self._pending:
-                return
+        while self._pending:
             event = self._pending.popleft()
-            decided = controllers.decide(event, self.board, self.now(), self.random)
-            for action in decided:
-                perform(action, self)
-            self._pending.extendleft(reversed(self._emitted))
-            self._emitted.clear()
-        self.log.error("event loop of decisions", pending=len(self._pending))
-        asyncio.get_running_loop().call_soon(self._resume_deciding)
-
-    def _resume_deciding(self) -> None:
-        if self._pending:
-            self.submit(self._pending.popleft())
-
-    def emit(self, event: Any) -> None:
-        """Feed an event directly after the current one."""
-        self._emitted.append(event)
+            now = self.now()
+            if self._recorder is None:
+                for action in self._decide(event, now):
+                    perform(action, self)
+            else:
+                self._decide_recorded(event, now, self._recorder)
+
+    def _decide(self, event: Any, now: float) -> Iterator[actions.Action]:
+        return controllers.decide_chain(event, self.board, now, self.random)
+
+    def _decide_recorded(self, event: Any, now: float, recorder: TraceRecorder) -> None:
+        decided: list[actions.Action] = []
+        for action in self._decide(event, now):
+            decided.append(action)
+            perform(action, self)
+        recorder.record(now, event, decided)
 
     def set_timer(self, deadline: float, event: Any) -> None:
         """Feed an event at a time of the node clock."""
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -28,11 +28,6 @@
     raise TypeError(f"unknown action {action!r}; expected a type of core.actions")
 
 
-@perform.register(actions.Emit)
-def _emit(action: actions.Emit, node: Node) -> None:
-    node.emit(action.event)
-
-
 @perform.register(actions.SetTimer)
 def _set_timer(action: actions.SetTimer, node: Node) -> None:
     node.set_timer(action.deadline, action.event)
@@ -195,7 +190,7 @@
     checked = events.ConfigurationChecked(
         action.revision, tuple(declared), tuple(problems)
     )
-    node.emit(checked)
+    node.submit(checked)
 
 
 @perform.register(actions.Count)
