--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,6 @@
 	$(BIN)/ruff check --fix .
 
 binary: setup
+	mkdir -p dist
 	$(BIN)/shiv --constraint constraints.txt --console-script carawayhitch \
-		--output-file dist/carawayhitch.pyz .
+		--compressed --reproducible --output-file dist/carawayhitch.pyz .
