Give orders to engines under a lease, drained first

Cause: operators declare models, adapters and roles; engines must follow without an interrupted generation, and a paused holder of the lease must do no lasting harm. Ruled out: trusting the lease alone, since engines may ignore fencing numbers; state of the work in the store, since the engines already hold it.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -44,6 +44,24 @@
         self.changed = asyncio.Event()
 
 
+class OrderedState:
+    """What orders can change in an engine."""
+
+    def __init__(self) -> None:
+        self.models = {"base-v1"}
+        self.adapters: set[str] = set()
+        self.role = "serve"
+
+    def apply(self, kind: str, subject: str) -> None:
+        """Apply one order."""
+        if kind == "set_role":
+            self.role = subject
+            return
+        verb, _, noun = kind.partition("_")
+        held = self.models if noun == "model" else self.adapters
+        (held.add if verb == "load" else held.discard)(subject)
+
+
 class FakeEngine:
     """One engine process."""
 
@@ -59,6 +77,7 @@
         self.fencing_enforced = True
         self.fencing_number = 0
         self.orders: list[dict[str, Any]] = []
+        self.wanted_state = OrderedState()
         self.loads: list[tuple[float, dict[str, Any]]] = []
         self._wake = asyncio.Event()
 
@@ -75,6 +94,7 @@
                 web.get("/cache_events", self.cache_events),
                 web.post("/orders", self.order),
                 web.get("/orders", self.list_orders),
+                web.get("/orders/state", self.order_state),
                 web.post("/fake/{fault}", self.inject),
                 web.get("/fake/state", self.state),
             ]
@@ -231,6 +251,7 @@
             "running_limit": model.limits.running_limit,
             "waiting": len(model.waiting),
             "preemptions": model.preemption_count,
+            "role": self.wanted_state.role,
         }
         self.loads.append((now, report))
         while len(self.loads) > 1 and self.loads[1][0] <= now - self.load_lag_seconds:
@@ -263,13 +284,33 @@
         if self.fencing_enforced and number < self.fencing_number:
             return web.json_response({"error": "old fencing number"}, status=409)
         self.fencing_number = max(number, self.fencing_number)
-        self.orders.append(order)
+        self.orders.append({**order, "interrupted": self._interrupted_by(order)})
+        self.wanted_state.apply(order["kind"], order["subject"])
+        self._note_load()
         return web.json_response({"accepted": True})
 
+    def _interrupted_by(self, order: dict[str, Any]) -> int:
+        """Return how many generations an order breaks off."""
+        if order["kind"] not in ("load_model", "unload_model"):
+            return 0
+        return len(self.model.running) + len(self.model.waiting)
+
     async def list_orders(self, request: web.Request) -> web.Response:
         """Return the orders taken."""
         return web.json_response({"orders": self.orders})
 
+    async def order_state(self, request: web.Request) -> web.Response:
+        """Return what orders can change."""
+        return web.json_response(
+            {
+                "models": sorted(self.wanted_state.models),
+                "adapters": sorted(self.wanted_state.adapters),
+                "role": self.wanted_state.role,
+                "running": len(self.model.running),
+                "waiting": len(self.model.waiting),
+            }
+        )
+
     async def inject(self, request: web.Request) -> web.Response:
         """Inject a fault: leaving, stall, unstall, crash_on, fencing."""
         fault = request.match_info["fault"]
--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -9,6 +9,7 @@
     UpstreamCall,
     UpstreamSessions,
 )
+from carawayhitch.backends._engine_orders import read_engine_state, send_order
 from carawayhitch.backends._engines import (
     cancel_generation,
     resume_generation,
@@ -29,9 +30,11 @@
     "call_store",
     "cancel_generation",
     "open_session",
+    "read_engine_state",
     "read_load",
     "read_vm_list",
     "resume_generation",
     "run_generation",
     "run_service_call",
+    "send_order",
 ]
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -29,6 +29,8 @@
     objects_by_key: dict[tuple[str, str], rows.ObjectRow]
     configuration_by_name: dict[str, declarations.Configuration]
     retry_budget_by_group: dict[str, rows.BudgetRow]
+    leases_by_group: dict[str, rows.LeaseRow]
+    engine_states_by_upstream_id: dict[str, rows.EngineStateRow]
 
     @property
     def node_id(self) -> str:
@@ -78,4 +80,6 @@
         objects_by_key={},
         configuration_by_name={},
         retry_budget_by_group={},
+        leases_by_group={},
+        engine_states_by_upstream_id={},
     )
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -20,12 +20,14 @@
 )
 from carawayhitch.codecs._platform import (
     decode_cache_events,
+    decode_engine_state,
     decode_load,
     decode_objects_listed,
     decode_stored_object,
     decode_vm_list,
     decode_written_version,
     encode_json,
+    encode_order,
 )
 from carawayhitch.codecs._records import mapping_from_record, record_from_mapping
 from carawayhitch.codecs._resume_tokens import (
@@ -52,6 +54,7 @@
     "bearer_token_sha256",
     "declaration_from_value",
     "decode_cache_events",
+    "decode_engine_state",
     "decode_load",
     "decode_objects",
     "decode_objects_listed",
@@ -61,6 +64,7 @@
     "decode_written_version",
     "encode_header",
     "encode_json",
+    "encode_order",
     "encode_step",
     "engine_body",
     "error_body",
--- a/src/carawayhitch/codecs/_platform.py
+++ b/src/carawayhitch/codecs/_platform.py
@@ -8,10 +8,12 @@
 
 import msgspec
 
-from carawayhitch.core import errors, events, result_codes, rows
+from carawayhitch.core import actions, errors, events, result_codes, rows
 
 Body = TypeVar("Body")
 
+DRAINING_ROLE = "draining"
+
 
 class StoredBody(TypedDict):
     """One object of the store; the value is in base64."""
@@ -65,6 +67,7 @@
     preemptions: int
     age_seconds: NotRequired[float]
     leaving: NotRequired[bool]
+    role: NotRequired[str]
 
 
 class CacheEventBody(TypedDict):
@@ -152,6 +155,7 @@
         waiting_count=load["waiting"],
         preemption_count=load["preemptions"],
         leaving=load.get("leaving", False),
+        draining=load.get("role") == DRAINING_ROLE,
     )
 
 
@@ -172,3 +176,43 @@
 def encode_json(value: Any) -> bytes:
     """Return JSON."""
     return msgspec.json.encode(value)
+
+
+class EngineStateBody(TypedDict):
+    """State of an engine that orders can change."""
+
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    running: int
+    waiting: int
+
+
+class OrderBody(TypedDict):
+    """One order to an engine."""
+
+    kind: str
+    subject: str
+    fencing_number: int
+
+
+def decode_engine_state(upstream_id: str, body: bytes) -> events.EngineStateRead:
+    """Return the state of an engine that orders can change."""
+    state = _decode(body, EngineStateBody, f"state of {upstream_id}")
+    return events.EngineStateRead(
+        upstream_id=upstream_id,
+        models=state["models"],
+        adapters=state["adapters"],
+        role=state["role"],
+        busy_count=state["running"] + state["waiting"],
+    )
+
+
+def encode_order(order: actions.SendOrder) -> bytes:
+    """Return the body of an order."""
+    body: OrderBody = {
+        "kind": order.kind,
+        "subject": order.subject,
+        "fencing_number": order.fencing_number,
+    }
+    return msgspec.json.encode(body)
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -15,7 +15,9 @@
     _admission,
     _configuration,
     _idempotency,
+    _leases,
     _lifecycle,
+    _orders,
     _placement,
     _retries,
     _scheduling,
@@ -33,6 +35,8 @@
 CONTROLLERS = (
     _configuration.decide,
     _upstreams.decide,
+    _leases.decide,
+    _orders.decide,
     _scheduling.decide,
     _placement.decide,
     _idempotency.decide,
--- /dev/null
+++ b/src/carawayhitch/controllers/_leases.py
@@ -0,0 +1,146 @@
+"""Leases on the orders of serving groups, by conditional updates of the store.
+
+A lease is renewed by writing its object again; its version is the fencing number. A
+node takes a lease over only after it has seen the same version unchanged for the whole
+lifetime and a margin on its own clock. The holder counts the lifetime from before its
+write was sent, so it stops earlier than any other node can start.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._cells import ranked
+from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.core import actions, events, result_codes, rows
+
+LEASE_KIND = "order_lease"
+LEASE_TIMER = "order_leases"
+READ_PREFIX = "order_lease_read:"
+WRITE_PREFIX = "order_lease_write:"
+# Only a few nodes watch each lease, so that the store's calls do not grow with the
+# fleet.
+LEASE_CANDIDATES = 2
+ABLE_STATES = frozenset({"alive", "suspect"})
+
+decide = new_controller()
+
+
+def holds_lease(board: Board, group: str, now: float) -> bool:
+    """Return whether this node may give orders for a group now."""
+    lease = board.leases_by_group.get(group)
+    return lease is not None and lease.held and now < lease.deadline
+
+
+def groups_to_lead(board: Board) -> list[str]:
+    """Return the groups with orders for whose lease this node is a candidate."""
+    configuration = board.configuration
+    if configuration is None:
+        return []
+    able = {
+        member.node_id
+        for member in board.members_by_id.values()
+        if member.state in ABLE_STATES
+    } | {board.node_id}
+    groups = {order.group for order in configuration.orders_by_name.values()}
+    return [
+        group
+        for group in sorted(groups)
+        if board.node_id in ranked(f"orders/{group}", able)[:LEASE_CANDIDATES]
+    ]
+
+
+@decide.register(events.ProcessStarted)
+def _start(
+    event: events.ProcessStarted, board: Board, now: float, random: Random
+) -> Actions:
+    return (_next_round(board, now),)
+
+
+def _next_round(board: Board, now: float) -> actions.SetTimer:
+    interval = board.settings.orders.interval_seconds
+    return actions.SetTimer(now + interval, events.TimerFired(LEASE_TIMER))
+
+
+@decide.register(events.TimerFired)
+def _renew_or_read(
+    event: events.TimerFired, board: Board, now: float, random: Random
+) -> Actions:
+    if event.name != LEASE_TIMER:
+        return ()
+    decided: list[actions.Action] = []
+    for group in groups_to_lead(board):
+        if holds_lease(board, group, now):
+            decided.extend(_write(board, board.leases_by_group[group], now))
+        else:
+            decided.extend(_give_up_lapsed(board, group))
+            decided.append(
+                actions.ReadObject(f"{READ_PREFIX}{group}", LEASE_KIND, group)
+            )
+    return (*decided, _next_round(board, now))
+
+
+def _give_up_lapsed(board: Board, group: str) -> Actions:
+    lease = board.leases_by_group.get(group)
+    if lease is None or not lease.held:
+        return ()
+    del board.leases_by_group[group]
+    return (actions.Count(result_codes.LEASE_LOST),)
+
+
+def _write(board: Board, lease: rows.LeaseRow, now: float) -> Actions:
+    if board.lifecycle.state not in ("starting", "ready"):
+        return ()
+    board.leases_by_group[lease.group] = lease._replace(requested_at=now)
+    holder = f'"{board.node_id}:{board.lifecycle.incarnation}"'
+    return (
+        actions.WriteObject(
+            f"{WRITE_PREFIX}{lease.group}",
+            LEASE_KIND,
+            lease.group,
+            holder.encode(),
+            lease.version,
+        ),
+    )
+
+
+@decide.register(events.ObjectRead)
+def _observe(
+    event: events.ObjectRead, board: Board, now: float, random: Random
+) -> Actions:
+    if not event.operation_id.startswith(READ_PREFIX):
+        return ()
+    group = event.operation_id.removeprefix(READ_PREFIX)
+    lease = board.leases_by_group.get(group)
+    if lease is not None and lease.held:
+        return ()
+    version = event.stored.version
+    if version and (lease is None or lease.version != version):
+        orders = board.settings.orders
+        lapses_at = now + orders.lease_lifetime_seconds + orders.lease_margin_seconds
+        board.leases_by_group[group] = rows.LeaseRow(group, version, False, lapses_at)
+        return ()
+    if lease is None:
+        lease = rows.LeaseRow(group, version, False, now)
+    if now < lease.deadline:
+        return ()
+    return _write(board, lease, now)
+
+
+@decide.register(events.ObjectWritten)
+def _take(
+    event: events.ObjectWritten, board: Board, now: float, random: Random
+) -> Actions:
+    if not event.operation_id.startswith(WRITE_PREFIX):
+        return ()
+    group = event.operation_id.removeprefix(WRITE_PREFIX)
+    lease = board.leases_by_group.get(group)
+    if lease is None:
+        return ()
+    if not event.accepted:
+        del board.leases_by_group[group]
+        return (actions.Count(result_codes.LEASE_LOST),) if lease.held else ()
+    deadline = lease.requested_at + board.settings.orders.lease_lifetime_seconds
+    board.leases_by_group[group] = rows.LeaseRow(group, event.version, True, deadline)
+    return ()
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -89,8 +89,7 @@
         upstream = board.upstreams_by_id.get(upstream_id)
         if (
             upstream is not None
-            and not upstream.leaving
-            and now >= upstream.unreachable_until
+            and upstream.takes_work(now)
             and upstream_id not in ask.excluded_upstream_ids
             and count < upstream.running_limit
         ):
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -155,6 +155,7 @@
         waiting_count=event.waiting_count,
         preemption_count=event.preemption_count,
         leaving=known.leaving or event.leaving,
+        draining=event.draining,
         unreachable_until=0.0,
     )
     return ()
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -127,6 +127,35 @@
     """Read the platform's list of VMs."""
 
 
+class ReadEngineState(NamedTuple):
+    """Read what models, adapters and role an engine has."""
+
+    upstream_id: str
+    address: str
+
+
+class SendOrder(NamedTuple):
+    """Send one order to an engine over a connection of its own.
+
+    Parameters
+    ----------
+    kind : str
+        ``load_model``, ``unload_model``, ``load_adapter``, ``unload_adapter`` or
+        ``set_role``.
+    fencing_number : int
+        Version of the lease under which the order is given.
+    lease_deadline : float
+        The order is not sent at or after this time.
+    """
+
+    upstream_id: str
+    address: str
+    kind: str
+    subject: str
+    fencing_number: int
+    lease_deadline: float
+
+
 class ReadObject(NamedTuple):
     """Read one object of the store."""
 
@@ -205,6 +234,8 @@
     | RefuseCall
     | PollLoad
     | PollVmList
+    | ReadEngineState
+    | SendOrder
     | ReadObject
     | WriteObject
     | ListObjects
--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -109,13 +109,25 @@
 
 
 class EngineOrder(NamedTuple):
-    """Wanted state of the engines of a group."""
+    """Wanted state of the engines of a group.
+
+    Parameters
+    ----------
+    models, adapters : tuple of str
+        All that an engine should hold, each with its version where it has one.
+    role : str
+        Role of an engine that serves, for example ``serve`` or ``prefill``.
+    unavailable_limit : int
+        Engines of the group that may be drained for orders at the same time; this
+        also bounds the load on the weight store.
+    """
 
     name: str
     group: str
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
-    role: str = ""
+    role: str = "serve"
+    unavailable_limit: Annotated[int, Meta(ge=1)] = 1
 
 
 Declaration = (
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -154,7 +154,15 @@
 
 
 class LoadReported(NamedTuple):
-    """Load of one engine as of ``reported_at`` (seconds of the node clock)."""
+    """Load of one engine as of ``reported_at`` (seconds of the node clock).
+
+    Parameters
+    ----------
+    leaving : bool
+        The engine will stop.
+    draining : bool
+        An order took the engine out of service for a while.
+    """
 
     upstream_id: str
     reported_at: float
@@ -165,6 +173,7 @@
     waiting_count: int
     preemption_count: int
     leaving: bool
+    draining: bool = False
 
 
 class LoadUnavailable(NamedTuple):
@@ -174,6 +183,31 @@
     detail: str
 
 
+class EngineStateRead(NamedTuple):
+    """State of an engine that orders can change.
+
+    Parameters
+    ----------
+    busy_count : int
+        Generations that run or wait in the engine.
+    """
+
+    upstream_id: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    busy_count: int
+
+
+class OrderAnswered(NamedTuple):
+    """Answer to ``SendOrder``; refused orders carried an old fencing number."""
+
+    upstream_id: str
+    kind: str
+    accepted: bool
+    detail: str
+
+
 class CacheChanged(NamedTuple):
     """Prefix blocks that an engine stored and evicted; events may have gaps."""
 
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -162,6 +162,12 @@
 CACHE_EVENT_GAP = ResultCode(
     4006, "CACHE_EVENT_GAP", "no", 0, "Cache events of an upstream had a gap."
 )
+ORDER_REFUSED = ResultCode(
+    4007, "ORDER_REFUSED", "no", 0, "An engine refused an order or did not answer."
+)
+LEASE_LOST = ResultCode(
+    4008, "LEASE_LOST", "no", 0, "A lease passed to another node or lapsed."
+)
 
 INVALID_SETTING = ResultCode(
     5001, "INVALID_SETTING", "no", 0, "A settings file has a wrong value."
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -107,6 +107,7 @@
     kind: UpstreamKind
     labels: Labels
     leaving: bool = False
+    draining: bool = False
     unreachable_until: float = 0.0
     reported_at: float = 0.0
     memory_capacity: int = 0
@@ -116,6 +117,10 @@
     waiting_count: int = 0
     preemption_count: int = 0
 
+    def takes_work(self, now: float) -> bool:
+        """Return whether new requests may be placed here."""
+        return not (self.leaving or self.draining) and now >= self.unreachable_until
+
 
 class CellRow(NamedTuple):
     """Upstreams of one serving group in one region that share a scheduler."""
@@ -214,6 +219,38 @@
     deleted: bool = False
 
 
+class LeaseRow(NamedTuple):
+    """Lease on the orders of one serving group, as this node has seen it.
+
+    Parameters
+    ----------
+    version : int
+        Version of the lease object; the fencing number while this node holds it.
+    held : bool
+        Whether this node wrote that version.
+    deadline : float
+        If held: time until which this node may send orders. Otherwise: time at which
+        an unchanged lease of another node has certainly lapsed.
+    """
+
+    group: str
+    version: int
+    held: bool
+    deadline: float
+    requested_at: float = 0.0
+
+
+class EngineStateRow(NamedTuple):
+    """What an engine answered when it was last asked for its state."""
+
+    upstream_id: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    busy_count: int
+    read_at: float
+
+
 class BudgetRow(NamedTuple):
     """Retry budget as a token bucket."""
 
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -124,6 +124,18 @@
     limit_seconds: PositiveSeconds = 900.0
 
 
+class OrderSettings(NamedTuple):
+    """Orders to engines.
+
+    The margin covers the difference between the clock rates of two VMs over one lease
+    lifetime and the time in which a frozen process may still send.
+    """
+
+    interval_seconds: PositiveSeconds = 2.0
+    lease_lifetime_seconds: PositiveSeconds = 10.0
+    lease_margin_seconds: PositiveSeconds = 2.0
+
+
 class LogSettings(NamedTuple):
     """Structured logs, and a file for recorded events; empty for none."""
 
@@ -151,5 +163,6 @@
     idempotency: IdempotencySettings = IdempotencySettings()
     limits: LimitSettings = LimitSettings()
     drain: DrainSettings = DrainSettings()
+    orders: OrderSettings = OrderSettings()
     logs: LogSettings = LogSettings()
     admin: AdminSettings = AdminSettings()
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -10,11 +10,13 @@
     UpstreamCall,
     call_store,
     cancel_generation,
+    read_engine_state,
     read_load,
     read_vm_list,
     resume_generation,
     run_generation,
     run_service_call,
+    send_order,
 )
 from carawayhitch.core import actions, events, rows
 
@@ -175,6 +177,18 @@
     node.spawn_answer(read_vm_list(node.platform_session, url))
 
 
+@perform.register(actions.ReadEngineState)
+def _read_engine_state(action: actions.ReadEngineState, node: Node) -> None:
+    assert node.platform_session is not None
+    node.spawn_answer(read_engine_state(node.platform_session, action))
+
+
+@perform.register(actions.SendOrder)
+def _send_order(action: actions.SendOrder, node: Node) -> None:
+    assert node.sessions is not None
+    node.spawn_answer(send_order(node.sessions.fresh, action, node.now))
+
+
 @perform.register(actions.ReadObject)
 @perform.register(actions.WriteObject)
 @perform.register(actions.ListObjects)
