Add the codec of signed datagrams between entries

Entries need one encoding for all peer messages. The signature covers the destination address, so that a recorded datagram is of no use against another entry. Deadlines travel as remaining seconds. Progress is divided, and asks and gossip are shortened, to stay below 1,400 bytes. Traversal is bounded to 128 KB and eight levels, lists to 1,024 items.

A lower incarnation is heard again after 60 s of silence, because a replaced VM may have a clock that is behind.

--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -18,6 +18,14 @@
     decode_objects,
     value_from_declaration,
 )
+from carawayhitch.codecs._peer_messages import (
+    PeerAddress,
+    Received,
+    decode_message,
+    encode_datagrams,
+    encode_message,
+    message_name,
+)
 from carawayhitch.codecs._platform import (
     decode_cache_events,
     decode_load,
@@ -28,6 +36,7 @@
     encode_json,
 )
 from carawayhitch.codecs._records import mapping_from_record, record_from_mapping
+from carawayhitch.codecs._replay_windows import ReplayWindow, advance_window
 from carawayhitch.codecs._resume_tokens import (
     ResumeToken,
     sign_resume_token,
@@ -37,23 +46,31 @@
 
 __all__ = [
     "EventBlock",
+    "PeerAddress",
+    "Received",
+    "ReplayWindow",
     "ResumeToken",
+    "advance_window",
     "answer_token_count",
     "bearer_token_sha256",
     "declaration_from_value",
     "decode_cache_events",
     "decode_load",
+    "decode_message",
     "decode_objects",
     "decode_objects_listed",
     "decode_stored_object",
     "decode_vm_list",
     "decode_written_version",
+    "encode_datagrams",
     "encode_json",
+    "encode_message",
     "engine_body",
     "error_body",
     "error_event",
     "generation_target",
     "mapping_from_record",
+    "message_name",
     "parse_labels",
     "read_settings",
     "record_from_mapping",
--- /dev/null
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -0,0 +1,442 @@
+"""Signed datagrams between entries, in capnp."""
+
+from __future__ import annotations
+
+import hmac
+import math
+from collections.abc import Callable, Iterable, Sequence
+from functools import cache, singledispatch
+from hashlib import sha256
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import capnp
+
+from carawayhitch.core import errors, messages, result_codes, rows
+from carawayhitch.core import settings as settings_types
+
+SIGNATURE_BYTES = 16
+# Below the usual Ethernet payload of 1,472 bytes, so that no datagram is fragmented.
+DATAGRAM_BYTES = 1400
+# A message that cannot be divided may be fragmented up to this size.
+MAXIMUM_DATAGRAM_BYTES = 8192
+# Bounds on what a datagram can make the decoder traverse and allocate.
+TRAVERSAL_LIMIT_WORDS = 16384
+NESTING_LIMIT = 8
+MAXIMUM_LIST_LENGTH = 1024
+# Longer prefixes differ in blocks that few requests share.
+MAXIMUM_PREFIX_BLOCKS = 32
+MAXIMUM_REMAINING_SECONDS = 1e7
+
+_schema: Any = capnp.load(str(Path(__file__).with_name("peers.capnp")))
+
+_types_by_name: dict[str, Any] = {
+    "admissionAsk": messages.AdmissionAsk,
+    "admissionGrant": messages.AdmissionGrant,
+    "admissionQueued": messages.AdmissionQueued,
+    "admissionRefusal": messages.AdmissionRefusal,
+    "askWithdrawn": messages.AskWithdrawn,
+    "progress": messages.Progress,
+    "progressAck": messages.ProgressAck,
+    "finished": messages.Finished,
+    "probe": messages.Probe,
+    "probeAck": messages.ProbeAck,
+    "indirectProbe": messages.IndirectProbe,
+}
+_names_by_type = {message_type: name for name, message_type in _types_by_name.items()}
+
+
+class PeerAddress(NamedTuple):
+    """IP address and UDP port of an entry, as its settings name them."""
+
+    address: str
+    port: int
+
+
+class Received(NamedTuple):
+    """A verified message with the place that its sender gave it."""
+
+    sender_id: str
+    incarnation: int
+    sequence: int
+    message: messages.PeerMessage
+
+
+@cache
+def _wire_name(name: str) -> str:
+    head, *tail = name.split("_")
+    return head + "".join(part.capitalize() for part in tail)
+
+
+def _remaining(deadline: float, now: float) -> float:
+    limit = MAXIMUM_REMAINING_SECONDS
+    return min(max(deadline - now, -limit), limit)
+
+
+def _plain_fields(record: Any) -> dict[str, Any]:
+    return {
+        _wire_name(name): list(value) if isinstance(value, tuple) else value
+        for name, value in zip(record._fields, record, strict=True)
+        if name != "sender_id"
+    }
+
+
+@singledispatch
+def wire_fields(record: Any, now: float) -> dict[str, Any]:
+    """Return the fields of a message or row under their names in the schema."""
+    raise TypeError(f"no peer encoding for {record!r}; expected a peer message")
+
+
+@wire_fields.register(messages.AdmissionQueued)
+@wire_fields.register(messages.AskWithdrawn)
+@wire_fields.register(messages.RunningRequest)
+@wire_fields.register(messages.ProgressAck)
+@wire_fields.register(messages.Finished)
+def _fields_of_plain(record: Any, now: float) -> dict[str, Any]:
+    return _plain_fields(record)
+
+
+@wire_fields.register(messages.AdmissionGrant)
+@wire_fields.register(rows.CrashRow)
+def _fields_with_deadline(record: Any, now: float) -> dict[str, Any]:
+    return _plain_fields(record) | {"deadline": _remaining(record.deadline, now)}
+
+
+@wire_fields.register(messages.AdmissionAsk)
+def _fields_of_ask(message: messages.AdmissionAsk, now: float) -> dict[str, Any]:
+    return _plain_fields(message) | {
+        "deadline": _remaining(message.deadline, now),
+        "prefixBlocks": list(message.prefix_blocks[:MAXIMUM_PREFIX_BLOCKS]),
+    }
+
+
+@wire_fields.register(messages.AdmissionRefusal)
+def _fields_of_refusal(
+    message: messages.AdmissionRefusal, now: float
+) -> dict[str, Any]:
+    return _plain_fields(message) | {"code": message.code.number}
+
+
+@wire_fields.register(messages.Progress)
+def _fields_of_progress(message: messages.Progress, now: float) -> dict[str, Any]:
+    running = [wire_fields(running, now) for running in message.running]
+    return _plain_fields(message) | {"running": running}
+
+
+@wire_fields.register(rows.MemberRow)
+def _fields_of_member(row: rows.MemberRow, now: float) -> dict[str, Any]:
+    fields = _plain_fields(row)
+    # The deadline of a state is a matter of the receiver's own clock and settings.
+    del fields["stateDeadline"]
+    return fields
+
+
+@wire_fields.register(messages.Probe)
+@wire_fields.register(messages.ProbeAck)
+def _fields_of_probe(
+    message: messages.Probe | messages.ProbeAck, now: float
+) -> dict[str, Any]:
+    return _plain_fields(message) | {
+        "members": [wire_fields(row, now) for row in message.members],
+        "crashes": [wire_fields(row, now) for row in message.crashes],
+    }
+
+
+@wire_fields.register(messages.IndirectProbe)
+def _fields_of_indirect_probe(
+    message: messages.IndirectProbe, now: float
+) -> dict[str, Any]:
+    members = [wire_fields(row, now) for row in message.members]
+    return _plain_fields(message) | {"members": members}
+
+
+@singledispatch
+def smaller_messages(message: Any) -> tuple[messages.PeerMessage, ...]:
+    """Return messages that together replace one that exceeds a datagram.
+
+    An empty tuple means that the message cannot be divided.
+    """
+    return ()
+
+
+@smaller_messages.register(messages.Progress)
+def _divide_progress(message: messages.Progress) -> tuple[messages.PeerMessage, ...]:
+    running, waiting = message.running, message.waiting_request_ids
+    if len(running) + len(waiting) < 2:
+        return ()
+    middle, half = (len(running) + 1) // 2, len(waiting) // 2
+    return (
+        message._replace(running=running[:middle], waiting_request_ids=waiting[:half]),
+        message._replace(running=running[middle:], waiting_request_ids=waiting[half:]),
+    )
+
+
+@smaller_messages.register(messages.ProgressAck)
+def _divide_ack(message: messages.ProgressAck) -> tuple[messages.PeerMessage, ...]:
+    unknown = message.unknown_request_ids
+    if len(unknown) < 2:
+        return ()
+    half = len(unknown) // 2
+    return (
+        message._replace(unknown_request_ids=unknown[:half]),
+        message._replace(unknown_request_ids=unknown[half:]),
+    )
+
+
+@smaller_messages.register(messages.AdmissionAsk)
+def _shorten_ask(message: messages.AdmissionAsk) -> tuple[messages.PeerMessage, ...]:
+    blocks = message.prefix_blocks[:MAXIMUM_PREFIX_BLOCKS]
+    if not blocks:
+        return ()
+    return (message._replace(prefix_blocks=blocks[: len(blocks) // 2]),)
+
+
+@smaller_messages.register(messages.Probe)
+@smaller_messages.register(messages.ProbeAck)
+def _shorten_probe(
+    message: messages.Probe | messages.ProbeAck,
+) -> tuple[messages.PeerMessage, ...]:
+    members, crashes = message.members, message.crashes
+    if len(members) + len(crashes) < 2:
+        return ()
+    return (
+        message._replace(
+            members=members[: (len(members) + 1) // 2],
+            crashes=crashes[: len(crashes) // 2],
+        ),
+    )
+
+
+def _signature(
+    key: settings_types.PeerKey, destination: PeerAddress, content: bytes
+) -> bytes:
+    signed = b"%d %s %d " % (key.id, destination.address.encode(), destination.port)
+    secret = b"peers:" + key.secret.encode()
+    return hmac.digest(secret, signed + content, sha256)[:SIGNATURE_BYTES]
+
+
+def message_name(message: messages.PeerMessage) -> str:
+    """Return the name of a message's type, as used in metrics."""
+    return type(message).__name__
+
+
+def encode_message(
+    message: messages.PeerMessage,
+    incarnation: int,
+    sequence: int,
+    destination: PeerAddress,
+    key: settings_types.PeerKey,
+    now: float,
+) -> bytes:
+    """Return one signed datagram.
+
+    The signature covers the destination, so that a recorded datagram is of no use
+    against another entry.
+
+    Parameters
+    ----------
+    incarnation : int
+        Number of the sending process.
+    sequence : int
+        Number of the datagram, higher than that of any earlier one of the process.
+    now : float
+        Time in seconds of the sender's clock, which deadlines refer to.
+
+    Raises
+    ------
+    MalformedMessageError
+        If a value does not fit the schema.
+    """
+    try:
+        content = _schema.Content.new_message(
+            senderId=message.sender_id,
+            incarnation=incarnation,
+            sequence=sequence,
+            message={_names_by_type[type(message)]: wire_fields(message, now)},
+        ).to_bytes_packed()
+    except (capnp.KjException, ValueError, OverflowError) as error:
+        raise errors.MalformedMessageError(
+            result_codes.PEER_MESSAGE_MALFORMED,
+            f"{message_name(message)} cannot be encoded: {error}",
+        ) from None
+    return _schema.Envelope.new_message(
+        keyId=key.id, signature=_signature(key, destination, content), content=content
+    ).to_bytes()
+
+
+def encode_datagrams(
+    message: messages.PeerMessage,
+    incarnation: int,
+    next_sequence: Callable[[], int],
+    destination: PeerAddress,
+    key: settings_types.PeerKey,
+    now: float,
+) -> list[bytes]:
+    """Return a message as datagrams below `DATAGRAM_BYTES` where it can be divided.
+
+    Raises
+    ------
+    MalformedMessageError
+        If a value does not fit the schema, or a message that cannot be divided
+        exceeds `MAXIMUM_DATAGRAM_BYTES`.
+    """
+    datagram = encode_message(
+        message, incarnation, next_sequence(), destination, key, now
+    )
+    if len(datagram) <= DATAGRAM_BYTES:
+        return [datagram]
+    parts = smaller_messages(message)
+    if not parts:
+        if len(datagram) > MAXIMUM_DATAGRAM_BYTES:
+            raise errors.MalformedMessageError(
+                result_codes.PEER_MESSAGE_MALFORMED,
+                f"{message_name(message)} has {len(datagram)} bytes, expected at most "
+                f"{MAXIMUM_DATAGRAM_BYTES}",
+            )
+        return [datagram]
+    return [
+        encoded
+        for part in parts
+        for encoded in encode_datagrams(
+            part, incarnation, next_sequence, destination, key, now
+        )
+    ]
+
+
+def decode_message(
+    datagram: bytes,
+    destination: PeerAddress,
+    keys: Sequence[settings_types.PeerKey],
+    now: float,
+) -> Received:
+    """Verify and decode one datagram.
+
+    Parameters
+    ----------
+    destination : PeerAddress
+        Address of the receiver, which the signature must cover.
+    keys : sequence of PeerKey
+        Any of them may have signed.
+    now : float
+        Time in seconds of the receiver's clock, to which deadlines are converted.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the signature is wrong or the content is not a peer message.
+    """
+    try:
+        content = _verified_content(datagram, destination, keys)
+        return _decode_content(content, now)
+    except (capnp.KjException, ValueError, OverflowError, KeyError) as error:
+        if isinstance(error, errors.MalformedMessageError):
+            raise
+        raise errors.MalformedMessageError(
+            result_codes.PEER_MESSAGE_MALFORMED, f"not a peer message: {error}"
+        ) from None
+
+
+def _verified_content(
+    datagram: bytes, destination: PeerAddress, keys: Sequence[settings_types.PeerKey]
+) -> bytes:
+    # The reader refers to the buffer, which needs whole words; copies are taken here.
+    with _schema.Envelope.from_bytes(
+        datagram,
+        traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
+        nesting_limit=NESTING_LIMIT,
+    ) as envelope:
+        key_id = envelope.keyId
+        signature, content = bytes(envelope.signature), bytes(envelope.content)
+    for key in keys:
+        if key.id == key_id and hmac.compare_digest(
+            signature, _signature(key, destination, content)
+        ):
+            return content
+    raise errors.MalformedMessageError(
+        result_codes.PEER_SIGNATURE_INVALID,
+        f"no configured key with id {key_id} made the signature",
+    )
+
+
+def _decode_content(content: bytes, now: float) -> Received:
+    reader = _schema.Content.from_bytes_packed(
+        content,
+        traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
+        nesting_limit=NESTING_LIMIT,
+    )
+    name = reader.message.which()
+    sender_id = reader.senderId
+    if not sender_id:
+        raise ValueError("the sender id is empty")
+    message = _decode_record(
+        _types_by_name[str(name)], getattr(reader.message, str(name)), sender_id, now
+    )
+    return Received(sender_id, reader.incarnation, reader.sequence, message)
+
+
+def _decode_record(record_type: Any, reader: Any, sender_id: str, now: float) -> Any:
+    values = {}
+    for name in record_type._fields:
+        if name == "sender_id":
+            values[name] = sender_id
+        elif name in _decoders_by_field:
+            value = getattr(reader, _wire_name(name))
+            values[name] = _decoders_by_field[name](value, now)
+        elif name != "state_deadline":
+            values[name] = getattr(reader, _wire_name(name))
+    return record_type(**values)
+
+
+def _bounded(items: Any) -> Iterable[Any]:
+    if len(items) > MAXIMUM_LIST_LENGTH:
+        raise ValueError(
+            f"a list has {len(items)} items, expected at most {MAXIMUM_LIST_LENGTH}"
+        )
+    return items
+
+
+def _decode_texts(value: Any, now: float) -> tuple[str, ...]:
+    return tuple(_bounded(value))
+
+
+def _decode_deadline(value: float, now: float) -> float:
+    return now + _decode_seconds(value, now)
+
+
+def _decode_seconds(value: float, now: float) -> float:
+    if not math.isfinite(value):
+        raise ValueError(f"a duration is {value}, expected finite seconds")
+    return value
+
+
+def _decode_code(value: int, now: float) -> result_codes.ResultCode:
+    return result_codes.codes_by_number[value]
+
+
+def _decode_state(value: Any, now: float) -> str:
+    return str(value)
+
+
+def _decoder_of_rows(record_type: Any) -> Callable[[Any, float], tuple[Any, ...]]:
+    def decode_rows(value: Any, now: float) -> tuple[Any, ...]:
+        return tuple(
+            _decode_record(record_type, item, "", now) for item in _bounded(value)
+        )
+
+    return decode_rows
+
+
+_decoders_by_field: dict[str, Callable[[Any, float], Any]] = {
+    "prefix_blocks": _decode_texts,
+    "excluded_upstream_ids": _decode_texts,
+    "waiting_request_ids": _decode_texts,
+    "unknown_request_ids": _decode_texts,
+    "upstream_ids": _decode_texts,
+    "deadline": _decode_deadline,
+    "retry_after": _decode_seconds,
+    "code": _decode_code,
+    "state": _decode_state,
+    "running": _decoder_of_rows(messages.RunningRequest),
+    "members": _decoder_of_rows(rows.MemberRow),
+    "crashes": _decoder_of_rows(rows.CrashRow),
+}
--- /dev/null
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -0,0 +1,153 @@
+@0xd2c8f1a6b4e07395;
+# Datagrams between entries. Fields are only added, never renumbered, so that entries of
+# two releases understand each other during a rollout.
+
+struct Envelope {
+  keyId @0 :UInt8;
+  signature @1 :Data;
+  # HMAC-SHA-256 of key id, destination address and content, first 16 bytes.
+  content @2 :Data;
+  # A packed Content message; it is decoded only after the signature was verified.
+}
+
+struct Content {
+  senderId @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  message :union {
+    admissionAsk @3 :AdmissionAsk;
+    admissionGrant @4 :AdmissionGrant;
+    admissionQueued @5 :AskReference;
+    admissionRefusal @6 :AdmissionRefusal;
+    askWithdrawn @7 :AskReference;
+    progress @8 :Progress;
+    progressAck @9 :ProgressAck;
+    finished @10 :Finished;
+    probe @11 :Probe;
+    probeAck @12 :ProbeAck;
+    indirectProbe @13 :IndirectProbe;
+  }
+}
+
+struct AskReference {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  cellId @2 :Text;
+}
+
+struct AdmissionAsk {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  cellId @2 :Text;
+  group @3 :Text;
+  account @4 :Text;
+  rank @5 :Text;
+  binding @6 :Text;
+  fingerprint @7 :Text;
+  promptTokens @8 :UInt32;
+  maximumTokens @9 :UInt32;
+  prefixBlocks @10 :List(Text);
+  excludedUpstreamIds @11 :List(Text);
+  deadline @12 :Float32;
+  # Deadlines are sent as remaining seconds.
+}
+
+struct AdmissionGrant {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  cellId @2 :Text;
+  upstreamId @3 :Text;
+  address @4 :Text;
+  priority @5 :Int32;
+  deadline @6 :Float32;
+}
+
+struct AdmissionRefusal {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  cellId @2 :Text;
+  code @3 :UInt16;
+  retryAfter @4 :Float32;
+}
+
+struct RunningRequest {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  group @2 :Text;
+  account @3 :Text;
+  rank @4 :Text;
+  binding @5 :Text;
+  fingerprint @6 :Text;
+  upstreamId @7 :Text;
+  promptTokens @8 :UInt32;
+  maximumTokens @9 :UInt32;
+  tokenCount @10 :UInt32;
+}
+
+struct Progress {
+  cellId @0 :Text;
+  running @1 :List(RunningRequest);
+  waitingRequestIds @2 :List(Text);
+}
+
+struct ProgressAck {
+  cellId @0 :Text;
+  unknownRequestIds @1 :List(Text);
+}
+
+struct Finished {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+  cellId @2 :Text;
+  tokenCount @3 :UInt32;
+  complete @4 :Bool;
+  upstreamFailed @5 :Bool;
+}
+
+enum MemberState {
+  alive @0;
+  suspect @1;
+  leaving @2;
+  left @3;
+  dead @4;
+  joining @5;
+}
+
+struct Member {
+  nodeId @0 :Text;
+  incarnation @1 :UInt64;
+  state @2 :MemberState;
+  address @3 :Text;
+  peerPort @4 :UInt16;
+  httpPort @5 :UInt16;
+  zone @6 :Text;
+  region @7 :Text;
+  revision @8 :UInt64;
+  configurationDigest @9 :Text;
+}
+
+struct Crash {
+  fingerprint @0 :Text;
+  upstreamIds @1 :List(Text);
+  convicted @2 :Bool;
+  deadline @3 :Float32;
+}
+
+struct Probe {
+  sequence @0 :UInt32;
+  members @1 :List(Member);
+  crashes @2 :List(Crash);
+}
+
+struct ProbeAck {
+  sequence @0 :UInt32;
+  subjectId @1 :Text;
+  members @2 :List(Member);
+  crashes @3 :List(Crash);
+}
+
+struct IndirectProbe {
+  sequence @0 :UInt32;
+  subjectId @1 :Text;
+  members @2 :List(Member);
+}
--- /dev/null
+++ b/tests/codecs/test_peer_messages.py
@@ -0,0 +1,262 @@
+"""Datagrams between entries: round trip, signatures, sizes, garbage, replays."""
+
+from __future__ import annotations
+
+import unittest
+from itertools import count
+from typing import get_args, get_type_hints
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carawayhitch import codecs
+from carawayhitch.codecs import _peer_messages
+from carawayhitch.codecs._replay_windows import WINDOW_SIZE
+from carawayhitch.core import errors, messages, result_codes, rows
+from carawayhitch.core import settings as settings_types
+
+OLD_KEY = settings_types.PeerKey(1, "first-secret-of-at-least-32-bytes!")
+NEW_KEY = settings_types.PeerKey(2, "second-secret-of-at-least-32-bytes")
+HERE = codecs.PeerAddress("127.0.0.1", 9000)
+ELSEWHERE = codecs.PeerAddress("127.0.0.2", 9000)
+NOW = 1000.0
+MESSAGE_TYPES = get_args(messages.PeerMessage)
+
+texts = st.text(st.characters(exclude_categories=["Cs"]), max_size=24)
+counts = st.integers(0, 2**32 - 1)
+# Multiples of 1/8 are exact in the 32 bits of a duration.
+seconds = st.integers(-80_000, 80_000).map(lambda value: value / 8)
+strategies_by_field = {
+    "deadline": seconds.map(lambda value: NOW + value),
+    "retry_after": seconds,
+    "state_deadline": st.just(0.0),
+    "priority": st.integers(-(2**31), 2**31 - 1),
+    "code": st.sampled_from(list(result_codes.codes_by_number.values())),
+    "state": st.sampled_from(get_args(rows.MemberState)),
+    "sender_id": texts.filter(bool),
+    "incarnation": st.integers(0, 2**64 - 1),
+    "revision": st.integers(0, 2**64 - 1),
+    "peer_port": st.integers(0, 65535),
+    "http_port": st.integers(0, 65535),
+}
+
+
+def records(record_type):
+    hints = get_type_hints(record_type)
+    fields = {}
+    for name, annotation in hints.items():
+        if name in strategies_by_field:
+            fields[name] = strategies_by_field[name]
+        elif hasattr(annotation, "__args__"):
+            item = get_args(annotation)[0]
+            items = texts if item is str else records(item)
+            fields[name] = st.lists(items, max_size=4).map(tuple)
+        else:
+            fields[name] = {str: texts, int: counts, bool: st.booleans()}[annotation]
+    return st.builds(record_type, **fields)
+
+
+any_message = st.one_of([records(message_type) for message_type in MESSAGE_TYPES])
+
+
+def encode(message, key=OLD_KEY, sequence=1, destination=HERE):
+    return codecs.encode_message(message, 7, sequence, destination, key, NOW)
+
+
+def decode(datagram, keys=(OLD_KEY,), destination=HERE):
+    return codecs.decode_message(datagram, destination, keys, NOW)
+
+
+def running(index):
+    return messages.RunningRequest(
+        f"request-{index:030}", 1, "g", "a", "r", "b", "f" * 64, "u", 10, 20, 5
+    )
+
+
+class RoundTripTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(any_message)
+    def test_every_message_survives(self, message):
+        """Guards against fields that are lost or swapped between entries."""
+        received = decode(encode(message))
+        self.assertEqual(received.message, message)
+        self.assertEqual((received.incarnation, received.sequence), (7, 1))
+
+    def test_each_type_has_an_encoding(self):
+        """Guards against a new message type that fails only when it is sent."""
+        names = set(_peer_messages._types_by_name.values())
+        self.assertEqual(names, set(MESSAGE_TYPES))
+
+    def test_deadlines_follow_the_receiver_clock(self):
+        """Guards against deadlines of one VM's clock being used on another."""
+        grant = messages.AdmissionGrant("n", "r", 1, "c", "u", "a", 0, NOW + 2.0)
+        datagram = encode(grant)
+        received = codecs.decode_message(datagram, HERE, (OLD_KEY,), 50.0)
+        self.assertEqual(received.message.deadline, 52.0)
+
+
+class SizeTest(unittest.TestCase):
+    def datagrams(self, message):
+        next_sequence = count(1).__next__
+        return codecs.encode_datagrams(message, 7, next_sequence, HERE, OLD_KEY, NOW)
+
+    def test_progress_is_divided_without_loss(self):
+        """Guards against fragmented datagrams and against requests left out."""
+        rows_sent = tuple(running(index) for index in range(200))
+        waiting = tuple(f"waiting-{index:030}" for index in range(100))
+        datagrams = self.datagrams(messages.Progress("n", "c", rows_sent, waiting))
+        self.assertLessEqual(max(map(len, datagrams)), 1400)
+        parts = [decode(datagram).message for datagram in datagrams]
+        self.assertEqual(
+            sorted(row for part in parts for row in part.running), sorted(rows_sent)
+        )
+        self.assertEqual(
+            sorted(name for part in parts for name in part.waiting_request_ids),
+            sorted(waiting),
+        )
+
+    def test_long_prefix_is_shortened(self):
+        """Guards against a long prompt making the ask too large to be sent."""
+        blocks = tuple(f"{index:064}" for index in range(500))
+        ask = messages.AdmissionAsk(
+            "n", "r", 1, "c", "g", "a", "r", "b", "f", 1, 1, blocks, (), NOW + 1.0
+        )
+        (datagram,) = self.datagrams(ask)
+        self.assertLessEqual(len(datagram), 1400)
+        kept = decode(datagram).message.prefix_blocks
+        self.assertEqual(kept, blocks[: len(kept)])
+        self.assertGreater(len(kept), 0)
+
+    def test_gossip_is_shortened(self):
+        """Guards against gossip that no longer fits when names are long."""
+        member = rows.MemberRow("n" * 60, 1, "alive", "a", 1, 1, "z" * 60, "r" * 60)
+        members = tuple(member._replace(http_port=port) for port in range(40))
+        (datagram,) = self.datagrams(messages.Probe("n", 1, members, ()))
+        self.assertLessEqual(len(datagram), 1400)
+        kept = decode(datagram).message.members
+        self.assertEqual(kept, members[: len(kept)])
+
+    def test_message_that_cannot_be_divided_is_refused(self):
+        """Guards against datagrams that no socket takes."""
+        message = messages.AskWithdrawn("n", "r" * 20_000, 1, "c")
+        with self.assertRaises(errors.MalformedMessageError):
+            self.datagrams(message)
+
+
+class HostileInputTest(unittest.TestCase):
+    PROBE = messages.Probe("node-1", 1, (), ())
+
+    def assert_code(self, code, *arguments, **keywords):
+        with self.assertRaises(errors.MalformedMessageError) as raised:
+            decode(*arguments, **keywords)
+        self.assertEqual(raised.exception.code, code)
+
+    @settings(derandomize=True, max_examples=500, deadline=None)
+    @given(st.binary(max_size=1500))
+    def test_garbage_is_refused(self, datagram):
+        """Guards against any other exception reaching the event loop."""
+        with self.assertRaises(errors.MalformedMessageError):
+            decode(datagram)
+
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(any_message, st.data())
+    def test_changed_bytes_are_refused(self, message, data):
+        """Guards against a message altered on its way being taken as genuine."""
+        datagram = bytearray(encode(message))
+        place = data.draw(st.integers(0, len(datagram) - 1))
+        datagram[place] ^= 1 << data.draw(st.integers(0, 7))
+        try:
+            self.assertEqual(decode(bytes(datagram)).message, message)
+        except errors.MalformedMessageError:
+            pass
+
+    @settings(derandomize=True, max_examples=500, deadline=None)
+    @given(st.one_of(st.binary(max_size=300), any_message.map(encode)), st.data())
+    def test_signed_garbage_is_refused(self, content, data):
+        """Guards against a faulty holder of the key crashing or filling others."""
+        changed = bytearray(content)
+        for _ in range(data.draw(st.integers(0, 4)) if changed else 0):
+            changed[data.draw(st.integers(0, len(changed) - 1))] ^= data.draw(
+                st.integers(1, 255)
+            )
+        self.decode_signed(bytes(changed))
+
+    @settings(derandomize=True, max_examples=800, deadline=None)
+    @given(any_message, st.data())
+    def test_signed_content_with_flipped_bits(self, message, data):
+        """Guards against damage inside a valid structure, such as list lengths."""
+        envelope = _peer_messages._schema.Envelope.from_bytes(encode(message))
+        with envelope as reader:
+            changed = bytearray(reader.content)
+        for _ in range(data.draw(st.integers(1, 3))):
+            place = data.draw(st.integers(0, len(changed) - 1))
+            changed[place] ^= 1 << data.draw(st.integers(0, 7))
+        self.decode_signed(bytes(changed))
+
+    def decode_signed(self, content):
+        signature = _peer_messages._signature(OLD_KEY, HERE, content)
+        datagram = _peer_messages._schema.Envelope.new_message(
+            keyId=OLD_KEY.id, signature=signature, content=content
+        ).to_bytes()
+        try:
+            received = decode(datagram)
+        except errors.MalformedMessageError:
+            return
+        self.assertIsInstance(received.message, MESSAGE_TYPES)
+
+    def test_wrong_key_is_refused(self):
+        """Guards against messages of a system with another key."""
+        forged = OLD_KEY._replace(secret="x" * 40)
+        code = result_codes.PEER_SIGNATURE_INVALID
+        self.assert_code(code, encode(self.PROBE, forged))
+        self.assert_code(code, encode(self.PROBE, NEW_KEY))
+
+    def test_both_keys_of_a_rotation_are_valid(self):
+        """Guards against a rotation that parts entries with the old and new key."""
+        for key in (OLD_KEY, NEW_KEY):
+            received = decode(encode(self.PROBE, key), (NEW_KEY, OLD_KEY))
+            self.assertEqual(received.message, self.PROBE)
+
+    def test_message_to_another_entry_is_refused(self):
+        """Guards against a recorded datagram being sent to a third entry."""
+        code = result_codes.PEER_SIGNATURE_INVALID
+        self.assert_code(code, encode(self.PROBE), destination=ELSEWHERE)
+
+
+class ReplayWindowTest(unittest.TestCase):
+    def accepted(self, arrivals, now=NOW):
+        window, found = None, []
+        for incarnation, sequence in arrivals:
+            advanced = codecs.advance_window(window, incarnation, sequence, now)
+            found.append(advanced is not None)
+            window = advanced or window
+        return found
+
+    def test_arrivals(self):
+        """Guards against replays, and against losing reordered or first datagrams."""
+        far = WINDOW_SIZE + 10
+        table = [
+            ("in order", [(5, 1), (5, 2), (5, 3)], [True, True, True]),
+            ("repeated", [(5, 1), (5, 1)], [True, False]),
+            ("reordered", [(5, 3), (5, 1), (5, 2), (5, 1)], [True, True, True, False]),
+            ("too old", [(5, far), (5, 1)], [True, False]),
+            ("after a jump", [(5, 1), (5, far), (5, far)], [True, True, False]),
+            ("restarted", [(5, 900), (6, 1), (5, 901)], [True, True, False]),
+        ]
+        for name, arrivals, expected in table:
+            with self.subTest(name):
+                self.assertEqual(self.accepted(arrivals), expected)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.lists(st.integers(0, 2 * WINDOW_SIZE), max_size=60))
+    def test_nothing_is_accepted_twice(self, sequences):
+        """Guards against a shift of the window that forgets what was seen."""
+        found = self.accepted([(1, sequence) for sequence in sequences])
+        taken = [value for value, new in zip(sequences, found, strict=True) if new]
+        self.assertEqual(len(taken), len(set(taken)))
+
+    def test_replacement_with_an_older_clock_is_heard_after_a_silence(self):
+        """Guards against locking out a replaced VM whose clock is behind."""
+        window = codecs.advance_window(None, 9, 1, NOW)
+        self.assertIsNone(codecs.advance_window(window, 8, 1, NOW + 59.0))
+        self.assertIsNotNone(codecs.advance_window(window, 8, 1, NOW + 61.0))
