Send and receive peer messages over UDP

Send and SendToAddress were not performed between processes. The node now opens an asyncio datagram endpoint on node.address:peer_port with its other resources and closes it with them. Send looks the address up on the board. Invalid, malformed and replayed datagrams are counted and dropped; messages and bytes are counted by direction and type. PEER_UNREACHABLE (4020) counts messages without a usable address.

The transport of uvloop is not a subclass of asyncio.DatagramTransport, so its type is cast and not checked at run time.

--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -15,6 +15,7 @@
     run_generation,
 )
 from carawayhitch.backends._object_store import StoreClient, call_store
+from carawayhitch.backends._peers import PeerSocket
 from carawayhitch.backends._plain_services import run_service_call
 from carawayhitch.backends._platform import read_load, read_vm_list
 from carawayhitch.backends._sessions import open_session
@@ -22,6 +23,7 @@
 __all__ = [
     "CallContent",
     "Caller",
+    "PeerSocket",
     "StoreClient",
     "Submit",
     "UpstreamCall",
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -162,6 +162,9 @@
 CACHE_EVENT_GAP = ResultCode(
     4006, "CACHE_EVENT_GAP", "no", 0, "Cache events of an upstream had a gap."
 )
+PEER_UNREACHABLE = ResultCode(
+    4020, "PEER_UNREACHABLE", "no", 0, "A message to an entry could not be sent."
+)
 
 INVALID_SETTING = ResultCode(
     5001, "INVALID_SETTING", "no", 0, "A settings file has a wrong value."
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -23,6 +23,8 @@
     waiting_asks: Gauge
     revision: Gauge
     members: Gauge
+    peer_messages: Counter
+    peer_bytes: Counter
 
 
 def new_metrics() -> Metrics:
@@ -68,6 +70,18 @@
             ["state"],
             registry=registry,
         ),
+        peer_messages=Counter(
+            "carawayhitch_peer_messages",
+            "Datagrams between entries, by direction and type of message.",
+            ["direction", "type"],
+            registry=registry,
+        ),
+        peer_bytes=Counter(
+            "carawayhitch_peer_bytes",
+            "Payload of datagrams between entries, in bytes.",
+            ["direction", "type"],
+            registry=registry,
+        ),
     )
 
 
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -15,6 +15,7 @@
 from carawayhitch import controllers
 from carawayhitch.backends import (
     CallContent,
+    PeerSocket,
     StoreClient,
     UpstreamSessions,
     open_session,
@@ -92,26 +93,31 @@
         self.sessions: UpstreamSessions | None = None
         self.platform_session: aiohttp.ClientSession | None = None
         self.store: StoreClient | None = None
+        self.peers: PeerSocket | None = None
 
     def now(self) -> float:
         """Return the node clock in seconds."""
         return time.monotonic()
 
     async def start(self) -> None:
-        """Open the client sessions and feed the first event."""
+        """Open client sessions and the peer socket and feed the first event."""
         self.sessions = UpstreamSessions(
             reused=open_session(self.settings, fresh_connections=False),
             fresh=open_session(self.settings, fresh_connections=True),
         )
         self.platform_session = open_session(self.settings, fresh_connections=False)
         self.store = StoreClient(self.platform_session, self.settings)
+        self.peers = PeerSocket(self.settings, self.incarnation, self)
+        await self.peers.open()
         self.submit(events.ProcessStarted(self.incarnation))
 
     async def close(self) -> None:
-        """Cancel what still runs and close the client sessions."""
+        """Cancel what still runs and close the peer socket and client sessions."""
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.peers is not None:
+            await self.peers.close()
         if self.sessions is not None:
             await self.sessions.reused.close()
             await self.sessions.fresh.close()
@@ -187,3 +193,8 @@
     def count(self, code: result_codes.ResultCode, rank: str) -> None:
         """Add to the counter of a result code."""
         self.metrics.outcomes.labels(str(code.number), code.name, rank).inc()
+
+    def count_peer_message(self, direction: str, name: str, size: int) -> None:
+        """Add to the counters of peer messages and bytes."""
+        self.metrics.peer_messages.labels(direction, name).inc()
+        self.metrics.peer_bytes.labels(direction, name).inc(size)
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -16,7 +16,7 @@
     run_generation,
     run_service_call,
 )
-from carawayhitch.core import actions, events, rows
+from carawayhitch.core import actions, events, messages, result_codes, rows
 
 if TYPE_CHECKING:
     from carawayhitch.node._node import Node
@@ -42,6 +42,24 @@
 def _send(action: actions.Send, node: Node) -> None:
     if action.node_id == node.settings.node.id:
         node.submit(action.message)
+        return
+    member = node.board.members_by_id.get(action.node_id)
+    if member is None:
+        node.count(result_codes.PEER_UNREACHABLE, "")
+        return
+    _send_peer(node, member.address, member.peer_port, action.message)
+
+
+@perform.register(actions.SendToAddress)
+def _send_to_address(action: actions.SendToAddress, node: Node) -> None:
+    _send_peer(node, action.address, action.peer_port, action.message)
+
+
+def _send_peer(
+    node: Node, address: str, port: int, message: messages.PeerMessage
+) -> None:
+    assert node.peers is not None
+    node.peers.send(codecs.PeerAddress(address, port), message)
 
 
 @perform.register(actions.OpenUpstream)
