Add membership by SWIM

Entries knew only themselves. The new controller probes one member an interval from a shuffled round, probes indirectly through indirect_probe_count others, suspects with a deadline, and refutes wrong reports with a higher incarnation. Changes are piggybacked a bounded number of times. Configuration revision and digest travel in the own row only, because disseminating 390 rows at each configuration change would exceed the traffic bound.

A node is `joining` until it is ready and knows cells; before that it would refuse every ask that its scheduler role attracts. Parted sides meet again through a probe of a lost member or seed every ten intervals. A process that was paused gives its probes and suspicions their whole time again. The lifecycle emits LifecycleChanged, on which leaving and left are sent before the process ends.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -21,6 +21,9 @@
     upstreams_by_id: dict[str, rows.UpstreamRow]
     cells_by_id: dict[str, rows.CellRow]
     members_by_id: dict[str, rows.MemberRow]
+    member_updates_by_id: dict[str, rows.MemberUpdateRow]
+    probes_by_sequence: dict[int, rows.ProbeRow]
+    probe_round_by_node_id: dict[str, rows.ProbeRoundRow]
     schedulers_by_cell_id: dict[str, tuple[str, ...]]
     asks_by_request_id: dict[str, rows.AskRow]
     grants_by_request_id: dict[str, rows.GrantRow]
@@ -70,6 +73,9 @@
         upstreams_by_id={},
         cells_by_id={},
         members_by_id={},
+        member_updates_by_id={},
+        probes_by_sequence={},
+        probe_round_by_node_id={},
         schedulers_by_cell_id={},
         asks_by_request_id={},
         grants_by_request_id={},
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -11,6 +11,7 @@
     _configuration,
     _idempotency,
     _lifecycle,
+    _membership,
     _placement,
     _retries,
     _scheduling,
@@ -23,6 +24,7 @@
 
 # Admission removes the row of an ended request, so it runs after every controller
 # that still reads the row; the lifecycle then counts the rows that are left.
+# Membership announces what the others decided, so it is last.
 CONTROLLERS = (
     _configuration.decide,
     _upstreams.decide,
@@ -33,6 +35,7 @@
     _streams.decide,
     _admission.decide,
     _lifecycle.decide,
+    _membership.decide,
 )
 
 decide = combine(CONTROLLERS)
--- a/src/carawayhitch/controllers/_lifecycle.py
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -21,6 +21,7 @@
     lifecycle = board.lifecycle
     if lifecycle.state == "starting":
         board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(state="ready")
+        return (actions.Emit(events.LifecycleChanged()),)
     return ()
 
 
@@ -39,6 +40,7 @@
     )
     grace_deadline = now + drain.readiness_grace_seconds
     return (
+        actions.Emit(events.LifecycleChanged()),
         actions.Log("info", "draining", {"open_requests": len(board.requests_by_id)}),
         actions.SetTimer(grace_deadline, events.TimerFired(GRACE_TIMER)),
         actions.SetTimer(now + drain.limit_seconds, events.TimerFired(LIMIT_TIMER)),
@@ -72,6 +74,7 @@
         state="stopped"
     )
     return (
+        actions.Emit(events.LifecycleChanged()),
         actions.Log("info", "stopped", {"open_requests": len(board.requests_by_id)}),
         actions.StopProcess(),
     )
--- /dev/null
+++ b/src/carawayhitch/controllers/_membership.py
@@ -0,0 +1,594 @@
+"""Membership of entries: SWIM failure detection and dissemination of changes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from hashlib import blake2b
+from heapq import nsmallest
+from random import Random
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._cells import SCHEDULING_STATES
+from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._crash_merge import merge_crashes
+from carawayhitch.core import actions, events, messages, rows
+
+PROBE_TIMER = "membership_probe"
+ACK_TIMER = "membership_ack"
+SUSPICION_TIMER = "membership_suspicion"
+
+# A report about a process replaces one of the same incarnation with a lower rank.
+# Leaving outranks suspect, because a leaving node must not schedule again.
+STATE_RANKS: dict[rows.MemberState, int] = {
+    "joining": 0,
+    "alive": 1,
+    "suspect": 2,
+    "leaving": 3,
+    "dead": 4,
+    "left": 5,
+}
+PRESENT_STATES = frozenset({"joining", "alive", "suspect", "leaving"})
+
+# Each change is sent this many times the logarithm of the fleet size, after which all
+# nodes know it with high probability (SWIM, section 4.1, uses the same form).
+RETRANSMIT_FACTOR = 3
+# With about 75 bytes a row, a probe stays below one datagram of 1,400 bytes.
+UPDATES_IN_MESSAGE = 10
+# Random rows repair what lost messages left different; a table of 390 rows is covered
+# every few minutes.
+RANDOM_ROWS_IN_MESSAGE = 2
+TABLE_ROWS_IN_MESSAGE = 12
+CRASHES_IN_MESSAGE = 4
+SEEDS_AT_ONCE = 3
+# A leaving node tells this many others directly; probes spread the news further.
+ANNOUNCE_COUNT = 8
+# Probes between attempts to reach a lost member or seed. Parted regions find each
+# other through these, since neither side needs a seed to have members.
+RECONNECT_TICKS = 10
+# Rows of dead members outlive a partition of an hour, so that both sides meet again.
+DEAD_ROW_SECONDS = 7200.0
+# Long enough for old reports to die out, which would otherwise add the member again.
+LEFT_ROW_SECONDS = 600.0
+# Incarnations start at microseconds of Unix time (below 2**51 until 2041); the bound
+# leaves room to refute any report that is accepted.
+MAXIMUM_INCARNATION = 2**62
+MAXIMUM_SEQUENCE = 2**32
+
+decide = new_controller()
+
+
+def configuration_digest(board: Board) -> str:
+    """Return a digest of key and version of every configuration object."""
+    digest = blake2b(digest_size=8)
+    for key in sorted(board.objects_by_key):
+        version = board.objects_by_key[key].version
+        digest.update(f"{key[0]}\0{key[1]}\0{version}\n".encode())
+    return digest.hexdigest()
+
+
+def is_present(row: rows.MemberRow) -> bool:
+    """Return whether a member is believed to run."""
+    return row.state in PRESENT_STATES
+
+
+def supersedes(row: rows.MemberRow, known: rows.MemberRow) -> bool:
+    """Return whether a report replaces what is known of the member."""
+    return (row.incarnation, STATE_RANKS[row.state]) > (
+        known.incarnation,
+        STATE_RANKS[known.state],
+    )
+
+
+def _scheduling_place(row: rows.MemberRow | None) -> str | None:
+    """Return the region in which a member can schedule, or None if it cannot."""
+    if row is None or row.state not in SCHEDULING_STATES:
+        return None
+    return row.region
+
+
+def _present_peers(board: Board) -> list[rows.MemberRow]:
+    return [
+        row
+        for row in board.members_by_id.values()
+        if is_present(row) and row.node_id != board.node_id
+    ]
+
+
+def _sample(
+    random: Random, items: list[rows.MemberRow], size: int
+) -> list[rows.MemberRow]:
+    return random.sample(items, min(size, len(items)))
+
+
+def _own_state(board: Board, current: rows.MemberState) -> rows.MemberState:
+    lifecycle = board.lifecycle.state
+    if lifecycle == "stopped":
+        return "left"
+    if lifecycle in ("draining", "refusing"):
+        return "leaving"
+    # A node without cells would refuse every ask, so it does not schedule yet.
+    if lifecycle == "ready" and board.cells_by_id:
+        return "alive"
+    return current
+
+
+def _put(board: Board, row: rows.MemberRow, now: float) -> Actions:
+    """Store a changed row, queue it for dissemination and set its deadline."""
+    known = board.members_by_id.get(row.node_id)
+    timeout = board.settings.peers.suspicion_timeout_seconds
+    deadlines = {
+        "suspect": now + timeout,
+        "dead": now + DEAD_ROW_SECONDS,
+        "left": now + LEFT_ROW_SECONDS,
+    }
+    row = row._replace(state_deadline=deadlines.get(row.state, 0.0))
+    board.members_by_id[row.node_id] = row
+    board.member_updates_by_id[row.node_id] = rows.MemberUpdateRow(row.node_id, 0)
+    decided: list[actions.Action] = []
+    if row.state == "suspect":
+        decided.append(_suspicion_timer(row))
+    if known is None or known.state != row.state:
+        level = "debug" if row.state in ("joining", "alive") else "info"
+        fields = {"member": row.node_id, "state": row.state, "zone": row.zone}
+        decided.append(actions.Log(level, "member state", fields))
+    if _scheduling_place(known) != _scheduling_place(row):
+        decided.append(actions.Emit(events.MembershipChanged()))
+    return decided
+
+
+def _suspicion_timer(row: rows.MemberRow) -> actions.SetTimer:
+    timer = events.TimerFired(SUSPICION_TIMER, row.node_id)
+    return actions.SetTimer(row.state_deadline, timer)
+
+
+def _refresh_own_row(board: Board, now: float) -> Actions:
+    """Bring the own row up to date with lifecycle, cells and configuration."""
+    own = board.members_by_id.get(board.node_id)
+    if own is None:
+        return ()
+    configuration = board.configuration
+    revision = configuration.revision if configuration else 0
+    own = own._replace(
+        revision=revision, configuration_digest=configuration_digest(board)
+    )
+    # Revision and digest travel in the own row of every message and are not
+    # disseminated further: at 4,100 configuration changes a day, the updates of 390
+    # rows at each change would exceed the traffic bound.
+    board.members_by_id[board.node_id] = own
+    state = _own_state(board, own.state)
+    if state == own.state:
+        return ()
+    return _put(board, own._replace(state=state), now)
+
+
+@decide.register(events.ProcessStarted)
+def _start(
+    event: events.ProcessStarted, board: Board, now: float, random: Random
+) -> Actions:
+    node = board.settings.node
+    own = rows.MemberRow(
+        node_id=node.id,
+        incarnation=event.incarnation,
+        state="joining",
+        address=node.address,
+        peer_port=node.peer_port,
+        http_port=node.http_port,
+        zone=node.zone,
+        region=node.region,
+    )
+    board.probe_round_by_node_id[node.id] = rows.ProbeRoundRow(
+        node.id, (), random.randrange(1, MAXIMUM_SEQUENCE // 2), 0, now
+    )
+    return (
+        *_put(board, own, now),
+        actions.SetTimer(now, events.TimerFired(PROBE_TIMER)),
+    )
+
+
+@decide.register(events.ConfigurationChanged)
+@decide.register(events.ObjectsListed)
+@decide.register(events.ObjectsChanged)
+@decide.register(events.UpstreamsChanged)
+@decide.register(events.LifecycleChanged)
+def _announce_own_changes(
+    event: object, board: Board, now: float, random: Random
+) -> Actions:
+    own = board.members_by_id.get(board.node_id)
+    decided = list(_refresh_own_row(board, now))
+    changed = board.members_by_id.get(board.node_id)
+    if own is None or changed is None or changed.state == own.state:
+        return decided
+    told = _sample(random, _present_peers(board), ANNOUNCE_COUNT)
+    for row in told:
+        message = _probe_message(board, row.node_id, random)
+        decided.append(actions.Send(row.node_id, message))
+    return decided
+
+
+@decide.register(events.TimerFired)
+def _act_on_timer(
+    event: events.TimerFired, board: Board, now: float, random: Random
+) -> Actions:
+    if event.name == PROBE_TIMER:
+        return _probe_next(board, now, random)
+    if event.name == ACK_TIMER:
+        return _probe_indirectly(board, int(event.subject), now, random)
+    if event.name == SUSPICION_TIMER:
+        return _end_suspicion(board, event.subject, now)
+    return ()
+
+
+def _probe_next(board: Board, now: float, random: Random) -> Actions:
+    interval = board.settings.peers.probe_interval_seconds
+    tick = board.probe_round_by_node_id[board.node_id]
+    delay = interval * random.uniform(0.95, 1.05)
+    next_tick = tick._replace(tick_count=tick.tick_count + 1, tick_deadline=now + delay)
+    board.probe_round_by_node_id[board.node_id] = next_tick
+    decided: list[actions.Action] = [
+        actions.SetTimer(next_tick.tick_deadline, events.TimerFired(PROBE_TIMER))
+    ]
+    # A process that was paused has not read the answers that arrived meanwhile.
+    paused = now - tick.tick_deadline > interval
+    decided.extend(_suspect_silent(board, now, paused))
+    _remove_old_rows(board, now)
+    subject = _next_subject(board, random)
+    if subject is None:
+        decided.extend(_contact_seeds(board, random))
+        return decided
+    decided.extend(_start_probe(board, subject, now, random))
+    if next_tick.tick_count % RECONNECT_TICKS == 0:
+        decided.extend(_contact_lost(board, random))
+    return decided
+
+
+def _suspect_silent(board: Board, now: float, paused: bool) -> Actions:
+    decided: list[actions.Action] = []
+    for probe in list(board.probes_by_sequence.values()):
+        if now < probe.deadline:
+            continue
+        del board.probes_by_sequence[probe.sequence]
+        row = board.members_by_id.get(probe.subject_id)
+        if probe.requester_id or paused or row is None:
+            continue
+        if row.state in ("joining", "alive"):
+            decided.extend(_put(board, row._replace(state="suspect"), now))
+        elif row.state == "leaving" and row.state_deadline == 0.0:
+            # It stays leaving, because a suspected node could schedule.
+            timeout = board.settings.peers.suspicion_timeout_seconds
+            row = row._replace(state_deadline=now + timeout)
+            board.members_by_id[row.node_id] = row
+            decided.append(_suspicion_timer(row))
+    return decided
+
+
+def _remove_old_rows(board: Board, now: float) -> None:
+    for row in list(board.members_by_id.values()):
+        if (
+            not is_present(row)
+            and now >= row.state_deadline
+            and row.node_id != board.node_id
+        ):
+            del board.members_by_id[row.node_id]
+            board.member_updates_by_id.pop(row.node_id, None)
+
+
+def _next_subject(board: Board, random: Random) -> rows.MemberRow | None:
+    """Return the next member of a shuffled round.
+
+    Every member is probed once a round, so a failure is found within one round even
+    if random choice would miss it for longer.
+    """
+    tick = board.probe_round_by_node_id[board.node_id]
+    remaining = tick.remaining_ids
+    for fill in (False, True):
+        if fill:
+            ids = [row.node_id for row in _present_peers(board)]
+            random.shuffle(ids)
+            remaining = tuple(ids)
+        while remaining:
+            row = board.members_by_id.get(remaining[0])
+            remaining = remaining[1:]
+            if row is not None and is_present(row):
+                board.probe_round_by_node_id[board.node_id] = tick._replace(
+                    remaining_ids=remaining
+                )
+                return row
+    return None
+
+
+def _add_to_round(board: Board, node_id: str, random: Random) -> None:
+    """Insert a new member at a random place, so that not all probe it at once."""
+    tick = board.probe_round_by_node_id.get(board.node_id)
+    if tick is None:
+        return
+    place = random.randint(0, len(tick.remaining_ids))
+    remaining = (*tick.remaining_ids[:place], node_id, *tick.remaining_ids[place:])
+    board.probe_round_by_node_id[board.node_id] = tick._replace(remaining_ids=remaining)
+
+
+def _take_sequence(board: Board) -> int:
+    tick = board.probe_round_by_node_id[board.node_id]
+    board.probe_round_by_node_id[board.node_id] = tick._replace(
+        next_sequence=(tick.next_sequence + 1) % MAXIMUM_SEQUENCE
+    )
+    return tick.next_sequence
+
+
+def _start_probe(
+    board: Board,
+    subject: rows.MemberRow,
+    now: float,
+    random: Random,
+    requester_id: str = "",
+    requester_sequence: int = 0,
+) -> Actions:
+    message = _probe_message(board, subject.node_id, random)
+    sent = actions.Send(subject.node_id, message)
+    deadline = now + board.settings.peers.probe_timeout_seconds
+    sequence = message.sequence
+    board.probes_by_sequence[sequence] = rows.ProbeRow(
+        sequence, subject.node_id, deadline, requester_id, requester_sequence
+    )
+    if requester_id:
+        return (sent,)
+    timer = events.TimerFired(ACK_TIMER, str(sequence))
+    return (sent, actions.SetTimer(deadline, timer))
+
+
+def _probe_message(board: Board, subject_id: str, random: Random) -> messages.Probe:
+    return messages.Probe(
+        board.node_id,
+        _take_sequence(board),
+        _piggyback(board, subject_id, random),
+        _recent_crashes(board, random),
+    )
+
+
+def _contact_seeds(board: Board, random: Random) -> Actions:
+    node = board.settings.node
+    seeds = [
+        seed
+        for seed in board.settings.peers.seeds
+        if (seed.address, seed.peer_port) != (node.address, node.peer_port)
+    ]
+    return [
+        actions.SendToAddress(
+            seed.address, seed.peer_port, _probe_message(board, "", random)
+        )
+        for seed in random.sample(seeds, min(SEEDS_AT_ONCE, len(seeds)))
+    ]
+
+
+def _contact_lost(board: Board, random: Random) -> Actions:
+    """Probe one dead member or one seed that is not a present member."""
+    present = {(row.address, row.peer_port) for row in _present_peers(board)}
+    node = board.settings.node
+    present.add((node.address, node.peer_port))
+    lost = {(seed.address, seed.peer_port): "" for seed in board.settings.peers.seeds}
+    for row in board.members_by_id.values():
+        if row.state == "dead":
+            lost[row.address, row.peer_port] = row.node_id
+    candidates = [place for place in lost if place not in present]
+    if not candidates:
+        return ()
+    address, port = random.choice(candidates)
+    message = _probe_message(board, lost[address, port], random)
+    return (actions.SendToAddress(address, port, message),)
+
+
+def _probe_indirectly(
+    board: Board, sequence: int, now: float, random: Random
+) -> Actions:
+    probe = board.probes_by_sequence.get(sequence)
+    peers = board.settings.peers
+    if probe is None:
+        return ()
+    if now - probe.deadline > peers.probe_interval_seconds:
+        # The process was paused; the answer may have arrived without being read.
+        del board.probes_by_sequence[sequence]
+        return ()
+    helpers = [
+        row
+        for row in _present_peers(board)
+        if row.node_id != probe.subject_id and row.state in ("joining", "alive")
+    ]
+    return [
+        actions.Send(
+            helper.node_id,
+            messages.IndirectProbe(
+                board.node_id,
+                sequence,
+                probe.subject_id,
+                _piggyback(board, helper.node_id, random),
+            ),
+        )
+        for helper in _sample(random, helpers, peers.indirect_probe_count)
+    ]
+
+
+def _end_suspicion(board: Board, node_id: str, now: float) -> Actions:
+    row = board.members_by_id.get(node_id)
+    if row is None or not row.state_deadline or now < row.state_deadline:
+        return ()
+    if row.state not in ("suspect", "leaving"):
+        return ()
+    peers = board.settings.peers
+    if now - row.state_deadline > peers.probe_interval_seconds:
+        # After a pause of this process the member gets the whole time again.
+        row = row._replace(state_deadline=now + peers.suspicion_timeout_seconds)
+        board.members_by_id[node_id] = row
+        return (_suspicion_timer(row),)
+    return _put(board, row._replace(state="dead"), now)
+
+
+def _piggyback(
+    board: Board, receiver_id: str, random: Random
+) -> tuple[rows.MemberRow, ...]:
+    """Return the rows for a message: the own one first, then changes, then others."""
+    members = board.members_by_id
+    picked = {board.node_id: members[board.node_id]}
+    receiver = members.get(receiver_id)
+    if receiver is not None and receiver.state not in ("joining", "alive"):
+        # The receiver can refute only a report that reaches it.
+        picked[receiver_id] = receiver
+    limit = RETRANSMIT_FACTOR * math.ceil(math.log2(len(members) + 1))
+    updates = board.member_updates_by_id
+    for update in nsmallest(
+        UPDATES_IN_MESSAGE, updates.values(), key=lambda update: update.sent_count
+    ):
+        picked[update.node_id] = members[update.node_id]
+        if update.sent_count + 1 >= limit:
+            del updates[update.node_id]
+        else:
+            updates[update.node_id] = update._replace(sent_count=update.sent_count + 1)
+    for row in _sample(random, _present_peers(board), RANDOM_ROWS_IN_MESSAGE):
+        picked.setdefault(row.node_id, row)
+    return tuple(picked.values())
+
+
+def _recent_crashes(board: Board, random: Random) -> tuple[rows.CrashRow, ...]:
+    """Return the newest crash records and random others."""
+    crashes = board.crashes_by_fingerprint.values()
+    if len(crashes) <= CRASHES_IN_MESSAGE:
+        return tuple(crashes)
+    newest = nsmallest(CRASHES_IN_MESSAGE // 2, crashes, key=lambda row: -row.deadline)
+    others = [row for row in crashes if row not in newest]
+    return (*newest, *random.sample(others, CRASHES_IN_MESSAGE - len(newest)))
+
+
+@decide.register(messages.Probe)
+def _answer_probe(
+    event: messages.Probe, board: Board, now: float, random: Random
+) -> Actions:
+    decided = list(_merge(board, event.sender_id, event.members, now, random))
+    merge_crashes(board, event.crashes, now)
+    if not {board.node_id, event.sender_id} <= board.members_by_id.keys():
+        return decided
+    answer = messages.ProbeAck(
+        board.node_id,
+        event.sequence,
+        board.node_id,
+        _piggyback(board, event.sender_id, random),
+        _recent_crashes(board, random),
+    )
+    decided.append(actions.Send(event.sender_id, answer))
+    if len(event.members) == 1:
+        decided.extend(_whole_table(board, event))
+    return decided
+
+
+def _whole_table(board: Board, event: messages.Probe) -> Actions:
+    """Return answers with all present members for a sender that knows no other."""
+    peers = [row for row in _present_peers(board) if row.node_id != event.sender_id]
+    own = board.members_by_id[board.node_id]
+    return [
+        actions.Send(
+            event.sender_id,
+            messages.ProbeAck(
+                board.node_id,
+                event.sequence,
+                board.node_id,
+                (own, *peers[first : first + TABLE_ROWS_IN_MESSAGE]),
+                (),
+            ),
+        )
+        for first in range(0, len(peers), TABLE_ROWS_IN_MESSAGE)
+    ]
+
+
+@decide.register(messages.ProbeAck)
+def _take_answer(
+    event: messages.ProbeAck, board: Board, now: float, random: Random
+) -> Actions:
+    decided = list(_merge(board, event.sender_id, event.members, now, random))
+    merge_crashes(board, event.crashes, now)
+    probe = board.probes_by_sequence.get(event.sequence)
+    if probe is None or probe.subject_id != event.subject_id:
+        return decided
+    del board.probes_by_sequence[event.sequence]
+    row = board.members_by_id.get(probe.subject_id)
+    if row is not None and row.state == "leaving":
+        board.members_by_id[row.node_id] = row._replace(state_deadline=0.0)
+    if probe.requester_id:
+        answer = messages.ProbeAck(
+            board.node_id,
+            probe.requester_sequence,
+            probe.subject_id,
+            _piggyback(board, probe.requester_id, random),
+            (),
+        )
+        decided.append(actions.Send(probe.requester_id, answer))
+    return decided
+
+
+@decide.register(messages.IndirectProbe)
+def _probe_for_another(
+    event: messages.IndirectProbe, board: Board, now: float, random: Random
+) -> Actions:
+    decided = list(_merge(board, event.sender_id, event.members, now, random))
+    subject = board.members_by_id.get(event.subject_id)
+    own = board.members_by_id.get(board.node_id)
+    if own is not None and subject is not None and subject != own:
+        decided.extend(
+            _start_probe(board, subject, now, random, event.sender_id, event.sequence)
+        )
+    return decided
+
+
+def _merge(
+    board: Board,
+    sender_id: str,
+    members: Iterable[rows.MemberRow],
+    now: float,
+    random: Random,
+) -> Actions:
+    decided: list[actions.Action] = []
+    if board.node_id not in board.members_by_id:
+        # The socket is open before the process has started.
+        return ()
+    for row in members:
+        if row.incarnation >= MAXIMUM_INCARNATION or not row.node_id:
+            continue
+        if row.node_id == board.node_id:
+            decided.extend(_refute(board, row, now))
+            continue
+        decided.extend(_merge_row(board, row, row.node_id == sender_id, now, random))
+    return decided
+
+
+def _merge_row(
+    board: Board, row: rows.MemberRow, direct: bool, now: float, random: Random
+) -> Actions:
+    known = board.members_by_id.get(row.node_id)
+    if known is None:
+        if not is_present(row):
+            return ()
+        _add_to_round(board, row.node_id, random)
+        return _put(board, row, now)
+    if supersedes(row, known):
+        if not is_present(known) and is_present(row):
+            _add_to_round(board, row.node_id, random)
+        return _put(board, row, now)
+    same_process = row.incarnation == known.incarnation
+    if same_process and (
+        row.revision > known.revision or (direct and row.revision == known.revision)
+    ):
+        board.members_by_id[row.node_id] = known._replace(
+            revision=row.revision, configuration_digest=row.configuration_digest
+        )
+    return ()
+
+
+def _refute(board: Board, row: rows.MemberRow, now: float) -> Actions:
+    """Answer a wrong report about this node with a higher incarnation."""
+    own = board.members_by_id[board.node_id]
+    if not supersedes(row, own):
+        return ()
+    elsewhere = (row.address, row.peer_port) != (own.address, own.peer_port)
+    if elsewhere and is_present(row):
+        # Another process with this node id runs. The one that started later keeps the
+        # id; two processes that refute each other would never end.
+        fields = {"address": row.address, "peer_port": row.peer_port}
+        return (actions.Log("error", "node id is used by another process", fields),)
+    return _put(board, own._replace(incarnation=row.incarnation + 1), now)
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -280,6 +280,10 @@
     """The set of entries that can schedule changed."""
 
 
+class LifecycleChanged(NamedTuple):
+    """The lifecycle row of this process has another state."""
+
+
 class ConfigurationChanged(NamedTuple):
     """Another configuration is in force."""
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -7,7 +7,7 @@
 from carawayhitch.core._declarations import Labels
 
 UpstreamKind = Literal["engine", "service"]
-MemberState = Literal["alive", "suspect", "leaving", "left", "dead"]
+MemberState = Literal["joining", "alive", "suspect", "leaving", "left", "dead"]
 LifecycleState = Literal["starting", "ready", "draining", "refusing", "stopped"]
 RequestPhase = Literal["asking", "claiming", "opening", "relaying", "finished"]
 ClaimState = Literal["writing", "granted", "finished", "unknown"]
@@ -127,7 +127,19 @@
 
 
 class MemberRow(NamedTuple):
-    """One entry process as membership knows it."""
+    """One entry process as membership knows it.
+
+    Parameters
+    ----------
+    incarnation : int
+        Start of the process in microseconds of Unix time, plus the number of times
+        that it refuted a wrong report about itself.
+    state : MemberState
+        ``joining`` until the process knows cells that it could schedule.
+    state_deadline : float
+        When a suspected member counts as dead, or when the row of a dead or left one
+        is removed (seconds of the node clock); 0 if the state has no deadline.
+    """
 
     node_id: str
     incarnation: int
@@ -142,6 +154,49 @@
     state_deadline: float = 0.0
 
 
+class MemberUpdateRow(NamedTuple):
+    """A change of a member row that is still piggybacked on messages."""
+
+    node_id: str
+    sent_count: int
+
+
+class ProbeRow(NamedTuple):
+    """A probe without an answer yet.
+
+    Parameters
+    ----------
+    deadline : float
+        Time of the indirect probes (seconds of the node clock).
+    requester_id : str
+        Entry on whose behalf the probe was sent, or empty for an own probe.
+    requester_sequence : int
+        Sequence that the requester expects in the answer.
+    """
+
+    sequence: int
+    subject_id: str
+    deadline: float
+    requester_id: str = ""
+    requester_sequence: int = 0
+
+
+class ProbeRoundRow(NamedTuple):
+    """Members that this node has still to probe in the current round.
+
+    Parameters
+    ----------
+    tick_deadline : float
+        Time of the next probe (seconds of the node clock).
+    """
+
+    node_id: str
+    remaining_ids: tuple[str, ...]
+    next_sequence: int
+    tick_count: int
+    tick_deadline: float
+
+
 class AskRow(NamedTuple):
     """A request that waits at the scheduler of its cell."""
 
