Answer probes at the address that the sender names

A replaced VM with a new address and a clock that is behind kept its old row's state everywhere: its lower incarnation was ignored and the answers went to the old address, so it never learned which incarnation to exceed. Answers now go to the address in the sender's own row.

--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -472,26 +472,40 @@
         _piggyback(board, event.sender_id, random),
         _recent_crashes(board, random),
     )
-    decided.append(actions.Send(event.sender_id, answer))
+    answers = [answer]
     if len(event.members) == 1:
-        decided.extend(_whole_table(board, event))
+        answers.extend(_whole_table(board, event))
+    decided.extend(_reply(board, event, answer) for answer in answers)
     return decided
 
 
-def _whole_table(board: Board, event: messages.Probe) -> Actions:
+def _reply(
+    board: Board, event: messages.Probe, answer: messages.ProbeAck
+) -> actions.Send | actions.SendToAddress:
+    """Return the answer to the place that the sender names for itself.
+
+    The table has another place for a replaced process whose clock is behind. Such a
+    process learns from the answer which incarnation it must exceed.
+    """
+    known = board.members_by_id[event.sender_id]
+    named = [row for row in event.members if row.node_id == event.sender_id]
+    for row in named[:1]:
+        if (row.address, row.peer_port) != (known.address, known.peer_port):
+            return actions.SendToAddress(row.address, row.peer_port, answer)
+    return actions.Send(event.sender_id, answer)
+
+
+def _whole_table(board: Board, event: messages.Probe) -> list[messages.ProbeAck]:
     """Return answers with all present members for a sender that knows no other."""
     peers = [row for row in _present_peers(board) if row.node_id != event.sender_id]
     own = board.members_by_id[board.node_id]
     return [
-        actions.Send(
-            event.sender_id,
-            messages.ProbeAck(
-                board.node_id,
-                event.sequence,
-                board.node_id,
-                (own, *peers[first : first + TABLE_ROWS_IN_MESSAGE]),
-                (),
-            ),
+        messages.ProbeAck(
+            board.node_id,
+            event.sequence,
+            board.node_id,
+            (own, *peers[first : first + TABLE_ROWS_IN_MESSAGE]),
+            (),
         )
         for first in range(0, len(peers), TABLE_ROWS_IN_MESSAGE)
     ]
