--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -18,6 +18,14 @@
     decode_objects,
     value_from_declaration,
 )
+from carawayhitch.codecs._peer_messages import (
+    PeerAddress,
+    Received,
+    decode_message,
+    encode_datagrams,
+    encode_message,
+    message_name,
+)
 from carawayhitch.codecs._platform import (
     decode_cache_events,
     decode_engine_state,
@@ -30,6 +38,7 @@
     encode_order,
 )
 from carawayhitch.codecs._records import mapping_from_record, record_from_mapping
+from carawayhitch.codecs._replay_windows import ReplayWindow, advance_window
 from carawayhitch.codecs._resume_tokens import (
     ResumeToken,
     sign_resume_token,
@@ -47,23 +56,30 @@
 
 __all__ = [
     "EventBlock",
+    "PeerAddress",
+    "Received",
+    "ReplayWindow",
     "ResumeToken",
     "TraceHeader",
     "TraceStep",
+    "advance_window",
     "answer_token_count",
     "bearer_token_sha256",
     "declaration_from_value",
     "decode_cache_events",
     "decode_engine_state",
     "decode_load",
+    "decode_message",
     "decode_objects",
     "decode_objects_listed",
     "decode_stored_object",
     "decode_trace",
     "decode_vm_list",
     "decode_written_version",
+    "encode_datagrams",
     "encode_header",
     "encode_json",
+    "encode_message",
     "encode_order",
     "encode_step",
     "engine_body",
@@ -71,6 +87,7 @@
     "error_event",
     "generation_target",
     "mapping_from_record",
+    "message_name",
     "parse_labels",
     "read_settings",
     "record_from_mapping",
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -17,6 +17,7 @@
     _idempotency,
     _leases,
     _lifecycle,
+    _membership,
     _orders,
     _placement,
     _retries,
@@ -32,6 +33,7 @@
 
 # Admission removes the row of an ended request, so it runs after every controller
 # that still reads the row; the lifecycle then counts the rows that are left.
+# Membership announces what the others decided, so it is last.
 CONTROLLERS = (
     _configuration.decide,
     _upstreams.decide,
@@ -44,6 +46,7 @@
     _streams.decide,
     _admission.decide,
     _lifecycle.decide,
+    _membership.decide,
 )
 
 decide = combine(CONTROLLERS)
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -168,6 +168,9 @@
 LEASE_LOST = ResultCode(
     4008, "LEASE_LOST", "no", 0, "A lease passed to another node or lapsed."
 )
+PEER_UNREACHABLE = ResultCode(
+    4020, "PEER_UNREACHABLE", "no", 0, "A message to an entry could not be sent."
+)
 
 INVALID_SETTING = ResultCode(
     5001, "INVALID_SETTING", "no", 0, "A settings file has a wrong value."
--- a/tests/node/test_replay.py
+++ b/tests/node/test_replay.py
@@ -59,7 +59,13 @@
         result = replay(self.path)
         self.assertEqual(result.returncode, 0, result.stdout + result.stderr)
         self.assertIn(" 0 differences", result.stdout)
-        self.assertGreater(len(self.path.read_bytes().splitlines()), 30)
+        recorded = [
+            json.loads(line)["event"]["type"]
+            for line in self.path.read_bytes().splitlines()[1:]
+        ]
+        self.assertEqual(recorded.count("CallReceived"), 4)
+        self.assertIn("ChunkReceived", recorded)
+        self.assertIn("TimerFired", recorded)
 
     def test_changed_outcome_is_reported(self):
         """Guards against a replay that compares nothing."""
