Prove that a leaving upstream gets no new work

Cause: the promise had no test; the VM list lags, engines say so earlier. Ruled out: two short streams as load, since with long streams unevenly spread one engine got none of them and a version that ignores leaving passed. Conclusion: the scheduler alone grants, so one rule covers all entries.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -71,6 +71,7 @@
         self.streams_by_id: dict[str, Stream] = {}
         self.started_count = 0
         self.cancelled_count = 0
+        self.refused_count = 0
         self.leaving = False
         self.stalled = False
         self.crash_text = ""
@@ -149,6 +150,7 @@
     async def generate(self, request: web.Request) -> web.StreamResponse:
         """Start a generation and answer it whole or as a stream."""
         if self.leaving:
+            self.refused_count += 1
             return web.json_response({"error": "leaving"}, status=503)
         text = await request.text()
         if self.crash_text and self.crash_text in text:
@@ -333,6 +335,7 @@
             {
                 "started": self.started_count,
                 "cancelled": self.cancelled_count,
+                "refused": self.refused_count,
                 "running": len(self.model.running),
                 "waiting": len(self.model.waiting),
                 "memory_used": self.model.memory_used,
