Replace the minimal scheduler with ranks, fairness and memory limits

Cause: the first scheduler scanned all grants for every ask and knew neither floors, quotas, memory, caches nor crash records. Decisions now read counted tables on the board. Queue, ranks, fairness, lengths, memory, affinity, choice of upstream, rebuild and crash records are one private module each.

Crash evidence waits for a load poll that shows whether the engine or only a link failed, so a lost connection alone puts nobody on record.

--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -16,7 +16,11 @@
 )
 from carawayhitch.backends._object_store import StoreClient, call_store
 from carawayhitch.backends._plain_services import run_service_call
-from carawayhitch.backends._platform import read_load, read_vm_list
+from carawayhitch.backends._platform import (
+    read_cache_events,
+    read_load,
+    read_vm_list,
+)
 from carawayhitch.backends._sessions import open_session
 
 __all__ = [
@@ -29,6 +33,7 @@
     "call_store",
     "cancel_generation",
     "open_session",
+    "read_cache_events",
     "read_load",
     "read_vm_list",
     "resume_generation",
--- a/src/carawayhitch/backends/_platform.py
+++ b/src/carawayhitch/backends/_platform.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from carawayhitch.codecs import decode_load, decode_vm_list
+from carawayhitch.codecs import decode_cache_events, decode_load, decode_vm_list
 from carawayhitch.core import errors, events
 
 POLL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
@@ -35,3 +35,16 @@
         return events.LoadUnavailable(upstream_id, str(error))
     except errors.MalformedMessageError as error:
         return events.LoadUnavailable(upstream_id, error.message)
+
+
+async def read_cache_events(
+    session: aiohttp.ClientSession, upstream_id: str, address: str, since: int
+) -> list[events.CacheChanged]:
+    """Return the cache events of an engine after a sequence; none if it fails."""
+    try:
+        url = f"http://{address}/cache_events?since={since}"
+        async with session.get(url, timeout=POLL_TIMEOUT) as response:
+            response.raise_for_status()
+            return decode_cache_events(upstream_id, await response.read())
+    except (aiohttp.ClientError, TimeoutError, OSError, errors.MalformedMessageError):
+        return []
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -24,7 +24,22 @@
     schedulers_by_cell_id: dict[str, tuple[str, ...]]
     asks_by_request_id: dict[str, rows.AskRow]
     grants_by_request_id: dict[str, rows.GrantRow]
+    usage_by_account: dict[tuple[str, str, str], rows.UsageRow]
+    rates_by_rank: dict[tuple[str, str], rows.RateRow]
+    lengths_by_binding: dict[str, rows.LengthsRow]
+    queues_by_rank: dict[tuple[str, str], dict[str, dict[str, None]]]
+    queue_lengths_by_rank: dict[tuple[str, str], rows.QueueRow]
+    last_charged_by_rank: dict[tuple[str, str], float]
+    grant_ids_by_upstream_id: dict[str, dict[str, None]]
+    upstreams_by_fingerprint: dict[str, dict[str, str]]
+    cleared_by_fingerprint: dict[str, float]
+    ledgers_by_upstream_id: dict[str, rows.LedgerRow]
+    predictions_by_upstream_id: dict[str, rows.PredictionRow]
+    blocks_by_upstream_id: dict[str, dict[str, None]]
+    caches_by_upstream_id: dict[str, rows.CacheRow]
+    settle_deadlines_by_cell_id: dict[str, float]
     crashes_by_fingerprint: dict[str, rows.CrashRow]
+    deaths_by_upstream_id: dict[str, rows.DeathRow]
     claims_by_key: dict[str, rows.ClaimRow]
     objects_by_key: dict[tuple[str, str], rows.ObjectRow]
     configuration_by_name: dict[str, declarations.Configuration]
@@ -73,7 +88,22 @@
         schedulers_by_cell_id={},
         asks_by_request_id={},
         grants_by_request_id={},
+        usage_by_account={},
+        rates_by_rank={},
+        lengths_by_binding={},
+        queues_by_rank={},
+        queue_lengths_by_rank={},
+        last_charged_by_rank={},
+        grant_ids_by_upstream_id={},
+        upstreams_by_fingerprint={},
+        cleared_by_fingerprint={},
+        ledgers_by_upstream_id={},
+        predictions_by_upstream_id={},
+        blocks_by_upstream_id={},
+        caches_by_upstream_id={},
+        settle_deadlines_by_cell_id={},
         crashes_by_fingerprint={},
+        deaths_by_upstream_id={},
         claims_by_key={},
         objects_by_key={},
         configuration_by_name={},
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -15,17 +15,21 @@
     _retries,
     _scheduling,
     _streams,
+    _suspects,
     _upstreams,
 )
 from carawayhitch.controllers._controller import Actions, combine
+from carawayhitch.controllers._suspects import merge_crashes
 
-__all__ = ["CONTROLLERS", "Actions", "decide"]
+__all__ = ["CONTROLLERS", "Actions", "decide", "merge_crashes"]
 
+# Suspects read the grants of a failed upstream before scheduling removes them.
 # Admission removes the row of an ended request, so it runs after every controller
 # that still reads the row; the lifecycle then counts the rows that are left.
 CONTROLLERS = (
     _configuration.decide,
     _upstreams.decide,
+    _suspects.decide,
     _scheduling.decide,
     _placement.decide,
     _idempotency.decide,
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -14,6 +14,8 @@
 PROGRESS_TIMER = "progress"
 WAITING_PHASES = frozenset({"asking"})
 GRANTED_PHASES = frozenset({"claiming", "opening", "relaying"})
+# The scheduler checks by the engine's load whether the engine or a link failed.
+UPSTREAM_FAILURE_CODES = (result_codes.UPSTREAM_FAILED, result_codes.STREAM_LOST)
 
 decide = new_controller()
 
@@ -209,7 +211,12 @@
     return (
         actions.Send(
             row.scheduler_id,
-            finished_message(board, row, event.complete, event.upstream_failed),
+            finished_message(
+                board,
+                row,
+                event.complete,
+                event.upstream_failed or event.code in UPSTREAM_FAILURE_CODES,
+            ),
         ),
     )
 
--- /dev/null
+++ b/src/carawayhitch/controllers/_ranks.py
@@ -0,0 +1,49 @@
+"""Order of ranks: the one furthest below its floor first, then by priority."""
+
+from __future__ import annotations
+
+from carawayhitch.board import Board
+from carawayhitch.controllers import _fairness
+from carawayhitch.core import declarations
+
+
+def rank_class(board: Board, rank: str) -> declarations.RankClass:
+    """Return a declared rank; an undeclared one is served last."""
+    configuration = board.configuration
+    declared = configuration.rank_classes_by_name.get(rank) if configuration else None
+    return declared or declarations.RankClass(rank, priority=1_000_000)
+
+
+def highest_priority(board: Board) -> int:
+    """Return the priority of the rank that is served first."""
+    configuration = board.configuration
+    ranks = configuration.rank_classes_by_name.values() if configuration else ()
+    return min((rank.priority for rank in ranks), default=0)
+
+
+def floor_deficit(board: Board, cell_id: str, rank: str, now: float) -> float:
+    """Return by how much a rank's share of the charged tokens is below its floor."""
+    floor = rank_class(board, rank).floor
+    if not floor:
+        return 0.0
+    total = sum(
+        _fairness.rate(board, cell, name, now).tokens
+        for cell, name in board.rates_by_rank
+        if cell == cell_id
+    )
+    if not total:
+        return 0.0
+    return max(0.0, floor - _fairness.rate(board, cell_id, rank, now).tokens / total)
+
+
+def waiting_ranks(board: Board, cell_id: str, now: float) -> list[str]:
+    """Return the ranks that have work waiting in a cell, in order of service."""
+    waiting = [rank for cell, rank in board.queues_by_rank if cell == cell_id]
+    if len(waiting) < 2:
+        return waiting
+
+    def order(rank: str) -> tuple[float, int, str]:
+        deficit = floor_deficit(board, cell_id, rank, now)
+        return (-deficit, rank_class(board, rank).priority, rank)
+
+    return sorted(waiting, key=order)
--- /dev/null
+++ b/src/carawayhitch/controllers/_rebuild.py
@@ -0,0 +1,133 @@
+"""Grants as counted tables, and their rebuild from the entries' progress."""
+
+from __future__ import annotations
+
+from carawayhitch.board import Board
+from carawayhitch.controllers import _fairness, _lengths, _memory, _queue
+from carawayhitch.core import messages, rows
+
+# Identical requests may spread over upstreams this long after one of them finished.
+CLEARED_SECONDS = 300.0
+CLEARED_LIMIT = 10_000
+
+
+def add_grant(board: Board, grant: rows.GrantRow) -> None:
+    """Store a grant and count it for its upstream, account and fingerprint."""
+    board.grants_by_request_id[grant.request_id] = grant
+    ids = board.grant_ids_by_upstream_id.setdefault(grant.upstream_id, {})
+    ids[grant.request_id] = None
+    in_flight = board.upstreams_by_fingerprint.setdefault(grant.fingerprint, {})
+    in_flight[grant.request_id] = grant.upstream_id
+    _fairness.open_work(board, grant.cell_id, grant.rank, grant.account)
+    _memory.forget_prediction(board, grant.upstream_id)
+
+
+def remove_grant(board: Board, grant: rows.GrantRow, now: float) -> None:
+    """Remove a grant from every table that counts it."""
+    del board.grants_by_request_id[grant.request_id]
+    ids = board.grant_ids_by_upstream_id[grant.upstream_id]
+    del ids[grant.request_id]
+    if not ids:
+        del board.grant_ids_by_upstream_id[grant.upstream_id]
+    in_flight = board.upstreams_by_fingerprint[grant.fingerprint]
+    del in_flight[grant.request_id]
+    if not in_flight:
+        del board.upstreams_by_fingerprint[grant.fingerprint]
+    _fairness.close_work(board, grant.cell_id, grant.rank, grant.account)
+    _memory.note_finish(board, grant, now)
+    _memory.forget_prediction(board, grant.upstream_id)
+
+
+def note_tokens(
+    board: Board, grant: rows.GrantRow, token_count: int, now: float
+) -> rows.GrantRow:
+    """Charge tokens produced since the last report and renew a grant."""
+    produced = max(0, token_count - grant.token_count)
+    if produced:
+        _fairness.charge(board, grant, produced, now)
+        _memory.forget_prediction(board, grant.upstream_id)
+    renewed = grant._replace(
+        token_count=max(token_count, grant.token_count),
+        charged_tokens=grant.charged_tokens + produced,
+        renewed_at=now,
+    )
+    board.grants_by_request_id[grant.request_id] = renewed
+    return renewed
+
+
+def give_back(board: Board, grant: rows.GrantRow, now: float) -> None:
+    """Return what was charged for a grant that produced nothing for its caller."""
+    prompt_tokens = grant.prompt_tokens if grant.charged_prompt else 0
+    _fairness.charge(board, grant, -(prompt_tokens + grant.charged_tokens), now)
+
+
+def finish_grant(
+    board: Board, grant: rows.GrantRow, event: messages.Finished, now: float
+) -> None:
+    """Settle a grant: charge or give back, learn its length, free its place."""
+    if event.token_count == 0 and not event.complete:
+        give_back(board, grant, now)
+    else:
+        grant = note_tokens(board, grant, event.token_count, now)
+    if event.complete:
+        if event.token_count:
+            _lengths.note_length(board, grant.binding, event.token_count)
+        board.cleared_by_fingerprint[grant.fingerprint] = now + CLEARED_SECONDS
+        while len(board.cleared_by_fingerprint) > CLEARED_LIMIT:
+            del board.cleared_by_fingerprint[next(iter(board.cleared_by_fingerprint))]
+    remove_grant(board, grant, now)
+
+
+def take_running(
+    board: Board, event: messages.Progress, running: messages.RunningRequest, now: float
+) -> None:
+    """Renew the grant of a running request, or rebuild it.
+
+    A rebuilt grant is charged only for what it produces from now on; the earlier
+    scheduler charged the rest.
+    """
+    ask = board.asks_by_request_id.get(running.request_id)
+    if ask is not None and ask.attempt <= running.attempt:
+        _queue.remove_ask(board, running.request_id)
+    known = board.grants_by_request_id.get(running.request_id)
+    if known is not None and known.attempt == running.attempt:
+        note_tokens(board, known, running.token_count, now)
+        return
+    if known is not None:
+        if known.attempt > running.attempt:
+            return
+        remove_grant(board, known, now)
+    lifetime = board.settings.scheduling.grant_lifetime_seconds
+    add_grant(
+        board,
+        rows.GrantRow(
+            request_id=running.request_id,
+            attempt=running.attempt,
+            entry_id=event.sender_id,
+            cell_id=event.cell_id,
+            group=running.group,
+            account=running.account,
+            rank=running.rank,
+            binding=running.binding,
+            fingerprint=running.fingerprint,
+            upstream_id=running.upstream_id,
+            prompt_tokens=running.prompt_tokens,
+            maximum_tokens=running.maximum_tokens,
+            token_count=running.token_count,
+            granted_at=now,
+            deadline=now + lifetime,
+            renewed_at=now,
+            charged_prompt=False,
+        ),
+    )
+
+
+def lapse_grants(board: Board, now: float) -> None:
+    """Remove grants whose entry has sent no progress for them."""
+    lifetime = board.settings.scheduling.progress_lifetime_seconds
+    for grant in list(board.grants_by_request_id.values()):
+        if now < max(grant.renewed_at, grant.granted_at) + lifetime:
+            continue
+        if grant.token_count == 0:
+            give_back(board, grant, now)
+        remove_grant(board, grant, now)
--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -56,7 +56,10 @@
             *end_request(row, event.final_code, retry_after=1.0),
         )
     board.retry_budget_by_group[row.group] = rows.BudgetRow(budget.retries - 1.0, now)
-    finished = finished_message(board, row, complete=False, upstream_failed=True)
+    # A refused or unopened connection never ran the request, so the upstream's
+    # failure is no evidence against it.
+    upstream_failed = event.code is result_codes.RETRY_BEFORE_FIRST_TOKEN
+    finished = finished_message(board, row, False, upstream_failed)
     again = row._replace(
         phase="asking",
         attempt=row.attempt + 1,
--- /dev/null
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -0,0 +1,166 @@
+"""Choice of an upstream for one ask: limits, memory, prefix cache, load."""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+from carawayhitch.board import Board
+from carawayhitch.controllers import _affinity, _lengths, _memory, _suspects
+from carawayhitch.controllers._ranks import (
+    floor_deficit,
+    highest_priority,
+    rank_class,
+)
+from carawayhitch.core import rows
+
+# Share of slots and memory that only the first rank may use, so that it need not
+# wait for a patient request to finish.
+FIRST_RANK_RESERVE = 0.06
+# An upstream that holds the longest prefix is used while its load is within this
+# share of the least loaded one.
+AFFINITY_BOUND = 0.1
+# Keeps new requests away from an upstream that runs one on record, so that its
+# next crash leaves no doubt about the cause; not at the price of a queue.
+SUSPECT_PENALTY = 0.25
+
+Blocked = Literal["", "ask", "cell"]
+
+
+class Choice(NamedTuple):
+    """Chosen upstream, or what stands in the way of any.
+
+    Parameters
+    ----------
+    blocked : {"", "ask", "cell"}
+        ``ask`` if constraints of this ask alone rule out every upstream, so that
+        others may pass it; ``cell`` if the cell has no room.
+    """
+
+    upstream_id: str = ""
+    blocked: Blocked = "cell"
+
+
+def is_usable(board: Board, upstream: rows.UpstreamRow, now: float) -> bool:
+    """Return whether an upstream may receive new work at all."""
+    if upstream.leaving or now < upstream.unreachable_until:
+        return False
+    return _suspects.may_receive_work(board, upstream)
+
+
+def is_settling(board: Board, cell_id: str, now: float) -> bool:
+    """Return whether running requests of the cell may still be unknown here."""
+    return now < board.settle_deadlines_by_cell_id.get(cell_id, 0.0)
+
+
+def upstream_load(board: Board, upstream: rows.UpstreamRow) -> float:
+    """Return the load as a share of slots or predicted memory, the larger one."""
+    known = _memory.ledger(board, upstream.upstream_id)
+    count = len(board.grant_ids_by_upstream_id.get(upstream.upstream_id, ()))
+    load = (count + known.foreign_count) / max(1, upstream.running_limit)
+    if not upstream.memory_capacity:
+        return load
+    peak = _memory.prediction(board, upstream.upstream_id).peak
+    return max(load, (peak + known.foreign_tokens) / upstream.memory_capacity)
+
+
+def _may_use_reserve(board: Board, ask: rows.AskRow, now: float) -> bool:
+    """Return whether an ask may use what is kept for the first rank.
+
+    A rank below its floor may, or the floor could not be kept while the first rank
+    fills the rest.
+    """
+    if rank_class(board, ask.rank).priority <= highest_priority(board):
+        return True
+    return floor_deficit(board, ask.cell_id, ask.rank, now) > 0
+
+
+def has_room(
+    board: Board, upstream: rows.UpstreamRow, ask: rows.AskRow, now: float
+) -> bool:
+    """Return whether slots and predicted memory allow one more request."""
+    known = _memory.ledger(board, upstream.upstream_id)
+    share = 1.0
+    if not _may_use_reserve(board, ask, now):
+        share -= FIRST_RANK_RESERVE
+    count = len(board.grant_ids_by_upstream_id.get(upstream.upstream_id, ()))
+    occupied = count + known.foreign_count
+    if occupied and occupied + 1 > upstream.running_limit * share:
+        return False
+    if upstream.kind != "engine":
+        return True
+    lengths = board.lengths_by_binding.get(ask.binding, _lengths.EMPTY)
+    remaining = _lengths.expected_remaining(lengths, 0, ask.maximum_tokens)
+    foreign = float(known.foreign_tokens)
+    if is_settling(board, ask.cell_id, now):
+        if not upstream.reported_at or upstream.waiting_count:
+            return False
+        foreign += known.foreign_count * remaining
+    # A request larger than the limit runs alone, or it would never run.
+    if not occupied:
+        return True
+    predicted = _memory.prediction(board, upstream.upstream_id)
+    peak = _memory.peak_with(predicted, remaining, ask.prompt_tokens)
+    return peak + foreign <= share * _memory.memory_limit(board, upstream, now)
+
+
+def choose_upstream(
+    board: Board, cell: rows.CellRow, ask: rows.AskRow, now: float
+) -> Choice:
+    """Return the upstream for an ask."""
+    usable = [
+        upstream
+        for upstream_id in cell.upstream_ids
+        if (upstream := board.upstreams_by_id.get(upstream_id)) is not None
+        and is_usable(board, upstream, now)
+    ]
+    suspects = _suspects.suspects_by_upstream(board, now)
+    allowed = _allowed(board, cell, usable, ask, suspects, now)
+    if usable and not allowed:
+        return Choice(blocked="ask")
+    for upstream in _by_preference(board, allowed, ask, suspects):
+        if has_room(board, upstream, ask, now):
+            return Choice(upstream.upstream_id, "")
+    return Choice(blocked="cell" if len(allowed) == len(usable) else "ask")
+
+
+def _allowed(
+    board: Board,
+    cell: rows.CellRow,
+    usable: list[rows.UpstreamRow],
+    ask: rows.AskRow,
+    suspects: dict[str, set[str]],
+    now: float,
+) -> list[rows.UpstreamRow]:
+    excluded = set(ask.excluded_upstream_ids)
+    # A retry may return to an upstream only if it has been to all of the cell.
+    if excluded.issuperset(cell.upstream_ids):
+        excluded.clear()
+    wanted = [row for row in usable if row.upstream_id not in excluded]
+    if not wanted or wanted[0].kind != "engine":
+        return wanted
+    names = [row.upstream_id for row in wanted]
+    names = _suspects.allowed_upstreams(board, ask.fingerprint, names, suspects, now)
+    return [board.upstreams_by_id[name] for name in names]
+
+
+def _by_preference(
+    board: Board,
+    allowed: list[rows.UpstreamRow],
+    ask: rows.AskRow,
+    suspects: dict[str, set[str]],
+) -> list[rows.UpstreamRow]:
+    loads = {
+        upstream.upstream_id: upstream_load(board, upstream)
+        + SUSPECT_PENALTY * (upstream.upstream_id in suspects)
+        for upstream in allowed
+    }
+    bound = min(loads.values(), default=0.0) + AFFINITY_BOUND
+
+    def order(upstream: rows.UpstreamRow) -> tuple[int, float, str]:
+        load = loads[upstream.upstream_id]
+        held = 0
+        if load <= bound and ask.prefix_blocks:
+            held = _affinity.held_prefix(board, upstream.upstream_id, ask.prefix_blocks)
+        return (-held, load, upstream.upstream_id)
+
+    return sorted(allowed, key=order)
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._affinity import cache_sequence
 from carawayhitch.controllers._cells import derive_cells
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.core import actions, events, rows
@@ -39,10 +40,19 @@
         )
     if event.name == LOAD_TIMER:
         interval = board.settings.scheduling.load_interval_seconds
+        polled = upstreams_to_poll(board)
         return (
             *(
                 actions.PollLoad(upstream.upstream_id, upstream.address)
-                for upstream in upstreams_to_poll(board)
+                for upstream in polled
+            ),
+            *(
+                actions.PollCacheEvents(
+                    upstream.upstream_id,
+                    upstream.address,
+                    cache_sequence(board, upstream.upstream_id),
+                )
+                for upstream in polled
             ),
             actions.SetTimer(now + interval, events.TimerFired(LOAD_TIMER)),
         )
@@ -50,11 +60,12 @@
 
 
 def upstreams_to_poll(board: Board) -> list[rows.UpstreamRow]:
-    """Return the engines of the cells that this node schedules."""
+    """Return the engines of the cells that this node schedules or is asked about."""
     found: dict[str, rows.UpstreamRow] = {}
     for cell in board.cells_by_id.values():
         schedulers = board.schedulers_by_cell_id.get(cell.cell_id)
-        if not schedulers or schedulers[0] != board.node_id:
+        owned = schedulers is not None and schedulers[0] == board.node_id
+        if not owned and cell.cell_id not in board.settle_deadlines_by_cell_id:
             continue
         for upstream_id in cell.upstream_ids:
             upstream = board.upstreams_by_id.get(upstream_id)
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -123,6 +123,14 @@
     address: str
 
 
+class PollCacheEvents(NamedTuple):
+    """Read the cache events of an upstream after sequence ``since``."""
+
+    upstream_id: str
+    address: str
+    since: int
+
+
 class PollVmList(NamedTuple):
     """Read the platform's list of VMs."""
 
@@ -204,6 +212,7 @@
     | SendAnswer
     | RefuseCall
     | PollLoad
+    | PollCacheEvents
     | PollVmList
     | ReadObject
     | WriteObject
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -90,6 +90,9 @@
 SCHEDULER_UNAVAILABLE = ResultCode(
     1020, "SCHEDULER_UNAVAILABLE", "no", 503, "No scheduler answered in time."
 )
+DEADLINE_UNREACHABLE = ResultCode(
+    1021, "DEADLINE_UNREACHABLE", "no", 503, "The queue is longer than the deadline."
+)
 
 UPSTREAM_FAILED = ResultCode(
     2001, "UPSTREAM_FAILED", "unknown", 502, "The upstream failed during the call."
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -160,6 +160,7 @@
     excluded_upstream_ids: tuple[str, ...]
     queued_at: float
     deadline: float
+    renewed_at: float = 0.0
 
 
 class GrantRow(NamedTuple):
@@ -180,6 +181,107 @@
     token_count: int
     granted_at: float
     deadline: float
+    renewed_at: float = 0.0
+    charged_prompt: bool = True
+    charged_tokens: int = 0
+
+
+class UsageRow(NamedTuple):
+    """Virtual token counter of one account in one rank of one cell.
+
+    Parameters
+    ----------
+    charged : float
+        Tokens divided by the quota weight of the account.
+    """
+
+    charged: float
+    open_count: int
+
+
+class RateRow(NamedTuple):
+    """Tokens charged and grants made in a rank; both decay with the charge window.
+
+    Parameters
+    ----------
+    grants : float
+        Grants since the queue of the rank was last empty.
+    """
+
+    tokens: float = 0.0
+    grants: float = 0.0
+    updated_at: float = 0.0
+
+
+class QueueRow(NamedTuple):
+    """Length of the queue of a rank, and the time at which it was last empty."""
+
+    length: int = 0
+    since: float = 0.0
+
+
+class LengthsRow(NamedTuple):
+    """Output lengths that finished in one binding.
+
+    Parameters
+    ----------
+    counts, sums : tuple
+        Requests and tokens by bucket of geometric width.
+    residuals : tuple of float
+        Expected remaining tokens at the lower edge of each bucket.
+    """
+
+    counts: tuple[float, ...]
+    sums: tuple[float, ...]
+    residuals: tuple[float, ...]
+
+
+class FinishRow(NamedTuple):
+    """Memory that a finished grant gave back."""
+
+    granted_at: float
+    finished_at: float
+    memory: int
+
+
+class LedgerRow(NamedTuple):
+    """What an engine's reports say beyond the grants that this scheduler knows.
+
+    Parameters
+    ----------
+    foreign_tokens, foreign_count : int
+        Memory and requests of unknown origin, as of the last report.
+    backoff : float
+        Share of the memory target in use; below 1 after preemptions.
+    """
+
+    foreign_tokens: int = 0
+    foreign_count: int = 0
+    preemption_count: int = -1
+    backoff: float = 1.0
+    backoff_at: float = 0.0
+    finishes: tuple[FinishRow, ...] = ()
+
+
+class PredictionRow(NamedTuple):
+    """Predicted memory of the grants of one upstream.
+
+    Parameters
+    ----------
+    profile : tuple
+        Remaining tokens and memory of each grant, the longest remaining first.
+    peak : float
+        Highest memory that the grants reach together, in tokens.
+    """
+
+    profile: tuple[tuple[float, int], ...] = ()
+    peak: float = 0.0
+
+
+class CacheRow(NamedTuple):
+    """Position in the cache events of an engine."""
+
+    sequence: int = 0
 
 
 class CrashRow(NamedTuple):
@@ -191,6 +293,26 @@
     deadline: float
 
 
+class DeathRow(NamedTuple):
+    """The last failure of an upstream.
+
+    Parameters
+    ----------
+    fingerprints : tuple of str
+        Requests that were granted there when it failed.
+    recent_count : int
+        Grants that may have been opened only after the failure.
+    confirmed : bool
+        False until a load poll shows whether the engine died or only a link did.
+    """
+
+    upstream_id: str
+    died_at: float
+    fingerprints: tuple[str, ...]
+    recent_count: int
+    confirmed: bool
+
+
 class ClaimRow(NamedTuple):
     """State of one idempotency key in this process."""
 
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -10,6 +10,7 @@
     UpstreamCall,
     call_store,
     cancel_generation,
+    read_cache_events,
     read_load,
     read_vm_list,
     resume_generation,
@@ -173,6 +174,20 @@
     )
 
 
+@perform.register(actions.PollCacheEvents)
+def _poll_cache_events(action: actions.PollCacheEvents, node: Node) -> None:
+    assert node.platform_session is not None
+    session = node.platform_session
+
+    async def poll() -> None:
+        for event in await read_cache_events(
+            session, action.upstream_id, action.address, action.since
+        ):
+            node.submit(event)
+
+    node.spawn(poll())
+
+
 @perform.register(actions.PollVmList)
 def _poll_vm_list(action: actions.PollVmList, node: Node) -> None:
     assert node.platform_session is not None
