--- a/src/carawayhitch/controllers/_lengths.py
+++ b/src/carawayhitch/controllers/_lengths.py
@@ -72,3 +72,11 @@
     if maximum_tokens:
         return min(remaining, max(0.0, float(maximum_tokens - produced)))
     return remaining
+
+
+def expected_output(
+    board: Board, binding: str, produced: int, maximum_tokens: int
+) -> float:
+    """Return the expected remaining tokens of a request of a binding."""
+    lengths = board.lengths_by_binding.get(binding, EMPTY)
+    return expected_remaining(lengths, produced, maximum_tokens)
--- a/src/carawayhitch/controllers/_memory.py
+++ b/src/carawayhitch/controllers/_memory.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections.abc import Sequence
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _lengths
 from carawayhitch.core import rows
 
 # Each report with new preemptions lowers the memory target by a tenth, at most to
@@ -16,8 +16,8 @@
 FINISH_LIMIT = 512
 
 
-def peak_memory(profile: Sequence[tuple[float, int]]) -> float:
-    """Return the highest memory that requests reach together.
+def predict(profile: Sequence[tuple[float, int]]) -> rows.PredictionRow:
+    """Return the memory that requests reach together.
 
     Requests produce one token a step each, so memory peaks directly before one of
     them finishes: then each longer one has grown by the same number of tokens.
@@ -27,14 +27,33 @@
     profile : sequence of (float, int)
         Remaining tokens and memory held, the longest remaining first.
     """
-    held = peak = 0.0
-    count = 0
+    held_sums = [0]
+    longer_peaks = [0.0]
+    ends: list[float] = []
+    held = 0
+    peak = 0.0
     for remaining, memory in profile:
         held += memory
-        count += 1
-        if held + count * remaining > peak:
-            peak = held + count * remaining
-    return peak
+        held_sums.append(held)
+        end = held + len(held_sums) * remaining - remaining
+        ends.append(end + remaining)
+        if end > peak:
+            peak = end
+        longer_peaks.append(peak)
+    shorter_peaks = [0.0]
+    shorter = 0.0
+    for end in reversed(ends):
+        if end > shorter:
+            shorter = end
+        shorter_peaks.append(shorter)
+    shorter_peaks.reverse()
+    return rows.PredictionRow(
+        negative_remaining=tuple([-remaining for remaining, _ in profile]),
+        held_sums=tuple(held_sums),
+        longer_peaks=tuple(longer_peaks),
+        shorter_peaks=tuple(shorter_peaks),
+        peak=peak,
+    )
 
 
 def prediction(board: Board, upstream_id: str) -> rows.PredictionRow:
@@ -42,24 +61,33 @@
     known = board.predictions_by_upstream_id.get(upstream_id)
     if known is not None:
         return known
-    profile = []
-    for request_id in board.grant_ids_by_upstream_id.get(upstream_id, ()):
-        grant = board.grants_by_request_id[request_id]
-        lengths = board.lengths_by_binding.get(grant.binding, _lengths.EMPTY)
-        remaining = _lengths.expected_remaining(
-            lengths, grant.token_count, grant.maximum_tokens
-        )
-        profile.append((remaining, grant.prompt_tokens + grant.token_count))
-    profile.sort(reverse=True)
-    predicted = rows.PredictionRow(tuple(profile), peak_memory(profile))
+    grants = board.grants_by_request_id
+    profile = sorted(
+        [
+            (grant.remaining, grant.prompt_tokens + grant.token_count)
+            for grant in map(
+                grants.__getitem__, board.grant_ids_by_upstream_id.get(upstream_id, ())
+            )
+        ],
+        reverse=True,
+    )
+    predicted = predict(profile)
     board.predictions_by_upstream_id[upstream_id] = predicted
     return predicted
 
 
 def peak_with(known: rows.PredictionRow, remaining: float, prompt_tokens: int) -> float:
-    """Return the predicted peak if one more request were granted."""
-    added = (remaining, prompt_tokens)
-    return peak_memory(sorted((*known.profile, added), reverse=True))
+    """Return the predicted peak if one more request were granted.
+
+    The request holds memory until it ends, so it adds to the ends of shorter ones
+    and leaves those of longer ones as they are.
+    """
+    index = bisect_right(known.negative_remaining, -remaining)
+    own_end = known.held_sums[index] + prompt_tokens + (index + 1) * remaining
+    shorter = known.shorter_peaks[index]
+    return max(
+        known.longer_peaks[index], own_end, shorter + prompt_tokens if shorter else 0.0
+    )
 
 
 def forget_prediction(board: Board, upstream_id: str) -> None:
--- a/src/carawayhitch/controllers/_rebuild.py
+++ b/src/carawayhitch/controllers/_rebuild.py
@@ -46,8 +46,12 @@
     if produced:
         _fairness.charge(board, grant, produced, now)
         _memory.forget_prediction(board, grant.upstream_id)
+    token_count = grant.token_count + produced
     renewed = grant._replace(
-        token_count=max(token_count, grant.token_count),
+        token_count=token_count,
+        remaining=_lengths.expected_output(
+            board, grant.binding, token_count, grant.maximum_tokens
+        ),
         charged_tokens=grant.charged_tokens + produced,
         renewed_at=now,
     )
@@ -117,6 +121,9 @@
             granted_at=now,
             deadline=now + lifetime,
             renewed_at=now,
+            remaining=_lengths.expected_output(
+                board, running.binding, running.token_count, running.maximum_tokens
+            ),
             charged_prompt=False,
         ),
     )
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -26,6 +26,25 @@
 Blocked = Literal["", "ask", "cell"]
 
 
+class Need(NamedTuple):
+    """What an ask needs of an upstream.
+
+    Parameters
+    ----------
+    remaining : float
+        Expected output, in tokens.
+    share : float
+        Part of slots and memory that the ask may fill.
+    settling : bool
+        Whether running requests may be unknown here.
+    """
+
+    prompt_tokens: int
+    remaining: float
+    share: float
+    settling: bool
+
+
 class Choice(NamedTuple):
     """Chosen upstream, or what stands in the way of any.
 
@@ -63,44 +82,44 @@
     return max(load, (peak + known.foreign_tokens) / upstream.memory_capacity)
 
 
-def _may_use_reserve(board: Board, ask: rows.AskRow, now: float) -> bool:
-    """Return whether an ask may use what is kept for the first rank.
+def _need(board: Board, ask: rows.AskRow, now: float) -> Need:
+    # A rank below its floor may use the reserve as well, or the floor could not be
+    # kept while the first rank fills the rest.
+    may_use_reserve = (
+        rank_class(board, ask.rank).priority <= highest_priority(board)
+        or floor_deficit(board, ask.cell_id, ask.rank, now) > 0
+    )
+    return Need(
+        prompt_tokens=ask.prompt_tokens,
+        remaining=_lengths.expected_output(board, ask.binding, 0, ask.maximum_tokens),
+        share=1.0 if may_use_reserve else 1.0 - FIRST_RANK_RESERVE,
+        settling=is_settling(board, ask.cell_id, now),
+    )
 
-    A rank below its floor may, or the floor could not be kept while the first rank
-    fills the rest.
-    """
-    if rank_class(board, ask.rank).priority <= highest_priority(board):
-        return True
-    return floor_deficit(board, ask.cell_id, ask.rank, now) > 0
 
-
-def has_room(
-    board: Board, upstream: rows.UpstreamRow, ask: rows.AskRow, now: float
-) -> bool:
+def has_room(board: Board, upstream: rows.UpstreamRow, need: Need, now: float) -> bool:
     """Return whether slots and predicted memory allow one more request."""
     known = _memory.ledger(board, upstream.upstream_id)
-    share = 1.0
-    if not _may_use_reserve(board, ask, now):
-        share -= FIRST_RANK_RESERVE
     count = len(board.grant_ids_by_upstream_id.get(upstream.upstream_id, ()))
     occupied = count + known.foreign_count
-    if occupied and occupied + 1 > upstream.running_limit * share:
+    if occupied and occupied + 1 > upstream.running_limit * need.share:
         return False
     if upstream.kind != "engine":
         return True
-    lengths = board.lengths_by_binding.get(ask.binding, _lengths.EMPTY)
-    remaining = _lengths.expected_remaining(lengths, 0, ask.maximum_tokens)
     foreign = float(known.foreign_tokens)
-    if is_settling(board, ask.cell_id, now):
+    if need.settling:
         if not upstream.reported_at or upstream.waiting_count:
             return False
-        foreign += known.foreign_count * remaining
+        foreign += known.foreign_count * need.remaining
     # A request larger than the limit runs alone, or it would never run.
     if not occupied:
         return True
+    limit = need.share * _memory.memory_limit(board, upstream, now) - foreign
     predicted = _memory.prediction(board, upstream.upstream_id)
-    peak = _memory.peak_with(predicted, remaining, ask.prompt_tokens)
-    return peak + foreign <= share * _memory.memory_limit(board, upstream, now)
+    # A further request only raises the peak, so most full upstreams need no merge.
+    if predicted.peak > limit:
+        return False
+    return _memory.peak_with(predicted, need.remaining, need.prompt_tokens) <= limit
 
 
 def choose_upstream(
@@ -117,8 +136,9 @@
     allowed = _allowed(board, cell, usable, ask, suspects, now)
     if usable and not allowed:
         return Choice(blocked="ask")
+    need = _need(board, ask, now)
     for upstream in _by_preference(board, allowed, ask, suspects):
-        if has_room(board, upstream, ask, now):
+        if has_room(board, upstream, need, now):
             return Choice(upstream.upstream_id, "")
     return Choice(blocked="cell" if len(allowed) == len(usable) else "ask")
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -164,7 +164,19 @@
 
 
 class GrantRow(NamedTuple):
-    """A request that a scheduler has placed on an upstream."""
+    """A request that a scheduler has placed on an upstream.
+
+    Parameters
+    ----------
+    renewed_at : float
+        Time of the last progress for the request.
+    remaining : float
+        Expected number of tokens still to come, as of the last progress.
+    charged_prompt : bool
+        False if an earlier scheduler charged the prompt.
+    charged_tokens : int
+        Output tokens that this scheduler charged.
+    """
 
     request_id: str
     attempt: int
@@ -182,6 +194,7 @@
     granted_at: float
     deadline: float
     renewed_at: float = 0.0
+    remaining: float = 0.0
     charged_prompt: bool = True
     charged_tokens: int = 0
 
@@ -264,17 +277,27 @@
 
 
 class PredictionRow(NamedTuple):
-    """Predicted memory of the grants of one upstream.
+    """Predicted memory of the grants of one upstream, the longest remaining first.
 
     Parameters
     ----------
-    profile : tuple
-        Remaining tokens and memory of each grant, the longest remaining first.
+    negative_remaining : tuple of float
+        Expected remaining tokens with the sign changed, so in ascending order.
+    held_sums : tuple of int
+        Memory held by the first requests together, from none to all.
+    longer_peaks : tuple of float
+        Highest memory at the end of any of the first requests, from none to all.
+    shorter_peaks : tuple of float
+        The same for the requests from an index on, with one more token of a further
+        request for each token that is still to come.
     peak : float
         Highest memory that the grants reach together, in tokens.
     """
 
-    profile: tuple[tuple[float, int], ...] = ()
+    negative_remaining: tuple[float, ...] = ()
+    held_sums: tuple[int, ...] = (0,)
+    longer_peaks: tuple[float, ...] = (0.0,)
+    shorter_peaks: tuple[float, ...] = (0.0,)
     peak: float = 0.0
 
 
