Keep the engine model's data in tables of rows

Cause: dataclasses against the house style, and a pass over all generations for each step, too slow for experiments in virtual time. Rows now change only when a generation changes state; memory and finishes follow from counters.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -17,7 +17,8 @@
 
 from aiohttp import web
 
-from fakes.engine_model import EngineLimits, EngineModel
+from fakes import engine_model
+from fakes.engine_model import EngineLimits
 
 LENGTH_HINT = re.compile(r"length=(\d+)")
 KEPT_SECONDS = 30.0
@@ -48,7 +49,7 @@
     """One engine process."""
 
     def __init__(self, limits: EngineLimits, load_lag_seconds: float = 0.2) -> None:
-        self.model = EngineModel(limits)
+        self.model = engine_model.new_engine(limits)
         self.load_lag_seconds = load_lag_seconds
         self.streams_by_id: dict[str, Stream] = {}
         self.started_count = 0
@@ -89,14 +90,14 @@
 
     async def _step_forever(self) -> None:
         while True:
-            if not self.model.waiting and not self.model.running:
+            if not self.model.waiting_by_id and not self.model.running_count:
                 self._wake.clear()
                 self._note_load()
                 await self._wake.wait()
             if self.stalled:
                 await asyncio.sleep(0.02)
                 continue
-            result = self.model.step()
+            result = engine_model.step(self.model)
             finished = set(result.finished_ids)
             for generation_id in result.produced_ids:
                 self._publish(generation_id, generation_id in finished)
@@ -124,7 +125,7 @@
 
     def _forget(self, generation_id: str) -> None:
         self.streams_by_id.pop(generation_id, None)
-        self.model.cancel(generation_id)
+        engine_model.cancel_generation(self.model, generation_id)
 
     async def generate(self, request: web.Request) -> web.StreamResponse:
         """Start a generation and answer it whole or as a stream."""
@@ -143,7 +144,8 @@
         self.started_count += 1
         stream = Stream(generation_id, bool(body.get("stream")))
         self.streams_by_id[generation_id] = stream
-        self.model.add(
+        engine_model.add_generation(
+            self.model,
             generation_id,
             max(1, len(prompt_text) // 4),
             min(length, limit),
@@ -226,11 +228,11 @@
         model = self.model
         report = {
             "memory_capacity": model.limits.memory_tokens,
-            "memory_used": model.memory_used,
-            "running": len(model.running),
+            "memory_used": model.counter.memory_used,
+            "running": model.running_count,
             "running_limit": model.limits.running_limit,
-            "waiting": len(model.waiting),
-            "preemptions": model.preemption_count,
+            "waiting": len(model.waiting_by_id),
+            "preemptions": model.counter.preemption_count,
         }
         self.loads.append((now, report))
         while len(self.loads) > 1 and self.loads[1][0] <= now - self.load_lag_seconds:
@@ -292,10 +294,10 @@
             {
                 "started": self.started_count,
                 "cancelled": self.cancelled_count,
-                "running": len(self.model.running),
-                "waiting": len(self.model.waiting),
-                "memory_used": self.model.memory_used,
-                "preemptions": self.model.preemption_count,
+                "running": self.model.running_count,
+                "waiting": len(self.model.waiting_by_id),
+                "memory_used": self.model.counter.memory_used,
+                "preemptions": self.model.counter.preemption_count,
             }
         )
 
--- a/fakes/engine_model.py
+++ b/fakes/engine_model.py
@@ -1,12 +1,14 @@
 """Model of a continuously batching engine whose memory fills while it decodes.
 
-The model has no clock and no I/O: each call of `EngineModel.step` is one decoding
-step, so it serves the HTTP stand-in and experiments in virtual time alike.
+The model has no clock and no I/O: each call of `step` is one decoding step, so it
+serves the HTTP stand-in and experiments in virtual time alike. The state is a set of
+tables keyed by generation. A row changes only when its generation changes state; the
+number of tokens produced follows from the number of steps since then.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from typing import NamedTuple
 
 
@@ -34,9 +36,20 @@
     tokens_per_block: int = 64
 
 
-@dataclass(slots=True)
-class Generation:
-    """One generation; ``output_tokens`` is its length, unknown to its callers."""
+class GenerationRow(NamedTuple):
+    """One generation; ``output_tokens`` is its length, unknown to its callers.
+
+    Parameters
+    ----------
+    order : int
+        Order of arrival; with the priority it gives the order of service.
+    produced : int
+        Tokens produced before ``decoding_since``.
+    decoding_since : int
+        Step before the first one of the present run of decoding.
+    prefill_remaining : int
+        Prompt tokens to take in before decoding.
+    """
 
     generation_id: str
     prompt_tokens: int
@@ -45,162 +58,268 @@
     order: int
     prefix_blocks: tuple[str, ...] = ()
     produced: int = 0
+    decoding_since: int = 0
     prefill_remaining: int = 0
     preemption_count: int = 0
 
+
+class CacheEvent(NamedTuple):
+    """Prefix blocks that one step stored or evicted."""
+
+    sequence: int
+    stored_blocks: tuple[str, ...]
+    evicted_blocks: tuple[str, ...]
+
+
+class CounterRow(NamedTuple):
+    """Counts of one engine since its start; memory in tokens."""
+
+    steps: int = 0
+    arrivals: int = 0
+    memory_used: int = 0
+    preemption_count: int = 0
+    cache_hit_tokens: int = 0
+    prefilled_tokens: int = 0
+
+
+class Engine(NamedTuple):
+    """Tables of one engine.
+
+    Parameters
+    ----------
+    waiting_order, finish_order : list
+        Heaps; entries whose generation has moved on are skipped.
+    """
+
+    limits: EngineLimits
+    waiting_by_id: dict[str, GenerationRow]
+    prefilling_by_id: dict[str, GenerationRow]
+    decoding_by_id: dict[str, GenerationRow]
+    waiting_order: list[tuple[int, int, str]]
+    finish_order: list[tuple[int, int, str]]
+    cached_blocks: dict[str, None]
+    cache_events: list[CacheEvent]
+    counters: dict[str, CounterRow]
+
     @property
-    def memory(self) -> int:
-        """Tokens held in the key-value cache while running."""
-        return self.prompt_tokens + self.produced
+    def counter(self) -> CounterRow:
+        """Counts since the start."""
+        return self.counters["engine"]
 
     @property
-    def rank(self) -> tuple[int, int]:
-        """Order in which generations are served: priority, then arrival."""
-        return (self.priority, self.order)
+    def running_count(self) -> int:
+        """Generations that hold memory."""
+        return len(self.prefilling_by_id) + len(self.decoding_by_id)
 
 
 class StepResult(NamedTuple):
-    """What one decoding step did."""
+    """What one decoding step did.
+
+    Parameters
+    ----------
+    entered_ids : list of str
+        Generations whose prefill ended in this step; they are in ``produced_ids``.
+    """
 
     seconds: float
     produced_ids: list[str]
+    entered_ids: list[str]
     finished_ids: list[str]
     preempted_ids: list[str]
 
 
-class CacheEvent(NamedTuple):
-    """Prefix blocks that one step stored or evicted."""
+def new_engine(limits: EngineLimits) -> Engine:
+    """Return an engine without work."""
+    return Engine(limits, {}, {}, {}, [], [], {}, [], {"engine": CounterRow()})
 
-    sequence: int
-    stored_blocks: tuple[str, ...]
-    evicted_blocks: tuple[str, ...]
 
+def add_generation(
+    engine: Engine,
+    generation_id: str,
+    prompt_tokens: int,
+    output_tokens: int,
+    priority: int = 0,
+    prefix_blocks: tuple[str, ...] = (),
+) -> GenerationRow:
+    """Queue a generation; lower priorities run first."""
+    counter = engine.counter
+    order = counter.arrivals + 1
+    engine.counters["engine"] = counter._replace(arrivals=order)
+    generation = GenerationRow(
+        generation_id,
+        prompt_tokens,
+        max(1, output_tokens),
+        priority,
+        order,
+        prefix_blocks,
+    )
+    _wait(engine, generation)
+    return generation
 
-@dataclass(slots=True)
-class EngineModel:
-    """State of one engine."""
 
-    limits: EngineLimits = EngineLimits()
-    waiting: list[Generation] = field(default_factory=list)
-    running: list[Generation] = field(default_factory=list)
-    cached_blocks: dict[str, None] = field(default_factory=dict)
-    cache_events: list[CacheEvent] = field(default_factory=list)
-    preemption_count: int = 0
-    cache_hit_tokens: int = 0
-    prefilled_tokens: int = 0
-    _order: int = 0
+def _wait(engine: Engine, generation: GenerationRow) -> None:
+    generation_id = generation.generation_id
+    engine.waiting_by_id[generation_id] = generation
+    heappush(
+        engine.waiting_order, (generation.priority, generation.order, generation_id)
+    )
 
-    @property
-    def memory_used(self) -> int:
-        """Tokens in the key-value cache."""
-        return sum(generation.memory for generation in self.running)
-
-    def add(
-        self,
-        generation_id: str,
-        prompt_tokens: int,
-        output_tokens: int,
-        priority: int = 0,
-        prefix_blocks: tuple[str, ...] = (),
-    ) -> Generation:
-        """Queue a generation."""
-        self._order += 1
-        generation = Generation(
-            generation_id,
-            prompt_tokens,
-            max(1, output_tokens),
-            priority,
-            self._order,
-            prefix_blocks,
+
+def produced_tokens(engine: Engine, generation_id: str) -> int:
+    """Return how many tokens a generation has produced; 0 if it is unknown."""
+    decoding = engine.decoding_by_id.get(generation_id)
+    if decoding is not None:
+        return decoding.produced + engine.counter.steps - decoding.decoding_since
+    other = engine.prefilling_by_id.get(generation_id) or engine.waiting_by_id.get(
+        generation_id
+    )
+    return other.produced if other else 0
+
+
+def cancel_generation(engine: Engine, generation_id: str) -> bool:
+    """Remove a generation; return whether it was there."""
+    if engine.waiting_by_id.pop(generation_id, None) is not None:
+        return True
+    return _release(engine, generation_id) is not None
+
+
+def _release(engine: Engine, generation_id: str) -> GenerationRow | None:
+    """Take a running generation out; return it with what it has produced."""
+    produced = produced_tokens(engine, generation_id)
+    generation = engine.decoding_by_id.pop(generation_id, None)
+    if generation is None:
+        generation = engine.prefilling_by_id.pop(generation_id, None)
+    if generation is None:
+        return None
+    counter = engine.counter
+    held = generation.prompt_tokens + produced
+    engine.counters["engine"] = counter._replace(memory_used=counter.memory_used - held)
+    return generation._replace(produced=produced)
+
+
+def step(engine: Engine) -> StepResult:
+    """Run one decoding step."""
+    _admit(engine)
+    limits = engine.limits
+    prefilled, entered = _prefill(engine)
+    counter = engine.counter
+    produced = list(engine.decoding_by_id)
+    steps = counter.steps + 1
+    engine.counters["engine"] = counter._replace(
+        steps=steps,
+        memory_used=counter.memory_used + len(produced),
+        prefilled_tokens=counter.prefilled_tokens + prefilled,
+    )
+    finished = _finish(engine, steps)
+    preempted = _preempt(engine)
+    seconds = limits.step_seconds * (1 + prefilled / limits.prefill_tokens_per_step)
+    seconds += limits.step_seconds_per_running * engine.running_count
+    return StepResult(seconds, produced, entered, finished, preempted)
+
+
+def _prefill(engine: Engine) -> tuple[int, list[str]]:
+    budget = engine.limits.prefill_tokens_per_step
+    steps = engine.counter.steps
+    prefilled = 0
+    entered: list[str] = []
+    for generation_id, generation in list(engine.prefilling_by_id.items()):
+        taken = min(generation.prefill_remaining, budget - prefilled)
+        prefilled += taken
+        remaining = generation.prefill_remaining - taken
+        if remaining:
+            engine.prefilling_by_id[generation_id] = generation._replace(
+                prefill_remaining=remaining
+            )
+            continue
+        del engine.prefilling_by_id[generation_id]
+        engine.decoding_by_id[generation_id] = generation._replace(
+            prefill_remaining=0, decoding_since=steps
+        )
+        finish_step = steps + generation.output_tokens - generation.produced
+        heappush(engine.finish_order, (finish_step, generation.order, generation_id))
+        entered.append(generation_id)
+    return prefilled, entered
+
+
+def _finish(engine: Engine, steps: int) -> list[str]:
+    finished: list[str] = []
+    while engine.finish_order and engine.finish_order[0][0] <= steps:
+        _, order, generation_id = heappop(engine.finish_order)
+        generation = engine.decoding_by_id.get(generation_id)
+        if generation is None or generation.order != order:
+            continue
+        if produced_tokens(engine, generation_id) >= generation.output_tokens:
+            _release(engine, generation_id)
+            finished.append(generation_id)
+    return finished
+
+
+def _admit(engine: Engine) -> None:
+    limits = engine.limits
+    while engine.waiting_order and engine.running_count < limits.running_limit:
+        _, order, generation_id = engine.waiting_order[0]
+        generation = engine.waiting_by_id.get(generation_id)
+        if generation is None or generation.order != order:
+            heappop(engine.waiting_order)
+            continue
+        counter = engine.counter
+        needed = generation.prompt_tokens + generation.produced
+        if counter.memory_used + needed + 1 > limits.memory_tokens:
+            return
+        heappop(engine.waiting_order)
+        del engine.waiting_by_id[generation_id]
+        hit = _use_cache(engine, generation.prefix_blocks)
+        hit_tokens = min(hit * limits.tokens_per_block, generation.prompt_tokens)
+        engine.counters["engine"] = counter._replace(
+            memory_used=counter.memory_used + needed,
+            cache_hit_tokens=counter.cache_hit_tokens + hit_tokens,
         )
-        self.waiting.append(generation)
-        return generation
-
-    def cancel(self, generation_id: str) -> bool:
-        """Remove a generation; return whether it was there."""
-        for queue in (self.waiting, self.running):
-            for generation in queue:
-                if generation.generation_id == generation_id:
-                    queue.remove(generation)
-                    return True
-        return False
-
-    def step(self) -> StepResult:
-        """Run one decoding step."""
-        self._admit()
-        budget = self.limits.prefill_tokens_per_step
-        prefilled = 0
-        produced: list[str] = []
-        finished: list[Generation] = []
-        for generation in self.running:
-            if generation.prefill_remaining:
-                taken = min(generation.prefill_remaining, budget - prefilled)
-                generation.prefill_remaining -= taken
-                prefilled += taken
-                if generation.prefill_remaining:
-                    continue
-            generation.produced += 1
-            produced.append(generation.generation_id)
-            if generation.produced >= generation.output_tokens:
-                finished.append(generation)
-        for generation in finished:
-            self.running.remove(generation)
-        preempted = self._preempt()
-        self.prefilled_tokens += prefilled
-        limits = self.limits
-        seconds = limits.step_seconds * (1 + prefilled / limits.prefill_tokens_per_step)
-        seconds += limits.step_seconds_per_running * len(self.running)
-        return StepResult(
-            seconds,
-            produced,
-            [generation.generation_id for generation in finished],
-            preempted,
+        engine.prefilling_by_id[generation_id] = generation._replace(
+            prefill_remaining=needed - hit_tokens
         )
 
-    def _admit(self) -> None:
-        used = self.memory_used
-        for generation in sorted(self.waiting, key=lambda waiting: waiting.rank):
-            if len(self.running) >= self.limits.running_limit:
-                return
-            if used + generation.memory + 1 > self.limits.memory_tokens:
-                return
-            self.waiting.remove(generation)
-            hit = self._use_cache(generation.prefix_blocks)
-            hit_tokens = min(
-                hit * self.limits.tokens_per_block, generation.prompt_tokens
-            )
-            self.cache_hit_tokens += hit_tokens
-            generation.prefill_remaining = generation.memory - hit_tokens
-            self.running.append(generation)
-            used += generation.memory
-
-    def _preempt(self) -> list[str]:
-        preempted: list[str] = []
-        while self.memory_used > self.limits.memory_tokens and len(self.running) > 1:
-            victim = max(self.running, key=lambda running: running.rank)
-            self.running.remove(victim)
-            victim.preemption_count += 1
-            self.waiting.append(victim)
-            self.preemption_count += 1
-            preempted.append(victim.generation_id)
-        return preempted
-
-    def _use_cache(self, blocks: tuple[str, ...]) -> int:
-        hit = 0
-        for block in blocks:
-            if block not in self.cached_blocks:
-                break
-            hit += 1
-        stored = tuple(block for block in blocks if block not in self.cached_blocks)
-        for block in blocks:
-            self.cached_blocks.pop(block, None)
-            self.cached_blocks[block] = None
-        evicted: list[str] = []
-        while len(self.cached_blocks) > self.limits.cache_blocks:
-            oldest = next(iter(self.cached_blocks))
-            del self.cached_blocks[oldest]
-            evicted.append(oldest)
-        if stored or evicted:
-            sequence = len(self.cache_events) + 1
-            self.cache_events.append(CacheEvent(sequence, stored, tuple(evicted)))
-        return hit
+
+def _preempt(engine: Engine) -> list[str]:
+    preempted: list[str] = []
+    capacity = engine.limits.memory_tokens
+    while engine.counter.memory_used > capacity and engine.running_count > 1:
+        victim = max(
+            (*engine.prefilling_by_id.values(), *engine.decoding_by_id.values()),
+            key=lambda running: (running.priority, running.order),
+        )
+        released = _release(engine, victim.generation_id)
+        assert released is not None
+        _wait(
+            engine,
+            released._replace(
+                preemption_count=released.preemption_count + 1, prefill_remaining=0
+            ),
+        )
+        counter = engine.counter
+        engine.counters["engine"] = counter._replace(
+            preemption_count=counter.preemption_count + 1
+        )
+        preempted.append(victim.generation_id)
+    return preempted
+
+
+def _use_cache(engine: Engine, blocks: tuple[str, ...]) -> int:
+    cached = engine.cached_blocks
+    hit = 0
+    for block in blocks:
+        if block not in cached:
+            break
+        hit += 1
+    stored = tuple(block for block in blocks if block not in cached)
+    for block in blocks:
+        cached.pop(block, None)
+        cached[block] = None
+    evicted: list[str] = []
+    while len(cached) > engine.limits.cache_blocks:
+        oldest = next(iter(cached))
+        del cached[oldest]
+        evicted.append(oldest)
+    if stored or evicted:
+        sequence = len(engine.cache_events) + 1
+        engine.cache_events.append(CacheEvent(sequence, stored, tuple(evicted)))
+    return hit
