--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with the policies in virtual time; not shipped."""
--- /dev/null
+++ b/experiments/_scenarios.py
@@ -0,0 +1,526 @@
+"""Scenarios: arrivals, runs under each policy, and a table of figures."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from math import exp
+from random import Random
+from typing import NamedTuple
+
+from carawayhitch.core import declarations
+from experiments import _figures as figures
+from experiments._rows import Arrival, Setup, World
+from experiments._world import run
+from fakes.engine_model import EngineLimits
+
+ENGINE_COUNT = 6
+START = 2.0
+URGENT = declarations.RankClass(
+    "urgent", priority=0, floor=0.1, maximum_wait_seconds=5.0, queue_limit=2000
+)
+PATIENT = declarations.RankClass(
+    "patient", priority=10, floor=0.2, maximum_wait_seconds=60.0, queue_limit=2000
+)
+
+
+class Table(NamedTuple):
+    """Figures of one scenario."""
+
+    title: str
+    columns: tuple[str, ...]
+    lines: list[tuple[str, ...]]
+
+
+class Flow(NamedTuple):
+    """A stream of calls with random arrivals.
+
+    Parameters
+    ----------
+    rate : float
+        Calls a second.
+    prompt_tokens, median_output, spread : int, int, float
+        Prompt length, median and logarithmic spread of the output length.
+    """
+
+    account: str
+    rank: str
+    rate: float
+    start: float
+    end: float
+    prompt_tokens: int = 300
+    median_output: int = 400
+    spread: float = 0.8
+    output_limit: int = 8000
+    entry_id: str = ""
+
+
+def draw(flows: Iterable[Flow], setup: Setup) -> list[Arrival]:
+    """Return the arrivals of flows; they do not depend on the policy."""
+    arrivals: list[Arrival] = []
+    for index, flow in enumerate(flows):
+        random = Random(f"{setup.seed}/{index}")
+        at = flow.start
+        while (at := at + random.expovariate(flow.rate)) < flow.end:
+            output = flow.median_output * exp(random.gauss(0.0, flow.spread))
+            entry = random.randrange(setup.entry_count)
+            arrivals.append(
+                Arrival(
+                    at,
+                    flow.entry_id or f"entry-{entry}",
+                    flow.account,
+                    flow.rank,
+                    flow.prompt_tokens,
+                    max(1, min(flow.output_limit, int(output))),
+                )
+            )
+    return sorted(arrivals)
+
+
+def new_setup(policy: str, seed: int, duration: float) -> Setup:
+    """Return the setup that scenarios start from: deployment B."""
+    return Setup(
+        policy=policy,
+        entry_count=4,
+        engine_count=ENGINE_COUNT,
+        limits=EngineLimits(),
+        ranks=(URGENT, PATIENT),
+        accounts=(account("hotel"), account("inspection")),
+        duration=duration,
+        seed=seed,
+    )
+
+
+def account(name: str, weight: float = 1.0) -> declarations.ClientAccount:
+    """Return an account whose token is its name."""
+    return declarations.ClientAccount(name, (name,), {}, weight, queue_limit=2000)
+
+
+def capacity_tokens(setup: Setup) -> float:
+    """Return the output tokens a second of all engines with every slot in use."""
+    limits = setup.limits
+    seconds = limits.step_seconds
+    seconds += limits.step_seconds_per_running * limits.running_limit
+    return setup.engine_count * limits.running_limit / seconds
+
+
+def mean_output(flow: Flow) -> float:
+    """Return the mean output of a flow without its limit."""
+    return flow.median_output * exp(flow.spread**2 / 2)
+
+
+def at_load(flow: Flow, setup: Setup, load: float) -> Flow:
+    """Return a flow whose output is a multiple of the capacity."""
+    return flow._replace(rate=load * capacity_tokens(setup) / mean_output(flow))
+
+
+def _milliseconds(seconds: float) -> str:
+    return f"{1000 * seconds:.0f}"
+
+
+def _lookups(rate: float, start: float, end: float) -> Flow:
+    return Flow("hotel", "urgent", rate, start, end, 150, 30, 0.5)
+
+
+def _documents(start: float, end: float) -> Flow:
+    return Flow("inspection", "patient", 1.0, start, end)
+
+
+def patient_flood(seed: int) -> Table:
+    """Patient work at five times the capacity beside urgent lookups."""
+    lines: list[tuple[str, ...]] = []
+    cases = (
+        ("carawayhitch", 0.0),
+        ("carawayhitch", 0.7),
+        ("carawayhitch", 5.0),
+        ("least_outstanding", 0.7),
+        ("least_outstanding", 5.0),
+        ("round_robin", 5.0),
+    )
+    for policy, load in cases:
+        setup = new_setup(policy, seed, 90.0)
+        flows = [_lookups(30.0, START, 80.0)]
+        if load:
+            flows.append(at_load(_documents(START, 80.0), setup, load))
+        world = run(setup, draw(flows, setup))
+        urgent = figures.first_token_seconds(world, "urgent", 20.0, 80.0)
+        lines.append(
+            (
+                policy,
+                f"{load:.1f}",
+                _milliseconds(figures.quantile(urgent, 0.5)),
+                _milliseconds(figures.quantile(urgent, 0.95)),
+                _milliseconds(figures.quantile(urgent, 0.99)),
+                f"{100 * figures.refused_share(world, 'urgent', 20, 80):.1f}",
+                f"{100 * figures.refused_share(world, 'patient', 20, 80):.1f}",
+                f"{figures.tokens(world, 20, 80) / 60:.0f}",
+            )
+        )
+    return Table(
+        "patient_flood",
+        (
+            "policy",
+            "patient load",
+            "urgent p50 ms",
+            "p95 ms",
+            "p99 ms",
+            "urgent refused %",
+            "patient refused %",
+            "tokens/s",
+        ),
+        lines,
+    )
+
+
+def urgent_flood(seed: int) -> Table:
+    """Urgent work at five times the capacity beside patient work."""
+    lines: list[tuple[str, ...]] = []
+    for policy in ("carawayhitch", "least_outstanding", "round_robin"):
+        setup = new_setup(policy, seed, 90.0)
+        flood = at_load(_lookups(1.0, 10.0, 80.0), setup, 5.0)
+        documents = at_load(_documents(START, 80.0), setup, 0.7)
+        world = run(setup, draw([flood, documents], setup))
+        shares = [
+            figures.tokens(world, start, start + 10, rank="patient")
+            / max(1, figures.tokens(world, start, start + 10))
+            for start in range(20, 80, 10)
+        ]
+        urgent = figures.first_token_seconds(world, "urgent", 20.0, 80.0)
+        lines.append(
+            (
+                policy,
+                f"{PATIENT.floor:.2f}",
+                f"{min(shares):.2f}",
+                f"{sum(shares) / len(shares):.2f}",
+                _milliseconds(figures.quantile(urgent, 0.95)),
+                f"{100 * figures.refused_share(world, 'urgent', 20, 80):.1f}",
+                f"{figures.tokens(world, 20, 80) / 60:.0f}",
+            )
+        )
+    return Table(
+        "urgent_flood",
+        (
+            "policy",
+            "patient floor",
+            "lowest share in 10 s",
+            "mean share",
+            "urgent p95 ms",
+            "urgent refused %",
+            "tokens/s",
+        ),
+        lines,
+    )
+
+
+def fairness(seed: int) -> Table:
+    """Two large accounts at ten times their quota beside eight small ones."""
+    large = ("hotel", "inspection")
+    small = tuple(f"small-{index}" for index in range(8))
+    names = (*large, *small)
+    lines: list[tuple[str, ...]] = []
+    for policy, with_large in (
+        ("carawayhitch", False),
+        ("carawayhitch", True),
+        ("least_outstanding", True),
+        ("round_robin", True),
+    ):
+        setup = new_setup(policy, seed, 130.0)._replace(
+            entry_count=3, accounts=tuple(account(name) for name in names)
+        )
+        # Ten equal quotas. Small accounts ask for 80% of theirs. Each entry sees
+        # other accounts: the first the large ones, the others four small ones each.
+        flows = [
+            at_load(Flow(name, "patient", 1.0, START, 125.0), setup, 0.08)._replace(
+                entry_id=f"entry-{1 + index // 4}"
+            )
+            for index, name in enumerate(small)
+        ]
+        if with_large:
+            flows += [
+                at_load(Flow(name, "patient", 1.0, START, 125.0), setup, 1.0)._replace(
+                    entry_id="entry-0"
+                )
+                for name in large
+            ]
+        world = run(setup, draw(flows, setup))
+        served = [figures.tokens(world, 20, 120, name) / 100 for name in names]
+        waits = [
+            wait
+            for name in small
+            for wait in [
+                (outcome.first_token_at or 130.0) - outcome.arrival.at
+                for outcome in world.outcomes_by_id.values()
+                if outcome.arrival.account == name
+                and 20 <= outcome.arrival.at < 120
+                and not outcome.refused_code
+            ]
+        ]
+        lines.append(
+            (
+                policy,
+                "yes" if with_large else "no",
+                " ".join(f"{value:.0f}" for value in served[:2]),
+                f"{min(served[2:]):.0f}",
+                f"{sum(served[2:]):.0f}",
+                _milliseconds(figures.quantile(waits, 0.95)),
+                f"{sum(served):.0f}",
+            )
+        )
+    return Table(
+        "fairness",
+        (
+            "policy",
+            "large accounts",
+            "tokens/s of large",
+            "least small",
+            "all small",
+            "small first token p95 ms",
+            "tokens/s",
+        ),
+        lines,
+    )
+
+
+def quotas(seed: int) -> Table:
+    """Ten accounts with quota weights 1 to 4, all asking for more than they get."""
+    lines: list[tuple[str, ...]] = []
+    weights = {f"account-{index}": 1.0 + index % 4 for index in range(10)}
+    for policy in ("carawayhitch", "least_outstanding"):
+        setup = new_setup(policy, seed, 130.0)._replace(
+            entry_count=3,
+            accounts=tuple(account(name, weight) for name, weight in weights.items()),
+        )
+        flows = [
+            at_load(
+                Flow(name, "patient", 1.0, START, 125.0, 300, 200 + 60 * index),
+                setup,
+                0.5,
+            )
+            for index, name in enumerate(weights)
+        ]
+        world = run(setup, draw(flows, setup))
+        shares = [
+            figures.tokens(world, 30, 120, name) / weight
+            for name, weight in weights.items()
+        ]
+        lines.append(
+            (
+                policy,
+                f"{figures.jain_index(shares):.4f}",
+                f"{min(shares) / max(shares):.2f}",
+                f"{figures.tokens(world, 30, 120) / 90:.0f}",
+            )
+        )
+    return Table(
+        "quotas",
+        ("policy", "Jain's index", "least/most per weight", "tokens/s"),
+        lines,
+    )
+
+
+def memory(seed: int) -> Table:
+    """Heavy-tailed unknown lengths on engines whose memory fills while decoding."""
+    lines: list[tuple[str, ...]] = []
+    cases = [("carawayhitch", target) for target in (0.7, 0.8, 0.85, 0.9, 0.95, 1.0)]
+    cases += [("least_outstanding", 0.0), ("round_robin", 0.0)]
+    for policy, target in cases:
+        setup = new_setup(policy, seed, 200.0)._replace(
+            limits=EngineLimits(memory_tokens=30_000),
+            memory_target=target or 0.9,
+            sample_from=40.0,
+            sample_until=190.0,
+        )
+        flow = Flow("inspection", "patient", 1.0, START, 190.0, 300, 250, 1.2)
+        # Memory, not slots, bounds the load here; this is about 1.3 times of it.
+        flow = at_load(flow._replace(output_limit=12_000), setup, 0.85)
+        world = run(setup, draw([flow], setup))
+        finished = [
+            outcome.arrival.output_tokens
+            for outcome in world.outcomes_by_id.values()
+            if 40 <= outcome.finished_at < 190
+        ]
+        lines.append(
+            (
+                policy,
+                f"{target:.2f}" if target else "-",
+                f"{world.counts['tokens'] / 150:.0f}",
+                f"{len(finished) / 150:.2f}",
+                str(world.counts["preemptions"]),
+                f"{world.counts['stall_milliseconds'] / 1000:.0f}",
+                _milliseconds(figures.weighted_quantile(world.gaps, 0.95)),
+                _milliseconds(figures.weighted_quantile(world.gaps, 0.99)),
+                _milliseconds(figures.weighted_quantile(world.gaps, 0.9999)),
+                _milliseconds(
+                    figures.quantile(
+                        figures.first_token_seconds(world, "patient", 40, 180), 0.5
+                    )
+                ),
+            )
+        )
+    return Table(
+        "memory",
+        (
+            "policy",
+            "memory_target",
+            "output tokens/s",
+            "finished/s",
+            "preemptions",
+            "stall s",
+            "inter-token p95 ms",
+            "p99 ms",
+            "p99.99 ms",
+            "first token p50 ms",
+        ),
+        lines,
+    )
+
+
+def lag(seed: int) -> Table:
+    """Late load reports and several entries: spread of the load over engines."""
+    lines: list[tuple[str, ...]] = []
+    for entry_count in (3, 9, 18):
+        for policy in ("carawayhitch", "least_reported", "round_robin"):
+            setup = new_setup(policy, seed, 60.0)._replace(
+                entry_count=entry_count,
+                load_lag_seconds=2.0,
+                sample_from=20.0,
+                sample_until=55.0,
+            )
+            flow = at_load(_documents(START, 58.0), setup, 0.6)
+            world = run(setup, draw([flow], setup))
+            first = figures.first_token_seconds(world, "patient", 20.0, 55.0)
+            spreads = world.load_spreads
+            lines.append(
+                (
+                    policy,
+                    str(entry_count),
+                    f"{sum(spreads) / len(spreads):.2f}",
+                    f"{figures.quantile(spreads, 0.95):.2f}",
+                    f"{max(world.load_peaks):.2f}",
+                    _milliseconds(figures.quantile(first, 0.95)),
+                )
+            )
+    return Table(
+        "lag",
+        (
+            "policy",
+            "entries",
+            "mean spread (share of slots)",
+            "p95 spread",
+            "highest load",
+            "first token p95 ms",
+        ),
+        lines,
+    )
+
+
+def prefix_cache(seed: int) -> Table:
+    """Prompts with shared prefixes; cache events come late and with gaps."""
+    lines: list[tuple[str, ...]] = []
+    for policy, event_lag in (
+        ("carawayhitch", 0.0),
+        ("carawayhitch", 5.0),
+        ("least_outstanding", 0.0),
+        ("round_robin", 0.0),
+    ):
+        setup = new_setup(policy, seed, 70.0)._replace(
+            cache_event_lag_seconds=event_lag, sample_from=20.0, sample_until=65.0
+        )
+        flow = at_load(_documents(START, 65.0)._replace(prompt_tokens=700), setup, 0.6)
+        random = Random(seed)
+        arrivals = []
+        for arrival in draw([flow], setup):
+            # 120 documents with 8 blocks of prefix each, some much more frequent;
+            # an engine holds 256 blocks, so no engine can hold them all.
+            document = min(119, int(random.paretovariate(0.6)) - 1)
+            blocks = tuple(f"document-{document}/{index}" for index in range(8))
+            arrivals.append(arrival._replace(prefix_blocks=blocks))
+        world = run(setup, arrivals)
+        counters = [engine.counter for engine in world.engines_by_id.values()]
+        hits = sum(counter.cache_hit_tokens for counter in counters)
+        prefilled = sum(counter.prefilled_tokens for counter in counters)
+        lines.append(
+            (
+                policy,
+                f"{event_lag:.0f}",
+                f"{100 * hits / (hits + prefilled):.1f}",
+                f"{max(world.load_peaks):.2f}",
+                f"{figures.quantile(world.load_spreads, 0.95):.2f}",
+                str(world.counts["CACHE_EVENT_GAP"]),
+            )
+        )
+    return Table(
+        "prefix_cache",
+        (
+            "policy",
+            "event lag s",
+            "prompt tokens hit %",
+            "highest load",
+            "p95 spread",
+            "gaps counted",
+        ),
+        lines,
+    )
+
+
+def overload_end(seed: int) -> Table:
+    """End an overload after 30 s: time until the service is as before."""
+    lines: list[tuple[str, ...]] = []
+    for policy in ("carawayhitch", "least_outstanding", "round_robin"):
+        setup = new_setup(policy, seed, 240.0)
+        flows = [
+            _lookups(30.0, START, 230.0),
+            at_load(_documents(START, 230.0), setup, 0.6),
+            at_load(_documents(30.0, 60.0), setup, 5.0),
+        ]
+        world = run(setup, draw(flows, setup))
+        lines.append(
+            (
+                policy,
+                _recovery(world, "urgent", 1.0),
+                _recovery(world, "patient", 2.0),
+                f"{100 * figures.refused_share(world, 'urgent', 30, 230):.1f}",
+                f"{100 * figures.refused_share(world, 'patient', 30, 60):.1f}",
+                f"{100 * figures.refused_share(world, 'patient', 90, 230):.1f}",
+            )
+        )
+    return Table(
+        "overload_end",
+        (
+            "policy",
+            "urgent within 1 s again after s",
+            "patient within 2 s again after s",
+            "urgent refused %",
+            "patient refused % in overload",
+            "patient refused % from 30 s after",
+        ),
+        lines,
+    )
+
+
+def _recovery(world: World, rank: str, limit: float) -> str:
+    """Return the seconds after the overload until first tokens are in time again."""
+    late = [
+        start
+        for start in range(30, 230, 5)
+        if figures.quantile(
+            figures.first_token_seconds(world, rank, start, start + 5), 0.95
+        )
+        > limit
+        or figures.refused_share(world, rank, start, start + 5) > 0.01
+    ]
+    if not late:
+        return "never late"
+    seconds = max(0, max(late) + 5 - 60)
+    return f"over {seconds}" if max(late) >= 225 else str(seconds)
+
+
+scenarios_by_name: dict[str, Callable[[int], Table]] = {
+    "patient_flood": patient_flood,
+    "urgent_flood": urgent_flood,
+    "fairness": fairness,
+    "quotas": quotas,
+    "memory": memory,
+    "lag": lag,
+    "prefix_cache": prefix_cache,
+    "overload_end": overload_end,
+}
--- /dev/null
+++ b/experiments/policies.py
@@ -0,0 +1,37 @@
+"""Runs scenarios in virtual time and prints tables: ``python -m experiments.policies``.
+
+Options: ``--scenario NAME`` (repeatable; all by default) and ``--seed N``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+
+from experiments._scenarios import Table, scenarios_by_name
+
+
+def print_table(table: Table) -> None:
+    """Print a table in the format of the docs."""
+    print("| " + " | ".join(table.columns) + " |")
+    print("|" + "---|" * len(table.columns))
+    for line in table.lines:
+        print("| " + " | ".join(line) + " |")
+
+
+def main() -> None:
+    """Run the chosen scenarios."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--scenario", action="append", choices=scenarios_by_name)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    for name in options.scenario or scenarios_by_name:
+        started = time.monotonic()
+        table = scenarios_by_name[name](options.seed)
+        seconds = time.monotonic() - started
+        print(f"\n{name}, seed {options.seed}, {seconds:.0f} s")
+        print_table(table)
+
+
+if __name__ == "__main__":
+    main()
