--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -414,7 +414,11 @@
 
 
 def _decode_state(value: Any, now: float) -> str:
-    return str(value)
+    try:
+        return str(value)
+    except RuntimeError:
+        # pycapnp raises this for a number that the schema does not name.
+        raise ValueError(f"unknown member state {value.raw}") from None
 
 
 def _decoder_of_rows(record_type: Any) -> Callable[[Any, float], tuple[Any, ...]]:
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -102,6 +102,7 @@
   tokenCount @3 :UInt32;
   complete @4 :Bool;
   upstreamFailed @5 :Bool;
+  upstreamRefused @6 :Bool;
 }
 
 enum MemberState {
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -23,6 +23,7 @@
     _retries,
     _scheduling,
     _streams,
+    _suspects,
     _upstreams,
 )
 from carawayhitch.controllers._chain import run_chain
@@ -31,6 +32,7 @@
 
 __all__ = ["CONTROLLERS", "Actions", "decide", "decide_chain"]
 
+# Suspects read the grants of a failed upstream before scheduling removes them.
 # Admission removes the row of an ended request, so it runs after every controller
 # that still reads the row; the lifecycle then counts the rows that are left.
 # Membership announces what the others decided, so it is last.
@@ -39,6 +41,7 @@
     _upstreams.decide,
     _leases.decide,
     _orders.decide,
+    _suspects.decide,
     _scheduling.decide,
     _placement.decide,
     _idempotency.decide,
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -5,13 +5,17 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._affinity import cache_sequence
 from carawayhitch.controllers._cells import derive_cells
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.core import actions, events, rows
+from carawayhitch.core import actions, events, messages, rows
 
 VM_LIST_TIMER = "vm_list"
 LOAD_TIMER = "load"
 UNREACHABLE_SECONDS = 2.0
+# Covers the interval of load polls and the lag of load reports, which then tell why an
+# engine refused.
+REFUSED_SECONDS = 1.0
 SERVICE_LABEL = "service"
 
 decide = new_controller()
@@ -39,10 +43,19 @@
         )
     if event.name == LOAD_TIMER:
         interval = board.settings.scheduling.load_interval_seconds
+        polled = upstreams_to_poll(board)
         return (
             *(
                 actions.PollLoad(upstream.upstream_id, upstream.address)
-                for upstream in upstreams_to_poll(board)
+                for upstream in polled
+            ),
+            *(
+                actions.PollCacheEvents(
+                    upstream.upstream_id,
+                    upstream.address,
+                    cache_sequence(board, upstream.upstream_id),
+                )
+                for upstream in polled
             ),
             actions.SetTimer(now + interval, events.TimerFired(LOAD_TIMER)),
         )
@@ -50,11 +63,12 @@
 
 
 def upstreams_to_poll(board: Board) -> list[rows.UpstreamRow]:
-    """Return the engines of the cells that this node schedules."""
+    """Return the engines of the cells that this node schedules or is asked about."""
     found: dict[str, rows.UpstreamRow] = {}
     for cell in board.cells_by_id.values():
         schedulers = board.schedulers_by_cell_id.get(cell.cell_id)
-        if not schedulers or schedulers[0] != board.node_id:
+        owned = schedulers is not None and schedulers[0] == board.node_id
+        if not owned and cell.cell_id not in board.settle_deadlines_by_cell_id:
             continue
         for upstream_id in cell.upstream_ids:
             upstream = board.upstreams_by_id.get(upstream_id)
@@ -172,3 +186,17 @@
             unreachable_until=until
         )
     return ()
+
+
+@decide.register(messages.Finished)
+def _note_refusal(
+    event: messages.Finished, board: Board, now: float, random: Random
+) -> Actions:
+    grant = board.grants_by_request_id.get(event.request_id)
+    if not event.upstream_refused or grant is None or grant.attempt != event.attempt:
+        return ()
+    known = board.upstreams_by_id.get(grant.upstream_id)
+    if known is not None:
+        until = now + REFUSED_SECONDS
+        board.upstreams_by_id[grant.upstream_id] = known._replace(refused_until=until)
+    return ()
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -109,6 +109,7 @@
     leaving: bool = False
     draining: bool = False
     unreachable_until: float = 0.0
+    refused_until: float = 0.0
     reported_at: float = 0.0
     memory_capacity: int = 0
     memory_used: int = 0
@@ -119,7 +120,8 @@
 
     def takes_work(self, now: float) -> bool:
         """Return whether new requests may be placed here."""
-        return not (self.leaving or self.draining) and now >= self.unreachable_until
+        back_at = max(self.unreachable_until, self.refused_until)
+        return not (self.leaving or self.draining) and now >= back_at
 
 
 class CellRow(NamedTuple):
@@ -220,10 +222,23 @@
     excluded_upstream_ids: tuple[str, ...]
     queued_at: float
     deadline: float
+    renewed_at: float = 0.0
 
 
 class GrantRow(NamedTuple):
-    """A request that a scheduler has placed on an upstream."""
+    """A request that a scheduler has placed on an upstream.
+
+    Parameters
+    ----------
+    renewed_at : float
+        Time of the last progress for the request.
+    remaining : float
+        Expected number of tokens still to come, as of the last progress.
+    charged_prompt : bool
+        False if an earlier scheduler charged the prompt.
+    charged_tokens : int
+        Output tokens that this scheduler charged.
+    """
 
     request_id: str
     attempt: int
@@ -240,6 +255,118 @@
     token_count: int
     granted_at: float
     deadline: float
+    renewed_at: float = 0.0
+    remaining: float = 0.0
+    charged_prompt: bool = True
+    charged_tokens: int = 0
+
+
+class UsageRow(NamedTuple):
+    """Virtual token counter of one account in one rank of one cell.
+
+    Parameters
+    ----------
+    charged : float
+        Tokens divided by the quota weight of the account.
+    """
+
+    charged: float
+    open_count: int
+
+
+class RateRow(NamedTuple):
+    """Tokens charged and grants made in a rank; both decay with the charge window.
+
+    Parameters
+    ----------
+    grants : float
+        Grants since the queue of the rank was last empty.
+    """
+
+    tokens: float = 0.0
+    grants: float = 0.0
+    updated_at: float = 0.0
+
+
+class QueueRow(NamedTuple):
+    """Length of the queue of a rank, and the time at which it was last empty."""
+
+    length: int = 0
+    since: float = 0.0
+
+
+class LengthsRow(NamedTuple):
+    """Output lengths that finished in one binding.
+
+    Parameters
+    ----------
+    counts, sums : tuple
+        Requests and tokens by bucket of geometric width.
+    residuals : tuple of float
+        Expected remaining tokens at the lower edge of each bucket.
+    """
+
+    counts: tuple[float, ...]
+    sums: tuple[float, ...]
+    residuals: tuple[float, ...]
+
+
+class FinishRow(NamedTuple):
+    """Memory that a finished grant gave back."""
+
+    granted_at: float
+    finished_at: float
+    memory: int
+
+
+class LedgerRow(NamedTuple):
+    """What an engine's reports say beyond the grants that this scheduler knows.
+
+    Parameters
+    ----------
+    foreign_tokens, foreign_count : int
+        Memory and requests of unknown origin, as of the last report.
+    backoff : float
+        Share of the memory target in use; below 1 after preemptions.
+    """
+
+    foreign_tokens: int = 0
+    foreign_count: int = 0
+    preemption_count: int = -1
+    backoff: float = 1.0
+    backoff_at: float = 0.0
+    finishes: tuple[FinishRow, ...] = ()
+
+
+class PredictionRow(NamedTuple):
+    """Predicted memory of the grants of one upstream, the longest remaining first.
+
+    Parameters
+    ----------
+    negative_remaining : tuple of float
+        Expected remaining tokens with the sign changed, so in ascending order.
+    held_sums : tuple of int
+        Memory held by the first requests together, from none to all.
+    longer_peaks : tuple of float
+        Highest memory at the end of any of the first requests, from none to all.
+    shorter_peaks : tuple of float
+        The same for the requests from an index on, with one more token of a further
+        request for each token that is still to come.
+    peak : float
+        Highest memory that the grants reach together, in tokens.
+    """
+
+    negative_remaining: tuple[float, ...] = ()
+    held_sums: tuple[int, ...] = (0,)
+    longer_peaks: tuple[float, ...] = (0.0,)
+    shorter_peaks: tuple[float, ...] = (0.0,)
+    peak: float = 0.0
+
+
+class CacheRow(NamedTuple):
+    """Position in the cache events of an engine."""
+
+    sequence: int = 0
 
 
 class CrashRow(NamedTuple):
@@ -251,6 +378,26 @@
     deadline: float
 
 
+class DeathRow(NamedTuple):
+    """The last failure of an upstream.
+
+    Parameters
+    ----------
+    fingerprints : tuple of str
+        Requests that were granted there when it failed.
+    recent_count : int
+        Grants that may have been opened only after the failure.
+    confirmed : bool
+        False until a load poll shows whether the engine died or only a link did.
+    """
+
+    upstream_id: str
+    died_at: float
+    fingerprints: tuple[str, ...]
+    recent_count: int
+    confirmed: bool
+
+
 class ClaimRow(NamedTuple):
     """State of one idempotency key in this process."""
 
