Predict memory from the distribution of lengths, with a margin

The prediction now sums mean and variance of the memory after given numbers of further tokens. The first rank's reserve applies only while that rank is active.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -34,7 +34,7 @@
     upstreams_by_fingerprint: dict[str, dict[str, str]]
     cleared_by_fingerprint: dict[str, float]
     ledgers_by_upstream_id: dict[str, rows.LedgerRow]
-    predictions_by_upstream_id: dict[str, rows.PredictionRow]
+    memory_by_upstream_id: dict[str, rows.MemoryRow]
     blocks_by_upstream_id: dict[str, dict[str, None]]
     caches_by_upstream_id: dict[str, rows.CacheRow]
     settle_deadlines_by_cell_id: dict[str, float]
@@ -98,7 +98,7 @@
         upstreams_by_fingerprint={},
         cleared_by_fingerprint={},
         ledgers_by_upstream_id={},
-        predictions_by_upstream_id={},
+        memory_by_upstream_id={},
         blocks_by_upstream_id={},
         caches_by_upstream_id={},
         settle_deadlines_by_cell_id={},
--- a/src/carawayhitch/controllers/_lengths.py
+++ b/src/carawayhitch/controllers/_lengths.py
@@ -1,82 +1,111 @@
-"""Expected remaining output of a request whose length is not known in advance."""
+"""Output lengths of a binding: how many requests go on after n tokens."""
 
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections.abc import Sequence
 
 from carawayhitch.board import Board
 from carawayhitch.core import rows
 
-BUCKET_EDGES = (0, *sorted({round(4 * 2 ** (step / 2)) for step in range(32)}))
-# With no data the remaining output is taken as 256 tokens plus what was produced,
-# the mean residual life of a Pareto tail with exponent 2.
+BUCKET_EDGES = (0, *sorted({round(4 * 2 ** (step / 2)) for step in range(31)}))
+# Numbers of further tokens at which memory is predicted. Outputs are short at first,
+# so the points are closer there; the last one covers tens of thousands of tokens.
+HORIZONS = (0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 16384)
+# Without data, the share of requests longer than n is (1 + n / 256) ** -2: a heavy
+# tail with a mean of 256 tokens. It weighs as much as four requests, so it also
+# stands in for a tail that few requests have reached.
 COLD_START_TOKENS = 256.0
 COLD_START_REQUESTS = 4.0
 # Older lengths count half after this many requests, so that a change of the
 # workload shows within a few thousand requests.
 REQUEST_LIMIT = 2000.0
+# The table of shares is computed again when the data has grown by this share.
+REFRESH_SHARE = 1 / 32
+
+
+def _cold_start_share(length: float) -> float:
+    return float((1.0 + length / COLD_START_TOKENS) ** -2)
+
+
+def _longer(counts: Sequence[float]) -> list[float]:
+    """Return the number of requests at least as long as each edge."""
+    found = [0.0]
+    for count in reversed(counts):
+        found.append(found[-1] + count)
+    found.reverse()
+    return found
+
+
+def _share_longer(longer: Sequence[float], length: float) -> float:
+    """Return the weight of requests longer than a length."""
+    index = bisect_right(BUCKET_EDGES, length) - 1
+    count = longer[index]
+    if index + 1 < len(BUCKET_EDGES):
+        low, high = BUCKET_EDGES[index], BUCKET_EDGES[index + 1]
+        count -= (longer[index] - longer[index + 1]) * (length - low) / (high - low)
+    return count + COLD_START_REQUESTS * _cold_start_share(length)
+
+
+def survival(counts: Sequence[float]) -> tuple[tuple[float, ...], ...]:
+    """Return the shares of requests that go on, given what they have produced.
+
+    Returns
+    -------
+    tuple of tuple of float
+        For each bucket edge, the share of the requests at this length that produce
+        each of `HORIZONS` further tokens.
+    """
+    longer = _longer(counts)
+    table = []
+    for edge in BUCKET_EDGES:
+        reached = _share_longer(longer, edge)
+        table.append(
+            tuple(
+                _share_longer(longer, edge + horizon) / reached for horizon in HORIZONS
+            )
+        )
+    return tuple(table)
+
 
 EMPTY = rows.LengthsRow(
-    (0.0,) * len(BUCKET_EDGES),
-    (0.0,) * len(BUCKET_EDGES),
-    tuple(COLD_START_TOKENS + edge for edge in BUCKET_EDGES),
+    (0.0,) * len(BUCKET_EDGES), survival((0.0,) * len(BUCKET_EDGES)), 0.0
 )
 
 
 def note_length(board: Board, binding: str, length: int) -> None:
     """Add the length of a complete answer to the lengths of its binding."""
     known = board.lengths_by_binding.get(binding, EMPTY)
-    scale = 0.5 if sum(known.counts) >= REQUEST_LIMIT else 1.0
-    counts = [count * scale for count in known.counts]
-    sums = [total * scale for total in known.sums]
-    index = bisect_right(BUCKET_EDGES, length) - 1
-    counts[index] += 1.0
-    sums[index] += length
-    board.lengths_by_binding[binding] = rows.LengthsRow(
-        tuple(counts), tuple(sums), residuals(counts, sums)
-    )
+    counts = list(known.counts)
+    counts[bisect_right(BUCKET_EDGES, length) - 1] += 1.0
+    total = sum(counts)
+    updated = rows.LengthsRow(tuple(counts), known.survival, known.survival_total)
+    if total - known.survival_total >= REFRESH_SHARE * total:
+        if total >= REQUEST_LIMIT:
+            counts = [count / 2 for count in counts]
+            total /= 2
+        updated = rows.LengthsRow(tuple(counts), survival(counts), total)
+    board.lengths_by_binding[binding] = updated
 
 
-def residuals(counts: list[float], sums: list[float]) -> tuple[float, ...]:
-    """Return the mean residual life at each bucket edge.
-
-    The cold start default weighs as much as a few requests, so it also stands in
-    for a tail that few requests have reached.
-    """
-    found: list[float] = []
-    count = total = 0.0
-    for index in range(len(BUCKET_EDGES) - 1, -1, -1):
-        edge = BUCKET_EDGES[index]
-        count += counts[index]
-        total += sums[index]
-        default = COLD_START_REQUESTS * (COLD_START_TOKENS + edge)
-        found.append((total - edge * count + default) / (count + COLD_START_REQUESTS))
-    return tuple(reversed(found))
-
-
-def expected_remaining(
-    lengths: rows.LengthsRow, produced: int, maximum_tokens: int
-) -> float:
-    """Return the expected number of tokens still to come.
+def shares_going_on(
+    board: Board, binding: str, produced: int, maximum_tokens: int
+) -> tuple[float, ...]:
+    """Return the shares of requests that go on for each of `HORIZONS`.
 
     Parameters
     ----------
-    lengths : LengthsRow
-        Lengths of the binding; `EMPTY` if none finished yet.
     produced : int
         Tokens produced so far.
     maximum_tokens : int
         Bound that the caller set; 0 for none.
     """
-    remaining = lengths.residuals[bisect_right(BUCKET_EDGES, produced) - 1]
-    if maximum_tokens:
-        return min(remaining, max(0.0, float(maximum_tokens - produced)))
-    return remaining
-
-
-def expected_output(
-    board: Board, binding: str, produced: int, maximum_tokens: int
-) -> float:
-    """Return the expected remaining tokens of a request of a binding."""
-    lengths = board.lengths_by_binding.get(binding, EMPTY)
-    return expected_remaining(lengths, produced, maximum_tokens)
+    known = board.lengths_by_binding.get(binding, EMPTY)
+    shares = known.survival[bisect_right(BUCKET_EDGES, produced) - 1]
+    if not maximum_tokens:
+        return shares
+    left = max(0, maximum_tokens - produced)
+    return tuple(
+        share if horizon <= left else 0.0
+        for share, horizon in zip(shares, HORIZONS, strict=True)
+    )
--- a/src/carawayhitch/controllers/_memory.py
+++ b/src/carawayhitch/controllers/_memory.py
@@ -2,97 +2,88 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
-from collections.abc import Sequence
+from math import sqrt
+from operator import add, sub
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import _lengths
+from carawayhitch.controllers._lengths import HORIZONS
 from carawayhitch.core import rows
 
-# Each report with new preemptions lowers the memory target by a tenth, at most to
-# half; it recovers by 1% a second, slower than it falls, so that it settles.
-BACKOFF_FACTOR = 0.9
+# Every preemption lowers the memory target by 2%, at most to half; it recovers by 1% a
+# second. Lowering it by a tenth for a single preemption cost 3% of the throughput.
+BACKOFF_PER_PREEMPTION = 0.02
 BACKOFF_MINIMUM = 0.5
 BACKOFF_RECOVERY_PER_SECOND = 0.01
 FINISH_LIMIT = 512
+MARGIN_DEVIATIONS = 1.0
+NOTHING = rows.MemoryRow((0.0,) * len(HORIZONS), (0.0,) * len(HORIZONS))
 
 
-def predict(profile: Sequence[tuple[float, int]]) -> rows.PredictionRow:
-    """Return the memory that requests reach together.
+def predict(
+    board: Board, binding: str, held: float, produced: int, maximum_tokens: int
+) -> rows.MemoryRow:
+    """Return the memory of a request after each of `HORIZONS` further tokens.
 
-    Requests produce one token a step each, so memory peaks directly before one of
-    them finishes: then each longer one has grown by the same number of tokens.
+    A request that goes on has grown by these tokens; one that ended holds nothing.
 
     Parameters
     ----------
-    profile : sequence of (float, int)
-        Remaining tokens and memory held, the longest remaining first.
+    held : float
+        Memory held now, in tokens.
     """
-    held_sums = [0]
-    longer_peaks = [0.0]
-    ends: list[float] = []
-    held = 0
-    peak = 0.0
-    for remaining, memory in profile:
-        held += memory
-        held_sums.append(held)
-        end = held + len(held_sums) * remaining - remaining
-        ends.append(end + remaining)
-        if end > peak:
-            peak = end
-        longer_peaks.append(peak)
-    shorter_peaks = [0.0]
-    shorter = 0.0
-    for end in reversed(ends):
-        if end > shorter:
-            shorter = end
-        shorter_peaks.append(shorter)
-    shorter_peaks.reverse()
-    return rows.PredictionRow(
-        negative_remaining=tuple([-remaining for remaining, _ in profile]),
-        held_sums=tuple(held_sums),
-        longer_peaks=tuple(longer_peaks),
-        shorter_peaks=tuple(shorter_peaks),
-        peak=peak,
+    shares = _lengths.shares_going_on(board, binding, produced, maximum_tokens)
+    means: list[float] = []
+    variances: list[float] = []
+    for share, horizon in zip(shares, HORIZONS, strict=True):
+        size = held + horizon
+        means.append(size * share)
+        variances.append(size * size * share * (1.0 - share))
+    return rows.MemoryRow(tuple(means), tuple(variances))
+
+
+def add_memory(board: Board, upstream_id: str, memory: rows.MemoryRow) -> None:
+    """Add the prediction for a request to that for its upstream."""
+    known = board.memory_by_upstream_id.get(upstream_id, NOTHING)
+    board.memory_by_upstream_id[upstream_id] = _sum(known, memory)
+
+
+def subtract_memory(board: Board, upstream_id: str, memory: rows.MemoryRow) -> None:
+    """Take the prediction for a request out of that for its upstream."""
+    if upstream_id not in board.grant_ids_by_upstream_id:
+        # Starting again from zero keeps rounding errors from adding up.
+        board.memory_by_upstream_id.pop(upstream_id, None)
+        return
+    known = board.memory_by_upstream_id[upstream_id]
+    board.memory_by_upstream_id[upstream_id] = rows.MemoryRow(
+        tuple(map(sub, known.means, memory.means)),
+        tuple(map(sub, known.variances, memory.variances)),
     )
 
 
-def prediction(board: Board, upstream_id: str) -> rows.PredictionRow:
-    """Return the prediction for an upstream, computed again after a change."""
-    known = board.predictions_by_upstream_id.get(upstream_id)
-    if known is not None:
-        return known
-    grants = board.grants_by_request_id
-    profile = sorted(
-        [
-            (grant.remaining, grant.prompt_tokens + grant.token_count)
-            for grant in map(
-                grants.__getitem__, board.grant_ids_by_upstream_id.get(upstream_id, ())
-            )
-        ],
-        reverse=True,
+def _sum(first: rows.MemoryRow, second: rows.MemoryRow) -> rows.MemoryRow:
+    return rows.MemoryRow(
+        tuple(map(add, first.means, second.means)),
+        tuple(map(add, first.variances, second.variances)),
     )
-    predicted = predict(profile)
-    board.predictions_by_upstream_id[upstream_id] = predicted
-    return predicted
 
 
-def peak_with(known: rows.PredictionRow, remaining: float, prompt_tokens: int) -> float:
-    """Return the predicted peak if one more request were granted.
-
-    The request holds memory until it ends, so it adds to the ends of shorter ones
-    and leaves those of longer ones as they are.
-    """
-    index = bisect_right(known.negative_remaining, -remaining)
-    own_end = known.held_sums[index] + prompt_tokens + (index + 1) * remaining
-    shorter = known.shorter_peaks[index]
+def peak(memory: rows.MemoryRow) -> float:
+    """Return the highest predicted memory, with a margin for chance."""
     return max(
-        known.longer_peaks[index], own_end, shorter + prompt_tokens if shorter else 0.0
+        mean + MARGIN_DEVIATIONS * sqrt(max(0.0, variance))
+        for mean, variance in zip(memory.means, memory.variances, strict=True)
     )
 
 
-def forget_prediction(board: Board, upstream_id: str) -> None:
-    """Have the prediction computed again when it is next needed."""
-    board.predictions_by_upstream_id.pop(upstream_id, None)
+def predicted_peak(board: Board, upstream_id: str) -> float:
+    """Return the predicted peak of the grants of an upstream."""
+    return peak(board.memory_by_upstream_id.get(upstream_id, NOTHING))
+
+
+def peak_with(board: Board, upstream_id: str, memory: rows.MemoryRow) -> float:
+    """Return the predicted peak if one more request were granted."""
+    return peak(_sum(board.memory_by_upstream_id.get(upstream_id, NOTHING), memory))
 
 
 def ledger(board: Board, upstream_id: str) -> rows.LedgerRow:
@@ -146,7 +137,8 @@
     recovered = BACKOFF_RECOVERY_PER_SECOND * max(0.0, now - known.backoff_at)
     backoff = min(1.0, known.backoff + recovered)
     if 0 <= known.preemption_count < preemption_count:
-        backoff = max(BACKOFF_MINIMUM, backoff * BACKOFF_FACTOR)
+        lost = BACKOFF_PER_PREEMPTION * (preemption_count - known.preemption_count)
+        backoff = max(BACKOFF_MINIMUM, backoff - lost)
     return known._replace(
         preemption_count=preemption_count, backoff=backoff, backoff_at=now
     )
--- a/src/carawayhitch/controllers/_ranks.py
+++ b/src/carawayhitch/controllers/_ranks.py
@@ -21,6 +21,16 @@
     return min((rank.priority for rank in ranks), default=0)
 
 
+def first_rank_is_active(board: Board, cell_id: str, now: float) -> bool:
+    """Return whether the rank that is served first had work in recent windows."""
+    first = highest_priority(board)
+    return any(
+        _fairness.rate(board, cell, rank, now).tokens >= 1.0
+        for cell, rank in board.rates_by_rank
+        if cell == cell_id and rank_class(board, rank).priority <= first
+    )
+
+
 def floor_deficit(board: Board, cell_id: str, rank: str, now: float) -> float:
     """Return by how much a rank's share of the charged tokens is below its floor."""
     floor = rank_class(board, rank).floor
--- a/src/carawayhitch/controllers/_rebuild.py
+++ b/src/carawayhitch/controllers/_rebuild.py
@@ -19,7 +19,7 @@
     in_flight = board.upstreams_by_fingerprint.setdefault(grant.fingerprint, {})
     in_flight[grant.request_id] = grant.upstream_id
     _fairness.open_work(board, grant.cell_id, grant.rank, grant.account)
-    _memory.forget_prediction(board, grant.upstream_id)
+    _memory.add_memory(board, grant.upstream_id, grant.memory)
 
 
 def remove_grant(board: Board, grant: rows.GrantRow, now: float) -> None:
@@ -35,7 +35,7 @@
         del board.upstreams_by_fingerprint[grant.fingerprint]
     _fairness.close_work(board, grant.cell_id, grant.rank, grant.account)
     _memory.note_finish(board, grant, now)
-    _memory.forget_prediction(board, grant.upstream_id)
+    _memory.subtract_memory(board, grant.upstream_id, grant.memory)
 
 
 def note_tokens(
@@ -43,18 +43,22 @@
 ) -> rows.GrantRow:
     """Charge tokens produced since the last report and renew a grant."""
     produced = max(0, token_count - grant.token_count)
+    renewed = grant._replace(renewed_at=now)
     if produced:
         _fairness.charge(board, grant, produced, now)
-        _memory.forget_prediction(board, grant.upstream_id)
-    token_count = grant.token_count + produced
-    renewed = grant._replace(
-        token_count=token_count,
-        remaining=_lengths.expected_output(
-            board, grant.binding, token_count, grant.maximum_tokens
-        ),
-        charged_tokens=grant.charged_tokens + produced,
-        renewed_at=now,
-    )
+        renewed = renewed._replace(
+            token_count=token_count,
+            charged_tokens=grant.charged_tokens + produced,
+            memory=_memory.predict(
+                board,
+                grant.binding,
+                grant.prompt_tokens + token_count,
+                token_count,
+                grant.maximum_tokens,
+            ),
+        )
+        _memory.subtract_memory(board, grant.upstream_id, grant.memory)
+        _memory.add_memory(board, grant.upstream_id, renewed.memory)
     board.grants_by_request_id[grant.request_id] = renewed
     return renewed
 
@@ -121,8 +125,12 @@
             granted_at=now,
             deadline=now + lifetime,
             renewed_at=now,
-            remaining=_lengths.expected_output(
-                board, running.binding, running.token_count, running.maximum_tokens
+            memory=_memory.predict(
+                board,
+                running.binding,
+                running.prompt_tokens + running.token_count,
+                running.token_count,
+                running.maximum_tokens,
             ),
             charged_prompt=False,
         ),
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -8,7 +8,6 @@
 from carawayhitch.controllers import (
     _affinity,
     _fairness,
-    _lengths,
     _memory,
     _queue,
     _rebuild,
@@ -233,7 +232,9 @@
         granted_at=now,
         deadline=now + lifetime,
         renewed_at=now,
-        remaining=_lengths.expected_output(board, ask.binding, 0, ask.maximum_tokens),
+        memory=_memory.predict(
+            board, ask.binding, ask.prompt_tokens, 0, ask.maximum_tokens
+        ),
     )
     previous = board.grants_by_request_id.get(ask.request_id)
     if previous is not None:
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -5,16 +5,17 @@
 from typing import Literal, NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _affinity, _lengths, _memory, _suspects
+from carawayhitch.controllers import _affinity, _memory, _suspects
 from carawayhitch.controllers._ranks import (
+    first_rank_is_active,
     floor_deficit,
     highest_priority,
     rank_class,
 )
 from carawayhitch.core import rows
 
-# Share of slots and memory that only the first rank may use, so that it need not
-# wait for a patient request to finish.
+# Share of slots and memory that only the first rank may use while it is active, so
+# that it need not wait for a patient request to finish.
 FIRST_RANK_RESERVE = 0.06
 # An upstream that holds the longest prefix is used while its load is within this
 # share of the least loaded one.
@@ -31,16 +32,18 @@
 
     Parameters
     ----------
-    remaining : float
-        Expected output, in tokens.
+    ask : AskRow
+        The ask.
+    memory : MemoryRow
+        Predicted memory of the request.
     share : float
         Part of slots and memory that the ask may fill.
     settling : bool
         Whether running requests may be unknown here.
     """
 
-    prompt_tokens: int
-    remaining: float
+    ask: rows.AskRow
+    memory: rows.MemoryRow
     share: float
     settling: bool
 
@@ -78,7 +81,7 @@
     load = (count + known.foreign_count) / max(1, upstream.running_limit)
     if not upstream.memory_capacity:
         return load
-    peak = _memory.prediction(board, upstream.upstream_id).peak
+    peak = _memory.predicted_peak(board, upstream.upstream_id)
     return max(load, (peak + known.foreign_tokens) / upstream.memory_capacity)
 
 
@@ -87,11 +90,14 @@
     # kept while the first rank fills the rest.
     may_use_reserve = (
         rank_class(board, ask.rank).priority <= highest_priority(board)
+        or not first_rank_is_active(board, ask.cell_id, now)
         or floor_deficit(board, ask.cell_id, ask.rank, now) > 0
     )
     return Need(
-        prompt_tokens=ask.prompt_tokens,
-        remaining=_lengths.expected_output(board, ask.binding, 0, ask.maximum_tokens),
+        ask=ask,
+        memory=_memory.predict(
+            board, ask.binding, ask.prompt_tokens, 0, ask.maximum_tokens
+        ),
         share=1.0 if may_use_reserve else 1.0 - FIRST_RANK_RESERVE,
         settling=is_settling(board, ask.cell_id, now),
     )
@@ -106,20 +112,23 @@
         return False
     if upstream.kind != "engine":
         return True
-    foreign = float(known.foreign_tokens)
-    if need.settling:
-        if not upstream.reported_at or upstream.waiting_count:
-            return False
-        foreign += known.foreign_count * need.remaining
+    if need.settling and (not upstream.reported_at or upstream.waiting_count):
+        return False
     # A request larger than the limit runs alone, or it would never run.
     if not occupied:
         return True
-    limit = need.share * _memory.memory_limit(board, upstream, now) - foreign
-    predicted = _memory.prediction(board, upstream.upstream_id)
-    # A further request only raises the peak, so most full upstreams need no merge.
-    if predicted.peak > limit:
-        return False
-    return _memory.peak_with(predicted, need.remaining, need.prompt_tokens) <= limit
+    limit = need.share * _memory.memory_limit(board, upstream, now)
+    limit -= _foreign_memory(board, known, need.ask)
+    return _memory.peak_with(board, upstream.upstream_id, need.memory) <= limit
+
+
+def _foreign_memory(board: Board, known: rows.LedgerRow, ask: rows.AskRow) -> float:
+    """Return the memory of work of unknown origin, as if it had just started."""
+    if not known.foreign_count:
+        return known.foreign_tokens
+    held = known.foreign_tokens / known.foreign_count
+    predicted = _memory.predict(board, ask.binding, held, 0, 0)
+    return known.foreign_count * max(predicted.means)
 
 
 def choose_upstream(
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -163,6 +163,13 @@
     renewed_at: float = 0.0
 
 
+class MemoryRow(NamedTuple):
+    """Predicted memory after numbers of further tokens, as mean and variance."""
+
+    means: tuple[float, ...] = ()
+    variances: tuple[float, ...] = ()
+
+
 class GrantRow(NamedTuple):
     """A request that a scheduler has placed on an upstream.
 
@@ -170,8 +177,8 @@
     ----------
     renewed_at : float
         Time of the last progress for the request.
-    remaining : float
-        Expected number of tokens still to come, as of the last progress.
+    memory : MemoryRow
+        Predicted memory, as of the last progress.
     charged_prompt : bool
         False if an earlier scheduler charged the prompt.
     charged_tokens : int
@@ -194,7 +201,7 @@
     granted_at: float
     deadline: float
     renewed_at: float = 0.0
-    remaining: float = 0.0
+    memory: MemoryRow = MemoryRow()
     charged_prompt: bool = True
     charged_tokens: int = 0
 
@@ -238,15 +245,17 @@
 
     Parameters
     ----------
-    counts, sums : tuple
-        Requests and tokens by bucket of geometric width.
-    residuals : tuple of float
-        Expected remaining tokens at the lower edge of each bucket.
+    counts : tuple of float
+        Requests by bucket of geometric width.
+    survival : tuple of tuple of float
+        Shares of requests that go on, by produced tokens and further tokens.
+    survival_total : float
+        Number of requests that ``survival`` was computed from.
     """
 
     counts: tuple[float, ...]
-    sums: tuple[float, ...]
-    residuals: tuple[float, ...]
+    survival: tuple[tuple[float, ...], ...]
+    survival_total: float
 
 
 class FinishRow(NamedTuple):
@@ -276,31 +285,6 @@
     finishes: tuple[FinishRow, ...] = ()
 
 
-class PredictionRow(NamedTuple):
-    """Predicted memory of the grants of one upstream, the longest remaining first.
-
-    Parameters
-    ----------
-    negative_remaining : tuple of float
-        Expected remaining tokens with the sign changed, so in ascending order.
-    held_sums : tuple of int
-        Memory held by the first requests together, from none to all.
-    longer_peaks : tuple of float
-        Highest memory at the end of any of the first requests, from none to all.
-    shorter_peaks : tuple of float
-        The same for the requests from an index on, with one more token of a further
-        request for each token that is still to come.
-    peak : float
-        Highest memory that the grants reach together, in tokens.
-    """
-
-    negative_remaining: tuple[float, ...] = ()
-    held_sums: tuple[int, ...] = (0,)
-    longer_peaks: tuple[float, ...] = (0.0,)
-    shorter_peaks: tuple[float, ...] = (0.0,)
-    peak: float = 0.0
-
-
 class CacheRow(NamedTuple):
     """Position in the cache events of an engine."""
 
