--- a/experiments/_scenarios.py
+++ b/experiments/_scenarios.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterable
 from math import exp
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from carawayhitch.core import declarations
+from carawayhitch import controllers
+from carawayhitch.board import Board
+from carawayhitch.core import declarations, events, messages
 from experiments import _figures as figures
 from experiments._rows import Arrival, Setup, World
-from experiments._world import run
+from experiments._world import GROUP, run
 from fakes.engine_model import EngineLimits
 
 ENGINE_COUNT = 6
@@ -477,6 +480,7 @@
             (
                 policy,
                 _recovery(world, "urgent", 1.0),
+                _recovery(world, "patient", 30.0),
                 _recovery(world, "patient", 2.0),
                 f"{100 * figures.refused_share(world, 'urgent', 30, 230):.1f}",
                 f"{100 * figures.refused_share(world, 'patient', 30, 60):.1f}",
@@ -488,7 +492,8 @@
         (
             "policy",
             "urgent within 1 s again after s",
-            "patient within 2 s again after s",
+            "patient within 30 s",
+            "patient within 2 s",
             "urgent refused %",
             "patient refused % in overload",
             "patient refused % from 30 s after",
@@ -514,6 +519,83 @@
     return f"over {seconds}" if max(late) >= 225 else str(seconds)
 
 
+def ask_time(seed: int) -> Table:
+    """Measure the time of one decision with 5,000 asks waiting."""
+    setup = new_setup("carawayhitch", seed, 0.0)._replace(
+        engine_count=12,
+        entry_count=1,
+        ranks=(
+            URGENT._replace(queue_limit=100_000),
+            PATIENT._replace(queue_limit=100_000, maximum_wait_seconds=1e6),
+        ),
+        accounts=tuple(
+            account(f"account-{index}")._replace(queue_limit=100_000)
+            for index in range(10)
+        ),
+    )
+    world = run(setup, [])
+    board = world.boards_by_id["entry-0"]
+    random = Random(seed)
+    (cell_id,) = board.cells_by_id
+    board.settle_deadlines_by_cell_id[cell_id] = 0.0
+    for name in world.engines_by_id:
+        reported = events.LoadReported(name, 0.1, 60_000, 0, 0, 64, 0, 0, False)
+        controllers.decide(reported, board, 0.1, random)
+    now = 1.0
+    asks: list[float] = []
+    for number in range(5768):
+        now += 0.0005
+        rank = "urgent" if number % 5 == 0 else "patient"
+        ask = messages.AdmissionAsk(
+            "entry-0",
+            f"request-{number}",
+            1,
+            cell_id,
+            GROUP,
+            f"account-{number % 10}",
+            rank,
+            rank,
+            f"fingerprint-{number}",
+            400,
+            4000,
+            tuple(f"document-{number % 7}/{index}" for index in range(6)),
+            (),
+            1e9,
+        )
+        asks.append(_seconds_of(ask, board, now, random))
+    waiting = len(board.asks_by_request_id)
+    ends: list[float] = []
+    for grant in list(board.grants_by_request_id.values())[:500]:
+        now += 0.01
+        length = random.randrange(50, 900)
+        end = messages.Finished(
+            "entry-0", grant.request_id, 1, cell_id, length, True, False
+        )
+        ends.append(_seconds_of(end, board, now, random))
+    lines = [
+        (
+            name,
+            str(waiting),
+            *(
+                f"{1e6 * value:.0f}"
+                for value in (
+                    sum(times) / len(times),
+                    figures.quantile(times, 0.99),
+                    max(times),
+                )
+            ),
+        )
+        for name, times in (("ask", asks[-2000:]), ("finish and next grant", ends))
+    ]
+    return Table("ask_time", ("event", "waiting", "mean us", "p99 us", "max us"), lines)
+
+
+def _seconds_of(event: Any, board: Board, now: float, random: Random) -> float:
+    started = time.perf_counter()
+    controllers.decide(event, board, now, random)
+    return time.perf_counter() - started
+
+
 scenarios_by_name: dict[str, Callable[[int], Table]] = {
     "patient_flood": patient_flood,
     "urgent_flood": urgent_flood,
@@ -523,4 +605,5 @@
     "lag": lag,
     "prefix_cache": prefix_cache,
     "overload_end": overload_end,
+    "ask_time": ask_time,
 }
--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -135,7 +135,8 @@
 def _is_new_failure(board: Board, grant: rows.GrantRow) -> bool:
     """Return whether the failure of a grant is not part of a known death."""
     upstream = board.upstreams_by_id.get(grant.upstream_id)
-    if upstream is not None and upstream.kind != "engine":
+    if upstream is not None and (upstream.kind != "engine" or upstream.leaving):
+        # The platform ends an upstream that leaves; no request is the cause.
         return False
     death = board.deaths_by_upstream_id.get(grant.upstream_id)
     return death is None or grant.granted_at > death.died_at
--- /dev/null
+++ b/tests/controllers/test_scheduling.py
@@ -0,0 +1,352 @@
+"""Ranks, limits, fairness, memory, caches and soft state of the scheduler."""
+
+from __future__ import annotations
+
+import unittest
+
+from carawayhitch.controllers import _fairness, _lengths, _memory
+from carawayhitch.core import declarations, events, messages, result_codes
+from tests.controllers.scheduling_world import (
+    CELL,
+    PATIENT,
+    URGENT,
+    ask,
+    feed,
+    finished,
+    granted,
+    load,
+    refusals,
+    report_all,
+    running,
+    scheduling_board,
+    sent,
+)
+
+
+def fill(board, now=1.0, rank="patient"):
+    """Grant until the cell is full; return the ids granted."""
+    ids = []
+    for index in range(200):
+        decided = feed(board, ask(f"filler-{index}", rank), now)
+        if not granted(decided):
+            feed(
+                board,
+                messages.AskWithdrawn("entry-2", f"filler-{index}", 1, CELL),
+                now,
+            )
+            return ids
+        ids.append(f"filler-{index}")
+    raise AssertionError("the cell never filled up")
+
+
+class RankTest(unittest.TestCase):
+    def test_urgent_goes_before_patient_that_waits_longer(self):
+        """Guards against head-of-line blocking of lookups by bulk work."""
+        ranks = (URGENT._replace(floor=0.0), PATIENT._replace(floor=0.0))
+        board = scheduling_board(ranks=ranks)
+        report_all(board, 1.0)
+        first = fill(board, rank="urgent")[0]
+        feed(board, ask("document", "patient"), 2.0)
+        feed(board, ask("lookup", "urgent"), 3.0)
+        decided = feed(board, finished(first), 4.0)
+        self.assertEqual(list(granted(decided)), ["lookup"])
+
+    def test_rank_below_its_floor_goes_first(self):
+        """Guards against patient work that starves in an urgent flood."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        first = fill(board, rank="urgent")[0]
+        feed(board, ask("lookup", "urgent"), 2.0)
+        feed(board, ask("document", "patient"), 3.0)
+        decided = feed(board, finished(first), 4.0)
+        self.assertEqual(list(granted(decided)), ["document"])
+
+    def test_first_rank_has_a_reserve_while_it_is_active(self):
+        """Guards against lookups that wait for a document to finish."""
+        ranks = (URGENT, PATIENT._replace(floor=0.0))
+        board = scheduling_board(engine_count=1, ranks=ranks)
+        report_all(board, 1.0, running_limit=20)
+        feed(board, ask("lookup-1", "urgent"), 1.0)
+        fill(board, 1.0, "patient")
+        decided = feed(board, ask("lookup-2", "urgent"), 1.1)
+        self.assertIn("lookup-2", granted(decided))
+
+
+class LimitTest(unittest.TestCase):
+    def test_refusals_by_limit(self):
+        """Guards against queues without bound and waits without hope."""
+        accounts = (
+            declarations.ClientAccount("small", (), queue_limit=2),
+            declarations.ClientAccount("hotel", (), queue_limit=90),
+        )
+        cases = (
+            ("account limit", "small", 3, 1000.0, "QUEUE_FULL"),
+            ("rank limit", "hotel", 51, 1000.0, "QUEUE_FULL"),
+            ("deadline passed", "hotel", 1, 2.0, "WAIT_EXPIRED"),
+        )
+        for name, account, count, deadline, expected in cases:
+            with self.subTest(name):
+                board = scheduling_board(accounts=accounts)
+                report_all(board, 1.0)
+                fill(board, rank="urgent")
+                for index in range(count):
+                    event = ask(f"ask-{index}", account=account, deadline=deadline)
+                    decided = feed(board, event, 2.0)
+                self.assertEqual(refusals(decided), {f"ask-{count - 1}": expected})
+                refused = sent(decided, messages.AdmissionRefusal)[0]
+                self.assertGreaterEqual(refused.retry_after, 1.0)
+
+    def test_deadline_that_the_queue_cannot_meet(self):
+        """Guards against callers that wait in a queue only to expire in it."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0)
+        open_ids = fill(board, rank="urgent")
+        now = 10.0
+        for index in range(40):
+            feed(board, ask(f"waiting-{index}"), now)
+        for index in range(30):
+            now += 0.2
+            open_ids += granted(feed(board, finished(open_ids.pop(0)), now))
+            feed(board, ask(f"more-{index}"), now)
+        # 40 asks wait and 5 a second are served.
+        soon = feed(board, ask("soon", deadline=now + 2.0), now)
+        self.assertEqual(refusals(soon), {"soon": "DEADLINE_UNREACHABLE"})
+        later = feed(board, ask("later", deadline=now + 20.0), now)
+        self.assertEqual(refusals(later), {})
+
+    def test_few_arrivals_are_not_taken_for_little_capacity(self):
+        """Guards against refusals after a quiet time, when few grants were made."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        for index in range(40):
+            feed(board, ask(f"quiet-{index}"), 2.0 + index)
+            feed(board, finished(f"quiet-{index}"), 2.5 + index)
+        fill(board, 50.0, "urgent")
+        for index in range(45):
+            decided = feed(board, ask(f"burst-{index}", deadline=53.0), 50.0)
+            self.assertEqual(refusals(decided), {})
+
+    def test_sweep_expires_asks(self):
+        """Guards against grants for callers that have gone."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        fill(board, rank="urgent")
+        feed(board, ask("short", deadline=3.0), 2.0)
+        feed(board, ask("abandoned"), 2.0)
+        decided = feed(board, events.TimerFired("scheduling"), 3.0)
+        self.assertEqual(refusals(decided), {"short": "WAIT_EXPIRED"})
+        self.assertIn("abandoned", board.asks_by_request_id)
+        feed(board, events.TimerFired("scheduling"), 8.0)
+        self.assertEqual(board.asks_by_request_id, {})
+        self.assertEqual(board.queues_by_rank, {})
+
+
+class FairnessTest(unittest.TestCase):
+    def test_account_with_the_lower_counter_goes_first(self):
+        """Guards against a large account that crowds out a small one."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        first, second = fill(board, rank="urgent")[:2]
+        for index in range(5):
+            feed(board, ask(f"large-{index}", account="hotel"), 2.0)
+        feed(board, ask("small", account="inspection"), 3.0)
+        feed(board, running(first, tokens=500), 3.0)
+        # An account that was idle starts level with the others and is served in
+        # turn, not after the queue of the large one.
+        served = granted(feed(board, finished(first, 510), 4.0))
+        served |= granted(feed(board, finished(second), 4.0))
+        self.assertIn("small", served)
+
+    def test_idle_time_builds_no_credit(self):
+        """Guards against an idle account that takes the cell over when it returns."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        for now, tokens in ((1.0, 900), (3.0, 800)):
+            feed(board, ask(f"busy-{now}", account="busy"), now)
+            feed(board, finished(f"busy-{now}", tokens), now + 1.0)
+        charged = _fairness.usage(board, CELL, "urgent", "busy").charged
+        feed(board, ask("new", account="new"), 10.0)
+        started = _fairness.usage(board, CELL, "urgent", "new").charged
+        self.assertEqual(started, charged + 100)
+
+    def test_unused_grants_are_given_back(self):
+        """Guards against charges for work that an account never got."""
+        ends = {
+            "never used": finished("lost", 0, complete=False),
+            "failed early": finished("lost", 0, complete=False, failed=True),
+            "lapsed": events.TimerFired("scheduling"),
+        }
+        for name, end in ends.items():
+            with self.subTest(name):
+                board = scheduling_board()
+                report_all(board, 1.0)
+                feed(board, ask("lost"), 1.0)
+                key = (CELL, "urgent", "hotel")
+                self.assertEqual(_fairness.usage(board, *key).charged, 100)
+                feed(board, end, 7.0)
+                self.assertEqual(_fairness.usage(board, *key).charged, 0)
+                self.assertEqual(board.grants_by_request_id, {})
+
+    def test_tokens_count_by_quota_weight(self):
+        """Guards against quotas that have no effect."""
+        accounts = (declarations.ClientAccount("hotel", (), quota_weight=4.0),)
+        board = scheduling_board(accounts=accounts)
+        report_all(board, 1.0)
+        feed(board, ask("paid"), 1.0)
+        feed(board, finished("paid", 300), 2.0)
+        self.assertEqual(_fairness.usage(board, CELL, "urgent", "hotel").charged, 100)
+
+
+class MemoryTest(unittest.TestCase):
+    def test_lengths_with_a_heavy_tail(self):
+        """Guards against memory kept free for outputs as if all were average."""
+        board = scheduling_board()
+        for index in range(400):
+            _lengths.note_length(board, "patient", 4000 if index % 10 == 0 else 50)
+        fresh = _lengths.shares_going_on(board, "patient", 0, 0)
+        old = _lengths.shares_going_on(board, "patient", 200, 0)
+        at_1024 = _lengths.HORIZONS.index(1024)
+        self.assertAlmostEqual(fresh[at_1024], 0.1, delta=0.02)
+        self.assertGreater(old[at_1024], 0.9)
+        bounded = _lengths.shares_going_on(board, "patient", 200, 300)
+        self.assertEqual(bounded[at_1024], 0.0)
+
+    def test_asks_wait_when_predicted_memory_is_full(self):
+        """Guards against preemptions by requests that grow after they start."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0, memory_capacity=2000, running_limit=64)
+        ids = fill(board, rank="urgent")
+        self.assertLess(100 * len(ids), 1800)
+        self.assertLessEqual(_memory.predicted_peak(board, "engine-0"), 1800)
+
+    def test_memory_of_unknown_work_counts(self):
+        """Guards against over-admission beside another scheduler of the cell."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0, memory_used=9500, running_count=3)
+        self.assertEqual(granted(feed(board, ask("first"), 1.1)), {})
+        decided = feed(board, load("engine-0", 2.0), 2.0)
+        self.assertEqual(granted(decided), {"first": "engine-0"})
+
+    def test_late_report_is_corrected_by_grants_and_finishes(self):
+        """Guards against counting own work twice, or finished work at all."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0)
+        feed(board, ask("early"), 1.0)
+        feed(board, running("early", tokens=100), 2.0)
+        feed(board, finished("early", 100), 3.0)
+        feed(board, ask("late"), 3.1)
+        # Taken while the early request ran, read after it finished.
+        feed(board, load("engine-0", 2.5, memory_used=200, running_count=1), 3.2)
+        ledger = board.ledgers_by_upstream_id["engine-0"]
+        self.assertEqual((ledger.foreign_tokens, ledger.foreign_count), (0, 0))
+        feed(board, load("engine-0", 2.6, memory_used=900, running_count=2), 3.3)
+        ledger = board.ledgers_by_upstream_id["engine-0"]
+        self.assertEqual((ledger.foreign_tokens, ledger.foreign_count), (700, 1))
+
+    def test_preemptions_lower_the_limit_for_a_while(self):
+        """Guards against an engine that is kept where it preempts."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0)
+        upstream = board.upstreams_by_id["engine-0"]
+        self.assertEqual(_memory.memory_limit(board, upstream, 1.0), 9000)
+        feed(board, load("engine-0", 2.0, preemption_count=5), 2.0)
+        upstream = board.upstreams_by_id["engine-0"]
+        self.assertAlmostEqual(_memory.memory_limit(board, upstream, 2.0), 8100)
+        self.assertAlmostEqual(_memory.memory_limit(board, upstream, 20.0), 9000)
+
+
+class CacheTest(unittest.TestCase):
+    def test_prefix_is_followed_within_the_bound_only(self):
+        """Guards against one engine that collects all work of a popular prefix."""
+        board = scheduling_board()
+        report_all(board, 1.0, running_limit=40, memory_capacity=100_000)
+        held = events.CacheChanged("engine-2", 1, ("block-1", "block-2"), ())
+        feed(board, held, 1.0)
+        chosen = []
+        for index in range(30):
+            event = ask(f"shared-{index}", prefix_blocks=("block-1", "block-2"))
+            chosen += granted(feed(board, event, 1.0)).values()
+        self.assertEqual(chosen[:4], ["engine-2"] * 4)
+        counts = [chosen.count(name) for name in board.upstreams_by_id]
+        self.assertLessEqual(max(counts) - min(counts), 0.1 * 40 + 1)
+
+    def test_cache_events(self):
+        """Guards against estimates that gaps or repeated events corrupt."""
+        board = scheduling_board()
+        feed(board, events.CacheChanged("engine-0", 1, ("a", "b"), ()), 1.0)
+        feed(board, events.CacheChanged("engine-0", 2, ("c",), ("a",)), 1.0)
+        self.assertEqual(list(board.blocks_by_upstream_id["engine-0"]), ["b", "c"])
+        feed(board, events.CacheChanged("engine-0", 1, ("a",), ()), 1.0)
+        self.assertNotIn("a", board.blocks_by_upstream_id["engine-0"])
+        decided = feed(board, events.CacheChanged("engine-0", 5, ("d",), ()), 1.0)
+        codes = [action.code for action in decided]
+        self.assertEqual(codes, [result_codes.CACHE_EVENT_GAP])
+
+
+class SoftStateTest(unittest.TestCase):
+    def test_progress_rebuilds_and_renews_grants(self):
+        """Guards against a new scheduler that takes busy engines for idle."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0, running_limit=2)
+        for index in range(2):
+            feed(board, running(f"moved-{index}"), 2.0)
+        self.assertEqual(granted(feed(board, ask("next"), 2.1)), {})
+        feed(board, running("moved-0", tokens=60), 6.0)
+        decided = feed(board, events.TimerFired("scheduling"), 7.1)
+        # The second one was not renewed, so its place is free.
+        self.assertEqual(list(board.grants_by_request_id), ["moved-0"])
+        self.assertEqual(granted(decided), {})
+        self.assertNotIn("next", board.asks_by_request_id)
+
+    def test_settling_grants_only_within_reports(self):
+        """Guards against a new scheduler that floods engines it knows nothing of."""
+        board = scheduling_board(engine_count=2)
+        del board.settle_deadlines_by_cell_id[CELL]
+        first = feed(board, ask("first"), 5.0)
+        self.assertEqual(granted(first), {})
+        polled = [getattr(action, "upstream_id", "") for action in first]
+        self.assertIn("engine-0", polled)
+        busy = load("engine-0", 5.1, running_count=8, waiting_count=3)
+        self.assertEqual(granted(feed(board, busy, 5.1)), {})
+        decided = feed(board, load("engine-1", 5.1, running_count=7), 5.1)
+        self.assertEqual(granted(decided), {"first": "engine-1"})
+        self.assertEqual(granted(feed(board, ask("second"), 5.2)), {})
+
+    def test_progress_for_a_foreign_cell_is_answered(self):
+        """Guards against entries that wait for a scheduler that does not know them."""
+        board = scheduling_board()
+        message = running("elsewhere")._replace(
+            cell_id="other/region-2/3", waiting_request_ids=("unknown",)
+        )
+        ack = sent(feed(board, message, 1.0), messages.ProgressAck)[0]
+        self.assertEqual(ack.cell_id, "other/region-2/3")
+        self.assertEqual(ack.unknown_request_ids, ("unknown",))
+        feed(board, events.TimerFired("scheduling"), 20.0)
+        self.assertEqual(board.grants_by_request_id, {})
+
+    def test_repeated_asks(self):
+        """Guards against two grants, or a lost place, for one repeated ask."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        first = granted(feed(board, ask("twice"), 1.0))
+        again = granted(feed(board, ask("twice"), 1.2))
+        self.assertEqual(first, again)
+        self.assertEqual(len(board.grants_by_request_id), 1)
+        fill(board, rank="urgent")
+        for request_id in ("one", "two", "one"):
+            feed(board, ask(request_id), 2.0)
+        queued = list(board.queues_by_rank[CELL, "urgent"]["hotel"])
+        self.assertEqual(queued, ["one", "two"])
+
+    def test_running_request_leaves_the_queue(self):
+        """Guards against a second run of a request that another node granted."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        fill(board, rank="urgent")
+        feed(board, ask("elsewhere"), 2.0)
+        feed(board, running("elsewhere"), 3.0)
+        self.assertNotIn("elsewhere", board.asks_by_request_id)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/controllers/test_suspects.py
@@ -0,0 +1,241 @@
+"""Crash records: who is refused, who is not, and how many upstreams are lost."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carawayhitch.controllers import merge_crashes
+from carawayhitch.core import events, messages, rows
+from tests.controllers.scheduling_world import (
+    ask,
+    feed,
+    finished,
+    granted,
+    load,
+    refusals,
+    report_all,
+    scheduling_board,
+)
+
+
+def crash(board, request_ids, upstream_id, now):
+    """Have an engine die under requests; the first one reports it."""
+    for request_id in request_ids:
+        feed(board, finished(request_id, 0, False, failed=True), now)
+    return feed(board, events.LoadUnavailable(upstream_id, "refused"), now + 0.01)
+
+
+def restart(board, upstream_id, now):
+    return feed(board, load(upstream_id, now), now)
+
+
+class ConvictionTest(unittest.TestCase):
+    def test_killer_loses_two_upstreams_over_new_connections(self):
+        """Guards against a resent request that takes down one engine after another."""
+        board = scheduling_board(engine_count=4)
+        lost = []
+        now = 1.0
+        report_all(board, now)
+        for index in range(6):
+            now += 5.0
+            report_all(board, now)
+            event = ask(f"resent-{index}", fingerprint="killer", deadline=now + 4)
+            decided = feed(board, event, now)
+            for request_id, upstream_id in granted(decided).items():
+                lost.append(upstream_id)
+                crash(board, [request_id], upstream_id, now + 1.0)
+        self.assertEqual(len(lost), 2)
+        self.assertEqual(refusals(decided), {"resent-5": "SUSPECT_REFUSED"})
+
+    def test_killers_in_flight_share_one_upstream(self):
+        """Guards against copies sent at once that each take down an engine."""
+        board = scheduling_board(engine_count=4)
+        report_all(board, 1.0)
+        upstreams = set()
+        for index in range(4):
+            event = ask(f"copy-{index}", fingerprint="killer")
+            upstreams |= set(granted(feed(board, event, 1.0)).values())
+        self.assertEqual(len(upstreams), 1)
+        feed(board, finished("copy-0"), 2.0)
+        spread = ask("harmless", fingerprint="killer")
+        self.assertNotIn(granted(feed(board, spread, 2.1))["harmless"], upstreams)
+
+    def test_innocent_requests_are_not_convicted(self):
+        """Guards against refusals of requests that ran beside the killer twice."""
+        board = scheduling_board(engine_count=3)
+        report_all(board, 1.0)
+        for index in range(6):
+            feed(board, ask(f"innocent-{index}"), 1.0)
+        first = granted(feed(board, ask("killer-1", fingerprint="killer"), 1.0))
+        died = first["killer-1"]
+        lost = [
+            grant.request_id
+            for grant in board.grants_by_request_id.values()
+            if grant.upstream_id == died
+        ]
+        crash(board, lost, died, 2.0)
+        for request_id in lost:
+            if request_id != "killer-1":
+                feed(board, ask(request_id, attempt=2), 2.1)
+        again = granted(feed(board, ask("killer-2", fingerprint="killer"), 2.1))
+        for now in (3.0, 4.0, 5.0):
+            report_all(board, now)
+            for request_id, grant in list(board.grants_by_request_id.items()):
+                if grant.fingerprint == "killer":
+                    again[request_id] = grant.upstream_id
+                elif grant.attempt == 2:
+                    feed(board, finished(request_id, attempt=2), now)
+        second = again["killer-2"]
+        crash(board, ["killer-2"], second, 6.0)
+        convicted = [
+            name for name, row in board.crashes_by_fingerprint.items() if row.convicted
+        ]
+        self.assertEqual(convicted, ["killer"])
+
+    def test_lost_link_puts_nobody_on_record(self):
+        """Guards against convictions for faults of the network."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0)
+        for index in range(3):
+            feed(board, ask(f"running-{index}"), 1.0)
+        feed(board, finished("running-0", 0, False, failed=True), 5.0)
+        retried = ask("running-0", attempt=2)
+        self.assertEqual(granted(feed(board, retried, 5.1)), {})
+        alive = load("engine-0", 5.2, running_count=2, memory_used=300)
+        decided = feed(board, alive, 5.3)
+        self.assertEqual(board.crashes_by_fingerprint, {})
+        self.assertEqual(granted(decided), {"running-0": "engine-0"})
+
+    def test_evidence_by_case(self):
+        """Guards against crashes that are missed, and against false ones."""
+        failed = finished("running", 0, False, failed=True)
+        unavailable = events.LoadUnavailable("engine-0", "refused")
+        cases = {
+            "restarted at once": ([failed, load("engine-0", 3.3)], 1),
+            "does not answer": ([failed, unavailable], 1),
+            "never polled": ([failed, events.TimerFired("scheduling")], 1),
+            "old report": ([failed, load("engine-0", 2.0, running_count=5)], 0),
+            "refused by the engine": ([finished("running", 0, False)], 0),
+            "told by the platform": ([events.UpstreamDied("engine-0")], 1),
+            "end was lost": (
+                [
+                    unavailable,
+                    ask("running", attempt=2, excluded_upstream_ids=("engine-0",)),
+                    unavailable,
+                ],
+                1,
+            ),
+        }
+        for name, (sequence, count) in cases.items():
+            with self.subTest(name):
+                board = scheduling_board(engine_count=1)
+                report_all(board, 0.5)
+                feed(board, ask("running"), 0.5)
+                for event in sequence:
+                    swept = isinstance(event, events.TimerFired)
+                    feed(board, event, 6.3 if swept else 3.2)
+                self.assertEqual(len(board.crashes_by_fingerprint), count)
+
+    def test_leaving_upstream_is_no_crash(self):
+        """Guards against records for work that the platform ended."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0)
+        feed(board, ask("running"), 1.0)
+        feed(board, load("engine-0", 2.0, leaving=True, running_count=1), 2.0)
+        crash(board, ["running"], "engine-0", 3.0)
+        self.assertEqual(board.crashes_by_fingerprint, {})
+
+    def test_many_failures_of_one_death_count_once(self):
+        """Guards against a conviction by two reports of the same crash."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0)
+        ids = [f"running-{index}" for index in range(4)]
+        for request_id in ids:
+            feed(board, ask(request_id, fingerprint="same"), 1.0)
+        crash(board, ids[:2], "engine-0", 2.0)
+        crash(board, ids[2:], "engine-0", 2.5)
+        record = board.crashes_by_fingerprint["same"]
+        self.assertEqual(record.upstream_ids, ("engine-0",))
+        self.assertFalse(record.convicted)
+
+    def test_dead_upstream_gets_nothing_before_it_reports(self):
+        """Guards against grants to an engine that is still down."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0)
+        feed(board, ask("killer"), 1.0)
+        crash(board, ["killer"], "engine-0", 2.0)
+        self.assertEqual(granted(feed(board, ask("next"), 30.0)), {})
+        self.assertEqual(
+            granted(restart(board, "engine-0", 31.0)), {"next": "engine-0"}
+        )
+
+
+records = st.builds(
+    rows.CrashRow,
+    st.sampled_from(["f", "g"]),
+    st.lists(st.sampled_from(["a", "b", "c"]), min_size=1, max_size=3)
+    .map(sorted)
+    .map(tuple),
+    st.booleans(),
+    st.floats(10.0, 1000.0),
+)
+
+
+class MergeTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.lists(records, max_size=6), st.integers(0, 10**6))
+    def test_order_and_repeats_have_no_effect(self, received, seed):
+        """Guards against nodes that disagree for good about crash records."""
+        shuffled = received * 2
+        Random(seed).shuffle(shuffled)
+        first, second = scheduling_board(), scheduling_board()
+        merge_crashes(first, received, 5.0)
+        merge_crashes(second, shuffled, 5.0)
+        self.assertEqual(first.crashes_by_fingerprint, second.crashes_by_fingerprint)
+        self.assertEqual(merge_crashes(first, received, 5.0), ())
+
+    def test_received_conviction_refuses_waiting_and_new_asks(self):
+        """Guards against a killer that another cell convicted and this one runs."""
+        board = scheduling_board(engine_count=1)
+        report_all(board, 1.0, running_limit=1)
+        feed(board, ask("running"), 1.0)
+        feed(board, ask("waiting", fingerprint="killer"), 1.0)
+        record = rows.CrashRow("killer", ("x", "y"), True, 900.0)
+        self.assertEqual(merge_crashes(board, [record], 2.0), (record,))
+        decided = feed(board, finished("running"), 2.0)
+        decided += feed(board, ask("new", fingerprint="killer"), 2.0)
+        self.assertEqual(
+            refusals(decided),
+            {"waiting": "SUSPECT_REFUSED", "new": "SUSPECT_REFUSED"},
+        )
+
+    def test_expired_records_are_dropped(self):
+        """Guards against records that gossip keeps alive for ever."""
+        board = scheduling_board()
+        old = rows.CrashRow("old", ("x",), True, 4.0)
+        far = rows.CrashRow("far", ("x",), True, 1e9)
+        self.assertEqual(len(merge_crashes(board, [old, far], 5.0)), 1)
+        self.assertLess(board.crashes_by_fingerprint["far"].deadline, 5.0 + 3600)
+        feed(board, events.TimerFired("scheduling"), 5000.0)
+        self.assertEqual(board.crashes_by_fingerprint, {})
+
+
+class WithdrawnTest(unittest.TestCase):
+    def test_old_withdrawal_keeps_a_newer_ask(self):
+        """Guards against reordered messages that remove a waiting request."""
+        board = scheduling_board(engine_count=1)
+        feed(board, ask("moved", attempt=2), 1.0)
+        withdrawn = messages.AskWithdrawn("entry-2", "moved", 1, "quotes/region-1/0")
+        feed(board, withdrawn, 1.1)
+        self.assertTrue(
+            {"moved"}
+            & (board.asks_by_request_id.keys() | board.grants_by_request_id.keys())
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
