Leave a scheduler that does not answer before membership does

Requests that wait in a scheduler's queue stayed there after it died until membership declared it dead, because a queued ask has no timeout. An entry now checks 0.2 s after each progress report that the scheduler answered, reports again, and after three unanswered messages over at least 0.4 s moves all waiting and running requests of that scheduler to the next candidate and passes it over for 10 s. Running requests are reported to the new scheduler at once, waiting asks are withdrawn from the old one.

Further faults of the fall-back path that were found on the way: a refusal of a former scheduler ended a request that waited at the new one; NO_UPSTREAM of an entry with an older list of VMs ended a request that others could place; a second grant for the same upstream from another scheduler was kept and not returned; a request stayed in a cell that no longer exists; a node that schedules in place of a silent one did not read the load of the engines.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -25,6 +25,7 @@
     probes_by_sequence: dict[int, rows.ProbeRow]
     probe_round_by_node_id: dict[str, rows.ProbeRoundRow]
     schedulers_by_cell_id: dict[str, tuple[str, ...]]
+    scheduler_contacts_by_id: dict[str, rows.SchedulerContactRow]
     asks_by_request_id: dict[str, rows.AskRow]
     grants_by_request_id: dict[str, rows.GrantRow]
     crashes_by_fingerprint: dict[str, rows.CrashRow]
@@ -77,6 +78,7 @@
         probes_by_sequence={},
         probe_round_by_node_id={},
         schedulers_by_cell_id={},
+        scheduler_contacts_by_id={},
         asks_by_request_id={},
         grants_by_request_id={},
         crashes_by_fingerprint={},
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -11,7 +11,17 @@
 from carawayhitch.core import actions, events, messages, result_codes, rows
 
 ASK_LIMIT = 6
+# A lost datagram or a short stall must not move a cell, but a dead scheduler must be
+# left before membership declares it dead: it is left after this many unanswered
+# messages over at least this time.
+UNANSWERED_LIMIT = 3
+SILENCE_SECONDS = 0.4
+CHECK_INTERVAL_SECONDS = 0.2
+# Membership takes about 6 s to declare a scheduler dead. If it is still a member after
+# this time, it is asked again.
+AVOID_SECONDS = 10.0
 PROGRESS_TIMER = "progress"
+CHECK_TIMER = "scheduler_check"
 WAITING_PHASES = frozenset({"asking"})
 GRANTED_PHASES = frozenset({"claiming", "opening", "relaying"})
 
@@ -26,14 +36,55 @@
     return random.choice(nearby) if nearby else None
 
 
-def choose_scheduler(board: Board, cell_id: str, ask_count: int) -> str:
-    """Return the entry to ask; repeated asks move on in the order of failover."""
-    candidates = board.schedulers_by_cell_id.get(cell_id) or (board.node_id,)
+def choose_scheduler(board: Board, cell_id: str, ask_count: int, now: float) -> str:
+    """Return the entry to ask; repeated asks move on in the order of failover.
+
+    Entries that left several messages unanswered are passed over for a while. When no
+    candidate is left, the node schedules for itself.
+    """
+    candidates = [
+        candidate
+        for candidate in board.schedulers_by_cell_id.get(cell_id, ())
+        if not _is_avoided(board, candidate, now)
+    ]
     if ask_count >= len(candidates):
         return board.node_id
     return candidates[ask_count]
 
 
+def _is_avoided(board: Board, scheduler_id: str, now: float) -> bool:
+    contact = board.scheduler_contacts_by_id.get(scheduler_id)
+    return contact is not None and now < contact.avoid_deadline
+
+
+def _note_answer(board: Board, scheduler_id: str) -> None:
+    board.scheduler_contacts_by_id.pop(scheduler_id, None)
+
+
+def _note_silence(board: Board, scheduler_id: str, now: float) -> Actions:
+    """Count a message without an answer; at the limit, leave the scheduler."""
+    if scheduler_id == board.node_id:
+        return ()
+    contacts = board.scheduler_contacts_by_id
+    contact = contacts.get(scheduler_id)
+    if contact is None:
+        contact = rows.SchedulerContactRow(scheduler_id, silent_since=now)
+    contact = contact._replace(unanswered_count=contact.unanswered_count + 1)
+    contacts[scheduler_id] = contact
+    if (
+        contact.unanswered_count < UNANSWERED_LIMIT
+        or now - contact.silent_since < SILENCE_SECONDS
+        or now < contact.avoid_deadline
+    ):
+        return ()
+    contacts[scheduler_id] = contact._replace(avoid_deadline=now + AVOID_SECONDS)
+    fields = {"scheduler": scheduler_id, "unanswered": contact.unanswered_count}
+    return (
+        actions.Log("warning", "scheduler does not answer", fields),
+        *_follow_schedulers(board, now),
+    )
+
+
 def end_request(
     row: rows.RequestRow,
     code: result_codes.ResultCode,
@@ -94,7 +145,7 @@
     cell = choose_cell(board, row.group, random)
     if cell is None:
         return end_request(row, result_codes.NO_UPSTREAM, retry_after=1.0)
-    scheduler_id = choose_scheduler(board, cell.cell_id, 0)
+    scheduler_id = choose_scheduler(board, cell.cell_id, 0, now)
     row = row._replace(
         phase="asking", cell_id=cell.cell_id, scheduler_id=scheduler_id, ask_count=0
     )
@@ -108,21 +159,45 @@
     row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
     if row is None or row.queued or row.ask_count != event.ask_count:
         return ()
+    if now < row.ask_deadline:
+        # The request was asked again since, of another scheduler.
+        return ()
+    decided = _note_silence(board, row.scheduler_id, now)
+    moved = board.requests_by_id[row.request_id]
+    if moved.scheduler_id != row.scheduler_id:
+        return (actions.Count(result_codes.RETRY_ASK, row.rank), *decided)
+    return (*decided, *_ask_other(board, row, now))
+
+
+def _ask_other(board: Board, row: rows.RequestRow, now: float) -> Actions:
+    """Ask the next candidate, or end the request after the last one."""
     ask_count = row.ask_count + 1
     if ask_count >= ASK_LIMIT:
         return end_request(row, result_codes.SCHEDULER_UNAVAILABLE, retry_after=1.0)
-    scheduler_id = choose_scheduler(board, row.cell_id, ask_count)
-    row = row._replace(scheduler_id=scheduler_id, ask_count=ask_count)
+    scheduler_id = choose_scheduler(board, row.cell_id, ask_count, now)
+    moved = row._replace(scheduler_id=scheduler_id, ask_count=ask_count)
     return (
         actions.Count(result_codes.RETRY_ASK, row.rank),
-        *_ask(board, row, now),
+        *_withdraw(board, row, scheduler_id),
+        *_ask(board, moved, now),
+    )
+
+
+def _withdraw(board: Board, row: rows.RequestRow, next_id: str) -> Actions:
+    """Withdraw an ask from a scheduler that is slow rather than dead."""
+    if row.scheduler_id == next_id:
+        return ()
+    withdrawn = messages.AskWithdrawn(
+        board.node_id, row.request_id, row.attempt, row.cell_id
     )
+    return (actions.Send(row.scheduler_id, withdrawn),)
 
 
 @decide.register(messages.AdmissionQueued)
 def _note_queued(
     event: messages.AdmissionQueued, board: Board, now: float, random: Random
 ) -> Actions:
+    _note_answer(board, event.sender_id)
     row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
     if row is not None and row.scheduler_id == event.sender_id:
         board.requests_by_id[row.request_id] = row._replace(queued=True)
@@ -133,6 +208,7 @@
 def _use_grant(
     event: messages.AdmissionGrant, board: Board, now: float, random: Random
 ) -> Actions:
+    _note_answer(board, event.sender_id)
     row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
     if row is None:
         return _return_grant(event, board)
@@ -160,6 +236,7 @@
         current is not None
         and current.attempt == event.attempt
         and current.upstream_id == event.upstream_id
+        and current.scheduler_id == event.sender_id
     ):
         return ()
     finished = messages.Finished(
@@ -178,9 +255,13 @@
 def _refuse(
     event: messages.AdmissionRefusal, board: Board, now: float, random: Random
 ) -> Actions:
+    _note_answer(board, event.sender_id)
     row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
-    if row is None:
+    if row is None or row.scheduler_id != event.sender_id:
         return ()
+    if event.code == result_codes.NO_UPSTREAM and event.sender_id != board.node_id:
+        # The scheduler may have an older list of VMs than this entry.
+        return _ask_other(board, row, now)
     return end_request(row, event.code, event.retry_after)
 
 
@@ -245,13 +326,43 @@
 def _send_progress(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
+    if event.name == CHECK_TIMER:
+        return _check_scheduler(board, event.subject, now)
     if event.name != PROGRESS_TIMER:
         return ()
-    sent = [
-        actions.Send(scheduler_id, message)
-        for scheduler_id, message in progress_messages(board)
+    decided = list(_follow_schedulers(board, now))
+    for scheduler_id, message in progress_messages(board):
+        decided.append(actions.Send(scheduler_id, message))
+    awaited = dict.fromkeys(row.scheduler_id for row in board.requests_by_id.values())
+    for scheduler_id in awaited:
+        if scheduler_id and scheduler_id != board.node_id:
+            decided.extend(_await_answer(board, scheduler_id, now))
+    return (*decided, _next_progress(board, now))
+
+
+def _await_answer(board: Board, scheduler_id: str, now: float) -> Actions:
+    """Note that a scheduler owes an answer, which removes the note."""
+    board.scheduler_contacts_by_id.setdefault(
+        scheduler_id, rows.SchedulerContactRow(scheduler_id, silent_since=now)
+    )
+    timer = events.TimerFired(CHECK_TIMER, scheduler_id)
+    return (actions.SetTimer(now + CHECK_INTERVAL_SECONDS, timer),)
+
+
+def _check_scheduler(board: Board, scheduler_id: str, now: float) -> Actions:
+    """Report again to a scheduler that owes an answer, or leave it."""
+    contact = board.scheduler_contacts_by_id.get(scheduler_id)
+    if contact is None or now < contact.avoid_deadline:
+        return ()
+    left = _note_silence(board, scheduler_id, now)
+    reports = [
+        actions.Send(receiver_id, message)
+        for receiver_id, message in progress_messages(board)
+        if receiver_id == scheduler_id
     ]
-    return (*sent, _next_progress(board, now))
+    if left or not reports:
+        return left
+    return (*reports, *_await_answer(board, scheduler_id, now))
 
 
 def progress_messages(board: Board) -> list[tuple[str, messages.Progress]]:
@@ -301,10 +412,13 @@
 def _ask_again(
     event: messages.ProgressAck, board: Board, now: float, random: Random
 ) -> Actions:
+    _note_answer(board, event.sender_id)
     decided: list[actions.Action] = []
     for request_id in event.unknown_request_ids:
         row = board.requests_by_id.get(request_id)
-        if row is not None and row.phase in WAITING_PHASES:
+        if row is None or row.scheduler_id != event.sender_id:
+            continue
+        if row.phase in WAITING_PHASES:
             decided.extend(_ask(board, row, now))
     return decided
 
@@ -322,18 +436,47 @@
     )
     board.schedulers_by_cell_id.clear()
     board.schedulers_by_cell_id.update(derived)
-    decided: list[actions.Action] = []
+    decided = list(_follow_schedulers(board, now))
     for row in list(board.requests_by_id.values()):
-        decided.extend(_follow_scheduler(board, row, now))
+        if row.scheduler_id and row.phase in WAITING_PHASES:
+            decided.extend(_leave_old_cell(board, row, random))
     return decided
 
 
-def _follow_scheduler(board: Board, row: rows.RequestRow, now: float) -> Actions:
-    candidates = board.schedulers_by_cell_id.get(row.cell_id)
-    if not row.scheduler_id or not candidates or candidates[0] == row.scheduler_id:
+def _leave_old_cell(board: Board, row: rows.RequestRow, random: Random) -> Actions:
+    """Place a waiting request again if its cell is gone and the group has another."""
+    if row.cell_id in board.cells_by_id or not choose_cell(board, row.group, random):
         return ()
-    moved = row._replace(scheduler_id=candidates[0], ask_count=0)
-    board.requests_by_id[row.request_id] = moved
-    if row.phase in WAITING_PHASES:
-        return _ask(board, moved, now)
-    return ()
+    return (
+        *_withdraw(board, row, ""),
+        actions.Emit(events.RequestAdmitted(row.request_id)),
+    )
+
+
+def _follow_schedulers(board: Board, now: float) -> Actions:
+    """Move every request to the scheduler that its cell has now.
+
+    Running requests are reported to a new scheduler at once, so that it knows what
+    the upstreams carry before it grants more.
+    """
+    decided: list[actions.Action] = []
+    changed: set[tuple[str, str]] = set()
+    for row in list(board.requests_by_id.values()):
+        if not row.scheduler_id or row.cell_id not in board.schedulers_by_cell_id:
+            continue
+        scheduler_id = choose_scheduler(board, row.cell_id, 0, now)
+        if scheduler_id == row.scheduler_id:
+            continue
+        moved = row._replace(scheduler_id=scheduler_id, ask_count=0)
+        board.requests_by_id[row.request_id] = moved
+        if row.phase in WAITING_PHASES:
+            decided.extend(_withdraw(board, row, scheduler_id))
+            decided.extend(_ask(board, moved, now))
+        else:
+            changed.add((scheduler_id, row.cell_id))
+    reports = [
+        actions.Send(scheduler_id, message)
+        for scheduler_id, message in progress_messages(board)
+        if (scheduler_id, message.cell_id) in changed
+    ]
+    return (*reports, *decided)
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -50,11 +50,17 @@
 
 
 def upstreams_to_poll(board: Board) -> list[rows.UpstreamRow]:
-    """Return the engines of the cells that this node schedules."""
+    """Return the engines of the cells that this node schedules.
+
+    A node also schedules a cell while entries ask it in place of one that is silent.
+    """
     found: dict[str, rows.UpstreamRow] = {}
+    asked_cell_ids = {row.cell_id for row in board.asks_by_request_id.values()}
+    asked_cell_ids.update(row.cell_id for row in board.grants_by_request_id.values())
     for cell in board.cells_by_id.values():
         schedulers = board.schedulers_by_cell_id.get(cell.cell_id)
-        if not schedulers or schedulers[0] != board.node_id:
+        first = schedulers[0] if schedulers else ""
+        if first != board.node_id and cell.cell_id not in asked_cell_ids:
             continue
         for upstream_id in cell.upstream_ids:
             upstream = board.upstreams_by_id.get(upstream_id)
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -197,6 +197,26 @@
     tick_deadline: float
 
 
+class SchedulerContactRow(NamedTuple):
+    """How reliably a scheduler answers this entry.
+
+    Parameters
+    ----------
+    silent_since : float
+        Time at which the first message counted as unanswered (seconds of the node
+        clock).
+    unanswered_count : int
+        Asks and progress messages without an answer since its last one.
+    avoid_deadline : float
+        Time until which others are asked instead (seconds of the node clock).
+    """
+
+    scheduler_id: str
+    silent_since: float
+    unanswered_count: int = 0
+    avoid_deadline: float = 0.0
+
+
 class AskRow(NamedTuple):
     """A request that waits at the scheduler of its cell."""
 
