--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -28,9 +28,10 @@
 )
 from carawayhitch.controllers._chain import run_chain
 from carawayhitch.controllers._controller import Actions, combine
+from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions
 
-__all__ = ["CONTROLLERS", "Actions", "decide", "decide_chain"]
+__all__ = ["CONTROLLERS", "Actions", "decide", "decide_chain", "merge_crashes"]
 
 # Suspects read the grants of a failed upstream before scheduling removes them.
 # Admission removes the row of an ended request, so it runs after every controller
