--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -20,6 +20,7 @@
 from fakes.engine_model import EngineLimits, EngineModel
 
 LENGTH_HINT = re.compile(r"length=(\d+)")
+PADDING_HINT = re.compile(r"padding=(\d+)")
 KEPT_SECONDS = 30.0
 PREFIX_BLOCK_BYTES = 256
 
@@ -30,6 +31,7 @@
     def __init__(self, generation_id: str, streamed: bool) -> None:
         self.generation_id = generation_id
         self.streamed = streamed
+        self.padding = ""
         self.events: list[bytes] = []
         self.finished = False
         self.changed = asyncio.Event()
@@ -55,6 +57,8 @@
         self.cancelled_count = 0
         self.leaving = False
         self.stalled = False
+        self.silent = False
+        self.answer_faults: list[str] = []
         self.crash_text = ""
         self.fencing_enforced = True
         self.fencing_number = 0
@@ -111,7 +115,8 @@
         index = len(stream.events) + 1
         choice = {"index": 0, "text": f"{generation_id}:{index} "}
         choice["finish_reason"] = "stop" if finished else None
-        body = json.dumps({"id": generation_id, "choices": [choice]})
+        event = {"id": generation_id, "choices": [choice], "padding": stream.padding}
+        body = json.dumps(event)
         stream.append(f"id: {index}\ndata: {body}\n\n".encode())
         if finished:
             stream.append(f"id: {index + 1}\ndata: [DONE]\n\n".encode(), True)
@@ -142,6 +147,8 @@
         limit = body.get("max_completion_tokens") or body.get("max_tokens") or length
         self.started_count += 1
         stream = Stream(generation_id, bool(body.get("stream")))
+        padding = PADDING_HINT.search(prompt_text)
+        stream.padding = "x" * int(padding[1]) if padding else ""
         self.streams_by_id[generation_id] = stream
         self.model.add(
             generation_id,
@@ -151,6 +158,8 @@
             _prefix_blocks(prompt_text.encode()),
         )
         self._wake.set()
+        while self.silent:
+            await asyncio.sleep(0.02)
         if stream.streamed:
             return await self._send_stream(request, stream, 0)
         return await self._send_whole(request, stream)
@@ -175,6 +184,9 @@
             "usage": {"completion_tokens": token_count},
         }
         self._forget(stream.generation_id)
+        if self.answer_faults:
+            fault = self.answer_faults.pop(0)
+            await _send_faulty(request, stream.generation_id, answer, fault)
         headers = {"X-Generation-Id": stream.generation_id}
         return web.json_response(answer, headers=headers)
 
@@ -271,13 +283,24 @@
         return web.json_response({"orders": self.orders})
 
     async def inject(self, request: web.Request) -> web.Response:
-        """Inject a fault: leaving, stall, unstall, crash_on, fencing."""
+        """Inject a fault.
+
+        Names are leaving, stall, unstall, silent, speak, forget, answers (see
+        `_send_faulty`), crash_on and fencing.
+        """
         fault = request.match_info["fault"]
         body = await request.json() if request.can_read_body else {}
         if fault == "leaving":
             self.leaving = True
         elif fault in ("stall", "unstall"):
             self.stalled = fault == "stall"
+        elif fault in ("silent", "speak"):
+            self.silent = fault == "silent"
+        elif fault == "forget":
+            for generation_id in list(self.streams_by_id):
+                self._forget(generation_id)
+        elif fault == "answers":
+            self.answer_faults = list(body["faults"])
         elif fault == "crash_on":
             self.crash_text = body["text"]
         elif fault == "fencing":
@@ -300,6 +323,43 @@
         )
 
 
+async def _send_faulty(
+    request: web.Request, generation_id: str, answer: dict[str, Any], fault: str
+) -> None:
+    """Write a faulty whole answer past the library and close the connection.
+
+    ``cut`` ends in the middle, ``unframed`` as well but without a declared length,
+    ``short_length`` declares too little, ``invalid`` is no JSON, ``foreign`` carries
+    the body of another generation, ``leftover`` is followed by a second answer.
+    """
+    transport = request.transport
+    assert transport is not None
+    body = json.dumps(answer).encode()
+    other = json.dumps({**answer, "id": "g-other"}).encode()
+    whole = _raw_answer(generation_id, body, len(body))
+    written = {
+        "cut": whole[: -len(body) // 2],
+        "unframed": _raw_answer(generation_id, body, None)[: -len(body) // 2],
+        "short_length": _raw_answer(generation_id, body, len(body) - 5),
+        "invalid": _raw_answer(generation_id, body[:-2], len(body) - 2),
+        "foreign": _raw_answer(generation_id, other, len(other)),
+        "leftover": whole,
+    }
+    transport.write(written[fault])
+    if fault == "leftover":
+        await asyncio.sleep(0.05)
+        transport.write(_raw_answer("g-other", other, len(other)))
+        await asyncio.sleep(KEPT_SECONDS)
+    transport.close()
+
+
+def _raw_answer(generation_id: str, body: bytes, length: int | None) -> bytes:
+    head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    head += f"X-Generation-Id: {generation_id}\r\n"
+    head += f"Content-Length: {length}\r\n" if length is not None else ""
+    return head.encode() + b"\r\n" + body
+
+
 def _prefix_blocks(text: bytes, limit: int = 16) -> tuple[str, ...]:
     blocks: list[str] = []
     chained = b""
--- /dev/null
+++ b/fakes/naive_relay.py
@@ -0,0 +1,68 @@
+"""Naive relay as a baseline: copies bytes and repeats a failed call elsewhere.
+
+It shows which promises break without the checks of an entry: it resumes no stream,
+reuses connections, and cannot tell a cut answer from a complete one.
+"""
+
+from __future__ import annotations
+
+import argparse
+
+import aiohttp
+from aiohttp import web
+
+
+class NaiveRelay:
+    """One relay before several upstreams."""
+
+    def __init__(self, upstream_ports: list[int]) -> None:
+        self.upstream_ports = upstream_ports
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application()
+        application.add_routes([web.route("*", "/{path:.*}", self.relay)])
+        application.cleanup_ctx.append(self._open_session)
+        return application
+
+    async def _open_session(self, application: web.Application):  # type: ignore
+        async with aiohttp.ClientSession() as self.session:
+            yield
+
+    async def relay(self, request: web.Request) -> web.StreamResponse:
+        """Copy an answer; after a failure go on with the next upstream."""
+        body = await request.read()
+        answer: web.StreamResponse | None = None
+        for port in self.upstream_ports:
+            url = f"http://127.0.0.1:{port}{request.path}"
+            try:
+                async with self.session.request(
+                    request.method, url, data=body
+                ) as found:
+                    if answer is None:
+                        answer = web.StreamResponse(status=found.status)
+                        await answer.prepare(request)
+                    async for part in found.content.iter_any():
+                        await answer.write(part)
+                    break
+            except aiohttp.ClientError:
+                continue
+        return answer or web.Response(status=502)
+
+
+def main() -> None:
+    """Serve one relay."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--upstream-ports", type=int, nargs="+", required=True)
+    arguments = parser.parse_args()
+    web.run_app(
+        NaiveRelay(arguments.upstream_ports).application(),
+        host="127.0.0.1",
+        port=arguments.port,
+        print=lambda *_: None,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/fakes/plain_service.py
+++ b/fakes/plain_service.py
@@ -20,6 +20,7 @@
         self.runs_by_key: Counter[str] = Counter()
         self.delay_seconds = 0.0
         self.cut_answers = 0
+        self.cut_inside = False
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -44,16 +45,22 @@
         if self.cut_answers > 0:
             self.cut_answers -= 1
             assert request.transport is not None
+            if self.cut_inside:
+                request.transport.write(
+                    b'HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n{"path": '
+                )
+                await asyncio.sleep(0.05)
             request.transport.abort()
         return web.json_response(
             {"path": request.path, "run": run_number, "body": body}
         )
 
     async def inject(self, request: web.Request) -> web.Response:
-        """Set faults: ``delay_seconds``, ``cut_answers``."""
+        """Set faults: ``delay_seconds``, ``cut_answers``, ``cut_inside``."""
         faults = await request.json()
         self.delay_seconds = faults.get("delay_seconds", self.delay_seconds)
         self.cut_answers = faults.get("cut_answers", self.cut_answers)
+        self.cut_inside = faults.get("cut_inside", self.cut_inside)
         return web.json_response(faults)
 
     async def runs(self, request: web.Request) -> web.Response:
