--- a/src/carawayhitch/backends/_calls.py
+++ b/src/carawayhitch/backends/_calls.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 import aiohttp
 
+from carawayhitch.core import errors, events, result_codes
 from carawayhitch.core import settings as settings_types
 
 Submit = Callable[[Any], None]
@@ -25,6 +27,10 @@
 class Caller(Protocol):
     """The caller's side of a call."""
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the caller has not taken enough of what was written."""
+
     async def writable(self) -> None:
         """Wait until the caller has taken enough of what was written."""
 
@@ -46,3 +52,39 @@
     session: aiohttp.ClientSession
     settings: settings_types.Settings
     submit: Submit
+
+
+def failure(
+    call: UpstreamCall, kind: events.FailureKind, sent: bool, detail: object = ""
+) -> events.UpstreamCallFailed:
+    """Return the event of a failed attempt."""
+    return events.UpstreamCallFailed(
+        call.request_id, call.attempt, kind, sent, str(detail)[:200]
+    )
+
+
+async def read_body(call: UpstreamCall, response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body of an answer.
+
+    Raises
+    ------
+    MalformedMessageError
+        If nothing in the answer tells where its body ends: a cut would look complete.
+    TimeoutError
+        If no byte arrives for the stall timeout.
+    """
+    has_body = response.method != "HEAD" and response.status not in (204, 304)
+    framing = response.headers.get("Transfer-Encoding", "").lower()
+    if has_body and "Content-Length" not in response.headers and framing != "chunked":
+        raise errors.MalformedMessageError(
+            result_codes.ANSWER_TRUNCATED,
+            "answer with neither Content-Length nor chunked Transfer-Encoding",
+        )
+    stall_timeout = call.settings.streams.stall_timeout_seconds
+    loop = asyncio.get_running_loop()
+    parts: list[bytes] = []
+    async with asyncio.timeout(stall_timeout) as limit:
+        async for part in response.content.iter_any():
+            parts.append(part)
+            limit.reschedule(loop.time() + stall_timeout)
+    return b"".join(parts)
--- a/src/carawayhitch/backends/_engines.py
+++ b/src/carawayhitch/backends/_engines.py
@@ -2,26 +2,19 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import aiohttp
 
-from carawayhitch.backends._calls import UpstreamCall
+from carawayhitch.backends._calls import UpstreamCall, failure, read_body
 from carawayhitch.codecs import answer_token_count, engine_body, split_events
-from carawayhitch.core import actions, errors, events
+from carawayhitch.core import actions, errors, events, result_codes
 
 REFUSED_STATUSES = frozenset({429, 503})
 STREAM_CONTENT_TYPE = "text/event-stream"
 GENERATION_HEADER = "X-Generation-Id"
 
 
-def failure(
-    call: UpstreamCall, kind: events.FailureKind, sent: bool, detail: object = ""
-) -> events.UpstreamCallFailed:
-    """Return the event of a failed attempt."""
-    return events.UpstreamCallFailed(
-        call.request_id, call.attempt, kind, sent, str(detail)[:200]
-    )
-
-
 async def run_generation(call: UpstreamCall, action: actions.OpenUpstream) -> None:
     """Send a generation to an engine and submit what it answers."""
     url = f"http://{action.address}{call.content.path}"
@@ -31,15 +24,21 @@
         async with call.session.post(url, data=body, headers=headers) as response:
             if response.status in REFUSED_STATUSES:
                 call.submit(failure(call, "refused", False, response.status))
+            elif response.status >= 500:
+                call.submit(failure(call, "link_lost", True, response.status))
             elif response.content_type == STREAM_CONTENT_TYPE:
-                await _relay(call, response)
+                await _relay(call, response, action.address)
             else:
                 await _read_whole(call, response)
     except aiohttp.ClientConnectorError as error:
         call.submit(failure(call, "connect", False, error))
     except aiohttp.ConnectionTimeoutError as error:
         call.submit(failure(call, "connect", False, error))
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except aiohttp.ClientPayloadError as error:
+        call.submit(failure(call, "truncated", True, error))
+    except TimeoutError as error:
+        call.submit(failure(call, "stalled", True, error))
+    except (aiohttp.ClientError, OSError) as error:
         call.submit(failure(call, "link_lost", True, error))
 
 
@@ -49,10 +48,12 @@
     headers = {"Last-Event-ID": str(action.last_sequence)}
     try:
         async with call.session.get(url, headers=headers) as response:
-            if response.status != 200:
+            if response.status in (404, 410):
                 call.submit(failure(call, "generation_gone", True, response.status))
+            elif response.status != 200:
+                call.submit(failure(call, "connect", True, response.status))
             else:
-                await _relay(call, response)
+                await _relay(call, response, action.address)
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         call.submit(failure(call, "connect", True, error))
 
@@ -71,44 +72,46 @@
         return
 
 
-async def _relay(call: UpstreamCall, response: aiohttp.ClientResponse) -> None:
+async def _relay(
+    call: UpstreamCall, response: aiohttp.ClientResponse, address: str
+) -> None:
     generation_id = response.headers.get(GENERATION_HEADER, "")
-    call.submit(
+    submit, caller = call.submit, call.caller
+    submit(
         events.UpstreamOpened(
-            call.request_id, call.attempt, generation_id, STREAM_CONTENT_TYPE
+            call.request_id, call.attempt, generation_id, STREAM_CONTENT_TYPE, address
         )
     )
+    received_chunk = partial(events.ChunkReceived, call.request_id, call.attempt)
     pending = b""
     try:
         async for received in response.content.iter_any():
-            block, pending = split_events(pending + received)
+            block, pending = split_events(pending + received if pending else received)
             if block is None:
                 continue
-            await call.caller.writable()
-            call.submit(
-                events.ChunkReceived(
-                    call.request_id,
-                    call.attempt,
-                    block.first_sequence,
-                    block.last_sequence,
-                    block.data,
-                )
-            )
+            submit(received_chunk(*block))
             if block.is_final:
-                call.submit(events.StreamEnded(call.request_id, call.attempt))
+                submit(events.StreamEnded(call.request_id, call.attempt))
                 return
+            if caller.is_paused:
+                submit(events.CallerPaused(call.request_id))
+                await caller.writable()
+                submit(events.CallerResumed(call.request_id))
     except errors.MalformedMessageError as error:
-        call.submit(failure(call, "truncated", True, error.message))
+        submit(failure(call, "truncated", True, error.message))
         return
-    call.submit(failure(call, "link_lost", True, "closed before the final event"))
+    submit(failure(call, "link_lost", True, "closed before the final event"))
 
 
 async def _read_whole(call: UpstreamCall, response: aiohttp.ClientResponse) -> None:
-    body = await response.read()
     try:
-        token_count = answer_token_count(body)
+        body = await read_body(call, response)
+        generation_id = response.headers.get(GENERATION_HEADER, "")
+        token_count = answer_token_count(body, generation_id)
     except errors.MalformedMessageError as error:
-        call.submit(failure(call, "truncated", True, error.message))
+        foreign = error.code is result_codes.ANSWER_FOREIGN
+        kind: events.FailureKind = "foreign" if foreign else "truncated"
+        call.submit(failure(call, kind, True, error.message))
         return
     call.submit(
         events.AnswerReceived(
--- a/src/carawayhitch/backends/_plain_services.py
+++ b/src/carawayhitch/backends/_plain_services.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import aiohttp
+from yarl import URL
 
-from carawayhitch.backends._calls import UpstreamCall
-from carawayhitch.backends._engines import failure
-from carawayhitch.core import actions, events, rows
+from carawayhitch.backends._calls import UpstreamCall, failure, read_body
+from carawayhitch.core import actions, errors, events, rows
 
 
 async def run_service_call(
@@ -17,7 +17,9 @@
 ) -> None:
     """Send a call to a plain service and submit its whole answer."""
     query = f"?{call.content.query}" if call.content.query else ""
-    url = f"http://{action.address}{target.path}{query}"
+    # Sent as received: a normalized path could name another call than the one whose
+    # idempotency was looked up.
+    url = URL(f"http://{action.address}{target.path}{query}", encoded=True)
     headers = {"Content-Type": call.content.content_type}
     if idempotency_key:
         headers["Idempotency-Key"] = idempotency_key
@@ -29,7 +31,7 @@
             headers=headers,
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            body = await read_body(call, response)
             call.submit(
                 events.AnswerReceived(
                     call.request_id,
@@ -43,5 +45,9 @@
         call.submit(failure(call, "connect", False, error))
     except aiohttp.ConnectionTimeoutError as error:
         call.submit(failure(call, "connect", False, error))
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except (errors.MalformedMessageError, aiohttp.ClientPayloadError) as error:
+        call.submit(failure(call, "truncated", True, error))
+    except TimeoutError as error:
+        call.submit(failure(call, "stalled", True, error))
+    except (aiohttp.ClientError, OSError) as error:
         call.submit(failure(call, "link_lost", True, error))
--- a/src/carawayhitch/codecs/_calls.py
+++ b/src/carawayhitch/codecs/_calls.py
@@ -159,16 +159,17 @@
 class AnswerBody(TypedDict, total=False):
     """Fields of an engine's whole answer that the entry reads."""
 
+    id: str
     usage: UsageBody | None
 
 
-def answer_token_count(body: bytes) -> int:
+def answer_token_count(body: bytes, generation_id: str) -> int:
     """Return the tokens that an engine's whole answer reports.
 
     Raises
     ------
     MalformedMessageError
-        If the answer is not complete JSON.
+        If the answer is not complete JSON or not of the generation in its header.
     """
     try:
         answer = msgspec.json.decode(body, type=AnswerBody)
@@ -176,5 +177,10 @@
         raise errors.MalformedMessageError(
             result_codes.ANSWER_TRUNCATED, f"engine answer: {error}"
         ) from None
+    if generation_id and answer.get("id", generation_id) != generation_id:
+        raise errors.MalformedMessageError(
+            result_codes.ANSWER_FOREIGN,
+            f"engine answer: body is of {answer['id']!r}, header of {generation_id!r}",
+        )
     usage = answer.get("usage")
     return usage.get("completion_tokens", 0) if usage else 0
--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -95,6 +95,48 @@
     )
 
 
+@decide.register(events.ResumeReceived)
+def _admit_resume(
+    event: events.ResumeReceived, board: Board, now: float, random: Random
+) -> Actions:
+    # The generation was admitted at the entry that started it and still runs at its
+    # engine, so a resume is checked but neither placed nor queued again.
+    refusal = find_refusal(board)
+    if refusal is not None:
+        return refuse(event.request_id, refusal)
+    configuration = board.configuration
+    assert configuration is not None
+    account = configuration.accounts_by_token_sha256.get(event.token_sha256)
+    if account is None:
+        return refuse(event.request_id, result_codes.UNKNOWN_ACCOUNT)
+    if account.name != event.account:
+        return refuse(event.request_id, result_codes.RESUME_INVALID)
+    target = rows.ResumeTarget(
+        event.upstream_id, event.generation_id, event.last_sequence
+    )
+    board.requests_by_id[event.request_id] = rows.RequestRow(
+        request_id=event.request_id,
+        account=event.account,
+        group=event.group,
+        rank="",
+        binding="",
+        target=target,
+        fingerprint="",
+        body_sha256="",
+        idempotency_key="",
+        received_at=now,
+        deadline=now + board.settings.limits.default_deadline_seconds,
+        phase="opening",
+        upstream_id=event.upstream_id,
+        address=event.address,
+        generation_id=event.generation_id,
+        last_sequence=event.last_sequence,
+        token_count=event.last_sequence,
+        may_have_run=True,
+    )
+    return (actions.Emit(events.ResumeAdmitted(event.request_id)),)
+
+
 @decide.register(events.RequestEnded)
 def _remove_row(
     event: events.RequestEnded, board: Board, now: float, random: Random
--- a/src/carawayhitch/controllers/_lifecycle.py
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -29,8 +29,12 @@
     event: events.StopRequested, board: Board, now: float, random: Random
 ) -> Actions:
     lifecycle = board.lifecycle
-    if event.immediate or lifecycle.state == "stopped":
+    if event.immediate:
+        # Nothing waits for a deadline that has passed.
+        board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(deadline=now)
         return _stop(board)
+    if lifecycle.state == "stopped":
+        return ()
     if lifecycle.state in ("draining", "refusing"):
         return ()
     drain = board.settings.drain
@@ -52,9 +56,15 @@
     lifecycle = board.lifecycle
     if event.name == GRACE_TIMER and lifecycle.state == "draining":
         board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(state="refusing")
-        return () if board.requests_by_id else _stop(board)
+        closed = actions.CloseIdleConnections()
+        return (closed,) if board.requests_by_id else (closed, *_stop(board))
     if event.name == LIMIT_TIMER and lifecycle.state != "stopped":
-        return _stop(board)
+        fields = {
+            "limit_seconds": board.settings.drain.limit_seconds,
+            "open_requests": len(board.requests_by_id),
+        }
+        logged = actions.Log("warning", "drain limit reached", fields)
+        return (logged, *_stop(board))
     return ()
 
 
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -40,7 +40,13 @@
     retry_after: float = 0.0,
     message: str = "",
 ) -> Actions:
-    """Return the actions that end a request with an error answer."""
+    """Return the actions that end a request with an error answer.
+
+    A request that an earlier attempt sent to an upstream is never answered ``no``.
+    """
+    if row.may_have_run and code.ran == "no":
+        message = message or f"after an attempt that may have run: {code.meaning}"
+        code = result_codes.UPSTREAM_FAILED
     return (
         actions.RefuseCall(row.request_id, code, message or code.meaning, retry_after),
         actions.Emit(events.RequestEnded(row.request_id, False, code)),
--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -65,6 +65,7 @@
         generation_id="",
         scheduler_id="",
         token_count=0,
+        resume_count=0,
     )
     board.requests_by_id[row.request_id] = again
     delay = backoff_seconds(board, row.attempt, random)
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -7,16 +7,32 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._placement import end_request
-from carawayhitch.controllers._targets import is_idempotent
+from carawayhitch.controllers._targets import (
+    final_code,
+    first_byte_timeout,
+    is_streamed,
+)
 from carawayhitch.core import actions, events, result_codes, rows
 
+# Resumes without progress follow each other after 0, 0.1, 0.2, 0.4 and 0.8 s: long
+# enough for a link that comes back, short enough to tell the caller of a dead engine.
 RESUME_LIMIT = 5
+RESUME_DELAY_SECONDS = 0.1
 RESUME_CODES = {
     "stalled": result_codes.RESUME_STALLED,
     "link_lost": result_codes.RESUME_LINK_LOST,
     "truncated": result_codes.RESUME_LINK_LOST,
     "connect": result_codes.RESUME_LINK_LOST,
 }
+# Retry and final code of each kind of failure after the request was sent.
+CODES_AFTER_SENDING = {
+    "truncated": result_codes.ANSWER_TRUNCATED,
+    "foreign": result_codes.ANSWER_FOREIGN,
+    "stalled": result_codes.STALLED,
+}
+
+# An engine that is alive names a new generation within this time.
+CANCEL_LINGER_SECONDS = 5.0
 
 decide = new_controller()
 
@@ -35,7 +51,10 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None or row.phase != "claiming":
         return ()
-    board.requests_by_id[row.request_id] = row._replace(phase="opening")
+    board.requests_by_id[row.request_id] = row._replace(
+        phase="opening", last_chunk_at=now
+    )
+    deadline = now + first_byte_timeout(row.target, board.settings)
     return (
         actions.OpenUpstream(
             request_id=row.request_id,
@@ -43,8 +62,35 @@
             upstream_id=row.upstream_id,
             address=row.address,
             priority=row.priority,
-            fresh_connection=not is_idempotent(row.target),
+            # aiohttp reads bytes that arrive on an idle connection as the answer to
+            # the next call, so a late answer could reach another caller.
+            fresh_connection=True,
         ),
+        actions.SetTimer(deadline, events.StallCheck(row.request_id, row.attempt)),
+    )
+
+
+@decide.register(events.ResumeAdmitted)
+def _continue(
+    event: events.ResumeAdmitted, board: Board, now: float, random: Random
+) -> Actions:
+    row = board.requests_by_id.get(event.request_id)
+    if row is None:
+        return ()
+    row = row._replace(last_chunk_at=now)
+    board.requests_by_id[row.request_id] = row
+    check = events.StallCheck(row.request_id, row.attempt)
+    deadline = now + _silence_limit(board, row)
+    return (_resume_action(row), actions.SetTimer(deadline, check))
+
+
+def _resume_action(row: rows.RequestRow) -> actions.ResumeUpstream:
+    return actions.ResumeUpstream(
+        request_id=row.request_id,
+        attempt=row.attempt,
+        address=row.address,
+        generation_id=row.generation_id,
+        last_sequence=row.last_sequence,
     )
 
 
@@ -54,33 +100,14 @@
 ) -> Actions:
     row = _row(board, event.request_id, event.attempt)
     if row is None:
-        return (actions.CloseUpstream(event.request_id, cancel_generation=True),)
+        # The call ended before the engine named its generation.
+        return (actions.CancelGeneration(event.address, event.generation_id),)
     if row.generation_id and event.generation_id != row.generation_id:
-        return (
-            actions.CloseUpstream(row.request_id, cancel_generation=True),
-            *end_request(row, result_codes.STREAM_LOST),
-        )
+        return _give_up(board, row, "foreign", sent=True)
     board.requests_by_id[row.request_id] = row._replace(
-        phase="relaying",
-        generation_id=event.generation_id,
-        last_chunk_at=now,
-        response_started=True,
+        phase="relaying", generation_id=event.generation_id
     )
-    check = events.StallCheck(row.request_id, row.attempt)
-    deadline = now + board.settings.streams.stall_timeout_seconds
-    timer = actions.SetTimer(deadline, check)
-    if row.response_started:
-        return ()
-    started = actions.StartStream(
-        request_id=row.request_id,
-        upstream_id=row.upstream_id,
-        address=row.address,
-        generation_id=event.generation_id,
-        account=row.account,
-        group=row.group,
-        content_type=event.content_type,
-    )
-    return (started, timer)
+    return ()
 
 
 @decide.register(events.ChunkReceived)
@@ -94,11 +121,49 @@
         return _resume(board, row, result_codes.RESUME_LINK_LOST, now)
     board.requests_by_id[row.request_id] = row._replace(
         last_sequence=event.last_sequence,
-        token_count=event.last_sequence,
+        token_count=event.last_sequence - event.is_final,
         first_token_at=row.first_token_at or now,
         last_chunk_at=now,
+        resume_count=0,
+        response_started=True,
+    )
+    forwarded = actions.ForwardChunk(row.request_id, event.data)
+    if row.response_started:
+        return (forwarded,)
+    # The caller's headers name the generation, so they are sent with its first token:
+    # until then another generation may still take its place.
+    started = actions.StartStream(
+        request_id=row.request_id,
+        upstream_id=row.upstream_id,
+        address=row.address,
+        generation_id=row.generation_id,
+        account=row.account,
+        group=row.group,
+        content_type="text/event-stream",
     )
-    return (actions.ForwardChunk(row.request_id, event.data),)
+    return (started, forwarded)
+
+
+@decide.register(events.CallerPaused)
+def _pause(
+    event: events.CallerPaused, board: Board, now: float, random: Random
+) -> Actions:
+    row = board.requests_by_id.get(event.request_id)
+    if row is not None:
+        board.requests_by_id[row.request_id] = row._replace(paused_at=now)
+    return ()
+
+
+@decide.register(events.CallerResumed)
+def _unpause(
+    event: events.CallerResumed, board: Board, now: float, random: Random
+) -> Actions:
+    row = board.requests_by_id.get(event.request_id)
+    if row is not None:
+        board.requests_by_id[row.request_id] = row._replace(
+            paused_at=0.0, last_chunk_at=now
+        )
+    return ()
 
 
 @decide.register(events.StreamEnded)
@@ -130,43 +195,62 @@
     )
 
 
+def _silence_limit(board: Board, row: rows.RequestRow) -> float:
+    """Return how long the upstream may be silent at this point, in seconds."""
+    if row.last_sequence:
+        return board.settings.streams.stall_timeout_seconds
+    return first_byte_timeout(row.target, board.settings)
+
+
 @decide.register(events.StallCheck)
 def _check_stall(
     event: events.StallCheck, board: Board, now: float, random: Random
 ) -> Actions:
     row = _row(board, event.request_id, event.attempt)
-    if row is None or row.phase != "relaying":
+    if row is None or row.phase not in ("opening", "relaying"):
         return ()
-    stall_deadline = row.last_chunk_at + board.settings.streams.stall_timeout_seconds
-    if now < stall_deadline:
-        return (actions.SetTimer(stall_deadline, event),)
-    deadline = now + board.settings.streams.stall_timeout_seconds
+    limit = _silence_limit(board, row)
+    if row.paused_at:
+        # The entry itself does not read while the caller is slow, so silence says
+        # nothing about the link. The engine's memory is held for a limited time.
+        longest_pause = board.settings.streams.resume_lifetime_seconds
+        if now - row.paused_at >= longest_pause:
+            return (_close(row), *end_request(row, result_codes.CALLER_GONE))
+        return (actions.SetTimer(now + min(limit, longest_pause), event),)
+    if now < row.last_chunk_at + limit:
+        return (actions.SetTimer(row.last_chunk_at + limit, event),)
+    if not row.last_sequence:
+        return _give_up(board, row, "stalled", sent=True)
     resumed = _resume(board, row, result_codes.RESUME_STALLED, now)
-    return (*resumed, actions.SetTimer(deadline, event))
+    return (*resumed, actions.SetTimer(now + limit, event))
 
 
 def _resume(
     board: Board, row: rows.RequestRow, code: result_codes.ResultCode, now: float
 ) -> Actions:
     if row.resume_count >= RESUME_LIMIT or not row.generation_id:
-        return (
-            actions.CloseUpstream(row.request_id, cancel_generation=True),
-            *end_request(row, result_codes.STREAM_LOST),
-        )
-    board.requests_by_id[row.request_id] = row._replace(
-        resume_count=row.resume_count + 1, last_chunk_at=now
-    )
-    return (
+        return _give_up(board, row, "link_lost", sent=True)
+    row = row._replace(resume_count=row.resume_count + 1, last_chunk_at=now)
+    board.requests_by_id[row.request_id] = row
+    closed = (
         actions.Count(code, row.rank),
         actions.CloseUpstream(row.request_id, cancel_generation=False),
-        actions.ResumeUpstream(
-            request_id=row.request_id,
-            attempt=row.attempt,
-            address=row.address,
-            generation_id=row.generation_id,
-            last_sequence=row.last_sequence,
-        ),
     )
+    if row.resume_count == 1:
+        return (*closed, _resume_action(row))
+    due = events.ResumeDue(row.request_id, row.attempt, row.resume_count)
+    delay = RESUME_DELAY_SECONDS * 2 ** (row.resume_count - 2)
+    return (*closed, actions.SetTimer(now + delay, due))
+
+
+@decide.register(events.ResumeDue)
+def _resume_again(
+    event: events.ResumeDue, board: Board, now: float, random: Random
+) -> Actions:
+    row = _row(board, event.request_id, event.attempt)
+    if row is None or row.resume_count != event.resume_count:
+        return ()
+    return (_resume_action(row),)
 
 
 @decide.register(events.UpstreamCallFailed)
@@ -176,25 +260,51 @@
     row = _row(board, event.request_id, event.attempt)
     if row is None:
         return ()
-    if row.generation_id and event.kind in RESUME_CODES:
+    if _may_resume(row, event.kind):
         return _resume(board, row, RESUME_CODES[event.kind], now)
-    if row.last_sequence or event.kind == "generation_gone":
-        return end_request(row, result_codes.STREAM_LOST)
-    if event.sent and not is_idempotent(row.target):
-        return end_request(row, result_codes.OUTCOME_UNKNOWN)
-    code, final_code = _retry_codes(event)
-    retry = events.RetryRequested(row.request_id, code, final_code)
-    return (actions.Emit(retry),)
+    return _give_up(board, row, event.kind, event.sent)
+
+
+def _close(row: rows.RequestRow) -> actions.CloseUpstream:
+    unnamed = row.phase == "opening" and not row.generation_id
+    linger = CANCEL_LINGER_SECONDS if unnamed and is_streamed(row.target) else 0.0
+    return actions.CloseUpstream(row.request_id, True, linger)
+
+
+def _may_resume(row: rows.RequestRow, kind: events.FailureKind) -> bool:
+    if not row.generation_id or kind not in RESUME_CODES:
+        return False
+    # Before the first token another engine answers sooner than a second resume.
+    restartable = not row.last_sequence and final_code(row.target, True) is None
+    return not (restartable and row.resume_count)
+
+
+def _give_up(
+    board: Board, row: rows.RequestRow, kind: events.FailureKind, sent: bool
+) -> Actions:
+    """Return the actions that end an attempt, and start another one if allowed."""
+    row = row._replace(may_have_run=row.may_have_run or sent)
+    board.requests_by_id[row.request_id] = row
+    closed = _close(row)
+    code = (
+        result_codes.STREAM_LOST if row.last_sequence else final_code(row.target, sent)
+    )
+    if code is not None:
+        return (closed, *end_request(row, code))
+    retry_code, last_code = _retry_codes(kind, sent)
+    retry = events.RetryRequested(row.request_id, retry_code, last_code)
+    return (closed, actions.Emit(retry))
 
 
 def _retry_codes(
-    event: events.UpstreamCallFailed,
+    kind: events.FailureKind, sent: bool
 ) -> tuple[result_codes.ResultCode, result_codes.ResultCode]:
-    if event.kind == "refused":
+    if kind == "refused":
         return result_codes.RETRY_REFUSED, result_codes.UPSTREAM_REFUSED
-    if not event.sent:
+    if not sent:
         return result_codes.RETRY_CONNECT, result_codes.NO_UPSTREAM
-    return result_codes.RETRY_BEFORE_FIRST_TOKEN, result_codes.UPSTREAM_FAILED
+    last_code = CODES_AFTER_SENDING.get(kind, result_codes.UPSTREAM_FAILED)
+    return result_codes.RETRY_BEFORE_FIRST_TOKEN, last_code
 
 
 @decide.register(events.CallerGone)
@@ -206,6 +316,6 @@
         return ()
     ended = events.RequestEnded(row.request_id, False, result_codes.CALLER_GONE)
     return (
-        actions.CloseUpstream(row.request_id, cancel_generation=True),
+        _close(row),
         actions.Emit(ended),
     )
--- a/src/carawayhitch/controllers/_targets.py
+++ b/src/carawayhitch/controllers/_targets.py
@@ -5,7 +5,8 @@
 from functools import singledispatch
 from typing import Any, NamedTuple
 
-from carawayhitch.core import rows
+from carawayhitch.core import result_codes, rows
+from carawayhitch.core import settings as settings_types
 
 
 class AdmissionSize(NamedTuple):
@@ -48,3 +49,50 @@
     return AdmissionSize(
         target.prompt_tokens, target.maximum_tokens, target.prefix_blocks
     )
+
+
+@singledispatch
+def final_code(target: Any, sent: bool) -> result_codes.ResultCode | None:
+    """Return the code that ends a failed call, or None if it may start again."""
+    return None
+
+
+@final_code.register
+def _resume_final_code(
+    target: rows.ResumeTarget, sent: bool
+) -> result_codes.ResultCode | None:
+    return result_codes.STREAM_LOST
+
+
+@final_code.register
+def _service_final_code(
+    target: rows.ServiceTarget, sent: bool
+) -> result_codes.ResultCode | None:
+    return result_codes.OUTCOME_UNKNOWN if sent and not target.idempotent else None
+
+
+@singledispatch
+def is_streamed(target: Any) -> bool:
+    """Return whether the upstream answers with a stream."""
+    return False
+
+
+@is_streamed.register
+def _generation_is_streamed(target: rows.GenerationTarget) -> bool:
+    return target.stream
+
+
+@singledispatch
+def first_byte_timeout(target: Any, settings: settings_types.Settings) -> float:
+    """Return how long an upstream may take to its first byte, in seconds."""
+    return settings.streams.first_byte_timeout_seconds
+
+
+@first_byte_timeout.register
+def _generation_first_byte_timeout(
+    target: rows.GenerationTarget, settings: settings_types.Settings
+) -> float:
+    # An engine sends the first byte of a whole answer after the last token.
+    if target.stream:
+        return settings.streams.first_byte_timeout_seconds
+    return settings.limits.default_deadline_seconds
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -67,10 +67,25 @@
 
 
 class CloseUpstream(NamedTuple):
-    """Close the upstream connection; cancel the generation if it still runs."""
+    """Close the upstream connection; cancel the generation if it still runs.
+
+    Parameters
+    ----------
+    linger_seconds : float
+        How long to wait for the headers of a stream, which name the generation to
+        cancel; 0 to close at once.
+    """
 
     request_id: str
     cancel_generation: bool
+    linger_seconds: float = 0.0
+
+
+class CancelGeneration(NamedTuple):
+    """Stop a generation that no request of this entry needs."""
+
+    address: str
+    generation_id: str
 
 
 class StartStream(NamedTuple):
@@ -186,6 +201,10 @@
     fields: dict[str, Any]
 
 
+class CloseIdleConnections(NamedTuple):
+    """Close the connections of callers on which no call is open."""
+
+
 class StopProcess(NamedTuple):
     """End the process; nothing of it runs any more."""
 
@@ -198,6 +217,7 @@
     | OpenUpstream
     | ResumeUpstream
     | CloseUpstream
+    | CancelGeneration
     | StartStream
     | ForwardChunk
     | FinishStream
@@ -213,5 +233,6 @@
     | PullObjects
     | Count
     | Log
+    | CloseIdleConnections
     | StopProcess
 )
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -15,6 +15,7 @@
     "stalled",
     "truncated",
     "generation_gone",
+    "foreign",
 ]
 
 
@@ -81,6 +82,7 @@
     attempt: int
     generation_id: str
     content_type: str
+    address: str = ""
 
 
 class ChunkReceived(NamedTuple):
@@ -92,6 +94,8 @@
         Sequence numbers of the first and last event in ``data``.
     data : bytes
         The events as received, complete with their blank lines.
+    is_final : bool
+        Whether the last event is the end mark, which carries no token.
     """
 
     request_id: str
@@ -99,6 +103,19 @@
     first_sequence: int
     last_sequence: int
     data: bytes
+    is_final: bool = False
+
+
+class CallerPaused(NamedTuple):
+    """The caller takes bytes more slowly than they arrive; reading has stopped."""
+
+    request_id: str
+
+
+class CallerResumed(NamedTuple):
+    """The caller has taken what was written; reading goes on."""
+
+    request_id: str
 
 
 class StreamEnded(NamedTuple):
@@ -304,6 +321,20 @@
     request_id: str
 
 
+class ResumeAdmitted(NamedTuple):
+    """Admission stored the row of a stream that continues here; streams take over."""
+
+    request_id: str
+
+
+class ResumeDue(NamedTuple):
+    """Time to resume a stream again after a failed resume."""
+
+    request_id: str
+    attempt: int
+    resume_count: int
+
+
 class RequestEnded(NamedTuple):
     """The request left this entry with an outcome.
 
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -90,6 +90,18 @@
 SCHEDULER_UNAVAILABLE = ResultCode(
     1020, "SCHEDULER_UNAVAILABLE", "no", 503, "No scheduler answered in time."
 )
+REQUEST_TIMEOUT = ResultCode(
+    1041, "REQUEST_TIMEOUT", "no", 408, "The request did not arrive in time."
+)
+METHOD_NOT_ALLOWED = ResultCode(
+    1042, "METHOD_NOT_ALLOWED", "no", 405, "The path does not take this method."
+)
+HEADERS_TOO_LARGE = ResultCode(
+    1043, "HEADERS_TOO_LARGE", "no", 431, "The request headers exceed the limit."
+)
+HTTP_VERSION_REFUSED = ResultCode(
+    1044, "HTTP_VERSION_REFUSED", "no", 505, "Calls need HTTP/1.1."
+)
 
 UPSTREAM_FAILED = ResultCode(
     2001, "UPSTREAM_FAILED", "unknown", 502, "The upstream failed during the call."
@@ -115,6 +127,12 @@
 CALLER_GONE = ResultCode(
     2008, "CALLER_GONE", "unknown", 0, "The caller closed before the end."
 )
+INTERNAL_ERROR = ResultCode(
+    2041, "INTERNAL_ERROR", "unknown", 500, "The entry failed during the call."
+)
+ANSWER_FOREIGN = ResultCode(
+    2042, "ANSWER_FOREIGN", "unknown", 502, "The answer is of another generation."
+)
 
 RETRY_CONNECT = ResultCode(
     3001, "RETRY_CONNECT", "no", 0, "No connection; tried at another upstream."
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -55,6 +55,12 @@
         Number of the current ask; answers to older ones are ignored.
     last_sequence : int
         Highest event sequence delivered to the caller; 0 before the first.
+    last_chunk_at : float
+        Time of the last bytes of this attempt, or of its start before the first.
+    paused_at : float
+        Time since which the caller takes no bytes; 0 while it does.
+    may_have_run : bool
+        Whether any attempt was sent, so that no refusal may say ``no`` any more.
     """
 
     request_id: str
@@ -87,6 +93,8 @@
     last_chunk_at: float = 0.0
     resume_count: int = 0
     response_started: bool = False
+    paused_at: float = 0.0
+    may_have_run: bool = False
 
 
 class UpstreamRow(NamedTuple):
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -114,6 +114,9 @@
 
     body_bytes: Annotated[int, Meta(ge=1024)] = 4_194_304
     open_requests: Annotated[int, Meta(ge=1)] = 2000
+    connections: Annotated[int, Meta(ge=1)] = 4096
+    receiving_requests: Annotated[int, Meta(ge=1)] = 128
+    receive_timeout_seconds: PositiveSeconds = 10.0
     default_deadline_seconds: PositiveSeconds = 600.0
 
 
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 from typing import Any
 from uuid import uuid4
@@ -12,8 +13,9 @@
 
 from carawayhitch import codecs
 from carawayhitch.backends import CallContent
-from carawayhitch.core import actions, errors, events, result_codes, rows
-from carawayhitch.frontend._caller import SanicCaller, refusal_response
+from carawayhitch.core import errors, events, result_codes, rows
+from carawayhitch.frontend._caller import SanicCaller
+from carawayhitch.frontend._refusals import error_response
 from carawayhitch.node import Node, OpenCall, render_metrics
 
 GENERATION_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -21,23 +23,49 @@
 KEY_HEADER = "Idempotency-Key"
 WAIT_HEADER = "Carawayhitch-Wait-Seconds"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# Headers whose repetition would let two readers of a request disagree about it.
+SINGLE_HEADERS = (
+    "authorization",
+    KEY_HEADER,
+    LABELS_HEADER,
+    WAIT_HEADER,
+    "carawayhitch-resume",
+    "last-event-id",
+    "content-type",
+)
+# Line breaks and header names that other readers could understand differently: bare
+# line feeds or carriage returns, NUL, folded lines, blanks before the colon.
+AMBIGUOUS_HEAD = re.compile(
+    rb"(?<!\r)\n|\r(?!\n)|\x00|\r\n[ \t]|\r\n[^:\r]*[ \t]:|\r\n:"
+)
+# Decimal digits only; sequence numbers of event streams have at most 15.
+SEQUENCE = re.compile(r"[0-9]{1,15}\Z", re.ASCII)
+DOT_SEGMENT = re.compile(r"(?:\A|/)(?:\.|%2e){1,2}(?:/|\Z)", re.IGNORECASE)
 SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 
 
 def new_application(node: Node) -> Sanic:
     """Return the HTTP application of a node."""
     application = Sanic(f"carawayhitch-{uuid4().hex}", configure_logging=False)
+    application.ctx.node = node
+    application.ctx.receiving_count = 0
     _configure(application, node)
     for path in GENERATION_PATHS:
         application.add_route(
-            _generation_handler(node, path), path, methods=["POST"], name=path[4:]
+            _generation_handler(node, path),
+            path,
+            methods=["POST"],
+            name=path[4:],
+            stream=True,
         )
     application.add_route(
         _service_handler(node),
         "/services/<service:str>/<path:path>",
         methods=SERVICE_METHODS,
         name="service",
+        stream=True,
     )
+    application.exception(Exception)(_error_handler(node))
     application.add_route(_resume_handler(node), "/v1/streams/resume", name="resume")
     application.add_route(_health_handler(node), "/healthz", name="healthz")
     application.add_route(_ready_handler(node), "/readyz", name="readyz")
@@ -50,36 +78,108 @@
 
     A queued request may wait for its rank's maximum wait, so the 60 s response
     timeout does not apply; running streams get the whole drain time, not 15 s; and
-    bodies are limited to fit the memory of an entry, not to 100 MB.
+    bodies are limited to fit the memory of an entry, not to 100 MB. Handlers of calls
+    are registered as streaming ones, so that they receive bodies within a time limit.
     """
     settings = node.settings
     application.config.RESPONSE_TIMEOUT = 86400
     application.config.GRACEFUL_SHUTDOWN_TIMEOUT = settings.drain.limit_seconds
+    application.config.REQUEST_TIMEOUT = settings.limits.receive_timeout_seconds
     application.config.REQUEST_MAX_SIZE = settings.limits.body_bytes
     application.config.FALLBACK_ERROR_FORMAT = "json"
     application.config.ACCESS_LOG = False
 
 
+def _malformed(message: str) -> errors.MalformedMessageError:
+    return errors.MalformedMessageError(result_codes.MALFORMED_REQUEST, message)
+
+
+def _check_head(request: Request) -> None:
+    """Refuse requests that another reader could understand differently."""
+    if request.version != "1.1":
+        raise errors.CallRefusedError(
+            result_codes.HTTP_VERSION_REFUSED,
+            f"HTTP version is {request.version}, expected 1.1",
+        )
+    if AMBIGUOUS_HEAD.search(request.head):
+        raise _malformed("ambiguous line breaks or header names")
+    headers = request.headers
+    for name in SINGLE_HEADERS:
+        values = headers.getall(name, ())
+        if len(values) > 1:
+            raise _malformed(f"{len(values)} headers {name}, expected one")
+        if values and not values[0].isascii():
+            raise _malformed(f"header {name} is not ASCII text")
+
+
+async def _receive(node: Node, request: Request) -> None:
+    """Receive a body within the limits of size, time and number."""
+    # sanic types the stream as its base class, which lacks what HTTP/1.1 adds.
+    stream: Any = request.stream
+    transport: Any = request.transport
+    limits = node.settings.limits
+    stream.request_max_size = limits.body_bytes
+    if not stream.request_body:
+        return
+    context = request.app.ctx
+    if context.receiving_count >= limits.receiving_requests:
+        stream.keep_alive = False
+        raise errors.CallRefusedError(
+            result_codes.ENTRY_OVERLOADED,
+            f"{context.receiving_count} requests are being received",
+        )
+    context.receiving_count += 1
+    try:
+        async with asyncio.timeout(limits.receive_timeout_seconds):
+            await request.receive_body()
+    except TimeoutError:
+        stream.keep_alive = False
+        stream.request_body = None
+        raise errors.CallRefusedError(
+            result_codes.REQUEST_TIMEOUT,
+            f"body did not arrive within {limits.receive_timeout_seconds} s",
+        ) from None
+    finally:
+        context.receiving_count -= 1
+    # sanic pauses reading at 64 KB and would not see the caller leave from then on.
+    if transport is not None:
+        transport.resume_reading()
+
+
+def _error_handler(node: Node) -> Any:
+    async def handle_error(request: Request, error: Exception) -> HTTPResponse:
+        _close_when_draining(node, request)
+        return error_response(node, request, error)
+
+    return handle_error
+
+
+def _close_when_draining(node: Node, request: Request) -> None:
+    """Have the caller open its next connection at another entry."""
+    stream: Any = request.stream
+    if node.board.lifecycle.state != "ready" and stream is not None:
+        stream.keep_alive = False
+
+
 async def _serve(
     node: Node, request: Request, content: CallContent, make_event: Any
 ) -> HTTPResponse | None:
     request_id = uuid4().hex
     caller = SanicCaller(request, node.settings, time.time)
     node.calls_by_request_id[request_id] = OpenCall(content, caller)
+    _close_when_draining(node, request)
     try:
         node.submit(make_event(request_id))
         return await caller.respond()
-    except asyncio.CancelledError:
-        node.submit(events.CallerGone(request_id))
-        raise
     finally:
+        # Applies only if the row still exists, so not to a call that has ended. A
+        # stopped process leaves its generations to callers who resume elsewhere.
+        if not node.stopped.is_set():
+            node.submit(events.CallerGone(request_id))
+        _close_when_draining(node, request)
         node.calls_by_request_id.pop(request_id, None)
 
 
-def _malformed(error: errors.MalformedMessageError) -> HTTPResponse:
-    return refusal_response(actions.RefuseCall("", error.code, error.message))
-
-
 def _content(request: Request, path: str) -> CallContent:
     return CallContent(
         method=request.method,
@@ -118,23 +218,20 @@
     except ValueError:
         value = -1.0
     if not 0.0 < value < 86400.0:
-        raise errors.MalformedMessageError(
-            result_codes.MALFORMED_REQUEST,
-            f"{WAIT_HEADER} is {header!r}, expected seconds between 0 and 86400",
+        raise _malformed(
+            f"{WAIT_HEADER} is {header!r}, expected seconds between 0 and 86400"
         )
     return value
 
 
 def _generation_handler(node: Node, path: str) -> Any:
     async def handle_generation(request: Request) -> HTTPResponse | None:
-        try:
-            target = codecs.generation_target(path, request.body)
-            labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
-            labels = {**labels, "model": target.model, "path": path}
-            event = _call_event(request, "", target, labels)
-        except errors.MalformedMessageError as error:
-            node.count(error.code, "")
-            return _malformed(error)
+        _check_head(request)
+        await _receive(node, request)
+        target = codecs.generation_target(path, request.body)
+        labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
+        labels = {**labels, "model": target.model, "path": path}
+        event = _call_event(request, "", target, labels)
         return await _serve(
             node,
             request,
@@ -149,19 +246,19 @@
     async def handle_service(
         request: Request, service: str, path: str
     ) -> HTTPResponse | None:
+        _check_head(request)
+        await _receive(node, request)
+        if DOT_SEGMENT.search(path):
+            raise _malformed(f"path {path!r} has a dot segment")
         target = rows.ServiceTarget(
             service=service,
             method=request.method,
             path=f"/{path}",
             idempotent=request.method in ("GET", "HEAD"),
         )
-        try:
-            labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
-            labels = {**labels, "service": service, "path": target.path}
-            event = _call_event(request, "", target, labels)
-        except errors.MalformedMessageError as error:
-            node.count(error.code, "")
-            return _malformed(error)
+        labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
+        labels = {**labels, "service": service, "path": target.path}
+        event = _call_event(request, "", target, labels)
         return await _serve(
             node,
             request,
@@ -174,21 +271,15 @@
 
 def _resume_handler(node: Node) -> Any:
     async def handle_resume(request: Request) -> HTTPResponse | None:
-        try:
-            token = codecs.verify_resume_token(
-                request.headers.get("Carawayhitch-Resume", ""),
-                node.settings.peers.keys,
-                time.time(),
-            )
-            last_sequence = int(request.headers.get("Last-Event-ID", "0"))
-        except errors.MalformedMessageError as error:
-            node.count(error.code, "")
-            return _malformed(error)
-        except ValueError:
-            code = result_codes.MALFORMED_REQUEST
-            return _malformed(
-                errors.MalformedMessageError(code, "Last-Event-ID is not a number")
-            )
+        _check_head(request)
+        token = codecs.verify_resume_token(
+            request.headers.get("Carawayhitch-Resume", ""),
+            node.settings.peers.keys,
+            time.time(),
+        )
+        last_event_id = request.headers.get("Last-Event-ID", "0")
+        if not SEQUENCE.match(last_event_id):
+            raise _malformed(f"Last-Event-ID is {last_event_id!r}, expected a number")
         event = events.ResumeReceived(
             request_id="",
             token_sha256=codecs.bearer_token_sha256(
@@ -199,7 +290,7 @@
             upstream_id=token.upstream_id,
             address=token.address,
             generation_id=token.generation_id,
-            last_sequence=last_sequence,
+            last_sequence=int(last_event_id),
         )
         return await _serve(
             node,
@@ -221,6 +312,7 @@
 def _ready_handler(node: Node) -> Any:
     async def handle_ready(request: Request) -> HTTPResponse:
         state = node.board.lifecycle.state
+        _close_when_draining(node, request)
         return json({"state": state}, status=200 if state == "ready" else 503)
 
     return handle_ready
--- a/src/carawayhitch/frontend/_caller.py
+++ b/src/carawayhitch/frontend/_caller.py
@@ -12,10 +12,9 @@
 from carawayhitch import codecs
 from carawayhitch.core import actions
 from carawayhitch.core import settings as settings_types
+from carawayhitch.frontend._refusals import refusal_response
 
-JSON_CONTENT_TYPE = "application/json"
 RESUME_HEADER = "Carawayhitch-Resume"
-RAN_HEADER = "Carawayhitch-Ran"
 
 
 class SanicCaller:
@@ -36,6 +35,7 @@
         self._ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._unsent: list[bytes] = []
         self._transport: Any = None
+        self._protocol: Any = request.protocol
 
     def start_stream(self, action: actions.StartStream) -> None:
         """Send status and headers of a stream."""
@@ -64,14 +64,14 @@
         """End a stream."""
         self._end(complete=True)
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the caller has not taken enough of what was written."""
+        return self._protocol.is_paused
+
     async def writable(self) -> None:
         """Wait until the caller has taken enough of what was written."""
-        transport = self._transport
-        if transport is None:
-            return
-        if transport.get_write_buffer_size() > self.settings.streams.buffer_bytes:
-            protocol: Any = self.request.protocol
-            await protocol.send(b"")
+        await self._protocol.writable()
 
     def _begin(self, action: Any) -> None:
         if not self._begun.done():
@@ -96,9 +96,11 @@
             self.unix_time() + self.settings.streams.resume_lifetime_seconds,
         )
         signed = codecs.sign_resume_token(token, self.settings.peers.keys)
+        headers = {"Cache-Control": "no-store"}
+        if action.generation_id:
+            headers[RESUME_HEADER] = signed
         response = await self.request.respond(
-            content_type=action.content_type,
-            headers={RESUME_HEADER: signed, "Cache-Control": "no-store"},
+            content_type=action.content_type, headers=headers
         )
         assert response is not None
         await response.send(b"")
@@ -108,7 +110,12 @@
             self.write(data)
         if await self._ended:
             await response.eof()
-        elif self._transport is not None:
+            return
+        stream: Any = self.request.stream
+        stream.keep_alive = False
+        if self._protocol.is_paused:
+            self._transport.abort()
+        else:
             self._transport.close()
 
 
@@ -137,16 +144,3 @@
 ) -> HTTPResponse | None:
     await caller.respond_stream(action)
     return None
-
-
-def refusal_response(action: actions.RefuseCall) -> HTTPResponse:
-    """Return the error answer of a refused call."""
-    headers: dict[str, str] = {RAN_HEADER: action.code.ran}
-    if action.retry_after:
-        headers["Retry-After"] = str(max(1, round(action.retry_after)))
-    return raw(
-        codecs.error_body(action.code, action.message),
-        action.code.http_status,
-        headers=headers,
-        content_type=JSON_CONTENT_TYPE,
-    )
--- /dev/null
+++ b/src/carawayhitch/frontend/_refusals.py
@@ -0,0 +1,100 @@
+"""Error answers: every refusal has a code, a counter and the same JSON body."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from sanic import Request, exceptions
+from sanic.response import HTTPResponse, raw
+
+from carawayhitch import codecs
+from carawayhitch.core import actions, errors, result_codes
+from carawayhitch.node import Node
+
+JSON_CONTENT_TYPE = "application/json"
+RAN_HEADER = "Carawayhitch-Ran"
+# Method that sanic gives to requests whose headers it could not read.
+UNREAD_METHOD = "NONE"
+
+
+def refusal_response(action: actions.RefuseCall) -> HTTPResponse:
+    """Return the error answer of a refused call."""
+    headers: dict[str, str] = {RAN_HEADER: action.code.ran}
+    if action.retry_after:
+        headers["Retry-After"] = str(max(1, round(action.retry_after)))
+    return raw(
+        codecs.error_body(action.code, action.message),
+        action.code.http_status or 502,
+        headers=headers,
+        content_type=JSON_CONTENT_TYPE,
+    )
+
+
+@singledispatch
+def code_of(error: BaseException, request: Request) -> result_codes.ResultCode:
+    """Return the result code of an error that ended a request."""
+    return result_codes.INTERNAL_ERROR
+
+
+@code_of.register
+def _own_code(
+    error: errors.CarawayhitchError, request: Request
+) -> result_codes.ResultCode:
+    return error.code
+
+
+@code_of.register
+def _bad_request_code(
+    error: exceptions.BadRequest, request: Request
+) -> result_codes.ResultCode:
+    return result_codes.MALFORMED_REQUEST
+
+
+@code_of.register
+def _expectation_code(
+    error: exceptions.ExpectationFailed, request: Request
+) -> result_codes.ResultCode:
+    return result_codes.MALFORMED_REQUEST
+
+
+@code_of.register
+def _not_found_code(
+    error: exceptions.NotFound, request: Request
+) -> result_codes.ResultCode:
+    return result_codes.NOT_FOUND
+
+
+@code_of.register
+def _method_code(
+    error: exceptions.MethodNotAllowed, request: Request
+) -> result_codes.ResultCode:
+    return result_codes.METHOD_NOT_ALLOWED
+
+
+@code_of.register
+def _too_large_code(
+    error: exceptions.PayloadTooLarge, request: Request
+) -> result_codes.ResultCode:
+    if request.method == UNREAD_METHOD:
+        return result_codes.HEADERS_TOO_LARGE
+    return result_codes.BODY_TOO_LARGE
+
+
+@code_of.register
+def _timeout_code(
+    error: exceptions.RequestTimeout, request: Request
+) -> result_codes.ResultCode:
+    return result_codes.REQUEST_TIMEOUT
+
+
+def error_response(node: Node, request: Request, error: Exception) -> HTTPResponse:
+    """Count an error and return its answer, which shows no internal details."""
+    code = code_of(error, request)
+    node.count(code, "")
+    message = code.meaning
+    if isinstance(error, errors.CarawayhitchError):
+        message = error.message
+    elif code is result_codes.INTERNAL_ERROR:
+        node.log.error("call failed", path=request.path, error=repr(error))
+    retry_after = 1.0 if code.http_status == 503 else 0.0
+    return refusal_response(actions.RefuseCall("", code, message, retry_after))
--- a/src/carawayhitch/frontend/_server.py
+++ b/src/carawayhitch/frontend/_server.py
@@ -6,11 +6,16 @@
 import signal
 from typing import Any
 
+from sanic.server import AsyncioServer
+
 from carawayhitch.core import events
 from carawayhitch.core import settings as settings_types
 from carawayhitch.frontend._application import new_application
+from carawayhitch.frontend._protocol import CallerProtocol
 from carawayhitch.node import Node
 
+FLUSH_INTERVAL_SECONDS = 0.02
+
 
 async def serve(settings: settings_types.Settings, log: Any = None) -> None:
     """Run one entry process until it has drained.
@@ -22,19 +27,37 @@
     server = await application.create_server(
         host=settings.node.address,
         port=settings.node.http_port,
+        protocol=CallerProtocol,
         return_asyncio_server=True,
         access_log=False,
+        backlog=1024,
     )
     assert server is not None
     await server.startup()
+    node.close_idle_connections = lambda: _close_idle(server)
     _handle_signals(node)
     await node.start()
     node.log.info("serving", node=settings.node.id, port=settings.node.http_port)
     await node.stopped.wait()
     server.close()
+    await _flush(server, node)
     await node.close()
 
 
+def _close_idle(server: AsyncioServer) -> None:
+    for connection in list(server.connections):
+        connection.close_if_idle()
+
+
+async def _flush(server: AsyncioServer, node: Node) -> None:
+    """Wait until callers have taken the answers that ended just before the stop."""
+    while server.connections and node.now() < node.board.lifecycle.deadline:
+        _close_idle(server)
+        await asyncio.sleep(FLUSH_INTERVAL_SECONDS)
+    for connection in list(server.connections):
+        connection.abort()
+
+
 def _handle_signals(node: Node) -> None:
     loop = asyncio.get_running_loop()
     received: list[int] = []
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
@@ -31,6 +31,10 @@
 class CallerConnection(Protocol):
     """The caller's side of a call, implemented by the front end."""
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the caller has not taken enough of what was written."""
+
     async def writable(self) -> None:
         """Wait until the caller has taken enough of what was written."""
 
@@ -85,6 +89,7 @@
         self.calls_by_request_id: dict[str, OpenCall] = {}
         self.upstream_tasks_by_request_id: dict[str, asyncio.Task[None]] = {}
         self.stopped = asyncio.Event()
+        self.close_idle_connections: Callable[[], None] = lambda: None
         self._pending: deque[Any] = deque()
         self._deciding = False
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
@@ -110,7 +111,21 @@
 
 def _run_call(node: Node, call: UpstreamCall, work: Any) -> None:
     _stop_call(node, call.request_id)
-    node.upstream_tasks_by_request_id[call.request_id] = node.spawn(work)
+    tasks = node.upstream_tasks_by_request_id
+    task = tasks[call.request_id] = node.spawn(work)
+
+    def forget(done: asyncio.Task[None]) -> None:
+        if tasks.get(call.request_id) is done:
+            del tasks[call.request_id]
+        if not done.cancelled() and done.exception() is not None:
+            # A fault in a backend must not leave the caller without an answer.
+            node.submit(
+                events.UpstreamCallFailed(
+                    call.request_id, call.attempt, "link_lost", True
+                )
+            )
+
+    task.add_done_callback(forget)
 
 
 def _stop_call(node: Node, request_id: str) -> None:
@@ -121,6 +136,12 @@
 
 @perform.register(actions.CloseUpstream)
 def _close_upstream(action: actions.CloseUpstream, node: Node) -> None:
+    if action.linger_seconds:
+        task = node.upstream_tasks_by_request_id.pop(action.request_id, None)
+        if task is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(action.linger_seconds, task.cancel)
+        return
     _stop_call(node, action.request_id)
     row = node.board.requests_by_id.get(action.request_id)
     if action.cancel_generation and row is not None and row.generation_id:
@@ -130,6 +151,22 @@
         )
 
 
+@perform.register(actions.CancelGeneration)
+def _cancel_generation(action: actions.CancelGeneration, node: Node) -> None:
+    if action.generation_id:
+        assert node.sessions is not None
+        node.spawn(
+            cancel_generation(
+                node.sessions.reused, action.address, action.generation_id
+            )
+        )
+
+
+@perform.register(actions.CloseIdleConnections)
+def _close_idle_connections(action: actions.CloseIdleConnections, node: Node) -> None:
+    node.close_idle_connections()
+
+
 @perform.register(actions.StartStream)
 def _start_stream(action: actions.StartStream, node: Node) -> None:
     opened = node.calls_by_request_id.get(action.request_id)
