--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -9,12 +9,14 @@
     UpstreamCall,
     UpstreamSessions,
 )
+from carawayhitch.backends._engine_orders import read_engine_state, send_order
 from carawayhitch.backends._engines import (
     cancel_generation,
     resume_generation,
     run_generation,
 )
 from carawayhitch.backends._object_store import StoreClient, call_store
+from carawayhitch.backends._peers import PeerSocket
 from carawayhitch.backends._plain_services import run_service_call
 from carawayhitch.backends._platform import read_load, read_vm_list
 from carawayhitch.backends._sessions import open_session
@@ -22,6 +24,7 @@
 __all__ = [
     "CallContent",
     "Caller",
+    "PeerSocket",
     "StoreClient",
     "Submit",
     "UpstreamCall",
@@ -29,9 +32,11 @@
     "call_store",
     "cancel_generation",
     "open_session",
+    "read_engine_state",
     "read_load",
     "read_vm_list",
     "resume_generation",
     "run_generation",
     "run_service_call",
+    "send_order",
 ]
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -18,42 +18,76 @@
     decode_objects,
     value_from_declaration,
 )
+from carawayhitch.codecs._peer_messages import (
+    PeerAddress,
+    Received,
+    decode_message,
+    encode_datagrams,
+    encode_message,
+    message_name,
+)
 from carawayhitch.codecs._platform import (
     decode_cache_events,
+    decode_engine_state,
     decode_load,
     decode_objects_listed,
     decode_stored_object,
     decode_vm_list,
     decode_written_version,
     encode_json,
+    encode_order,
 )
 from carawayhitch.codecs._records import mapping_from_record, record_from_mapping
+from carawayhitch.codecs._replay_windows import ReplayWindow, advance_window
 from carawayhitch.codecs._resume_tokens import (
     ResumeToken,
     sign_resume_token,
     verify_resume_token,
 )
 from carawayhitch.codecs._settings_file import read_settings
+from carawayhitch.codecs._traces import (
+    TraceHeader,
+    TraceStep,
+    decode_trace,
+    encode_header,
+    encode_step,
+    without_private_data,
+)
 
 __all__ = [
     "EventBlock",
+    "PeerAddress",
+    "Received",
+    "ReplayWindow",
     "ResumeToken",
+    "TraceHeader",
+    "TraceStep",
+    "advance_window",
     "answer_token_count",
     "bearer_token_sha256",
     "declaration_from_value",
     "decode_cache_events",
+    "decode_engine_state",
     "decode_load",
+    "decode_message",
     "decode_objects",
     "decode_objects_listed",
     "decode_stored_object",
+    "decode_trace",
     "decode_vm_list",
     "decode_written_version",
+    "encode_datagrams",
+    "encode_header",
     "encode_json",
+    "encode_message",
+    "encode_order",
+    "encode_step",
     "engine_body",
     "error_body",
     "error_event",
     "generation_target",
     "mapping_from_record",
+    "message_name",
     "parse_labels",
     "read_settings",
     "record_from_mapping",
@@ -62,4 +96,5 @@
     "split_events",
     "value_from_declaration",
     "verify_resume_token",
+    "without_private_data",
 ]
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -7,7 +7,7 @@
 from carawayhitch.core._declarations import Labels
 
 UpstreamKind = Literal["engine", "service"]
-MemberState = Literal["alive", "suspect", "leaving", "left", "dead"]
+MemberState = Literal["joining", "alive", "suspect", "leaving", "left", "dead"]
 LifecycleState = Literal["starting", "ready", "draining", "refusing", "stopped"]
 RequestPhase = Literal["asking", "claiming", "opening", "relaying", "finished"]
 ClaimState = Literal["writing", "granted", "finished", "unknown"]
@@ -115,6 +115,7 @@
     kind: UpstreamKind
     labels: Labels
     leaving: bool = False
+    draining: bool = False
     unreachable_until: float = 0.0
     reported_at: float = 0.0
     memory_capacity: int = 0
@@ -124,6 +125,10 @@
     waiting_count: int = 0
     preemption_count: int = 0
 
+    def takes_work(self, now: float) -> bool:
+        """Return whether new requests may be placed here."""
+        return not (self.leaving or self.draining) and now >= self.unreachable_until
+
 
 class CellRow(NamedTuple):
     """Upstreams of one serving group in one region that share a scheduler."""
@@ -135,7 +140,19 @@
 
 
 class MemberRow(NamedTuple):
-    """One entry process as membership knows it."""
+    """One entry process as membership knows it.
+
+    Parameters
+    ----------
+    incarnation : int
+        Start of the process in microseconds of Unix time, plus the number of times
+        that it refuted a wrong report about itself.
+    state : MemberState
+        ``joining`` until the process knows cells that it could schedule.
+    state_deadline : float
+        When a suspected member counts as dead, or when the row of a dead or left one
+        is removed (seconds of the node clock); 0 if the state has no deadline.
+    """
 
     node_id: str
     incarnation: int
@@ -150,6 +167,49 @@
     state_deadline: float = 0.0
 
 
+class MemberUpdateRow(NamedTuple):
+    """A change of a member row that is still piggybacked on messages."""
+
+    node_id: str
+    sent_count: int
+
+
+class ProbeRow(NamedTuple):
+    """A probe without an answer yet.
+
+    Parameters
+    ----------
+    deadline : float
+        Time of the indirect probes (seconds of the node clock).
+    requester_id : str
+        Entry on whose behalf the probe was sent, or empty for an own probe.
+    requester_sequence : int
+        Sequence that the requester expects in the answer.
+    """
+
+    sequence: int
+    subject_id: str
+    deadline: float
+    requester_id: str = ""
+    requester_sequence: int = 0
+
+
+class ProbeRoundRow(NamedTuple):
+    """Members that this node has still to probe in the current round.
+
+    Parameters
+    ----------
+    tick_deadline : float
+        Time of the next probe (seconds of the node clock).
+    """
+
+    node_id: str
+    remaining_ids: tuple[str, ...]
+    next_sequence: int
+    tick_count: int
+    tick_deadline: float
+
+
 class AskRow(NamedTuple):
     """A request that waits at the scheduler of its cell."""
 
@@ -222,6 +282,38 @@
     deleted: bool = False
 
 
+class LeaseRow(NamedTuple):
+    """Lease on the orders of one serving group, as this node has seen it.
+
+    Parameters
+    ----------
+    version : int
+        Version of the lease object; the fencing number while this node holds it.
+    held : bool
+        Whether this node wrote that version.
+    deadline : float
+        If held: time until which this node may send orders. Otherwise: time at which
+        an unchanged lease of another node has certainly lapsed.
+    """
+
+    group: str
+    version: int
+    held: bool
+    deadline: float
+    requested_at: float = 0.0
+
+
+class EngineStateRow(NamedTuple):
+    """What an engine answered when it was last asked for its state."""
+
+    upstream_id: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    busy_count: int
+    read_at: float
+
+
 class BudgetRow(NamedTuple):
     """Retry budget as a token bucket."""
 
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -11,13 +11,15 @@
     UpstreamCall,
     call_store,
     cancel_generation,
+    read_engine_state,
     read_load,
     read_vm_list,
     resume_generation,
     run_generation,
     run_service_call,
+    send_order,
 )
-from carawayhitch.core import actions, events, rows
+from carawayhitch.core import actions, events, messages, result_codes, rows
 
 if TYPE_CHECKING:
     from carawayhitch.node._node import Node
@@ -29,11 +31,6 @@
     raise TypeError(f"unknown action {action!r}; expected a type of core.actions")
 
 
-@perform.register(actions.Emit)
-def _emit(action: actions.Emit, node: Node) -> None:
-    node.emit(action.event)
-
-
 @perform.register(actions.SetTimer)
 def _set_timer(action: actions.SetTimer, node: Node) -> None:
     node.set_timer(action.deadline, action.event)
@@ -43,6 +40,24 @@
 def _send(action: actions.Send, node: Node) -> None:
     if action.node_id == node.settings.node.id:
         node.submit(action.message)
+        return
+    member = node.board.members_by_id.get(action.node_id)
+    if member is None:
+        node.count(result_codes.PEER_UNREACHABLE, "")
+        return
+    _send_peer(node, member.address, member.peer_port, action.message)
+
+
+@perform.register(actions.SendToAddress)
+def _send_to_address(action: actions.SendToAddress, node: Node) -> None:
+    _send_peer(node, action.address, action.peer_port, action.message)
+
+
+def _send_peer(
+    node: Node, address: str, port: int, message: messages.PeerMessage
+) -> None:
+    assert node.peers is not None
+    node.peers.send(codecs.PeerAddress(address, port), message)
 
 
 @perform.register(actions.OpenUpstream)
@@ -217,6 +232,18 @@
     node.spawn_answer(read_vm_list(node.platform_session, url))
 
 
+@perform.register(actions.ReadEngineState)
+def _read_engine_state(action: actions.ReadEngineState, node: Node) -> None:
+    assert node.platform_session is not None
+    node.spawn_answer(read_engine_state(node.platform_session, action))
+
+
+@perform.register(actions.SendOrder)
+def _send_order(action: actions.SendOrder, node: Node) -> None:
+    assert node.sessions is not None
+    node.spawn_answer(send_order(node.sessions.fresh, action, node.now))
+
+
 @perform.register(actions.ReadObject)
 @perform.register(actions.WriteObject)
 @perform.register(actions.ListObjects)
@@ -232,7 +259,7 @@
     checked = events.ConfigurationChecked(
         action.revision, tuple(declared), tuple(problems)
     )
-    node.emit(checked)
+    node.submit(checked)
 
 
 @perform.register(actions.Count)
