Close after misunderstood requests and let large senders see the 413

Cause: after a refused head such as 'Content-Length : 5' the rest of the body stayed on the connection and was read as the next request. A caller that sent 5 MB saw a reset instead of the refusal, because sanic closes 1 ms after it. Ruled out: a longer pause before closing, which does not help a caller that sends for longer.

The connection closes after every MALFORMED_REQUEST, and the rest of an oversized body is read and dropped for at most receive_timeout_seconds and 64 MB.

--- a/src/carawayhitch/codecs/_calls.py
+++ b/src/carawayhitch/codecs/_calls.py
@@ -49,7 +49,7 @@
     scheme, _, token = authorization.partition(" ")
     if scheme.lower() != "bearer":
         token = ""
-    return sha256_hex(token.strip().encode())
+    return sha256_hex(token.strip().encode(errors="surrogateescape"))
 
 
 def parse_labels(header: str) -> dict[str, str]:
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -5,17 +5,19 @@
 import asyncio
 import re
 import time
+from contextlib import suppress
 from typing import Any
 from uuid import uuid4
 
 from sanic import Request, Sanic
+from sanic.exceptions import PayloadTooLarge
 from sanic.response import HTTPResponse, json, raw
 
 from carawayhitch import codecs
 from carawayhitch.backends import CallContent
 from carawayhitch.core import errors, events, result_codes, rows
 from carawayhitch.frontend._caller import SanicCaller
-from carawayhitch.frontend._refusals import error_response
+from carawayhitch.frontend._refusals import code_of, error_response
 from carawayhitch.node import Node, OpenCall, render_metrics
 
 GENERATION_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -40,6 +42,8 @@
 )
 # Decimal digits only; sequence numbers of event streams have at most 15.
 SEQUENCE = re.compile(r"[0-9]{1,15}\Z", re.ASCII)
+# Bytes of an oversized body that are read so that the caller sees the refusal.
+DISCARDED_BYTES_LIMIT = 64 * 1024 * 1024
 DOT_SEGMENT = re.compile(r"(?:\A|/)(?:\.|%2e){1,2}(?:/|\Z)", re.IGNORECASE)
 SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 
@@ -129,26 +133,50 @@
             f"{context.receiving_count} requests are being received",
         )
     context.receiving_count += 1
+    refusal: errors.CallRefusedError | None = errors.CallRefusedError(
+        result_codes.REQUEST_TIMEOUT,
+        f"body did not arrive within {limits.receive_timeout_seconds} s",
+    )
     try:
         async with asyncio.timeout(limits.receive_timeout_seconds):
-            await request.receive_body()
+            try:
+                await request.receive_body()
+                refusal = None
+            except PayloadTooLarge:
+                refusal = errors.CallRefusedError(
+                    result_codes.BODY_TOO_LARGE,
+                    f"body exceeds the limit of {limits.body_bytes} bytes",
+                )
+                await _discard_body(stream)
     except TimeoutError:
-        stream.keep_alive = False
         stream.request_body = None
-        raise errors.CallRefusedError(
-            result_codes.REQUEST_TIMEOUT,
-            f"body did not arrive within {limits.receive_timeout_seconds} s",
-        ) from None
     finally:
         context.receiving_count -= 1
+    if refusal is not None:
+        stream.keep_alive = False
+        raise refusal
     # sanic pauses reading at 64 KB and would not see the caller leave from then on.
     if transport is not None:
         transport.resume_reading()
 
 
+async def _discard_body(stream: Any) -> None:
+    """Read on after the limit: a caller that still sends would see only a reset."""
+    if stream.expecting_continue:
+        return
+    stream.request_max_size = DISCARDED_BYTES_LIMIT
+    with suppress(PayloadTooLarge):
+        while stream.request_body:
+            await stream.read()
+
+
 def _error_handler(node: Node) -> Any:
     async def handle_error(request: Request, error: Exception) -> HTTPResponse:
         _close_when_draining(node, request)
+        stream: Any = request.stream
+        if code_of(error, request) is result_codes.MALFORMED_REQUEST:
+            # What follows could be part of the request that was not understood.
+            stream.keep_alive = False
         return error_response(node, request, error)
 
     return handle_error
