Decide in admission which calls of services may be repeated

The front end derived this from the method alone, so a declared GET that must not be repeated was sent on a reused connection, and an idempotent POST needed a key. Admission now applies PlainService.routes: the longest prefix of whole segments; calls without a route are non-idempotent unless GET or HEAD. Plain string prefixes were ruled out: /search would also declare /search-and-order. Paths with dot or empty segments match no route, because yarl and services resolve them to another path.

Checked with: python -m tests 'targets|request_path'

--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -8,7 +8,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._selectors import find_binding
-from carawayhitch.controllers._targets import is_idempotent
+from carawayhitch.controllers._targets import apply_declaration, is_idempotent
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
 OVERLOAD_RETRY_AFTER_SECONDS = 1.0
@@ -22,6 +22,7 @@
     account: declarations.ClientAccount
     binding: declarations.Binding
     rank: declarations.RankClass
+    target: rows.Target
 
 
 def find_refusal(board: Board) -> result_codes.ResultCode | None:
@@ -45,10 +46,11 @@
     binding = find_binding(configuration, account, event.labels)
     if binding is None:
         return result_codes.NO_BINDING
-    if not is_idempotent(event.target) and not event.idempotency_key:
+    target = apply_declaration(event.target, configuration)
+    if not is_idempotent(target) and not event.idempotency_key:
         return result_codes.KEY_REQUIRED
     rank = configuration.rank_classes_by_name[binding.rank]
-    return Admitted(account, binding, rank)
+    return Admitted(account, binding, rank, target)
 
 
 def refuse(request_id: str, code: result_codes.ResultCode, rank: str = "") -> Actions:
@@ -81,7 +83,7 @@
         group=admitted.binding.group,
         rank=admitted.rank.name,
         binding=admitted.binding.name,
-        target=event.target,
+        target=admitted.target,
         fingerprint=event.fingerprint,
         body_sha256=event.body_sha256,
         idempotency_key=event.idempotency_key,
--- a/src/carawayhitch/controllers/_targets.py
+++ b/src/carawayhitch/controllers/_targets.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from functools import singledispatch
 from typing import Any, NamedTuple
+from urllib.parse import unquote
 
-from carawayhitch.core import rows
+from carawayhitch.core import declarations, rows
+
+READ_METHODS = frozenset({"GET", "HEAD"})
+UNCERTAIN_SEGMENTS = frozenset({"", ".", ".."})
 
 
 class AdmissionSize(NamedTuple):
@@ -48,3 +53,41 @@
     return AdmissionSize(
         target.prompt_tokens, target.maximum_tokens, target.prefix_blocks
     )
+
+
+@singledispatch
+def apply_declaration(target: Any, configuration: declarations.Configuration) -> Any:
+    """Return a target with what operators declared for its calls."""
+    return target
+
+
+@apply_declaration.register
+def _declare_service(
+    target: rows.ServiceTarget, configuration: declarations.Configuration
+) -> rows.ServiceTarget:
+    service = configuration.services_by_name.get(target.service)
+    routes = service.routes if service else ()
+    declared = find_route(routes, target.method, target.path)
+    if declared is None:
+        return target._replace(idempotent=target.method in READ_METHODS)
+    return target._replace(idempotent=declared.idempotent)
+
+
+def find_route(
+    routes: Sequence[declarations.ServiceRoute], method: str, path: str
+) -> declarations.ServiceRoute | None:
+    """Return the route with the longest prefix of whole path segments, if any.
+
+    A path with empty, ``.`` or ``..`` segments, also percent-encoded ones, matches no
+    route, because the client library or the service may resolve it to another path.
+    """
+    path = unquote(path)
+    if not UNCERTAIN_SEGMENTS.isdisjoint(path.rstrip("/").split("/")[1:]):
+        return None
+    found = [
+        route
+        for route in routes
+        if route.method == method
+        and (path + "/").startswith(route.path_prefix.rstrip("/") + "/")
+    ]
+    return max(found, key=lambda route: len(route.path_prefix), default=None)
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -25,12 +25,18 @@
 
 
 class ServiceTarget(NamedTuple):
-    """A call to a plain service."""
+    """A call to a plain service.
+
+    Parameters
+    ----------
+    idempotent : bool
+        Set in admission from the declared routes; False until then.
+    """
 
     service: str
     method: str
     path: str
-    idempotent: bool
+    idempotent: bool = False
 
 
 class ResumeTarget(NamedTuple):
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -153,7 +153,6 @@
             service=service,
             method=request.method,
             path=f"/{path}",
-            idempotent=request.method in ("GET", "HEAD"),
         )
         try:
             labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
