--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -14,20 +14,30 @@
     resume_generation,
     run_generation,
 )
+from carawayhitch.backends._forwards import (
+    FORWARD_PATH,
+    PROOF_HEADER,
+    forward_call,
+)
+from carawayhitch.backends._journal import call_journal
 from carawayhitch.backends._object_store import StoreClient, call_store
 from carawayhitch.backends._plain_services import run_service_call
 from carawayhitch.backends._platform import read_load, read_vm_list
 from carawayhitch.backends._sessions import open_session
 
 __all__ = [
+    "FORWARD_PATH",
+    "PROOF_HEADER",
     "CallContent",
     "Caller",
     "StoreClient",
     "Submit",
     "UpstreamCall",
     "UpstreamSessions",
+    "call_journal",
     "call_store",
     "cancel_generation",
+    "forward_call",
     "open_session",
     "read_load",
     "read_vm_list",
--- a/src/carawayhitch/backends/_calls.py
+++ b/src/carawayhitch/backends/_calls.py
@@ -20,6 +20,7 @@
     query: str
     content_type: str
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class Caller(Protocol):
--- /dev/null
+++ b/src/carawayhitch/backends/_forwards.py
@@ -0,0 +1,83 @@
+"""Calls that run at the entry which issued their key."""
+
+from __future__ import annotations
+
+import time
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from carawayhitch import codecs
+from carawayhitch.backends._calls import UpstreamCall
+from carawayhitch.backends._engines import failure
+from carawayhitch.core import actions, events, rows
+
+FORWARD_PATH = "/peer/v1/forwarded"
+PROOF_HEADER = "Carawayhitch-Forward"
+# Headers of one connection; the client library writes its own.
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        PROOF_HEADER.lower(),
+    }
+)
+ANSWER_HEADERS = ("Carawayhitch-Ran", "Retry-After")
+
+
+async def forward_call(
+    call: UpstreamCall, action: actions.OpenUpstream, target: rows.ForwardTarget
+) -> None:
+    """Send a call to the issuing entry, once, and submit its whole answer."""
+    content = call.content
+    headers = CIMultiDict(
+        (name, value)
+        for name, value in content.headers
+        if name.lower() not in CONNECTION_HEADERS
+    )
+    proof = codecs.forward_proof(
+        target.method,
+        f"/{target.service}{target.path}",
+        content.query,
+        headers.get("idempotency-key", ""),
+        headers.get("authorization", ""),
+        content.body,
+        time.time(),
+    )
+    headers[PROOF_HEADER] = codecs.sign_forward(proof, call.settings.peers.keys)
+    query = f"?{content.query}" if content.query else ""
+    path = f"{FORWARD_PATH}/{target.service}{target.path}{query}"
+    try:
+        async with call.session.request(
+            target.method,
+            URL(f"http://{action.address}{path}", encoded=True),
+            data=content.body or None,
+            headers=headers,
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        call.submit(failure(call, "link_lost", True, error))
+        return
+    call.submit(
+        events.AnswerReceived(
+            call.request_id,
+            call.attempt,
+            response.status,
+            response.headers.get("Content-Type", ""),
+            body,
+            headers=tuple(
+                (name, response.headers[name])
+                for name in ANSWER_HEADERS
+                if name in response.headers
+            ),
+        )
+    )
--- /dev/null
+++ b/src/carawayhitch/backends/_journal.py
@@ -0,0 +1,47 @@
+"""Claim journals as objects of the object store."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any
+
+from carawayhitch.backends._object_store import StoreClient, call_store
+from carawayhitch.codecs import decode_journal, encode_journal
+from carawayhitch.core import actions, errors, events
+
+JOURNAL_KIND = "claim_journal"
+
+
+@singledispatch
+async def call_journal(
+    action: Any, client: StoreClient, unix_minus_node_clock: float
+) -> Any:
+    """Return the event that answers an action on a journal."""
+    raise TypeError(f"not a journal action: {action!r}")
+
+
+@call_journal.register
+async def _read(
+    action: actions.ReadJournal, client: StoreClient, unix_minus_node_clock: float
+) -> Any:
+    read = actions.ReadObject(action.operation_id, JOURNAL_KIND, action.shard)
+    event = await call_store(client, read)
+    if not isinstance(event, events.ObjectRead):
+        return event
+    stored = event.stored
+    try:
+        records = decode_journal(stored.value, unix_minus_node_clock)
+    except errors.MalformedMessageError as error:
+        return events.StoreCallFailed(action.operation_id, error.message)
+    return events.JournalRead(action.operation_id, stored.version, records)
+
+
+@call_journal.register
+async def _write(
+    action: actions.WriteJournal, client: StoreClient, unix_minus_node_clock: float
+) -> Any:
+    value = encode_journal(action.records, unix_minus_node_clock)
+    write = actions.WriteObject(
+        action.operation_id, JOURNAL_KIND, action.shard, value, action.expected_version
+    )
+    return await call_store(client, write)
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -26,6 +26,7 @@
     grants_by_request_id: dict[str, rows.GrantRow]
     crashes_by_fingerprint: dict[str, rows.CrashRow]
     claims_by_key: dict[str, rows.ClaimRow]
+    shards_by_name: dict[str, rows.ShardRow]
     objects_by_key: dict[tuple[str, str], rows.ObjectRow]
     configuration_by_name: dict[str, declarations.Configuration]
     retry_budget_by_group: dict[str, rows.BudgetRow]
@@ -75,6 +76,7 @@
         grants_by_request_id={},
         crashes_by_fingerprint={},
         claims_by_key={},
+        shards_by_name={},
         objects_by_key={},
         configuration_by_name={},
         retry_budget_by_group={},
--- a/src/carawayhitch/codecs/_calls.py
+++ b/src/carawayhitch/codecs/_calls.py
@@ -44,6 +44,12 @@
     return sha256(data).hexdigest()
 
 
+def request_sha256(method: str, path: str, query: str, body: bytes) -> str:
+    """Return the hash of a whole request; an idempotency key is bound to it."""
+    head = "\0".join((method, path, query)).encode()
+    return sha256_hex(sha256(head).digest() + body)
+
+
 def bearer_token_sha256(authorization: str) -> str:
     """Return the hash of a bearer token; of an empty one if there is none."""
     scheme, _, token = authorization.partition(" ")
--- /dev/null
+++ b/src/carawayhitch/codecs/_journal.py
@@ -0,0 +1,76 @@
+"""Claim journals: store values to records and back."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from carawayhitch.core import errors, result_codes, rows
+
+
+class StoredRecord(NamedTuple):
+    """A record as a JSON array; times are Unix seconds, bodies are in base64."""
+
+    key: str
+    request_sha256: str
+    node_id: str
+    incarnation: int
+    nonce: str
+    expires_at: int
+    status: int
+    content_type: str
+    body: bytes | None
+
+
+_decoder = msgspec.json.Decoder(tuple[StoredRecord, ...])
+
+
+def encode_journal(
+    records: Iterable[rows.JournalRecord], unix_minus_node_clock: float
+) -> bytes:
+    """Return the store value of a journal.
+
+    Parameters
+    ----------
+    records : iterable of JournalRecord
+        Expiry times are seconds of the node clock.
+    unix_minus_node_clock : float
+        Seconds to add to a time of the node clock.
+    """
+    stored = [_stored(record, unix_minus_node_clock) for record in records]
+    return msgspec.json.encode(stored)
+
+
+def _stored(record: rows.JournalRecord, unix_minus_node_clock: float) -> StoredRecord:
+    fields: dict[str, Any] = record._asdict()
+    fields["expires_at"] = math.ceil(record.expires_at + unix_minus_node_clock)
+    return StoredRecord(**fields)
+
+
+def decode_journal(
+    value: bytes, unix_minus_node_clock: float
+) -> tuple[rows.JournalRecord, ...]:
+    """Return the records of a journal; an absent object has none.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the value was not written by `encode_journal`.
+    """
+    if not value:
+        return ()
+    try:
+        stored = _decoder.decode(value)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.MalformedMessageError(
+            result_codes.STORE_CALL_FAILED, f"claim journal: {error}"
+        ) from None
+    return tuple(
+        rows.JournalRecord(*record)._replace(
+            expires_at=record.expires_at - unix_minus_node_clock
+        )
+        for record in stored
+    )
--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+from functools import singledispatch
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._issued_keys import (
+    is_issuer,
+    issued_key_hash,
+    route_issued_key,
+)
 from carawayhitch.controllers._selectors import find_binding
 from carawayhitch.controllers._targets import apply_declaration, is_idempotent
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
 OVERLOAD_RETRY_AFTER_SECONDS = 1.0
+FORWARD_SECONDS = 5.0
+SERIAL_BITS = 96
 
 decide = new_controller()
 
@@ -37,7 +45,9 @@
 
 
 def admit(
-    event: events.CallReceived, configuration: declarations.Configuration
+    event: events.CallReceived,
+    configuration: declarations.Configuration,
+    board: Board,
 ) -> Admitted | result_codes.ResultCode:
     """Return the declarations for a call, or the code with which it is refused."""
     account = configuration.accounts_by_token_sha256.get(event.token_sha256)
@@ -49,10 +59,24 @@
     target = apply_declaration(event.target, configuration)
     if not is_idempotent(target) and not event.idempotency_key:
         return result_codes.KEY_REQUIRED
+    target = route_issued_key(target, event, account.name, board)
+    if isinstance(target, result_codes.ResultCode):
+        return target
     rank = configuration.rank_classes_by_name[binding.rank]
     return Admitted(account, binding, rank, target)
 
 
+def _key_is_used(event: events.CallReceived, board: Board) -> bool:
+    """Return whether a call with this issued key ran or runs in this process.
+
+    Such a call adds no work, and a refusal would say that it did not run.
+    """
+    issued = event.issued_key
+    if issued is None or not is_issuer(issued, board) or board.configuration is None:
+        return False
+    return issued_key_hash(issued) in board.claims_by_key
+
+
 def refuse(request_id: str, code: result_codes.ResultCode, rank: str = "") -> Actions:
     """Return the actions that refuse a call before a row exists for it."""
     retry_after = OVERLOAD_RETRY_AFTER_SECONDS if code.http_status == 503 else 0.0
@@ -67,11 +91,11 @@
     event: events.CallReceived, board: Board, now: float, random: Random
 ) -> Actions:
     refusal = find_refusal(board)
-    if refusal is not None:
+    if refusal is not None and not _key_is_used(event, board):
         return refuse(event.request_id, refusal)
     configuration = board.configuration
     assert configuration is not None
-    admitted = admit(event, configuration)
+    admitted = admit(event, configuration, board)
     if isinstance(admitted, result_codes.ResultCode):
         return refuse(event.request_id, admitted)
     wait_seconds = admitted.rank.maximum_wait_seconds
@@ -89,11 +113,46 @@
         idempotency_key=event.idempotency_key,
         received_at=now,
         deadline=now + wait_seconds,
+        issued_key=event.issued_key,
+        key_created_at=event.key_created_at,
     )
     board.requests_by_id[event.request_id] = row
     return (
         actions.SetTimer(row.deadline, events.WaitExpired(event.request_id)),
-        actions.Emit(events.RequestAdmitted(event.request_id)),
+        *begin(row.target, row, board),
+    )
+
+
+@singledispatch
+def begin(target: Any, row: rows.RequestRow, board: Board) -> Actions:
+    """Return the first step of an admitted call."""
+    return (actions.Emit(events.RequestAdmitted(row.request_id)),)
+
+
+@begin.register
+def _begin_service_call(
+    target: rows.ServiceTarget, row: rows.RequestRow, board: Board
+) -> Actions:
+    if target.idempotent:
+        return (actions.Emit(events.RequestAdmitted(row.request_id)),)
+    return (actions.Emit(events.KeyPresented(row.request_id)),)
+
+
+@begin.register
+def _begin_forward(
+    target: rows.ForwardTarget, row: rows.RequestRow, board: Board
+) -> Actions:
+    """Send a call to the entry that issued its key; that entry places it."""
+    assert row.issued_key is not None
+    board.requests_by_id[row.request_id] = row._replace(
+        phase="claiming", address=row.issued_key.address
+    )
+    # The issuer may use the whole wait and the whole time of an answer.
+    timeout = board.settings.idempotency.answer_timeout_seconds + FORWARD_SECONDS
+    overdue = events.CallOverdue(row.request_id, row.attempt)
+    return (
+        actions.SetTimer(row.deadline + timeout, overdue),
+        actions.Emit(events.ClaimGranted(row.request_id)),
     )
 
 
@@ -118,3 +177,25 @@
     if event.code is None:
         return (logged,)
     return (logged, actions.Count(event.code, row.rank))
+
+
+@decide.register(events.KeysRequested)
+def _issue_keys(
+    event: events.KeysRequested, board: Board, now: float, random: Random
+) -> Actions:
+    refusal = find_refusal(board)
+    if refusal is None and board.lifecycle.state != "ready":
+        # A key is of no use once its process has stopped.
+        refusal = result_codes.DRAINING
+    if refusal is not None:
+        return refuse(event.request_id, refusal)
+    configuration = board.configuration
+    assert configuration is not None
+    account = configuration.accounts_by_token_sha256.get(event.token_sha256)
+    if account is None:
+        return refuse(event.request_id, result_codes.UNKNOWN_ACCOUNT)
+    serials = tuple(
+        f"{random.getrandbits(SERIAL_BITS):024x}" for _ in range(event.key_count)
+    )
+    deadline = now + board.settings.idempotency.issued_key_lifetime_seconds
+    return (actions.IssueKeys(event.request_id, account.name, serials, deadline),)
--- a/src/carawayhitch/controllers/_lifecycle.py
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -10,6 +10,7 @@
 
 GRACE_TIMER = "drain_grace"
 LIMIT_TIMER = "drain_limit"
+JOURNAL_TIMER = "drain_journal"
 
 decide = new_controller()
 
@@ -52,19 +53,36 @@
     lifecycle = board.lifecycle
     if event.name == GRACE_TIMER and lifecycle.state == "draining":
         board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(state="refusing")
-        return () if board.requests_by_id else _stop(board)
+        return _stop_if_done(board, now)
     if event.name == LIMIT_TIMER and lifecycle.state != "stopped":
         return _stop(board)
+    if event.name == JOURNAL_TIMER and lifecycle.state != "stopped":
+        return () if board.requests_by_id else _stop(board)
     return ()
 
 
 @decide.register(events.RequestEnded)
+@decide.register(events.JournalSettled)
 def _stop_when_empty(
-    event: events.RequestEnded, board: Board, now: float, random: Random
+    event: events.RequestEnded | events.JournalSettled,
+    board: Board,
+    now: float,
+    random: Random,
 ) -> Actions:
-    if board.lifecycle.state == "refusing" and not board.requests_by_id:
-        return _stop(board)
-    return ()
+    if board.lifecycle.state != "refusing":
+        return ()
+    return _stop_if_done(board, now)
+
+
+def _stop_if_done(board: Board, now: float) -> Actions:
+    """Stop if no request is open and no answer has to be written to the store."""
+    if board.requests_by_id:
+        return ()
+    if any(shard.pending_keys for shard in board.shards_by_name.values()):
+        # An outage of the store must not hold up the drain.
+        limit = now + board.settings.idempotency.claim_timeout_seconds
+        return (actions.SetTimer(limit, events.TimerFired(JOURNAL_TIMER)),)
+    return _stop(board)
 
 
 def _stop(board: Board) -> Actions:
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -150,6 +150,7 @@
         upstream_id=event.upstream_id,
         address=event.address,
         priority=event.priority,
+        grant_deadline=event.deadline,
     )
     return (actions.Emit(events.UpstreamGranted(row.request_id)),)
 
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -7,7 +7,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._placement import end_request
-from carawayhitch.controllers._targets import is_idempotent
+from carawayhitch.controllers._targets import is_idempotent, may_move
 from carawayhitch.core import actions, events, result_codes, rows
 
 RESUME_LIMIT = 5
@@ -124,7 +124,11 @@
     board.requests_by_id[row.request_id] = row._replace(token_count=event.token_count)
     return (
         actions.SendAnswer(
-            row.request_id, event.status, event.content_type, event.body
+            row.request_id,
+            event.status,
+            event.content_type,
+            event.body,
+            event.headers,
         ),
         actions.Emit(events.RequestEnded(row.request_id, True, None)),
     )
@@ -180,8 +184,10 @@
         return _resume(board, row, RESUME_CODES[event.kind], now)
     if row.last_sequence or event.kind == "generation_gone":
         return end_request(row, result_codes.STREAM_LOST)
-    if event.sent and not is_idempotent(row.target):
+    if not may_move(row.target) or (event.sent and not is_idempotent(row.target)):
         return end_request(row, result_codes.OUTCOME_UNKNOWN)
+    if row.caller_gone:
+        return end_request(row, result_codes.CALLER_GONE)
     code, final_code = _retry_codes(event)
     retry = events.RetryRequested(row.request_id, code, final_code)
     return (actions.Emit(retry),)
@@ -204,6 +210,10 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None:
         return ()
+    if row.phase == "opening" and not is_idempotent(row.target):
+        # The call runs once in any case; its answer is kept for a duplicate.
+        board.requests_by_id[row.request_id] = row._replace(caller_gone=True)
+        return ()
     ended = events.RequestEnded(row.request_id, False, result_codes.CALLER_GONE)
     return (
         actions.CloseUpstream(row.request_id, cancel_generation=True),
--- a/src/carawayhitch/controllers/_targets.py
+++ b/src/carawayhitch/controllers/_targets.py
@@ -42,6 +42,35 @@
     return target.idempotent
 
 
+@is_idempotent.register
+def _forward_is_idempotent(target: rows.ForwardTarget) -> bool:
+    return False
+
+
+@singledispatch
+def may_move(target: Any) -> bool:
+    """Return whether a call that was not sent may go to another upstream."""
+    return True
+
+
+@may_move.register
+def _forward_may_move(target: rows.ForwardTarget) -> bool:
+    # Only the entry that issued the key knows whether an earlier call ran.
+    return False
+
+
+@singledispatch
+def service_name(target: Any) -> str:
+    """Return the plain service of a call; empty for calls to engines."""
+    return ""
+
+
+@service_name.register(rows.ServiceTarget)
+@service_name.register(rows.ForwardTarget)
+def _service_name(target: rows.ServiceTarget | rows.ForwardTarget) -> str:
+    return target.service
+
+
 @singledispatch
 def admission_size(target: Any) -> AdmissionSize:
     """Return the size of a call; calls without a generation have none."""
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -6,6 +6,7 @@
 
 from carawayhitch.core._messages import PeerMessage
 from carawayhitch.core._result_codes import ResultCode
+from carawayhitch.core._rows import JournalRecord
 
 
 class Emit(NamedTuple):
@@ -105,6 +106,16 @@
     status: int
     content_type: str
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class IssueKeys(NamedTuple):
+    """Sign keys of this process and answer them to the caller."""
+
+    request_id: str
+    account: str
+    serials: tuple[str, ...]
+    deadline: float
 
 
 class RefuseCall(NamedTuple):
@@ -145,6 +156,22 @@
     expected_version: int
 
 
+class ReadJournal(NamedTuple):
+    """Read one journal object of claims."""
+
+    operation_id: str
+    shard: str
+
+
+class WriteJournal(NamedTuple):
+    """Write one journal object if its version still is ``expected_version``."""
+
+    operation_id: str
+    shard: str
+    records: tuple[JournalRecord, ...]
+    expected_version: int
+
+
 class ListObjects(NamedTuple):
     """Read all declared objects of the store."""
 
@@ -202,11 +229,14 @@
     | ForwardChunk
     | FinishStream
     | SendAnswer
+    | IssueKeys
     | RefuseCall
     | PollLoad
     | PollVmList
     | ReadObject
     | WriteObject
+    | ReadJournal
+    | WriteJournal
     | ListObjects
     | WatchObjects
     | CheckConfiguration
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -6,7 +6,13 @@
 
 from carawayhitch.core._declarations import Labels
 from carawayhitch.core._result_codes import ResultCode
-from carawayhitch.core._rows import GenerationTarget, ServiceTarget, UpstreamKind
+from carawayhitch.core._rows import (
+    GenerationTarget,
+    IssuedKey,
+    JournalRecord,
+    ServiceTarget,
+    UpstreamKind,
+)
 
 FailureKind = Literal[
     "connect",
@@ -41,8 +47,16 @@
         Request labels, including ``model`` and ``path``.
     fingerprint : str
         SHA-256 of path and canonical body; equal for resent requests.
+    body_sha256 : str
+        SHA-256 of method, path, query and body; a key is bound to it.
     wait_seconds : float
         Longest wait that the caller accepts; 0 for the configured limit.
+    issued_key : IssuedKey or None
+        Verified content of the key if an entry issued it.
+    key_created_at : float or None
+        Time in a UUIDv7 key, in seconds of the node clock.
+    forwarded : bool
+        Another entry sent this call here because of its issued key.
     """
 
     request_id: str
@@ -53,6 +67,17 @@
     body_sha256: str
     idempotency_key: str = ""
     wait_seconds: float = 0.0
+    issued_key: IssuedKey | None = None
+    key_created_at: float | None = None
+    forwarded: bool = False
+
+
+class KeysRequested(NamedTuple):
+    """A caller asks for signed single-use keys."""
+
+    request_id: str
+    token_sha256: str
+    key_count: int
 
 
 class ResumeReceived(NamedTuple):
@@ -117,6 +142,7 @@
     content_type: str
     body: bytes
     token_count: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class UpstreamCallFailed(NamedTuple):
@@ -236,6 +262,46 @@
     detail: str
 
 
+class JournalRead(NamedTuple):
+    """Answer to ``ReadJournal``; version 0 means that the object is absent."""
+
+    operation_id: str
+    version: int
+    records: tuple[JournalRecord, ...]
+
+
+class JournalFlush(NamedTuple):
+    """Time to compare the pending claims of a shard with its journal object."""
+
+    shard: str
+
+
+class JournalSettled(NamedTuple):
+    """A shard has nothing left to write."""
+
+    shard: str
+
+
+class ClaimTimedOut(NamedTuple):
+    """Time by which a claim had to be recorded."""
+
+    key: str
+    nonce: str
+
+
+class CallOverdue(NamedTuple):
+    """Time by which the upstream had to answer a call that is sent only once."""
+
+    request_id: str
+    attempt: int
+
+
+class IssuedKeyExpired(NamedTuple):
+    """The end of an issued key that was used; its answer is no longer kept."""
+
+    key: str
+
+
 class ConfigurationChecked(NamedTuple):
     """Answer to ``CheckConfiguration``: decoded declarations, or what is wrong."""
 
@@ -292,6 +358,12 @@
     request_id: str
 
 
+class KeyPresented(NamedTuple):
+    """Admission stored the row of a call that must not be repeated."""
+
+    request_id: str
+
+
 class UpstreamGranted(NamedTuple):
     """Placement holds a grant for the request; claims and streams take over."""
 
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -115,6 +115,9 @@
 CALLER_GONE = ResultCode(
     2008, "CALLER_GONE", "unknown", 0, "The caller closed before the end."
 )
+FORWARD_REFUSED = ResultCode(
+    2009, "FORWARD_REFUSED", "unknown", 403, "The forwarded call was not signed."
+)
 
 RETRY_CONNECT = ResultCode(
     3001, "RETRY_CONNECT", "no", 0, "No connection; tried at another upstream."
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -10,7 +10,9 @@
 MemberState = Literal["alive", "suspect", "leaving", "left", "dead"]
 LifecycleState = Literal["starting", "ready", "draining", "refusing", "stopped"]
 RequestPhase = Literal["asking", "claiming", "opening", "relaying", "finished"]
-ClaimState = Literal["writing", "granted", "finished", "unknown"]
+ClaimState = Literal[
+    "writing", "granted", "running", "finished", "unknown", "abandoned"
+]
 
 
 class GenerationTarget(NamedTuple):
@@ -39,6 +41,16 @@
     idempotent: bool = False
 
 
+class ForwardTarget(NamedTuple):
+    """A call with an issued key that runs at the entry which issued the key."""
+
+    service: str
+    method: str
+    path: str
+    node_id: str
+    incarnation: int
+
+
 class ResumeTarget(NamedTuple):
     """A stream that continues at this entry after another entry was lost."""
 
@@ -47,7 +59,29 @@
     last_sequence: int
 
 
-Target = GenerationTarget | ServiceTarget | ResumeTarget
+Target = GenerationTarget | ServiceTarget | ForwardTarget | ResumeTarget
+
+
+class IssuedKey(NamedTuple):
+    """Content of a signed single-use key.
+
+    Parameters
+    ----------
+    node_id, incarnation : str, int
+        The one process that may run a call with this key.
+    address : str
+        Host and port of that process's HTTP interface.
+    deadline : float
+        End of the key in seconds of that process's clock, which no other process
+        compares with its own.
+    """
+
+    node_id: str
+    incarnation: int
+    address: str
+    account: str
+    serial: str
+    deadline: float
 
 
 class RequestRow(NamedTuple):
@@ -57,6 +91,13 @@
     ----------
     deadline : float
         Time after which the request must not start (seconds of the node clock).
+    key_created_at : float or None
+        Time in a UUIDv7 key, in seconds of the node clock.
+    grant_deadline : float
+        Time after which the granted upstream must not be used any more.
+    caller_gone : bool
+        The caller left while a call ran that must not be repeated; its answer is
+        still kept for duplicates.
     attempt : int
         Number of the current ask; answers to older ones are ignored.
     last_sequence : int
@@ -74,6 +115,10 @@
     idempotency_key: str
     received_at: float
     deadline: float
+    issued_key: IssuedKey | None = None
+    key_created_at: float | None = None
+    grant_deadline: float = 0.0
+    caller_gone: bool = False
     phase: RequestPhase = "asking"
     attempt: int = 1
     cell_id: str = ""
@@ -198,17 +243,97 @@
 
 
 class ClaimRow(NamedTuple):
-    """State of one idempotency key in this process."""
+    """State of one idempotency key that this process claims or has claimed.
+
+    Parameters
+    ----------
+    key : str
+        Hash of account, service and the caller's key.
+    nonce : str
+        Marks this claim in the journal; only its holder sends the call.
+    state : str
+        ``writing``: not recorded yet; ``granted``: ours and not sent; ``running``:
+        any byte may have been sent; ``finished``: answered; ``unknown``: sent and
+        not answered; ``abandoned``: refused and never to be sent.
+    deadline : float
+        While ``writing``, end of the claim; then, end of the key.
+    abandoned_nonces : tuple of str
+        Earlier claims of this process for the key, which never sent the call.
+    waiting_request_ids : tuple of str
+        Duplicates at this entry that get the same answer.
+    """
 
     key: str
-    body_sha256: str
+    request_sha256: str
     nonce: str
     state: ClaimState
     deadline: float
-    request_id: str = ""
+    expires_at: float
+    request_id: str
+    shard: str = ""
+    abandoned_nonces: tuple[str, ...] = ()
+    waiting_request_ids: tuple[str, ...] = ()
+    status: int = 0
+    content_type: str = ""
+    body: bytes | None = None
+
+
+class JournalRecord(NamedTuple):
+    """One claim as a journal object of the store holds it.
+
+    Parameters
+    ----------
+    expires_at : float
+        Time after which the record may be dropped; the codec converts it between
+        the node clock and Unix time.
+    status : int
+        HTTP status of the answer; 0 while the call is claimed and not answered.
+    body : bytes or None
+        None if the answer was not kept.
+    """
+
+    key: str
+    request_sha256: str
+    node_id: str
+    incarnation: int
+    nonce: str
+    expires_at: float
     status: int = 0
     content_type: str = ""
-    body: bytes = b""
+    body: bytes | None = None
+
+
+class ShardRow(NamedTuple):
+    """One journal object as this process last read or wrote it.
+
+    Parameters
+    ----------
+    version : int
+        Version in the store; -1 before the first read.
+    operation_id : str
+        The store call that runs; empty if there is none.
+    written_by_key : dict or None
+        Records of the write that runs, or whose outcome is unknown.
+    unresolved_version : int
+        A write that expected this version failed and may still take effect; -1 if
+        there is none.
+    pending_keys : tuple of str
+        Claims that still have to be compared with the journal.
+    flush_at : float
+        Time of the next flush; 0 if none is planned.
+    write_not_before : float
+        Earliest time of the next write, which bounds the rate of writes.
+    """
+
+    name: str
+    version: int = -1
+    records_by_key: dict[str, JournalRecord] = {}
+    operation_id: str = ""
+    written_by_key: dict[str, JournalRecord] | None = None
+    unresolved_version: int = -1
+    pending_keys: tuple[str, ...] = ()
+    flush_at: float = 0.0
+    write_not_before: float = 0.0
 
 
 class ObjectRow(NamedTuple):
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -103,7 +103,11 @@
 
     journal_shards: Annotated[int, Meta(ge=1)] = 16
     batch_interval_seconds: PositiveSeconds = 0.02
+    completion_interval_seconds: PositiveSeconds = 0.2
     claim_timeout_seconds: PositiveSeconds = 3.0
+    journal_bytes: Annotated[int, Meta(ge=1024)] = 900_000
+    answer_timeout_seconds: PositiveSeconds = 60.0
+    clock_tolerance_seconds: PositiveSeconds = 60.0
     retention_seconds: PositiveSeconds = 86400.0
     issued_key_lifetime_seconds: PositiveSeconds = 300.0
     stored_answer_bytes: Annotated[int, Meta(ge=0)] = 4096
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -11,9 +11,10 @@
 from sanic.response import HTTPResponse, json, raw
 
 from carawayhitch import codecs
-from carawayhitch.backends import CallContent
+from carawayhitch.backends import FORWARD_PATH, CallContent
 from carawayhitch.core import actions, errors, events, result_codes, rows
 from carawayhitch.frontend._caller import SanicCaller, refusal_response
+from carawayhitch.frontend._keys import add_key, check_forward, keys_handler
 from carawayhitch.node import Node, OpenCall, render_metrics
 
 GENERATION_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -38,6 +39,18 @@
         methods=SERVICE_METHODS,
         name="service",
     )
+    application.add_route(
+        check_forward(node, _service_handler(node, forwarded=True)),
+        FORWARD_PATH + "/<service:str>/<path:path>",
+        methods=SERVICE_METHODS,
+        name="forwarded",
+    )
+    application.add_route(
+        keys_handler(node, _serve),
+        "/v1/idempotency-keys",
+        methods=["POST"],
+        name="keys",
+    )
     application.add_route(_resume_handler(node), "/v1/streams/resume", name="resume")
     application.add_route(_health_handler(node), "/healthz", name="healthz")
     application.add_route(_ready_handler(node), "/readyz", name="readyz")
@@ -87,6 +100,7 @@
         query=request.query_string,
         content_type=request.headers.get("content-type", "application/octet-stream"),
         body=request.body,
+        headers=tuple(request.headers.items()),
     )
 
 
@@ -95,16 +109,18 @@
     request_id: str,
     target: rows.GenerationTarget | rows.ServiceTarget,
     labels: dict[str, str],
+    path: str,
 ) -> events.CallReceived:
     headers = request.headers
-    body_sha256 = codecs.sha256_hex(request.body)
     return events.CallReceived(
         request_id=request_id,
         token_sha256=codecs.bearer_token_sha256(headers.get("authorization", "")),
         labels=labels,
         target=target,
-        fingerprint=codecs.sha256_hex(request.path.encode() + b"\0" + request.body),
-        body_sha256=body_sha256,
+        fingerprint=codecs.sha256_hex(path.encode() + b"\0" + request.body),
+        body_sha256=codecs.request_sha256(
+            request.method, path, request.query_string, request.body
+        ),
         idempotency_key=headers.get(KEY_HEADER, ""),
         wait_seconds=_wait_seconds(headers.get(WAIT_HEADER, "")),
     )
@@ -131,7 +147,7 @@
             target = codecs.generation_target(path, request.body)
             labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
             labels = {**labels, "model": target.model, "path": path}
-            event = _call_event(request, "", target, labels)
+            event = _call_event(request, "", target, labels, path)
         except errors.MalformedMessageError as error:
             node.count(error.code, "")
             return _malformed(error)
@@ -145,7 +161,7 @@
     return handle_generation
 
 
-def _service_handler(node: Node) -> Any:
+def _service_handler(node: Node, forwarded: bool = False) -> Any:
     async def handle_service(
         request: Request, service: str, path: str
     ) -> HTTPResponse | None:
@@ -157,7 +173,9 @@
         try:
             labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
             labels = {**labels, "service": service, "path": target.path}
-            event = _call_event(request, "", target, labels)
+            called_path = f"/services/{service}/{path}"
+            event = _call_event(request, "", target, labels, called_path)
+            event = add_key(event, node, forwarded)
         except errors.MalformedMessageError as error:
             node.count(error.code, "")
             return _malformed(error)
--- a/src/carawayhitch/frontend/_caller.py
+++ b/src/carawayhitch/frontend/_caller.py
@@ -121,7 +121,12 @@
 async def _respond_whole(
     action: actions.SendAnswer, caller: SanicCaller
 ) -> HTTPResponse | None:
-    return raw(action.body, action.status, content_type=action.content_type)
+    return raw(
+        action.body,
+        action.status,
+        headers=dict(action.headers),
+        content_type=action.content_type,
+    )
 
 
 @_respond.register(actions.RefuseCall)
--- /dev/null
+++ b/src/carawayhitch/frontend/_keys.py
@@ -0,0 +1,95 @@
+"""Idempotency keys over HTTP: keys of callers, issued keys, forwarded calls."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from sanic import Request
+from sanic.response import HTTPResponse
+
+from carawayhitch import codecs
+from carawayhitch.backends import FORWARD_PATH, PROOF_HEADER, CallContent
+from carawayhitch.core import actions, errors, events, result_codes
+from carawayhitch.frontend._caller import refusal_response
+from carawayhitch.node import Node
+
+Handler = Callable[[Request, str, str], Awaitable[HTTPResponse | None]]
+# A time far ahead would keep a record in the journal for as long.
+FUTURE_LIMIT_SECONDS = 3600.0
+
+
+def add_key(
+    event: events.CallReceived, node: Node, forwarded: bool
+) -> events.CallReceived:
+    """Return a call with what its idempotency key says.
+
+    Raises
+    ------
+    MalformedMessageError
+        If an issued key has no valid signature or a UUIDv7 key lies in the future.
+    """
+    key = event.idempotency_key
+    unix_time = codecs.key_unix_time(key)
+    created_at = None if unix_time is None else node.now() + unix_time - time.time()
+    if created_at is not None and created_at > node.now() + FUTURE_LIMIT_SECONDS:
+        raise errors.MalformedMessageError(
+            result_codes.MALFORMED_REQUEST,
+            f"Idempotency-Key {key!r} has a time in the future; set the clock",
+        )
+    return event._replace(
+        issued_key=codecs.verify_issued_key(key, node.settings.peers.keys),
+        key_created_at=created_at,
+        forwarded=forwarded,
+    )
+
+
+def keys_handler(node: Node, serve: Any) -> Any:
+    """Return the handler of requests for keys."""
+
+    async def handle_keys(request: Request) -> HTTPResponse | None:
+        try:
+            key_count = codecs.decode_key_count(request.body)
+        except errors.MalformedMessageError as error:
+            node.count(error.code, "")
+            return refusal_response(actions.RefuseCall("", error.code, error.message))
+        authorization = request.headers.get("authorization", "")
+        event = events.KeysRequested(
+            "", codecs.bearer_token_sha256(authorization), key_count
+        )
+        return await serve(
+            node,
+            request,
+            CallContent("POST", request.path, "", "", b""),
+            lambda request_id: event._replace(request_id=request_id),
+        )
+
+    return handle_keys
+
+
+def check_forward(node: Node, handle: Handler) -> Any:
+    """Return a handler that takes only calls which another entry forwarded."""
+
+    async def handle_forwarded(
+        request: Request, service: str, path: str
+    ) -> HTTPResponse | None:
+        expected = codecs.forward_proof(
+            request.method,
+            request.path.removeprefix(FORWARD_PATH),
+            request.query_string,
+            request.headers.get("idempotency-key", ""),
+            request.headers.get("authorization", ""),
+            request.body,
+            time.time(),
+        )
+        header = request.headers.get(PROOF_HEADER, "")
+        try:
+            codecs.verify_forward(header, expected, node.settings.peers.keys)
+        except errors.MalformedMessageError as error:
+            node.count(error.code, "")
+            code = result_codes.FORWARD_REFUSED
+            return refusal_response(actions.RefuseCall("", code, error.message))
+        return await handle(request, service, path)
+
+    return handle_forwarded
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import time
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
 from carawayhitch import codecs
 from carawayhitch.backends import (
     UpstreamCall,
+    call_journal,
     call_store,
     cancel_generation,
+    forward_call,
     read_load,
     read_vm_list,
     resume_generation,
@@ -79,6 +82,16 @@
     return run_service_call(call, action, target, row.idempotency_key)
 
 
+@_start_call.register(rows.ForwardTarget)
+def _start_forward(
+    target: rows.ForwardTarget,
+    action: actions.OpenUpstream,
+    call: UpstreamCall,
+    row: rows.RequestRow,
+) -> Any:
+    return forward_call(call, action, target)
+
+
 @perform.register(actions.ResumeUpstream)
 def _resume_upstream(action: actions.ResumeUpstream, node: Node) -> None:
     call = _upstream_call(action, node, fresh_connection=True)
@@ -189,6 +202,39 @@
     node.spawn_answer(call_store(node.store, action))
 
 
+@perform.register(actions.ReadJournal)
+@perform.register(actions.WriteJournal)
+def _call_journal(action: Any, node: Node) -> None:
+    assert node.store is not None
+    unix_minus_node_clock = time.time() - node.now()
+    node.spawn_answer(call_journal(action, node.store, unix_minus_node_clock))
+
+
+@perform.register(actions.IssueKeys)
+def _issue_keys(action: actions.IssueKeys, node: Node) -> None:
+    opened = node.calls_by_request_id.get(action.request_id)
+    if opened is None:
+        return
+    settings = node.settings
+    keys = [
+        codecs.sign_issued_key(
+            rows.IssuedKey(
+                node_id=settings.node.id,
+                incarnation=node.incarnation,
+                address=f"{settings.node.address}:{settings.node.http_port}",
+                account=action.account,
+                serial=serial,
+                deadline=action.deadline,
+            ),
+            settings.peers.keys,
+        )
+        for serial in action.serials
+    ]
+    body = codecs.encode_keys(keys, round(action.deadline - node.now(), 3))
+    answer = actions.SendAnswer(action.request_id, 200, "application/json", body)
+    opened.caller.answer(answer)
+
+
 @perform.register(actions.CheckConfiguration)
 def _check_configuration(action: actions.CheckConfiguration, node: Node) -> None:
     declared, problems = codecs.decode_objects(node.board.objects_by_key.values())
