Fail the library's second send of a non-idempotent call

A test of all methods against a server that reads a call and closes without an answer found that fresh connections do not help: aiohttp 3.14.5 sends GET, HEAD, PUT and DELETE twice on the fresh session too, since it checks the method only and not whether the connection was reused. Ruled out: its private switch _retry_connection. A middleware per call now raises the first error again.

--- a/src/carawayhitch/backends/_forwards.py
+++ b/src/carawayhitch/backends/_forwards.py
@@ -11,6 +11,7 @@
 from carawayhitch import codecs
 from carawayhitch.backends._calls import UpstreamCall
 from carawayhitch.backends._engines import failure
+from carawayhitch.backends._sessions import send_once
 from carawayhitch.core import actions, events, rows
 
 FORWARD_PATH = "/peer/v1/forwarded"
@@ -62,6 +63,7 @@
             data=content.body or None,
             headers=headers,
             allow_redirects=False,
+            middlewares=(send_once(),),
         ) as response:
             body = await response.read()
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/src/carawayhitch/backends/_plain_services.py
+++ b/src/carawayhitch/backends/_plain_services.py
@@ -6,6 +6,7 @@
 
 from carawayhitch.backends._calls import UpstreamCall
 from carawayhitch.backends._engines import failure
+from carawayhitch.backends._sessions import send_once
 from carawayhitch.core import actions, events, rows
 
 
@@ -28,6 +29,7 @@
             data=call.content.body or None,
             headers=headers,
             allow_redirects=False,
+            middlewares=() if target.idempotent else (send_once(),),
         ) as response:
             body = await response.read()
             call.submit(
--- a/src/carawayhitch/backends/_sessions.py
+++ b/src/carawayhitch/backends/_sessions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import aiohttp
 
 from carawayhitch.core import settings as settings_types
@@ -14,9 +16,8 @@
 ) -> aiohttp.ClientSession:
     """Return a client session.
 
-    aiohttp allows 100 connections and 300 s a call unless told otherwise, and sends an
-    idempotent method again by itself when a reused connection closes. Calls that must
-    not be repeated use a session with fresh connections, which cannot do that.
+    aiohttp allows 100 connections and 300 s a call unless told otherwise. Calls that
+    must not be repeated use a session with fresh connections and `send_once`.
     """
     connector = aiohttp.TCPConnector(
         limit=0, limit_per_host=0, force_close=fresh_connections, ttl_dns_cache=None
@@ -31,3 +32,24 @@
         read_bufsize=READ_BUFFER_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
+
+
+def send_once() -> Any:
+    """Return a middleware for one call that lets the library send it only once.
+
+    aiohttp 3.14 sends GET, HEAD, PUT and DELETE again when a connection closes without
+    an answer, on fresh connections as well. The second time, this middleware raises
+    the error of the first time instead.
+    """
+    failures: list[BaseException] = []
+
+    async def forward(request: Any, handler: Any) -> aiohttp.ClientResponse:
+        if failures:
+            raise failures[0]
+        try:
+            return await handler(request)
+        except BaseException as error:
+            failures.append(error)
+            raise
+
+    return forward
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -46,7 +46,7 @@
     Parameters
     ----------
     fresh_connection : bool
-        Use a connection of its own that no library may send twice over.
+        Use a connection of its own.
     """
 
     request_id: str
