--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -42,6 +42,10 @@
         self.down = False
         self.delay_seconds = 0.0
         self.lost_write_answers = 0
+        self.late_writes = 0
+        self.late_seconds = 0.0
+        self.writes_until_down = 0
+        self._late_tasks: set[asyncio.Task[Any]] = set()
         self._changed = asyncio.Event()
 
     def application(self) -> web.Application:
@@ -71,13 +75,37 @@
             await asyncio.sleep(self.delay_seconds)
         if self.down:
             return web.json_response({"error": "unavailable"}, status=503)
+        if request.method == "PUT" and self.late_writes > 0:
+            self.late_writes -= 1
+            return await self._write_late(request)
         response = await handler(request)
+        if request.method == "PUT" and self.writes_until_down > 0:
+            self.writes_until_down -= 1
+            if self.writes_until_down == 0:
+                self.down = True
+                assert request.transport is not None
+                request.transport.abort()
         if request.method in ("PUT", "DELETE") and self.lost_write_answers > 0:
             self.lost_write_answers -= 1
             assert request.transport is not None
             request.transport.abort()
         return response
 
+    async def _write_late(self, request: web.Request) -> web.StreamResponse:
+        """Close the connection at once and make the write take effect later."""
+        await request.read()
+
+        async def write() -> None:
+            await asyncio.sleep(self.late_seconds)
+            await self.write(request)
+
+        task = asyncio.create_task(write())
+        self._late_tasks.add(task)
+        task.add_done_callback(self._late_tasks.discard)
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response(status=503)
+
     def _store(self, kind: str, name: str, value: bytes, deleted: bool) -> Stored:
         self.revision += 1
         stored = Stored(kind, name, self.revision, value, deleted)
@@ -156,11 +184,20 @@
         return web.json_response({"revision": self.revision, "objects": found})
 
     async def inject(self, request: web.Request) -> web.Response:
-        """Set faults: ``down``, ``delay_seconds``, ``lost_write_answers``."""
+        """Set faults.
+
+        ``down``, ``delay_seconds``; ``lost_write_answers``: writes whose answer is
+        lost; ``late_writes``: writes that take effect ``late_seconds`` after their
+        connection closed; ``writes_until_down``: the last of so many writes takes
+        effect, loses its answer and begins an outage.
+        """
         faults = await request.json()
         self.down = faults.get("down", self.down)
         self.delay_seconds = faults.get("delay_seconds", self.delay_seconds)
         self.lost_write_answers = faults.get("lost_write_answers", 0)
+        self.late_writes = faults.get("late_writes", 0)
+        self.late_seconds = faults.get("late_seconds", 0.0)
+        self.writes_until_down = faults.get("writes_until_down", 0)
         self._changed.set()
         self._changed = asyncio.Event()
         return web.json_response({"down": self.down})
