Measure claims and make their records smaller

One entry of 24 h of calls is a record in a value of at most 1 MB, so the size of records bounds the calls that fit. A finished record drops its claimant and the request hash keeps 128 bits; the size bound counts escaped characters instead of assuming that all are.

--- a/src/carawayhitch/controllers/_idempotency.py
+++ b/src/carawayhitch/controllers/_idempotency.py
@@ -14,6 +14,7 @@
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._issued_keys import issued_key_hash, key_hash
 from carawayhitch.controllers._journal import (
+    REQUEST_HASH_LENGTH,
     compare,
     live_record,
     new_record,
@@ -40,6 +41,11 @@
     return key_hash(row.account, service_name(row.target), row.idempotency_key)
 
 
+def request_hash(row: rows.RequestRow) -> str:
+    """Return the hash to which a claim binds its key."""
+    return row.body_sha256[:REQUEST_HASH_LENGTH]
+
+
 def shard_name(key: str, shard_count: int) -> str:
     """Return the journal object that holds a key."""
     return f"{int(key[:8], 16) % shard_count:04d}"
@@ -85,7 +91,7 @@
     record = live_record(shard, key, now)
     if record is not None and not _is_abandoned(record, claim):
         own = (record.node_id, record.incarnation) == _identity(board)
-        if own or record.status or record.request_sha256 != row.body_sha256:
+        if own or record.status or record.request_sha256 != request_hash(row):
             return _replay(row, record)
     if _key_expired(board, row, now):
         return _end(row, result_codes.KEY_EXPIRED)
@@ -114,7 +120,7 @@
 
 def _join(board: Board, claim: rows.ClaimRow, row: rows.RequestRow) -> Actions:
     """Return the outcome of a claim of this process to a duplicate, or let it wait."""
-    if claim.request_sha256 != row.body_sha256:
+    if claim.request_sha256 != request_hash(row):
         return _end(row, result_codes.KEY_REUSED)
     if claim.state not in UNRESOLVED_STATES:
         return _replay(row, new_record(claim, *_identity(board)))
@@ -141,7 +147,7 @@
 
 def _replay(row: rows.RequestRow, record: rows.JournalRecord) -> Actions:
     """Answer a duplicate from a record that will not change here any more."""
-    if record.request_sha256 != row.body_sha256:
+    if record.request_sha256 != request_hash(row):
         return _end(row, result_codes.KEY_REUSED)
     if not record.status:
         return _end(row, result_codes.OUTCOME_UNKNOWN)
@@ -198,7 +204,7 @@
 ) -> Actions:
     claim = rows.ClaimRow(
         key=claim_key(row),
-        request_sha256=row.body_sha256,
+        request_sha256=request_hash(row),
         nonce=_nonce(random),
         state="granted",
         deadline=issued.deadline,
@@ -225,7 +231,7 @@
     abandoned = (earlier.nonce, *earlier.abandoned_nonces) if earlier else ()
     claim = rows.ClaimRow(
         key=key,
-        request_sha256=row.body_sha256,
+        request_sha256=request_hash(row),
         nonce=_nonce(random),
         state="writing",
         deadline=min(now + settings.claim_timeout_seconds, row.deadline),
@@ -470,7 +476,7 @@
         return (actions.SetTimer(shard.flush_at, event),)
     shard = shard._replace(flush_at=0.0)
     _put_shard(board, shard)
-    if shard.version < 0:
+    if shard.version < 0 or shard.contended:
         return _start_read(board, shard, random)
     return _settle(board, shard.name, False, now, random)
 
@@ -503,6 +509,7 @@
     shard = shard._replace(
         operation_id="",
         version=event.version,
+        contended=shard.contended and event.version != shard.version,
         records_by_key={record.key: record for record in event.records},
     )
     if shard.unresolved_version != event.version:
@@ -640,7 +647,7 @@
     # A write that arrived, accepted or not, ends every earlier one for this version.
     shard = shard._replace(operation_id="", unresolved_version=-1)
     if not event.accepted:
-        shard = shard._replace(written_by_key=None)
+        shard = shard._replace(written_by_key=None, contended=True)
         _put_shard(board, shard)
         return (
             actions.Count(result_codes.RETRY_CLAIM_CONFLICT),
--- a/src/carawayhitch/controllers/_journal.py
+++ b/src/carawayhitch/controllers/_journal.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from functools import lru_cache
 from typing import Literal, NamedTuple
 
 from carawayhitch.core import rows
 
 # Quotes, separators, three numbers and brackets of one encoded record.
-RECORD_OVERHEAD_BYTES = 80
-# Content types are stored up to this length; JSON may escape each character to six.
+RECORD_OVERHEAD_BYTES = 64
 CONTENT_TYPE_LIMIT = 200
-ESCAPED_BYTES = 6
+# A character that JSON escapes takes up to this many bytes for each UTF-16 unit.
+ESCAPED_BYTES = 12
+# 128 bits of a request's hash tell an honest caller that it reused a key.
+REQUEST_HASH_LENGTH = 32
 
 # won: the record is ours, the call may be sent. duplicate: another claim was first.
 # read: only a fresh read can tell. insert, replace, remove, confirm: a write is
@@ -74,16 +77,29 @@
 def new_record(
     claim: rows.ClaimRow, node_id: str, incarnation: int
 ) -> rows.JournalRecord:
-    """Return the record of a claim, with its answer once it has one."""
+    """Return the record of a claim, with its answer once it has one.
+
+    A finished record is final, so it no longer names its claimant. This and the
+    shortened hash halve its size, which bounds the calls within one retention.
+    """
+    if not claim.status:
+        return rows.JournalRecord(
+            key=claim.key,
+            request_sha256=claim.request_sha256,
+            node_id=node_id,
+            incarnation=incarnation,
+            nonce=claim.nonce,
+            expires_at=claim.expires_at,
+        )
     return rows.JournalRecord(
         key=claim.key,
         request_sha256=claim.request_sha256,
-        node_id=node_id,
-        incarnation=incarnation,
-        nonce=claim.nonce,
+        node_id="",
+        incarnation=0,
+        nonce="",
         expires_at=claim.expires_at,
         status=claim.status,
-        content_type=claim.content_type[:CONTENT_TYPE_LIMIT],
+        content_type=claim.content_type[:CONTENT_TYPE_LIMIT] if claim.body else "",
         body=claim.body,
     )
 
@@ -91,10 +107,18 @@
 def record_bytes(record: rows.JournalRecord) -> int:
     """Return an upper bound of the bytes that a record takes in the store."""
     texts = len(record.key) + len(record.request_sha256) + len(record.nonce)
-    escaped = ESCAPED_BYTES * (len(record.node_id) + len(record.content_type))
+    escaped = _escaped_bytes(record.node_id) + _escaped_bytes(record.content_type)
     return RECORD_OVERHEAD_BYTES + texts + escaped + _body_bytes(record)
 
 
+@lru_cache(maxsize=256)
+def _escaped_bytes(text: str) -> int:
+    return sum(
+        1 if " " <= character <= "~" and character not in '"\\' else ESCAPED_BYTES
+        for character in text
+    )
+
+
 def _body_bytes(record: rows.JournalRecord) -> int:
     return len(record.body) * 4 // 3 + 4 if record.body else 0
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -317,6 +317,8 @@
     unresolved_version : int
         A write that expected this version failed and may still take effect; -1 if
         there is none.
+    contended : bool
+        Another process wrote the object last, so a write is preceded by a read.
     pending_keys : tuple of str
         Claims that still have to be compared with the journal.
     flush_at : float
@@ -331,6 +333,7 @@
     operation_id: str = ""
     written_by_key: dict[str, JournalRecord] | None = None
     unresolved_version: int = -1
+    contended: bool = False
     pending_keys: tuple[str, ...] = ()
     flush_at: float = 0.0
     write_not_before: float = 0.0
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -101,9 +101,9 @@
 class IdempotencySettings(NamedTuple):
     """Claims of keys for calls that must not be repeated."""
 
-    journal_shards: Annotated[int, Meta(ge=1)] = 16
+    journal_shards: Annotated[int, Meta(ge=1)] = 64
     batch_interval_seconds: PositiveSeconds = 0.02
-    completion_interval_seconds: PositiveSeconds = 0.2
+    completion_interval_seconds: PositiveSeconds = 1.0
     claim_timeout_seconds: PositiveSeconds = 3.0
     journal_bytes: Annotated[int, Meta(ge=1024)] = 900_000
     answer_timeout_seconds: PositiveSeconds = 60.0
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -23,6 +23,7 @@
 [idempotency]
 claim_timeout_seconds = 1.0
 answer_timeout_seconds = 1.5
+completion_interval_seconds = 0.2
 journal_shards = 4
 [drain]
 readiness_grace_seconds = 0.2
