Keep the layout of claim journals in the store

The shard of a key depended on settings.journal_shards and the end of a record on retention_seconds of each entry. While other settings are rolled out, two entries looked for one key in two objects.

--- a/experiments/claims.py
+++ b/experiments/claims.py
@@ -30,6 +30,8 @@
     "Content-Type": "application/json",
 }
 KEY_BATCH = 100
+# Answers are written up to a second after their calls.
+SETTLE_SECONDS = 1.5
 
 
 class Load(NamedTuple):
@@ -109,7 +111,7 @@
     """Send one load and print what it cost."""
     before = store_calls(fleet)
     outcome = asyncio.run(send_load(fleet, load))
-    time.sleep(0.6)
+    time.sleep(SETTLE_SECONDS)
     used = store_calls(fleet) - before
     answered = outcome.statuses[200]
     print(
--- a/src/carawayhitch/backends/_journal.py
+++ b/src/carawayhitch/backends/_journal.py
@@ -6,10 +6,16 @@
 from typing import Any
 
 from carawayhitch.backends._object_store import StoreClient, call_store
-from carawayhitch.codecs import decode_journal, encode_journal
+from carawayhitch.codecs import (
+    decode_journal,
+    decode_layout,
+    encode_journal,
+    encode_layout,
+)
 from carawayhitch.core import actions, errors, events
 
 JOURNAL_KIND = "claim_journal"
+LAYOUT_NAME = "layout"
 
 
 @singledispatch
@@ -45,3 +51,29 @@
         action.operation_id, JOURNAL_KIND, action.shard, value, action.expected_version
     )
     return await call_store(client, write)
+
+
+@call_journal.register
+async def _read_layout(
+    action: actions.ReadLayout, client: StoreClient, unix_minus_node_clock: float
+) -> Any:
+    read = actions.ReadObject(action.operation_id, JOURNAL_KIND, LAYOUT_NAME)
+    event = await call_store(client, read)
+    if not isinstance(event, events.ObjectRead):
+        return event
+    try:
+        layout = decode_layout(event.stored.value)
+    except errors.MalformedMessageError as error:
+        return events.StoreCallFailed(action.operation_id, error.message)
+    return events.LayoutRead(action.operation_id, layout)
+
+
+@call_journal.register
+async def _write_layout(
+    action: actions.WriteLayout, client: StoreClient, unix_minus_node_clock: float
+) -> Any:
+    value = encode_layout(action.layout)
+    write = actions.WriteObject(
+        action.operation_id, JOURNAL_KIND, LAYOUT_NAME, value, 0
+    )
+    return await call_store(client, write)
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -27,6 +27,7 @@
     crashes_by_fingerprint: dict[str, rows.CrashRow]
     claims_by_key: dict[str, rows.ClaimRow]
     shards_by_name: dict[str, rows.ShardRow]
+    journal_layouts_by_name: dict[str, rows.LayoutRow]
     objects_by_key: dict[tuple[str, str], rows.ObjectRow]
     configuration_by_name: dict[str, declarations.Configuration]
     retry_budget_by_group: dict[str, rows.BudgetRow]
@@ -41,6 +42,11 @@
         """The configuration in force, or None before the first one."""
         return self.configuration_by_name.get("in_force")
 
+    @property
+    def journal_layout(self) -> rows.LayoutRow | None:
+        """Layout of the claim journals, or None before it was read."""
+        return self.journal_layouts_by_name.get("in_force")
+
     @property
     def lifecycle(self) -> rows.LifecycleRow:
         """State of this process."""
@@ -77,6 +83,7 @@
         crashes_by_fingerprint={},
         claims_by_key={},
         shards_by_name={},
+        journal_layouts_by_name={},
         objects_by_key={},
         configuration_by_name={},
         retry_budget_by_group={},
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -14,7 +14,12 @@
     sha256_hex,
 )
 from carawayhitch.codecs._event_stream import EventBlock, split_events
-from carawayhitch.codecs._journal import decode_journal, encode_journal
+from carawayhitch.codecs._journal import (
+    decode_journal,
+    decode_layout,
+    encode_journal,
+    encode_layout,
+)
 from carawayhitch.codecs._keys import (
     decode_key_count,
     encode_keys,
@@ -56,6 +61,7 @@
     "decode_cache_events",
     "decode_journal",
     "decode_key_count",
+    "decode_layout",
     "decode_load",
     "decode_objects",
     "decode_objects_listed",
@@ -65,6 +71,7 @@
     "encode_journal",
     "encode_json",
     "encode_keys",
+    "encode_layout",
     "engine_body",
     "error_body",
     "error_event",
--- a/src/carawayhitch/codecs/_journal.py
+++ b/src/carawayhitch/codecs/_journal.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypedDict
 
 import msgspec
 
@@ -74,3 +74,34 @@
         )
         for record in stored
     )
+
+
+class LayoutBody(TypedDict):
+    """Store value of the layout of the journals."""
+
+    shard_count: int
+    retention_seconds: float
+
+
+def encode_layout(layout: rows.LayoutRow) -> bytes:
+    """Return the store value of a layout."""
+    return msgspec.json.encode(layout._asdict())
+
+
+def decode_layout(value: bytes) -> rows.LayoutRow | None:
+    """Return a layout; an absent object has none.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the value was not written by `encode_layout`.
+    """
+    if not value:
+        return None
+    try:
+        body = msgspec.json.decode(value, type=LayoutBody)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.MalformedMessageError(
+            result_codes.STORE_CALL_FAILED, f"journal layout: {error}"
+        ) from None
+    return rows.LayoutRow(body["shard_count"], body["retention_seconds"])
--- a/src/carawayhitch/controllers/_idempotency.py
+++ b/src/carawayhitch/controllers/_idempotency.py
@@ -87,8 +87,7 @@
         return None
     if claim is not None and claim.state != "abandoned":
         return _join(board, claim, row)
-    shard = _shard(board, shard_name(key, _shard_count(board)))
-    record = live_record(shard, key, now)
+    record = _known_record(board, key, now)
     if record is not None and not _is_abandoned(record, claim):
         own = (record.node_id, record.incarnation) == _identity(board)
         if own or record.status or record.request_sha256 != request_hash(row):
@@ -98,8 +97,11 @@
     return None
 
 
-def _shard_count(board: Board) -> int:
-    return board.settings.idempotency.journal_shards
+def _known_record(board: Board, key: str, now: float) -> rows.JournalRecord | None:
+    layout = board.journal_layout
+    if layout is None:
+        return None
+    return live_record(_shard(board, shard_name(key, layout.shard_count)), key, now)
 
 
 def _identity(board: Board) -> tuple[str, int]:
@@ -113,9 +115,9 @@
 def _key_expired(board: Board, row: rows.RequestRow, now: float) -> bool:
     if row.issued_key is not None:
         return now >= row.issued_key.deadline
-    if row.key_created_at is None:
+    if row.key_created_at is None or board.journal_layout is None:
         return False
-    return now >= row.key_created_at + board.settings.idempotency.retention_seconds
+    return now >= row.key_created_at + board.journal_layout.retention_seconds
 
 
 def _join(board: Board, claim: rows.ClaimRow, row: rows.RequestRow) -> Actions:
@@ -225,9 +227,12 @@
     now: float,
     random: Random,
 ) -> Actions:
+    layout = board.journal_layout
+    if layout is None:
+        return _end(row, result_codes.STORE_UNAVAILABLE)
     settings = board.settings.idempotency
     key = claim_key(row)
-    lifetime = settings.retention_seconds + settings.clock_tolerance_seconds
+    lifetime = layout.retention_seconds + settings.clock_tolerance_seconds
     abandoned = (earlier.nonce, *earlier.abandoned_nonces) if earlier else ()
     claim = rows.ClaimRow(
         key=key,
@@ -237,7 +242,7 @@
         deadline=min(now + settings.claim_timeout_seconds, row.deadline),
         expires_at=max(now, row.key_created_at or now) + lifetime,
         request_id=row.request_id,
-        shard=shard_name(key, settings.journal_shards),
+        shard=shard_name(key, layout.shard_count),
         abandoned_nonces=abandoned,
     )
     _put_claim(board, claim)
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -6,7 +6,7 @@
 
 from carawayhitch.core._messages import PeerMessage
 from carawayhitch.core._result_codes import ResultCode
-from carawayhitch.core._rows import JournalRecord
+from carawayhitch.core._rows import JournalRecord, LayoutRow
 
 
 class Emit(NamedTuple):
@@ -172,6 +172,19 @@
     expected_version: int
 
 
+class ReadLayout(NamedTuple):
+    """Read the layout of the claim journals."""
+
+    operation_id: str
+
+
+class WriteLayout(NamedTuple):
+    """Write the layout of the claim journals if the store has none."""
+
+    operation_id: str
+    layout: LayoutRow
+
+
 class ListObjects(NamedTuple):
     """Read all declared objects of the store."""
 
@@ -237,6 +250,8 @@
     | WriteObject
     | ReadJournal
     | WriteJournal
+    | ReadLayout
+    | WriteLayout
     | ListObjects
     | WatchObjects
     | CheckConfiguration
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -10,6 +10,7 @@
     GenerationTarget,
     IssuedKey,
     JournalRecord,
+    LayoutRow,
     ServiceTarget,
     UpstreamKind,
 )
@@ -270,6 +271,13 @@
     records: tuple[JournalRecord, ...]
 
 
+class LayoutRead(NamedTuple):
+    """Answer to ``ReadLayout``; None if the store has no layout yet."""
+
+    operation_id: str
+    layout: LayoutRow | None
+
+
 class JournalFlush(NamedTuple):
     """Time to compare the pending claims of a shard with its journal object."""
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -303,6 +303,13 @@
     body: bytes | None = None
 
 
+class LayoutRow(NamedTuple):
+    """What all entries must agree on to find and keep the record of a key."""
+
+    shard_count: int
+    retention_seconds: float
+
+
 class ShardRow(NamedTuple):
     """One journal object as this process last read or wrote it.
 
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -204,6 +204,8 @@
 
 @perform.register(actions.ReadJournal)
 @perform.register(actions.WriteJournal)
+@perform.register(actions.ReadLayout)
+@perform.register(actions.WriteLayout)
 def _call_journal(action: Any, node: Node) -> None:
     assert node.store is not None
     unix_minus_node_clock = time.time() - node.now()
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -486,3 +486,13 @@
             status, body, _ = call("POST", url, {"lot": 1}, headers)
             self.assertEqual(json.loads(body)["error"]["name"], "FORWARD_REFUSED")
         self.assertEqual(scene.runs(key), 0)
+
+    def test_entries_with_other_settings_share_one_layout(self):
+        """Guards against two runs while other journal settings are rolled out."""
+        scene = self.scene
+        scene.fleet.settings_text = SETTINGS.replace("shards = 4", "shards = 7")
+        scene.fleet.send_signal("entry-2", signal.SIGTERM)
+        scene.fleet.wait_exit("entry-2")
+        scene.restart("entry-2")
+        same_key_at_two_entries_at_once(scene)
+        self.check()
