--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -10,6 +10,7 @@
 from carawayhitch.controllers._targets import (
     final_code,
     first_byte_timeout,
+    is_idempotent,
     is_streamed,
 )
 from carawayhitch.core import actions, events, result_codes, rows
@@ -189,7 +190,11 @@
     board.requests_by_id[row.request_id] = row._replace(token_count=event.token_count)
     return (
         actions.SendAnswer(
-            row.request_id, event.status, event.content_type, event.body
+            row.request_id,
+            event.status,
+            event.content_type,
+            event.body,
+            event.headers,
         ),
         actions.Emit(events.RequestEnded(row.request_id, True, None)),
     )
@@ -289,6 +294,8 @@
     code = (
         result_codes.STREAM_LOST if row.last_sequence else final_code(row.target, sent)
     )
+    if code is None and row.caller_gone:
+        code = result_codes.CALLER_GONE
     if code is not None:
         return (closed, *end_request(row, code))
     retry_code, last_code = _retry_codes(kind, sent)
@@ -314,6 +321,10 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None:
         return ()
+    if row.phase == "opening" and not is_idempotent(row.target):
+        # The call runs once in any case; its answer is kept for a duplicate.
+        board.requests_by_id[row.request_id] = row._replace(caller_gone=True)
+        return ()
     ended = events.RequestEnded(row.request_id, False, result_codes.CALLER_GONE)
     return (
         _close(row),
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -6,6 +6,7 @@
 
 from carawayhitch.core._messages import PeerMessage
 from carawayhitch.core._result_codes import ResultCode
+from carawayhitch.core._rows import JournalRecord, LayoutRow
 
 
 class Emit(NamedTuple):
@@ -45,7 +46,7 @@
     Parameters
     ----------
     fresh_connection : bool
-        Use a connection of its own that no library may send twice over.
+        Use a connection of its own.
     """
 
     request_id: str
@@ -120,6 +121,16 @@
     status: int
     content_type: str
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class IssueKeys(NamedTuple):
+    """Sign keys of this process and answer them to the caller."""
+
+    request_id: str
+    account: str
+    serials: tuple[str, ...]
+    deadline: float
 
 
 class RefuseCall(NamedTuple):
@@ -197,6 +208,35 @@
     expected_version: int
 
 
+class ReadJournal(NamedTuple):
+    """Read one journal object of claims."""
+
+    operation_id: str
+    shard: str
+
+
+class WriteJournal(NamedTuple):
+    """Write one journal object if its version still is ``expected_version``."""
+
+    operation_id: str
+    shard: str
+    records: tuple[JournalRecord, ...]
+    expected_version: int
+
+
+class ReadLayout(NamedTuple):
+    """Read the layout of the claim journals."""
+
+    operation_id: str
+
+
+class WriteLayout(NamedTuple):
+    """Write the layout of the claim journals if the store has none."""
+
+    operation_id: str
+    layout: LayoutRow
+
+
 class ListObjects(NamedTuple):
     """Read all declared objects of the store."""
 
@@ -259,6 +299,7 @@
     | ForwardChunk
     | FinishStream
     | SendAnswer
+    | IssueKeys
     | RefuseCall
     | PollLoad
     | PollCacheEvents
@@ -267,6 +308,10 @@
     | SendOrder
     | ReadObject
     | WriteObject
+    | ReadJournal
+    | WriteJournal
+    | ReadLayout
+    | WriteLayout
     | ListObjects
     | WatchObjects
     | CheckConfiguration
