Make the three bounds of placement settings

Cause: reserve, affinity bound and memory margin trade one goal for another, so operators need to set them and the experiments to vary them.

--- a/experiments/_rows.py
+++ b/experiments/_rows.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.core import declarations
+from carawayhitch.core import declarations, settings
 from fakes.engine_model import Engine, EngineLimits
 
 
@@ -55,6 +55,8 @@
         Age of the load reports.
     cache_event_lag_seconds : float
         Age of the cache events; every seventh one is lost.
+    scheduler_fails_at : float
+        Time at which the entry that schedules the cell is lost.
     sample_from, sample_until : float
         Time in which loads are sampled and tokens are counted.
     """
@@ -67,7 +69,8 @@
     accounts: tuple[declarations.ClientAccount, ...]
     duration: float
     seed: int
-    memory_target: float = 0.9
+    scheduling: settings.SchedulingSettings = settings.SchedulingSettings()
+    scheduler_fails_at: float = float("inf")
     load_lag_seconds: float = 0.5
     cache_event_lag_seconds: float = 0.0
     sample_from: float = 0.0
@@ -84,6 +87,7 @@
     boards_by_id: dict[str, Board]
     engines_by_id: dict[str, Engine]
     active_engine_ids: set[str]
+    lost_entry_ids: set[str]
     loads_by_engine_id: dict[str, list[LoadSample]]
     cache_times_by_engine_id: dict[str, list[float]]
     outcomes_by_id: dict[str, Outcome]
--- a/experiments/_scenarios.py
+++ b/experiments/_scenarios.py
@@ -10,7 +10,7 @@
 
 from carawayhitch import controllers
 from carawayhitch.board import Board
-from carawayhitch.core import declarations, events, messages
+from carawayhitch.core import declarations, events, messages, settings
 from experiments import _figures as figures
 from experiments._rows import Arrival, Setup, World
 from experiments._world import GROUP, run
@@ -132,15 +132,19 @@
     """Patient work at five times the capacity beside urgent lookups."""
     lines: list[tuple[str, ...]] = []
     cases = (
-        ("carawayhitch", 0.0),
-        ("carawayhitch", 0.7),
-        ("carawayhitch", 5.0),
-        ("least_outstanding", 0.7),
-        ("least_outstanding", 5.0),
-        ("round_robin", 5.0),
+        ("carawayhitch", 0.0, 0.06),
+        ("carawayhitch", 0.7, 0.06),
+        ("carawayhitch", 5.0, 0.06),
+        ("carawayhitch", 5.0, 0.0),
+        ("carawayhitch", 5.0, 0.15),
+        ("least_outstanding", 0.7, 0.0),
+        ("least_outstanding", 5.0, 0.0),
+        ("round_robin", 5.0, 0.0),
     )
-    for policy, load in cases:
-        setup = new_setup(policy, seed, 90.0)
+    for policy, load, reserve in cases:
+        setup = new_setup(policy, seed, 90.0)._replace(
+            scheduling=settings.SchedulingSettings(first_rank_reserve=reserve)
+        )
         flows = [_lookups(30.0, START, 80.0)]
         if load:
             flows.append(at_load(_documents(START, 80.0), setup, load))
@@ -150,6 +154,7 @@
             (
                 policy,
                 f"{load:.1f}",
+                f"{reserve:.2f}" if policy == "carawayhitch" else "-",
                 _milliseconds(figures.quantile(urgent, 0.5)),
                 _milliseconds(figures.quantile(urgent, 0.95)),
                 _milliseconds(figures.quantile(urgent, 0.99)),
@@ -163,6 +168,7 @@
         (
             "policy",
             "patient load",
+            "reserve",
             "urgent p50 ms",
             "p95 ms",
             "p99 ms",
@@ -192,8 +198,8 @@
             (
                 policy,
                 f"{PATIENT.floor:.2f}",
-                f"{min(shares):.2f}",
-                f"{sum(shares) / len(shares):.2f}",
+                f"{min(shares):.3f}",
+                f"{sum(shares) / len(shares):.3f}",
                 _milliseconds(figures.quantile(urgent, 0.95)),
                 f"{100 * figures.refused_share(world, 'urgent', 20, 80):.1f}",
                 f"{figures.tokens(world, 20, 80) / 60:.0f}",
@@ -323,12 +329,17 @@
 def memory(seed: int) -> Table:
     """Heavy-tailed unknown lengths on engines whose memory fills while decoding."""
     lines: list[tuple[str, ...]] = []
-    cases = [("carawayhitch", target) for target in (0.7, 0.8, 0.85, 0.9, 0.95, 1.0)]
-    cases += [("least_outstanding", 0.0), ("round_robin", 0.0)]
-    for policy, target in cases:
+    cases = [
+        ("carawayhitch", target, 1.0) for target in (0.7, 0.8, 0.85, 0.9, 0.95, 1.0)
+    ]
+    cases += [("carawayhitch", 0.9, 0.0), ("carawayhitch", 0.9, 2.0)]
+    cases += [("least_outstanding", 0.0, 0.0), ("round_robin", 0.0, 0.0)]
+    for policy, target, margin in cases:
         setup = new_setup(policy, seed, 200.0)._replace(
             limits=EngineLimits(memory_tokens=30_000),
-            memory_target=target or 0.9,
+            scheduling=settings.SchedulingSettings(
+                memory_target=target or 0.9, memory_margin_deviations=margin
+            ),
             sample_from=40.0,
             sample_until=190.0,
         )
@@ -345,6 +356,7 @@
             (
                 policy,
                 f"{target:.2f}" if target else "-",
+                f"{margin:.1f}" if target else "-",
                 f"{world.counts['tokens'] / 150:.0f}",
                 f"{len(finished) / 150:.2f}",
                 str(world.counts["preemptions"]),
@@ -364,6 +376,7 @@
         (
             "policy",
             "memory_target",
+            "margin",
             "output tokens/s",
             "finished/s",
             "preemptions",
@@ -419,14 +432,21 @@
 def prefix_cache(seed: int) -> Table:
     """Prompts with shared prefixes; cache events come late and with gaps."""
     lines: list[tuple[str, ...]] = []
-    for policy, event_lag in (
-        ("carawayhitch", 0.0),
-        ("carawayhitch", 5.0),
-        ("least_outstanding", 0.0),
-        ("round_robin", 0.0),
+    for policy, event_lag, bound in (
+        ("carawayhitch", 0.0, 0.1),
+        ("carawayhitch", 5.0, 0.1),
+        ("carawayhitch", 5.0, 0.0),
+        ("carawayhitch", 5.0, 0.05),
+        ("carawayhitch", 5.0, 0.2),
+        ("carawayhitch", 5.0, 1.0),
+        ("least_outstanding", 0.0, 0.0),
+        ("round_robin", 0.0, 0.0),
     ):
         setup = new_setup(policy, seed, 70.0)._replace(
-            cache_event_lag_seconds=event_lag, sample_from=20.0, sample_until=65.0
+            cache_event_lag_seconds=event_lag,
+            scheduling=settings.SchedulingSettings(affinity_bound=bound),
+            sample_from=20.0,
+            sample_until=65.0,
         )
         flow = at_load(_documents(START, 65.0)._replace(prompt_tokens=700), setup, 0.6)
         random = Random(seed)
@@ -445,6 +465,7 @@
             (
                 policy,
                 f"{event_lag:.0f}",
+                f"{bound:.2f}" if policy == "carawayhitch" else "-",
                 f"{100 * hits / (hits + prefilled):.1f}",
                 f"{max(world.load_peaks):.2f}",
                 f"{figures.quantile(world.load_spreads, 0.95):.2f}",
@@ -456,6 +477,7 @@
         (
             "policy",
             "event lag s",
+            "affinity_bound",
             "prompt tokens hit %",
             "highest load",
             "p95 spread",
@@ -519,6 +541,60 @@
     return f"over {seconds}" if max(late) >= 225 else str(seconds)
 
 
+def scheduler_loss(seed: int) -> Table:
+    """Lose the scheduler of the cell on engines that are close to full."""
+    lines: list[tuple[str, ...]] = []
+    for fails_at in (float("inf"), 60.0):
+        setup = new_setup("carawayhitch", seed, 110.0)._replace(
+            limits=EngineLimits(memory_tokens=30_000),
+            scheduler_fails_at=fails_at,
+            sample_from=60.0,
+            sample_until=100.0,
+        )
+        flows = [
+            _lookups(30.0, START, 100.0),
+            at_load(_documents(START, 100.0), setup, 0.9),
+        ]
+        world = run(setup, draw(flows, setup))
+        lost = world.lost_entry_ids
+        found = [
+            (outcome.first_token_at or 110.0) - outcome.arrival.at
+            for outcome in world.outcomes_by_id.values()
+            if outcome.arrival.rank == "urgent"
+            and 60 <= outcome.arrival.at < 100
+            and outcome.arrival.entry_id not in lost
+            and not outcome.refused_code
+        ]
+        lines.append(
+            (
+                "yes" if lost else "no",
+                str(len(found)),
+                _milliseconds(figures.quantile(found, 0.5)),
+                _milliseconds(figures.quantile(found, 0.95)),
+                _milliseconds(max(found)),
+                f"{100 * figures.refused_share(world, 'urgent', 60, 100):.1f}",
+                str(world.counts["preemptions"]),
+                f"{world.counts['tokens'] / 40:.0f}",
+                str(world.counts["RETRY_ASK"]),
+            )
+        )
+    return Table(
+        "scheduler_loss",
+        (
+            "scheduler lost",
+            "urgent calls in 40 s",
+            "urgent p50 ms",
+            "p95 ms",
+            "highest ms",
+            "urgent refused %",
+            "preemptions",
+            "output tokens/s",
+            "asks repeated",
+        ),
+        lines,
+    )
+
+
 def ask_time(seed: int) -> Table:
     """Measure the time of one decision with 5,000 asks waiting."""
     setup = new_setup("carawayhitch", seed, 0.0)._replace(
@@ -605,5 +681,6 @@
     "lag": lag,
     "prefix_cache": prefix_cache,
     "overload_end": overload_end,
+    "scheduler_loss": scheduler_loss,
     "ask_time": ask_time,
 }
--- a/experiments/_world.py
+++ b/experiments/_world.py
@@ -24,6 +24,8 @@
 from fakes import engine_model
 
 NETWORK_SECONDS = 0.001
+# Three seconds of suspicion, the default of the peer settings.
+DETECTION_SECONDS = 3.0
 SAMPLE_SECONDS = 0.5
 GROUP = "quotes"
 LOST_CACHE_EVENT = 7
@@ -54,6 +56,16 @@
     result: engine_model.StepResult
 
 
+class SchedulerLost(NamedTuple):
+    """The entry that schedules the cell stops without a word."""
+
+
+class EntryDeclaredDead(NamedTuple):
+    """Membership tells the other entries that one is dead."""
+
+    entry_id: str
+
+
 class Sampled(NamedTuple):
     """Time to note the loads."""
 
@@ -72,6 +84,7 @@
             name: engine_model.new_engine(setup.limits) for name in engine_ids
         },
         active_engine_ids=set(),
+        lost_entry_ids=set(),
         loads_by_engine_id={
             name: [LoadSample(-10.0, 0, 0, 0, 0)] for name in engine_ids
         },
@@ -96,7 +109,7 @@
             peers=settings.PeerSettings(()),
             store=settings.StoreSettings("http://127.0.0.1"),
             platform=settings.PlatformSettings("http://127.0.0.1"),
-            scheduling=settings.SchedulingSettings(memory_target=setup.memory_target),
+            scheduling=setup.scheduling,
             streams=settings.StreamSettings(stall_timeout_seconds=1e6),
             limits=settings.LimitSettings(open_requests=1_000_000),
         ),
@@ -147,6 +160,7 @@
     for arrival in arrivals:
         _push(world, arrival.at, arrival)
     _push(world, 0.0, Sampled())
+    _push(world, setup.scheduler_fails_at, SchedulerLost())
     while world.pending and world.pending[0][0] <= setup.duration:
         now, _, event = heappop(world.pending)
         world.clock["now"] = now
@@ -164,8 +178,29 @@
     raise TypeError(f"unknown event {event!r}")
 
 
+@happen.register
+def _lose_scheduler(lost: SchedulerLost, world: World, now: float) -> None:
+    board = next(iter(world.boards_by_id.values()))
+    (schedulers,) = board.schedulers_by_cell_id.values()
+    world.lost_entry_ids.add(schedulers[0])
+    _push(world, now + DETECTION_SECONDS, EntryDeclaredDead(schedulers[0]))
+
+
+@happen.register
+def _declare_dead(dead: EntryDeclaredDead, world: World, now: float) -> None:
+    for entry_id, board in world.boards_by_id.items():
+        member = board.members_by_id[dead.entry_id]
+        board.members_by_id[dead.entry_id] = member._replace(state="dead")
+        if entry_id != dead.entry_id:
+            feed(world, entry_id, events.MembershipChanged())
+
+
 @happen.register
 def _arrive(arrival: Arrival, world: World, now: float) -> None:
+    if arrival.entry_id in world.lost_entry_ids:
+        # Callers come to another entry once the load balancer has noticed.
+        others = [name for name in world.boards_by_id if name != arrival.entry_id]
+        arrival = arrival._replace(entry_id=world.random.choice(others))
     request_id = f"request-{len(world.outcomes_by_id)}"
     world.outcomes_by_id[request_id] = Outcome(arrival)
     if world.setup.policy != "carawayhitch":
@@ -194,6 +229,8 @@
 @happen.register
 def _deliver(delivered: Delivered, world: World, now: float) -> None:
     event = delivered.event
+    if delivered.entry_id in world.lost_entry_ids:
+        return
     if isinstance(event, events.TimerFired) and event.name == "progress":
         _feed_chunks(world, delivered.entry_id)
     feed(world, delivered.entry_id, event)
@@ -357,6 +394,8 @@
 def feed(world: World, entry_id: str, event: Any) -> None:
     """Have an entry decide on an event and perform its actions."""
     now = world.clock["now"]
+    if entry_id in world.lost_entry_ids:
+        return
     pending = [event]
     while pending:
         emitted: list[Any] = []
--- a/src/carawayhitch/controllers/_memory.py
+++ b/src/carawayhitch/controllers/_memory.py
@@ -16,7 +16,6 @@
 BACKOFF_MINIMUM = 0.5
 BACKOFF_RECOVERY_PER_SECOND = 0.01
 FINISH_LIMIT = 512
-MARGIN_DEVIATIONS = 1.0
 NOTHING = rows.MemoryRow((0.0,) * len(HORIZONS), (0.0,) * len(HORIZONS))
 
 
@@ -68,22 +67,25 @@
     )
 
 
-def peak(memory: rows.MemoryRow) -> float:
+def peak(board: Board, memory: rows.MemoryRow) -> float:
     """Return the highest predicted memory, with a margin for chance."""
+    margin = board.settings.scheduling.memory_margin_deviations
     return max(
-        mean + MARGIN_DEVIATIONS * sqrt(max(0.0, variance))
+        mean + margin * sqrt(max(0.0, variance))
         for mean, variance in zip(memory.means, memory.variances, strict=True)
     )
 
 
 def predicted_peak(board: Board, upstream_id: str) -> float:
     """Return the predicted peak of the grants of an upstream."""
-    return peak(board.memory_by_upstream_id.get(upstream_id, NOTHING))
+    return peak(board, board.memory_by_upstream_id.get(upstream_id, NOTHING))
 
 
 def peak_with(board: Board, upstream_id: str, memory: rows.MemoryRow) -> float:
     """Return the predicted peak if one more request were granted."""
-    return peak(_sum(board.memory_by_upstream_id.get(upstream_id, NOTHING), memory))
+    return peak(
+        board, _sum(board.memory_by_upstream_id.get(upstream_id, NOTHING), memory)
+    )
 
 
 def ledger(board: Board, upstream_id: str) -> rows.LedgerRow:
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -14,12 +14,6 @@
 )
 from carawayhitch.core import rows
 
-# Share of slots and memory that only the first rank may use while it is active, so
-# that it need not wait for a patient request to finish.
-FIRST_RANK_RESERVE = 0.06
-# An upstream that holds the longest prefix is used while its load is within this
-# share of the least loaded one.
-AFFINITY_BOUND = 0.1
 # Keeps new requests away from an upstream that runs one on record, so that its
 # next crash leaves no doubt about the cause; not at the price of a queue.
 SUSPECT_PENALTY = 0.25
@@ -98,7 +92,9 @@
         memory=_memory.predict(
             board, ask.binding, ask.prompt_tokens, 0, ask.maximum_tokens
         ),
-        share=1.0 if may_use_reserve else 1.0 - FIRST_RANK_RESERVE,
+        share=1.0
+        if may_use_reserve
+        else 1.0 - board.settings.scheduling.first_rank_reserve,
         settling=is_settling(board, ask.cell_id, now),
     )
 
@@ -183,7 +179,7 @@
         + SUSPECT_PENALTY * (upstream.upstream_id in suspects)
         for upstream in allowed
     }
-    bound = min(loads.values(), default=0.0) + AFFINITY_BOUND
+    bound = min(loads.values(), default=0.0) + board.settings.scheduling.affinity_bound
 
     def order(upstream: rows.UpstreamRow) -> tuple[int, float, str]:
         load = loads[upstream.upstream_id]
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -65,7 +65,19 @@
 
 
 class SchedulingSettings(NamedTuple):
-    """Cells, grants and engine memory."""
+    """Cells, grants and engine memory.
+
+    Parameters
+    ----------
+    memory_margin_deviations : float
+        Standard deviations of the predicted memory that are kept free.
+    first_rank_reserve : float
+        Share of slots and memory that only the first rank may use while it is
+        active, so that it need not wait for a patient request to finish.
+    affinity_bound : float
+        An upstream that holds the longest prefix is used while its load is within
+        this share of the least loaded one.
+    """
 
     cell_size: Annotated[int, Meta(ge=1)] = 12
     ask_timeout_seconds: PositiveSeconds = 0.1
@@ -76,6 +88,9 @@
     load_interval_seconds: PositiveSeconds = 0.5
     memory_target: Share = 0.9
     charge_window_seconds: PositiveSeconds = 10.0
+    memory_margin_deviations: Annotated[float, Meta(ge=0)] = 1.0
+    first_rank_reserve: Share = 0.06
+    affinity_bound: Share = 0.1
 
 
 class StreamSettings(NamedTuple):
