Place asks of removed cells again; prune death and settle rows

Cause: an ask of a cell that a resize removed waited until its deadline, and rows of upstreams and cells that are gone stayed on the board.

--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -337,6 +337,10 @@
 
 def _follow_scheduler(board: Board, row: rows.RequestRow, now: float) -> Actions:
     candidates = board.schedulers_by_cell_id.get(row.cell_id)
+    if row.scheduler_id and not candidates and row.phase in WAITING_PHASES:
+        # The cell is gone; the group has others, or none.
+        board.requests_by_id[row.request_id] = row._replace(attempt=row.attempt + 1)
+        return (actions.Emit(events.RequestAdmitted(row.request_id)),)
     if not row.scheduler_id or not candidates or candidates[0] == row.scheduler_id:
         return ()
     moved = row._replace(scheduler_id=candidates[0], ask_count=0)
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -138,7 +138,7 @@
     active = {cell_id for cell_id, _ in board.queues_by_rank}
     active.update(grant.cell_id for grant in board.grants_by_request_id.values())
     for cell_id, deadline in list(board.settle_deadlines_by_cell_id.items()):
-        owners = board.schedulers_by_cell_id.get(cell_id) or (board.node_id,)
+        owners = board.schedulers_by_cell_id.get(cell_id) or ("",)
         if owners[0] != board.node_id and cell_id not in active and now >= deadline:
             del board.settle_deadlines_by_cell_id[cell_id]
 
@@ -325,4 +325,8 @@
         if upstream_id not in board.upstreams_by_id:
             del board.ledgers_by_upstream_id[upstream_id]
             _affinity.forget_cache(board, upstream_id)
+    # The entries place asks of a cell that is gone in another one.
+    for ask in list(board.asks_by_request_id.values()):
+        if ask.cell_id not in board.cells_by_id:
+            _queue.remove_ask(board, ask.request_id)
     return _schedule_all(board, now)
--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -225,6 +225,8 @@
     for death in list(board.deaths_by_upstream_id.values()):
         if not death.confirmed and now >= death.died_at + PROOF_SECONDS:
             decided.extend(confirm_death(board, death, now))
+        elif death.confirmed and death.upstream_id not in board.upstreams_by_id:
+            del board.deaths_by_upstream_id[death.upstream_id]
     return decided
 
 
--- a/tests/controllers/test_scheduling.py
+++ b/tests/controllers/test_scheduling.py
@@ -5,7 +5,14 @@
 import unittest
 
 from carawayhitch.controllers import _fairness, _lengths, _memory
-from carawayhitch.core import declarations, events, messages, result_codes
+from carawayhitch.core import (
+    actions,
+    declarations,
+    events,
+    messages,
+    result_codes,
+    rows,
+)
 from tests.controllers.scheduling_world import (
     CELL,
     PATIENT,
@@ -338,6 +345,47 @@
         queued = list(board.queues_by_rank[CELL, "urgent"]["hotel"])
         self.assertEqual(queued, ["one", "two"])
 
+    def test_asks_of_a_cell_that_is_gone_are_placed_again(self):
+        """Guards against calls that wait for a cell that a resize removed."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        fill(board, rank="urgent")
+        feed(board, ask("waiting"), 2.0)
+        cell = board.cells_by_id.pop(CELL)
+        board.cells_by_id["quotes/region-1/1"] = cell._replace(
+            cell_id="quotes/region-1/1"
+        )
+        target = rows.GenerationTarget("/v1/completions", "quotes", True, 10, 10)
+        board.requests_by_id["own"] = rows.RequestRow(
+            "own", "hotel", "quotes", "urgent", "urgent", target, "f", "b", "", 0.0, 9.0
+        )._replace(cell_id=CELL, scheduler_id="entry-1", queued=True)
+        decided = feed(board, events.UpstreamsChanged(), 3.0)
+        self.assertEqual(board.asks_by_request_id, {})
+        placed_again = actions.Emit(events.RequestAdmitted("own"))
+        self.assertIn(placed_again, decided)
+        feed(board, placed_again.event, 3.0)
+        self.assertEqual(board.requests_by_id["own"].cell_id, "quotes/region-1/1")
+        self.assertEqual(board.requests_by_id["own"].attempt, 2)
+
+    def test_two_schedulers_over_admit_only_until_the_next_report(self):
+        """Guards against two nodes that fill one engine with twice its limit."""
+        boards = [scheduling_board(engine_count=1) for _ in range(2)]
+        for board in boards:
+            report_all(board, 1.0, running_limit=20)
+        counts = []
+        for number, board in enumerate(boards):
+            for index in range(8):
+                feed(board, ask(f"{number}-{index}"), 1.1)
+            counts.append(len(board.grants_by_request_id))
+        self.assertEqual(counts, [8, 8])
+        for board in boards:
+            report_all(board, 2.0, running_limit=20, running_count=16, memory_used=1700)
+            for index in range(20):
+                feed(board, ask(f"more-{index}"), 2.1)
+            ledger = board.ledgers_by_upstream_id["engine-0"]
+            self.assertEqual(ledger.foreign_count, 8)
+            self.assertEqual(len(board.grants_by_request_id), 12)
+
     def test_running_request_leaves_the_queue(self):
         """Guards against a second run of a request that another node granted."""
         board = scheduling_board()
