--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -51,8 +51,8 @@
 ) -> list[str]:
     """Return the upstreams on which a fingerprint may run.
 
-    Identical fingerprints in flight share one upstream until one has finished. A
-    fingerprint on record runs beside no other one on record. A fingerprint that ran
+    Identical fingerprints in flight share one upstream until one has finished, and
+    always while on record. A fingerprint on record runs beside no other such one. A fingerprint that ran
     where an upstream failed waits until it is known whether the upstream died.
     """
     if not fingerprint:
@@ -60,12 +60,13 @@
     for death in board.deaths_by_upstream_id.values():
         if not death.confirmed and fingerprint in death.fingerprints:
             return []
-    if now >= board.cleared_by_fingerprint.get(fingerprint, 0.0):
+    on_record = crash_record(board, fingerprint, now) is not None
+    if on_record or now >= board.cleared_by_fingerprint.get(fingerprint, 0.0):
         in_flight = board.upstreams_by_fingerprint.get(fingerprint)
         if in_flight:
             shared = set(in_flight.values())
             upstream_ids = [name for name in upstream_ids if name in shared]
-    if crash_record(board, fingerprint, now) is not None:
+    if on_record:
         upstream_ids = [
             name
             for name in upstream_ids
--- a/tests/controllers/test_suspects.py
+++ b/tests/controllers/test_suspects.py
@@ -64,6 +64,20 @@
         spread = ask("harmless", fingerprint="killer")
         self.assertNotIn(granted(feed(board, spread, 2.1))["harmless"], upstreams)
 
+    def test_copies_on_record_share_one_upstream_although_one_finished(self):
+        """Guards against a killer that succeeds at times and then takes two engines."""
+        board = scheduling_board(engine_count=4)
+        report_all(board, 1.0)
+        feed(board, ask("lucky", fingerprint="killer"), 1.0)
+        feed(board, finished("lucky"), 2.0)
+        died = granted(feed(board, ask("first", fingerprint="killer"), 3.0))["first"]
+        crash(board, ["first"], died, 4.0)
+        upstreams = set()
+        for index in range(3):
+            event = ask(f"copy-{index}", fingerprint="killer")
+            upstreams |= set(granted(feed(board, event, 5.0)).values())
+        self.assertEqual(len(upstreams), 1)
+
     def test_innocent_requests_are_not_convicted(self):
         """Guards against refusals of requests that ran beside the killer twice."""
         board = scheduling_board(engine_count=3)
