--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -52,8 +52,9 @@
     """Return the upstreams on which a fingerprint may run.
 
     Identical fingerprints in flight share one upstream until one has finished, and
-    always while on record. A fingerprint on record runs beside no other such one. A fingerprint that ran
-    where an upstream failed waits until it is known whether the upstream died.
+    always while on record. A fingerprint on record runs beside no other such one. A
+    fingerprint that ran where an upstream failed waits until it is known whether the
+    upstream died.
     """
     if not fingerprint:
         return upstream_ids
