Refuse by the expected wait at low rates of grants too

Cause: fewer than 20 grants in the window counted as an unknown rate, so a rank of long documents with one grant a second never refused by its deadline.

--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from math import exp
+from math import exp, sqrt
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _fairness
@@ -14,8 +14,8 @@
 RETRY_AFTER_MAXIMUM_SECONDS = 60.0
 # Without a known rate, a middle value spreads the callers that come back.
 RETRY_AFTER_DEFAULT_SECONDS = 10.0
-# Fewer grants or a shorter backlog say too little about the rate to refuse by it.
-KNOWN_RATE_GRANTS = 20.0
+# Fewer grants or a shorter backlog say too little about the rate.
+KNOWN_RATE_GRANTS = 4.0
 KNOWN_RATE_SECONDS = 2.0
 
 
@@ -87,7 +87,8 @@
     """Return the expected wait of a new ask in seconds; 0 if nothing is known.
 
     Accounts take turns by quota weight, so of a longer queue only as many asks go
-    first as the other account's weight allows.
+    first as the other account's weight allows. The rate is taken two standard
+    deviations above what was counted, so that nobody is refused by mere chance.
     """
     grants = grants_per_second(board, ask.cell_id, ask.rank, now)
     if not grants:
@@ -103,7 +104,8 @@
         for account, queue in waiting.items()
         if account != ask.account
     )
-    return (own + ahead) / grants
+    counted = _fairness.rate(board, ask.cell_id, ask.rank, now).grants
+    return (own + ahead) / (grants * (1.0 + 2.0 / sqrt(counted)))
 
 
 def find_refusal(
--- a/tests/controllers/test_scheduling.py
+++ b/tests/controllers/test_scheduling.py
@@ -118,7 +118,7 @@
         # 40 asks wait and 5 a second are served.
         soon = feed(board, ask("soon", deadline=now + 2.0), now)
         self.assertEqual(refusals(soon), {"soon": "DEADLINE_UNREACHABLE"})
-        later = feed(board, ask("later", deadline=now + 20.0), now)
+        later = feed(board, ask("later", deadline=now + 12.0), now)
         self.assertEqual(refusals(later), {})
 
     def test_few_arrivals_are_not_taken_for_little_capacity(self):
