Keep tables in step when an ask or a grant moves

Cause: a repeated ask for another cell stayed in the queue of the first, and progress at another scheduler's upstream was counted where the own grant was.

--- a/src/carawayhitch/controllers/_rebuild.py
+++ b/src/carawayhitch/controllers/_rebuild.py
@@ -98,10 +98,11 @@
     if ask is not None and ask.attempt <= running.attempt:
         _queue.remove_ask(board, running.request_id)
     known = board.grants_by_request_id.get(running.request_id)
-    if known is not None and known.attempt == running.attempt:
-        note_tokens(board, known, running.token_count, now)
-        return
     if known is not None:
+        # Of two schedulers' grants the entry uses one, perhaps that of the other.
+        if (known.attempt, known.upstream_id) == (running.attempt, running.upstream_id):
+            note_tokens(board, known, running.token_count, now)
+            return
         if known.attempt > running.attempt:
             return
         remove_grant(board, known, now)
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -85,10 +85,12 @@
     if waiting is not None:
         if waiting.attempt > event.attempt:
             return ()
-        # A repeated ask keeps its place in the queue.
-        kept = ask._replace(queued_at=waiting.queued_at)
-        board.asks_by_request_id[event.request_id] = kept
-        return (_queued(board, ask),)
+        if waiting.cell_id == ask.cell_id:
+            # A repeated ask keeps its place in the queue.
+            kept = ask._replace(queued_at=waiting.queued_at)
+            board.asks_by_request_id[event.request_id] = kept
+            return (_queued(board, ask),)
+        _queue.remove_ask(board, event.request_id)
     if event.cell_id not in board.cells_by_id:
         return (_queue.refusal(board, ask, result_codes.NO_UPSTREAM, 1.0),)
     if _suspects.is_convicted(board, event.fingerprint, now):
@@ -276,6 +278,7 @@
     ask = board.asks_by_request_id.get(event.request_id)
     if ask is not None and ask.attempt <= event.attempt:
         _queue.remove_ask(board, event.request_id)
+        return _schedule(board, ask.cell_id, now)
     return ()
 
 
--- a/tests/controllers/test_scheduling.py
+++ b/tests/controllers/test_scheduling.py
@@ -386,6 +386,30 @@
             self.assertEqual(ledger.foreign_count, 8)
             self.assertEqual(len(board.grants_by_request_id), 12)
 
+    def test_ask_that_moves_to_another_cell_leaves_its_queue(self):
+        """Guards against queues that name asks which are not there."""
+        board = scheduling_board()
+        board.cells_by_id["other"] = board.cells_by_id[CELL]._replace(cell_id="other")
+        board.settle_deadlines_by_cell_id["other"] = 0.0
+        report_all(board, 1.0)
+        fill(board, rank="urgent")
+        feed(board, ask("moved"), 2.0)
+        feed(board, ask("moved", attempt=2, cell_id="other"), 2.1)
+        self.assertNotIn((CELL, "urgent"), board.queues_by_rank)
+        self.assertEqual(board.asks_by_request_id["moved"].cell_id, "other")
+        feed(board, messages.AskWithdrawn("entry-2", "moved", 2, "other"), 2.2)
+        self.assertEqual(board.queues_by_rank, {})
+
+    def test_progress_moves_a_grant_to_the_upstream_in_use(self):
+        """Guards against load counted where another scheduler's grant is unused."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        feed(board, ask("twice"), 1.0)
+        self.assertIn("engine-0", board.grant_ids_by_upstream_id)
+        feed(board, running("twice", "engine-1"), 2.0)
+        self.assertEqual(list(board.grant_ids_by_upstream_id), ["engine-1"])
+        self.assertEqual(list(board.memory_by_upstream_id), ["engine-1"])
+
     def test_running_request_leaves_the_queue(self):
         """Guards against a second run of a request that another node granted."""
         board = scheduling_board()
--- a/tests/controllers/test_scheduling_invariants.py
+++ b/tests/controllers/test_scheduling_invariants.py
@@ -58,6 +58,7 @@
             fingerprint=f"fingerprint-{number % 15}",
             prompt_tokens=tokens,
             maximum_tokens=0,
+            cell_id=CELL if tokens % 7 else "other",
             excluded_upstream_ids=(engine,) if tokens % 5 == 0 else (),
             deadline=now + 20.0,
         )
@@ -96,6 +97,9 @@
     def test_invariants(self, sequence):
         """Guards against grants that no limit allows and tables that drift apart."""
         board = scheduling_board(ENGINES)
+        board.cells_by_id["other"] = board.cells_by_id[CELL]._replace(
+            cell_id="other", upstream_ids=("engine-0",)
+        )
         report_all(board, 1.0, memory_capacity=3000, running_limit=RUNNING_LIMIT)
         now = 1.0
         for step in sequence:
