Recognize a single event with one match

Cause: split_events searched, listed and counted the numbers of every block, although a read holds exactly one event unless the entry is behind. Reading with readany saves the iterator's extra call as well.

--- a/src/carawayhitch/backends/_engines.py
+++ b/src/carawayhitch/backends/_engines.py
@@ -85,7 +85,7 @@
     received_chunk = partial(events.ChunkReceived, call.request_id, call.attempt)
     pending = b""
     try:
-        async for received in response.content.iter_any():
+        while received := await response.content.readany():
             block, pending = split_events(pending + received if pending else received)
             if block is None:
                 continue
--- a/src/carawayhitch/codecs/_event_stream.py
+++ b/src/carawayhitch/codecs/_event_stream.py
@@ -8,9 +8,12 @@
 from carawayhitch.core import errors, result_codes
 
 EVENT_END = b"\n\n"
-FINAL_EVENT = b"data: [DONE]\n\n"
+FINAL_LINE = b"data: [DONE]"
+FINAL_EVENT = FINAL_LINE + EVENT_END
 # Longest event that is kept while its end has not arrived.
 EVENT_BYTES_LIMIT = 1_048_576
+# The usual read is exactly one event; one match finds that out.
+_ONE_EVENT = re.compile(rb"id: (\d{1,15})\n(data: [^\n]*)\n\n")
 _SEQUENCE = re.compile(rb"(?:\A|\n)id: (\d{1,15})\n")
 
 
@@ -41,6 +44,10 @@
         If an event carries no sequence number, the numbers of the events are not
         contiguous, an event follows the final one, or an event is too long.
     """
+    one = _ONE_EVENT.fullmatch(pending)
+    if one is not None:
+        sequence = int(one[1])
+        return EventBlock(sequence, sequence, pending, one[2] == FINAL_LINE), b""
     end = pending.rfind(EVENT_END)
     if end < 0:
         if len(pending) > EVENT_BYTES_LIMIT:
