--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -10,6 +10,7 @@
 import asyncio
 import base64
 from collections import Counter
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -37,7 +38,7 @@
     def __init__(self) -> None:
         self.revision = 0
         self.objects_by_key: dict[tuple[str, str], Stored] = {}
-        self.history: list[Stored] = []
+        self.history_by_kind: dict[str, list[Stored]] = {}
         self.calls_by_kind: Counter[str] = Counter()
         self.down = False
         self.delay_seconds = 0.0
@@ -110,7 +111,7 @@
         self.revision += 1
         stored = Stored(kind, name, self.revision, value, deleted)
         self.objects_by_key[kind, name] = stored
-        self.history.append(stored)
+        self.history_by_kind.setdefault(kind, []).append(stored)
         self._changed.set()
         self._changed = asyncio.Event()
         return stored
@@ -169,8 +170,8 @@
             changed = self._changed
             found = [
                 stored.to_json()
-                for stored in self.history
-                if stored.version > since and (not kinds or stored.kind in kinds)
+                for stored in self._changes(kinds or set(self.history_by_kind))
+                if stored.version > since
             ]
             remaining = deadline - asyncio.get_running_loop().time()
             if found or remaining <= 0 or self.down:
@@ -183,6 +184,13 @@
             return web.json_response({"error": "unavailable"}, status=503)
         return web.json_response({"revision": self.revision, "objects": found})
 
+    def _changes(self, kinds: set[str]) -> Sequence[Stored]:
+        """Return all changes of some kinds; a watch skips the other kinds' writes."""
+        found = [
+            stored for kind in kinds for stored in self.history_by_kind.get(kind, ())
+        ]
+        return sorted(found, key=lambda stored: stored.version)
+
     async def inject(self, request: web.Request) -> web.Response:
         """Set faults.
 
