Judge crashes by the start time that engines report

Cause: an idle engine that answered with a faulty body was taken for one that had crashed and restarted, so two faulty answers convicted an innocent prompt. Ruled out: ignoring faulty answers as evidence, since a crash also cuts answers off. An engine that reports a start before the failure did not crash; engines that report none are judged by their work as before. Conclusion: the start time is asked for after the failure, so a poll that was answered before the crash proves nothing.

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -72,6 +72,7 @@
         self.model = engine_model.new_engine(limits)
         self.load_lag_seconds = load_lag_seconds
         self.streams_by_id: dict[str, Stream] = {}
+        self.started_at = time.monotonic()
         self.started_count = 0
         self.cancelled_count = 0
         self.refused_count = 0
@@ -280,7 +281,12 @@
         taken_at, report = self.loads[0]
         age = min(now - taken_at, self.load_lag_seconds)
         return web.json_response(
-            {**report, "age_seconds": age, "leaving": self.leaving}
+            {
+                **report,
+                "age_seconds": age,
+                "leaving": self.leaving,
+                "uptime_seconds": now - self.started_at,
+            }
         )
 
     async def cache_events(self, request: web.Request) -> web.Response:
--- a/src/carawayhitch/codecs/_platform.py
+++ b/src/carawayhitch/codecs/_platform.py
@@ -68,6 +68,7 @@
     age_seconds: NotRequired[float]
     leaving: NotRequired[bool]
     role: NotRequired[str]
+    uptime_seconds: NotRequired[float]
 
 
 class CacheEventBody(TypedDict):
@@ -145,6 +146,7 @@
 def decode_load(upstream_id: str, body: bytes, now: float) -> events.LoadReported:
     """Return the load of an engine as of ``now`` minus its age."""
     load = _decode(body, LoadBody, f"load of {upstream_id}")
+    uptime = load.get("uptime_seconds")
     return events.LoadReported(
         upstream_id=upstream_id,
         reported_at=now - max(0.0, load.get("age_seconds", 0.0)),
@@ -156,6 +158,8 @@
         preemption_count=load["preemptions"],
         leaving=load.get("leaving", False),
         draining=load.get("role") == DRAINING_ROLE,
+        started_at=None if uptime is None else now - uptime,
+        polled_at=now,
     )
 
 
--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -15,6 +15,9 @@
 CRASH_RECORD_SECONDS = 1800.0
 # A death without any load poll in this time counts as confirmed.
 PROOF_SECONDS = 3.0
+# An entry sees a failure shortly after it happened, and by then the engine may have
+# started again. No engine loads its weights and serves within this time.
+START_TOLERANCE_SECONDS = 0.5
 
 decide = new_controller()
 
@@ -202,18 +205,29 @@
 ) -> Actions:
     """Confirm a death or drop it by a report that was taken after it.
 
-    An engine that runs more than what it was granted directly before the failure
-    still runs older work, so it did not restart.
+    An engine that started before the failure did not die. One that does not tell
+    when it started is judged by its work: if it runs more than what it was granted
+    directly before the failure, it still runs older work, so it did not restart.
     """
     death = board.deaths_by_upstream_id.get(event.upstream_id)
-    if death is None or death.confirmed or event.reported_at <= death.died_at:
+    if death is None or death.confirmed:
+        return ()
+    # The start time holds for the moment of the answer, the other figures lag.
+    taken_at = event.reported_at if event.started_at is None else event.polled_at
+    if taken_at <= death.died_at:
         return ()
-    if event.running_count + event.waiting_count > death.recent_count:
+    if _has_survived(event, death):
         del board.deaths_by_upstream_id[event.upstream_id]
         return ()
     return confirm_death(board, death, now)
 
 
+def _has_survived(event: events.LoadReported, death: rows.DeathRow) -> bool:
+    if event.started_at is not None:
+        return event.started_at < death.died_at - START_TOLERANCE_SECONDS
+    return event.running_count + event.waiting_count > death.recent_count
+
+
 @decide.register(events.TimerFired)
 def _expire_records(
     event: events.TimerFired, board: Board, now: float, random: Random
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -206,6 +206,10 @@
         The engine will stop.
     draining : bool
         An order took the engine out of service for a while.
+    started_at : float or None
+        Time at which the engine process started, if it tells.
+    polled_at : float
+        Time at which the poll was sent that this answers.
     """
 
     upstream_id: str
@@ -218,6 +222,8 @@
     preemption_count: int
     leaving: bool
     draining: bool = False
+    started_at: float | None = None
+    polled_at: float = 0.0
 
 
 class LoadUnavailable(NamedTuple):
