--- a/experiments/_scenarios.py
+++ b/experiments/_scenarios.py
@@ -661,9 +661,17 @@
                 )
             ),
         )
-        for name, times in (("ask", asks[-2000:]), ("finish and next grant", ends))
+        for name, times in (
+            ("ask that is granted", asks[:700]),
+            ("ask that waits", asks[-2000:]),
+            ("finish and next grant", ends),
+        )
     ]
-    return Table("ask_time", ("event", "waiting", "mean us", "p99 us", "max us"), lines)
+    return Table(
+        "ask_time",
+        ("event", "waiting at the end", "mean us", "p99 us", "max us"),
+        lines,
+    )
 
 
 def _seconds_of(event: Any, board: Board, now: float, random: Random) -> float:
