--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -79,41 +79,56 @@
     return max(load, (peak + known.foreign_tokens) / upstream.memory_capacity)
 
 
-def _need(board: Board, ask: rows.AskRow, now: float) -> Need:
-    # A rank below its floor may use the reserve as well, or the floor could not be
-    # kept while the first rank fills the rest.
-    may_use_reserve = (
+def _usable_share(board: Board, ask: rows.AskRow, now: float) -> float:
+    """Return the part of slots and memory that an ask may fill.
+
+    A rank below its floor may use the reserve as well, or the floor could not be
+    kept while the first rank fills the rest.
+    """
+    if (
         rank_class(board, ask.rank).priority <= highest_priority(board)
         or not first_rank_is_active(board, ask.cell_id, now)
         or floor_deficit(board, ask.cell_id, ask.rank, now) > 0
-    )
+    ):
+        return 1.0
+    return 1.0 - board.settings.scheduling.first_rank_reserve
+
+
+def _need(board: Board, ask: rows.AskRow, share: float, now: float) -> Need:
     return Need(
         ask=ask,
         memory=_memory.predict(
             board, ask.binding, ask.prompt_tokens, 0, ask.maximum_tokens
         ),
-        share=1.0
-        if may_use_reserve
-        else 1.0 - board.settings.scheduling.first_rank_reserve,
+        share=share,
         settling=is_settling(board, ask.cell_id, now),
     )
 
 
+def has_slot(board: Board, upstream: rows.UpstreamRow, share: float) -> bool:
+    """Return whether a slot is free; an idle upstream always has one."""
+    occupied = _occupied(board, upstream)
+    return not occupied or occupied + 1 <= upstream.running_limit * share
+
+
+def _occupied(board: Board, upstream: rows.UpstreamRow) -> int:
+    count = len(board.grant_ids_by_upstream_id.get(upstream.upstream_id, ()))
+    return count + _memory.ledger(board, upstream.upstream_id).foreign_count
+
+
 def has_room(board: Board, upstream: rows.UpstreamRow, need: Need, now: float) -> bool:
     """Return whether slots and predicted memory allow one more request."""
-    known = _memory.ledger(board, upstream.upstream_id)
-    count = len(board.grant_ids_by_upstream_id.get(upstream.upstream_id, ()))
-    occupied = count + known.foreign_count
-    if occupied and occupied + 1 > upstream.running_limit * need.share:
+    if not has_slot(board, upstream, need.share):
         return False
     if upstream.kind != "engine":
         return True
     if need.settling and (not upstream.reported_at or upstream.waiting_count):
         return False
     # A request larger than the limit runs alone, or it would never run.
-    if not occupied:
+    if not _occupied(board, upstream):
         return True
     limit = need.share * _memory.memory_limit(board, upstream, now)
+    known = _memory.ledger(board, upstream.upstream_id)
     limit -= _foreign_memory(board, known, need.ask)
     return _memory.peak_with(board, upstream.upstream_id, need.memory) <= limit
 
@@ -141,10 +156,13 @@
     allowed = _allowed(board, cell, usable, ask, suspects, now)
     if usable and not allowed:
         return Choice(blocked="ask")
-    need = _need(board, ask, now)
-    for upstream in _by_preference(board, allowed, ask, suspects):
-        if has_room(board, upstream, need, now):
-            return Choice(upstream.upstream_id, "")
+    share = _usable_share(board, ask, now)
+    # Most choices find the cell full, so that is found out before loads are compared.
+    if any(has_slot(board, upstream, share) for upstream in allowed):
+        need = _need(board, ask, share, now)
+        for upstream in _by_preference(board, allowed, ask, suspects):
+            if has_room(board, upstream, need, now):
+                return Choice(upstream.upstream_id, "")
     return Choice(blocked="cell" if len(allowed) == len(usable) else "ask")
 
 
