--- a/experiments/_scenarios.py
+++ b/experiments/_scenarios.py
@@ -344,7 +344,7 @@
             sample_until=190.0,
         )
         flow = Flow("inspection", "patient", 1.0, START, 190.0, 300, 250, 1.2)
-        # Memory, not slots, bounds the load here; this is about 1.3 times of it.
+        # Memory, not slots, bounds the load here; this is about 1.5 times of it.
         flow = at_load(flow._replace(output_limit=12_000), setup, 0.85)
         world = run(setup, draw([flow], setup))
         finished = [
@@ -432,15 +432,19 @@
 def prefix_cache(seed: int) -> Table:
     """Prompts with shared prefixes; cache events come late and with gaps."""
     lines: list[tuple[str, ...]] = []
-    for policy, event_lag, bound in (
-        ("carawayhitch", 0.0, 0.1),
-        ("carawayhitch", 5.0, 0.1),
-        ("carawayhitch", 5.0, 0.0),
-        ("carawayhitch", 5.0, 0.05),
-        ("carawayhitch", 5.0, 0.2),
-        ("carawayhitch", 5.0, 1.0),
-        ("least_outstanding", 0.0, 0.0),
-        ("round_robin", 0.0, 0.0),
+    for policy, event_lag, bound, documents in (
+        ("carawayhitch", 0.0, 0.1, 120),
+        ("carawayhitch", 5.0, 0.1, 120),
+        ("carawayhitch", 5.0, 0.0, 120),
+        ("carawayhitch", 5.0, 0.05, 120),
+        ("carawayhitch", 5.0, 0.2, 120),
+        ("carawayhitch", 5.0, 1.0, 120),
+        ("least_outstanding", 0.0, 0.0, 120),
+        ("round_robin", 0.0, 0.0, 120),
+        ("carawayhitch", 0.0, 0.1, 2000),
+        ("carawayhitch", 5.0, 0.1, 2000),
+        ("carawayhitch", 1000.0, 0.1, 2000),
+        ("least_outstanding", 0.0, 0.0, 2000),
     ):
         setup = new_setup(policy, seed, 70.0)._replace(
             cache_event_lag_seconds=event_lag,
@@ -452,9 +456,10 @@
         random = Random(seed)
         arrivals = []
         for arrival in draw([flow], setup):
-            # 120 documents with 8 blocks of prefix each, some much more frequent;
-            # an engine holds 256 blocks, so no engine can hold them all.
-            document = min(119, int(random.paretovariate(0.6)) - 1)
+            # 8 blocks of prefix each, some documents much more frequent. An engine
+            # holds 256 blocks, so it cannot hold all documents.
+            popularity = 0.6 if documents == 120 else 0.3
+            document = min(documents, int(random.paretovariate(popularity))) - 1
             blocks = tuple(f"document-{document}/{index}" for index in range(8))
             arrivals.append(arrival._replace(prefix_blocks=blocks))
         world = run(setup, arrivals)
@@ -466,6 +471,7 @@
                 policy,
                 f"{event_lag:.0f}",
                 f"{bound:.2f}" if policy == "carawayhitch" else "-",
+                str(documents),
                 f"{100 * hits / (hits + prefilled):.1f}",
                 f"{max(world.load_peaks):.2f}",
                 f"{figures.quantile(world.load_spreads, 0.95):.2f}",
@@ -478,6 +484,7 @@
             "policy",
             "event lag s",
             "affinity_bound",
+            "documents",
             "prompt tokens hit %",
             "highest load",
             "p95 spread",
