--- /dev/null
+++ b/tests/frontend/test_refusals.py
@@ -0,0 +1,49 @@
+"""Errors become refusals with a code; internal details stay in the log."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from sanic import exceptions
+
+from carawayhitch.core import errors, result_codes
+from carawayhitch.frontend import _refusals
+
+
+class RefusalsTest(unittest.TestCase):
+    def refusal(self, error, method="POST"):
+        node = mock.Mock()
+        request = SimpleNamespace(method=method, path="/v1/completions")
+        response = _refusals.error_response(node, request, error)
+        node.count.assert_called_once()
+        return response, json.loads(response.body)["error"], node
+
+    def test_internal_error_shows_no_detail(self):
+        """Guards against stack traces and secrets in answers, and against silence."""
+        response, error, node = self.refusal(KeyError("secret-token"))
+        self.assertEqual((response.status, error["name"]), (500, "INTERNAL_ERROR"))
+        self.assertEqual((error["ran"], error["code"]), ("unknown", 2041))
+        self.assertNotIn(b"secret-token", response.body)
+        node.log.error.assert_called_once()
+
+    def test_errors_of_the_library_have_codes(self):
+        """Guards against a library error that is reported as an internal one."""
+        names_by_error = {
+            exceptions.NotFound("x"): "NOT_FOUND",
+            exceptions.MethodNotAllowed("x", "GET", ["POST"]): "METHOD_NOT_ALLOWED",
+            exceptions.BadRequest("x"): "MALFORMED_REQUEST",
+            exceptions.InvalidHeader("x"): "MALFORMED_REQUEST",
+            exceptions.ExpectationFailed("x"): "MALFORMED_REQUEST",
+            exceptions.PayloadTooLarge("x"): "BODY_TOO_LARGE",
+            exceptions.RequestTimeout("x"): "REQUEST_TIMEOUT",
+            errors.CallRefusedError(result_codes.DRAINING, "x"): "DRAINING",
+        }
+        for error, name in names_by_error.items():
+            response, body, _ = self.refusal(error)
+            self.assertEqual(body["name"], name)
+            self.assertEqual(response.headers["Carawayhitch-Ran"], "no")
+        _, body, _ = self.refusal(exceptions.PayloadTooLarge("x"), "NONE")
+        self.assertEqual(body["name"], "HEADERS_TOO_LARGE")
