--- a/experiments/claims.py
+++ b/experiments/claims.py
@@ -147,9 +147,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rates", default="10,50,100,200,400")
     parser.add_argument("--seconds", type=float, default=5.0, help="of each load")
-    parser.add_argument("--shards", type=int, default=16)
+    parser.add_argument("--shards", type=int, default=64)
     parser.add_argument("--batch-seconds", type=float, default=0.02)
-    parser.add_argument("--completion-seconds", type=float, default=0.2)
+    parser.add_argument("--completion-seconds", type=float, default=1.0)
     parser.add_argument("--store-delay", type=float, default=0.003, help="seconds")
     options = parser.parse_args()
     settings = (
