Ask for faults in every attempt and for a VM list before readiness

Cause: the scheduler now uses an upstream again when all of a cell are excluded, so a third attempt has an engine; and an entry was ready before its first list of VMs, so its first calls found no upstream. Ruled out: keeping such calls in the queue until the deadline. Before: 'python -m tests whole' 2 failures, because the third attempt succeeded. After: 0, with faults injected into all three attempts. Conclusion: the tests check the same outcome against more attempts.

--- a/src/carawayhitch/controllers/_lifecycle.py
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -16,11 +16,17 @@
 
 
 @decide.register(events.ConfigurationChanged)
+@decide.register(events.VmListReceived)
 def _become_ready(
-    event: events.ConfigurationChanged, board: Board, now: float, random: Random
+    event: events.ConfigurationChanged | events.VmListReceived,
+    board: Board,
+    now: float,
+    random: Random,
 ) -> Actions:
     lifecycle = board.lifecycle
-    if lifecycle.state == "starting":
+    # Without upstreams every call would be refused, so the balancer has to wait for
+    # the list of VMs as well as for the configuration.
+    if lifecycle.state == "starting" and board.configuration and board.upstreams_by_id:
         board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(state="ready")
         return (actions.Emit(events.LifecycleChanged()),)
     return ()
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -66,15 +66,16 @@
         for fault in ("cut", "unframed", "short_length", "invalid", "foreign"):
             with self.subTest(fault):
                 before = self.counter("RETRY_BEFORE_FIRST_TOKEN")
-                self.inject("engine-1", "answers", faults=[fault])
-                self.inject("engine-2", "answers", faults=[fault])
-                # Both engines fail once; a third attempt has no engine left.
+                # Each engine fails in every attempt that the limit of three allows.
+                self.inject("engine-1", "answers", faults=[fault] * 3)
+                self.inject("engine-2", "answers", faults=[fault] * 3)
                 status, answer = self.generate_with_limit()
                 self.assertGreaterEqual(status, 500, answer)
                 self.assertEqual(json.loads(answer)["error"]["ran"], "unknown")
                 after = self.counter("RETRY_BEFORE_FIRST_TOKEN")
                 self.assertGreaterEqual(after - before, 1)
                 self.inject("engine-1", "answers", faults=[fault])
+                self.inject("engine-2", "answers", faults=[])
                 self.assert_whole(*self.generate())
                 self.assert_whole(*self.generate())
 
@@ -131,7 +132,7 @@
         call(
             "POST",
             self.fleet.url("service-1") + "/fake/faults",
-            {"cut_answers": 1, "cut_inside": True},
+            {"cut_answers": 3, "cut_inside": True},
         )
         url = self.fleet.url("entry-1") + "/services/register/suppliers/7"
         headers = {**HEADERS, "Carawayhitch-Wait-Seconds": "1"}
