Bound the history of the store stand-in and let it skip and forget

A watch whose window has passed answers 410, the next watch events can be dropped, and the store can lose its data as a restart without it would. The fault cases of configuration need all three.

--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 
 VALUE_LIMIT = 1_000_000
+HISTORY_LIMIT = 10_000
 
 
 class Stored(NamedTuple):
@@ -42,6 +43,9 @@
         self.down = False
         self.delay_seconds = 0.0
         self.lost_write_answers = 0
+        self.skipped_changes = 0
+        self.history_limit = HISTORY_LIMIT
+        self.forgotten_revision = 0
         self._changed = asyncio.Event()
 
     def application(self) -> web.Application:
@@ -82,7 +86,12 @@
         self.revision += 1
         stored = Stored(kind, name, self.revision, value, deleted)
         self.objects_by_key[kind, name] = stored
-        self.history.append(stored)
+        if self.skipped_changes > 0:
+            self.skipped_changes -= 1
+        else:
+            self.history.append(stored)
+        while len(self.history) > self.history_limit:
+            self.forgotten_revision = self.history.pop(0).version
         self._changed.set()
         self._changed = asyncio.Event()
         return stored
@@ -133,11 +142,13 @@
         return web.json_response({"revision": self.revision, "objects": objects})
 
     async def watch(self, request: web.Request) -> web.Response:
-        """Wait for changes after a revision."""
+        """Wait for changes after a revision; 410 if they are no longer kept."""
         since = int(request.query["since"])
         kinds = set(filter(None, request.query.get("kinds", "").split(",")))
         deadline = asyncio.get_running_loop().time() + float(request.query["timeout"])
         while True:
+            if since < self.forgotten_revision:
+                return web.json_response({"error": "history passed"}, status=410)
             changed = self._changed
             found = [
                 stored.to_json()
@@ -156,11 +167,24 @@
         return web.json_response({"revision": self.revision, "objects": found})
 
     async def inject(self, request: web.Request) -> web.Response:
-        """Set faults: ``down``, ``delay_seconds``, ``lost_write_answers``."""
+        """Set faults.
+
+        ``down``, ``delay_seconds``; ``lost_write_answers`` and ``skipped_changes``
+        apply to the next writes, whose answers or watch events are dropped;
+        ``history_limit`` is how many changes a watch can go back; ``forget_all``
+        empties the store as a restart without its data would.
+        """
         faults = await request.json()
         self.down = faults.get("down", self.down)
         self.delay_seconds = faults.get("delay_seconds", self.delay_seconds)
         self.lost_write_answers = faults.get("lost_write_answers", 0)
+        self.skipped_changes = faults.get("skipped_changes", 0)
+        self.history_limit = faults.get("history_limit", self.history_limit)
+        if faults.get("forget_all"):
+            self.revision = 0
+            self.forgotten_revision = 0
+            self.objects_by_key.clear()
+            self.history.clear()
         self._changed.set()
         self._changed = asyncio.Event()
         return web.json_response({"down": self.down})
