--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -232,8 +232,8 @@
     def _settings(self, name: str, zone: str) -> str:
         http_port, peer_port = self.entry_ports[name]
         seeds = ", ".join(
-            f'{{address = "127.0.0.1", peer_port = {peer}}}'
-            for other, (_, peer) in self.entry_ports.items()
+            f'{{address = "127.0.0.1", peer_port = {peer}, http_port = {http}}}'
+            for other, (http, peer) in self.entry_ports.items()
             if other != name
         )
         return f"""
--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -14,6 +14,7 @@
     resume_generation,
     run_generation,
 )
+from carawayhitch.backends._object_exchange import exchange_objects
 from carawayhitch.backends._object_store import StoreClient, call_store
 from carawayhitch.backends._plain_services import run_service_call
 from carawayhitch.backends._platform import read_load, read_vm_list
@@ -28,6 +29,7 @@
     "UpstreamSessions",
     "call_store",
     "cancel_generation",
+    "exchange_objects",
     "open_session",
     "read_load",
     "read_vm_list",
--- /dev/null
+++ b/src/carawayhitch/backends/_object_exchange.py
@@ -0,0 +1,46 @@
+"""Exchange of configuration with another entry over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from carawayhitch.codecs import (
+    PEER_HEADER,
+    decode_exchange,
+    encode_exchange,
+    sign_exchange,
+    verify_exchange,
+)
+from carawayhitch.core import actions, errors, events
+from carawayhitch.core import settings as settings_types
+
+EXCHANGE_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+EXCHANGE_PATH = "/peer/v1/objects"
+
+
+async def exchange_objects(
+    session: aiohttp.ClientSession,
+    settings: settings_types.Settings,
+    action: actions.PullObjects,
+) -> events.ObjectsExchanged | events.ExchangeFailed:
+    """Send the state of this node to a peer and return the peer's.
+
+    An exchange may be repeated without harm, so the reused session is safe for it.
+    """
+    keys = settings.peers.keys
+    body = encode_exchange(action.request)
+    signature = sign_exchange(body, keys)
+    url = f"http://{action.address}:{action.http_port}{EXCHANGE_PATH}"
+    try:
+        async with session.post(
+            url, data=body, headers={PEER_HEADER: signature}, timeout=EXCHANGE_TIMEOUT
+        ) as response:
+            response.raise_for_status()
+            answer = await response.read()
+            header = response.headers.get(PEER_HEADER, "")
+        verify_exchange(answer, header, keys, signature)
+        return decode_exchange(answer, "")
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return events.ExchangeFailed(action.peer_id, repr(error))
+    except errors.MalformedMessageError as error:
+        return events.ExchangeFailed(action.peer_id, error.message)
--- a/src/carawayhitch/backends/_object_store.py
+++ b/src/carawayhitch/backends/_object_store.py
@@ -100,6 +100,8 @@
     async with client.session.get(
         f"{client.url}/watch", params=params, timeout=timeout
     ) as response:
+        if response.status == 410:
+            return events.WatchExpired(action.operation_id)
         response.raise_for_status()
         listed = decode_objects_listed(await response.read())
         return events.ObjectsChanged(STORE_SOURCE, listed.revision, listed.objects)
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from carawayhitch.core import declarations, rows
+from carawayhitch.core import declarations, events, rows
 from carawayhitch.core import settings as settings_types
 
 
@@ -27,6 +27,10 @@
     crashes_by_fingerprint: dict[str, rows.CrashRow]
     claims_by_key: dict[str, rows.ClaimRow]
     objects_by_key: dict[tuple[str, str], rows.ObjectRow]
+    decoded_by_key: dict[tuple[str, str], events.DecodedObject]
+    object_set_by_node_id: dict[str, rows.ObjectSetRow]
+    peer_states_by_id: dict[str, rows.PeerStateRow]
+    changes_by_operation_id: dict[str, rows.ChangeRow]
     configuration_by_name: dict[str, declarations.Configuration]
     retry_budget_by_group: dict[str, rows.BudgetRow]
 
@@ -40,6 +44,11 @@
         """The configuration in force, or None before the first one."""
         return self.configuration_by_name.get("in_force")
 
+    @property
+    def object_set(self) -> rows.ObjectSetRow:
+        """What this node knows of the declared objects as a whole."""
+        return self.object_set_by_node_id[self.settings.node.id]
+
     @property
     def lifecycle(self) -> rows.LifecycleRow:
         """State of this process."""
@@ -76,6 +85,10 @@
         crashes_by_fingerprint={},
         claims_by_key={},
         objects_by_key={},
+        decoded_by_key={},
+        object_set_by_node_id={node_id: rows.ObjectSetRow()},
+        peer_states_by_id={},
+        changes_by_operation_id={},
         configuration_by_name={},
         retry_budget_by_group={},
     )
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -12,11 +12,37 @@
     parse_labels,
     sha256_hex,
 )
+from carawayhitch.codecs._declaration_files import (
+    DeclaredFolder,
+    declarations_toml,
+    read_declarations,
+    sorted_keys,
+)
 from carawayhitch.codecs._event_stream import EventBlock, split_events
+from carawayhitch.codecs._object_exchange import (
+    PEER_HEADER,
+    decode_exchange,
+    encode_exchange,
+    sign_exchange,
+    verify_exchange,
+)
 from carawayhitch.codecs._objects import (
     declaration_from_value,
-    decode_objects,
+    decode_object,
     value_from_declaration,
+    value_of_deletion,
+)
+from carawayhitch.codecs._operators import (
+    ChangeBody,
+    MemberStatusBody,
+    ObjectBody,
+    ObjectsBody,
+    StatusBody,
+    UpstreamStatusBody,
+    change_answer,
+    decode_body,
+    decode_change,
+    describe_objects,
 )
 from carawayhitch.codecs._platform import (
     decode_cache_events,
@@ -36,18 +62,33 @@
 from carawayhitch.codecs._settings_file import read_settings
 
 __all__ = [
+    "PEER_HEADER",
+    "ChangeBody",
+    "DeclaredFolder",
     "EventBlock",
+    "MemberStatusBody",
+    "ObjectBody",
+    "ObjectsBody",
     "ResumeToken",
+    "StatusBody",
+    "UpstreamStatusBody",
     "answer_token_count",
     "bearer_token_sha256",
+    "change_answer",
     "declaration_from_value",
+    "declarations_toml",
+    "decode_body",
     "decode_cache_events",
+    "decode_change",
+    "decode_exchange",
     "decode_load",
-    "decode_objects",
+    "decode_object",
     "decode_objects_listed",
     "decode_stored_object",
     "decode_vm_list",
     "decode_written_version",
+    "describe_objects",
+    "encode_exchange",
     "encode_json",
     "engine_body",
     "error_body",
@@ -55,11 +96,16 @@
     "generation_target",
     "mapping_from_record",
     "parse_labels",
+    "read_declarations",
     "read_settings",
     "record_from_mapping",
     "sha256_hex",
+    "sign_exchange",
     "sign_resume_token",
+    "sorted_keys",
     "split_events",
     "value_from_declaration",
+    "value_of_deletion",
+    "verify_exchange",
     "verify_resume_token",
 ]
--- /dev/null
+++ b/src/carawayhitch/codecs/_object_exchange.py
@@ -0,0 +1,116 @@
+"""Exchange of configuration between entries: JSON signed with the peer key."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Iterable
+from hashlib import sha256
+from typing import TypedDict
+
+import msgspec
+
+from carawayhitch.codecs._platform import StoredBody, stored_body, stored_object
+from carawayhitch.core import errors, events, result_codes
+from carawayhitch.core import settings as settings_types
+
+PEER_HEADER = "Carawayhitch-Peer"
+CONTEXT = b"carawayhitch object exchange\0"
+
+
+class ExchangeBody(TypedDict):
+    """State of one entry with the objects that it offers."""
+
+    peer_id: str
+    revision: int
+    complete_revision: int
+    digest: str
+    in_force_revision: int
+    since: int
+    objects: list[StoredBody]
+
+
+def encode_exchange(exchange: events.ObjectsExchanged) -> bytes:
+    """Return the body of a request or an answer."""
+    body: ExchangeBody = {
+        "peer_id": exchange.peer_id,
+        "revision": exchange.revision,
+        "complete_revision": exchange.complete_revision,
+        "digest": exchange.digest,
+        "in_force_revision": exchange.in_force_revision,
+        "since": exchange.since,
+        "objects": [stored_body(stored) for stored in exchange.objects],
+    }
+    return msgspec.json.encode(body)
+
+
+def decode_exchange(body: bytes, exchange_id: str) -> events.ObjectsExchanged:
+    """Return a request or an answer.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the body does not fit.
+    """
+    try:
+        decoded = msgspec.json.decode(body, type=ExchangeBody)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.MalformedMessageError(
+            result_codes.PEER_MESSAGE_MALFORMED, f"object exchange: {error}"
+        ) from None
+    return events.ObjectsExchanged(
+        exchange_id=exchange_id,
+        peer_id=decoded["peer_id"],
+        revision=decoded["revision"],
+        complete_revision=decoded["complete_revision"],
+        digest=decoded["digest"],
+        in_force_revision=decoded["in_force_revision"],
+        since=decoded["since"],
+        objects=tuple(stored_object(item) for item in decoded["objects"]),
+    )
+
+
+def sign_exchange(
+    body: bytes, keys: Iterable[settings_types.PeerKey], request_signature: str = ""
+) -> str:
+    """Return the value of the signature header, made with the first key.
+
+    Parameters
+    ----------
+    request_signature : str
+        For an answer, the signature that it answers, so that an answer to another
+        request is not taken for it. Requests need no time stamp: objects are only
+        replaced by higher versions, so a repeated one changes nothing.
+    """
+    key = next(iter(keys))
+    return f"{key.id}:{_signature(body, key, request_signature)}"
+
+
+def _signature(body: bytes, key: settings_types.PeerKey, request_signature: str) -> str:
+    content = CONTEXT + request_signature.encode() + b"\0" + body
+    return hmac.new(key.secret.encode(), content, sha256).hexdigest()
+
+
+def verify_exchange(
+    body: bytes,
+    header: str,
+    keys: Iterable[settings_types.PeerKey],
+    request_signature: str = "",
+) -> None:
+    """Check the signature header of a body.
+
+    Raises
+    ------
+    MalformedMessageError
+        If no key of the settings made the signature.
+    """
+    key_id, _, signature = header.partition(":")
+    for key in keys:
+        expected = _signature(body, key, request_signature)
+        if str(key.id) == key_id and hmac.compare_digest(
+            expected.encode(), signature.encode()
+        ):
+            return
+    raise errors.MalformedMessageError(
+        result_codes.PEER_SIGNATURE_INVALID,
+        f"object exchange: {PEER_HEADER} of key {key_id!r} does not fit the body",
+    )
--- /dev/null
+++ b/src/carawayhitch/codecs/_operators.py
@@ -0,0 +1,180 @@
+"""JSON of the operators' interface."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any, TypedDict, TypeVar
+
+import msgspec
+
+from carawayhitch.codecs._objects import (
+    CHANGE_KEY,
+    DELETED_KEY,
+    value_from_declaration,
+    value_of_deletion,
+)
+from carawayhitch.codecs._records import record_from_mapping
+from carawayhitch.core import actions, declarations, errors, events, result_codes, rows
+
+Body = TypeVar("Body")
+
+
+class ChangeBody(TypedDict):
+    """One change of an object; without a declaration the object is deleted."""
+
+    change_id: str
+    expected_version: int
+    declaration: dict[str, Any] | None
+
+
+class ObjectBody(TypedDict):
+    """One declared object; a tombstone has no declaration.
+
+    ``write_version`` is the version that a change of the object has to name.
+    """
+
+    kind: str
+    name: str
+    version: int
+    write_version: int
+    change_id: str
+    declaration: dict[str, Any] | None
+
+
+class ObjectsBody(TypedDict):
+    """All declared objects that an entry knows."""
+
+    node: str
+    revision: int
+    complete: bool
+    objects: list[ObjectBody]
+
+
+class MemberStatusBody(TypedDict):
+    """One entry as another one knows it."""
+
+    id: str
+    state: str
+    url: str
+    in_force_revision: int
+
+
+class UpstreamStatusBody(TypedDict):
+    """One upstream and the declarations that match it."""
+
+    id: str
+    kind: str
+    leaving: bool
+    labels: dict[str, str]
+    serving_groups: list[str]
+    bindings: list[str]
+
+
+class StatusBody(TypedDict):
+    """State of one entry."""
+
+    node: str
+    zone: str
+    state: str
+    in_force_revision: int
+    known_revision: int
+    complete_revision: int
+    digest: str
+    watching: bool
+    problems: list[str]
+    rejected_count: int
+    outdated_count: int
+    store_failure_count: int
+    change_revision: int
+    change_seconds: float
+    members: list[MemberStatusBody]
+    upstreams: list[UpstreamStatusBody]
+
+
+def decode_body(body: bytes, body_type: type[Body], source: str) -> Body:
+    """Return a checked JSON body.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the body does not fit.
+    """
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.MalformedMessageError(
+            result_codes.MALFORMED_REQUEST, f"{source}: {error}"
+        ) from None
+
+
+def decode_change(
+    body: bytes, kind: str, name: str, operation_id: str
+) -> events.ChangeRequested:
+    """Return the change that an operator sent.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the body does not fit.
+    InvalidValueError
+        If the declaration is wrong.
+    """
+    source = f"{kind}/{name}"
+    decoded = decode_body(body, ChangeBody, source)
+    declaration_type = declarations.declaration_types_by_kind.get(kind)
+    if declaration_type is None:
+        kinds = ", ".join(declarations.declaration_types_by_kind)
+        raise errors.InvalidValueError(
+            result_codes.INVALID_DECLARATION,
+            f"{source}: unknown kind {kind!r}, expected one of {kinds}",
+        )
+    mapping = decoded["declaration"]
+    deleted = mapping is None
+    if deleted:
+        value = value_of_deletion(decoded["change_id"])
+    else:
+        declaration: Any = record_from_mapping(
+            declaration_type, mapping, source, result_codes.INVALID_DECLARATION
+        )
+        value = value_from_declaration(declaration, decoded["change_id"])
+    return events.ChangeRequested(
+        operation_id=operation_id,
+        change_id=decoded["change_id"],
+        kind=kind,
+        name=name,
+        value=value,
+        deleted=deleted,
+        expected_version=decoded["expected_version"],
+    )
+
+
+def change_answer(action: actions.AnswerChange) -> bytes:
+    """Return the body of an accepted change."""
+    return msgspec.json.encode({"version": action.version})
+
+
+def describe_objects(objects: Iterable[rows.ObjectRow]) -> list[ObjectBody]:
+    """Return objects with their declarations as they are stored."""
+    return [_object_body(row) for row in objects]
+
+
+def _object_body(row: rows.ObjectRow) -> ObjectBody:
+    kind, name = row.key
+    try:
+        mapping = msgspec.json.decode(row.value) if row.value else {}
+    except (msgspec.DecodeError, RecursionError):
+        mapping = {}
+    mapping = mapping if isinstance(mapping, dict) else {}
+    change_id = mapping.pop(CHANGE_KEY, "")
+    mapping.pop(DELETED_KEY, None)
+    # A tombstone without a value was made by a delete call of the store, after which
+    # the store counts the object as absent.
+    absent = row.deleted and not row.value
+    return {
+        "kind": kind,
+        "name": name,
+        "version": row.version,
+        "write_version": 0 if absent else row.version,
+        "change_id": change_id,
+        "declaration": None if row.deleted else mapping,
+    }
--- a/src/carawayhitch/codecs/_platform.py
+++ b/src/carawayhitch/codecs/_platform.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from base64 import b64decode
+from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 from typing import Any, NotRequired, TypedDict, TypeVar
 
 import msgspec
 
+from carawayhitch.codecs._objects import change_marks
 from carawayhitch.core import errors, events, result_codes, rows
 
 Body = TypeVar("Body")
@@ -90,28 +91,45 @@
         ) from None
 
 
-def _stored_object(body: StoredBody) -> events.StoredObject:
+def stored_object(body: StoredBody) -> events.StoredObject:
+    """Return an object from JSON."""
     try:
         value = b64decode(body["value"], validate=True)
     except (Base64Error, ValueError) as error:
         raise errors.MalformedMessageError(
             result_codes.STORE_CALL_FAILED, f"store value: {error}"
         ) from None
-    deleted = body.get("deleted", False)
+    change_id, deleted = change_marks(value)
     return events.StoredObject(
-        body["kind"], body["name"], body["version"], value, deleted
+        body["kind"],
+        body["name"],
+        body["version"],
+        value,
+        deleted or body.get("deleted", False),
+        change_id,
     )
 
 
+def stored_body(stored: events.StoredObject) -> StoredBody:
+    """Return an object as JSON with its value in base64."""
+    return {
+        "kind": stored.kind,
+        "name": stored.name,
+        "version": stored.version,
+        "value": b64encode(stored.value).decode(),
+        "deleted": stored.deleted,
+    }
+
+
 def decode_stored_object(body: bytes) -> events.StoredObject:
     """Return one object of the store."""
-    return _stored_object(_decode(body, StoredBody, "store object"))
+    return stored_object(_decode(body, StoredBody, "store object"))
 
 
 def decode_objects_listed(body: bytes) -> events.ObjectsListed:
     """Return a list of the store's objects."""
     decoded = _decode(body, ListBody, "store list")
-    objects = tuple(_stored_object(item) for item in decoded["objects"])
+    objects = tuple(stored_object(item) for item in decoded["objects"])
     return events.ObjectsListed(decoded["revision"], objects)
 
 
--- /dev/null
+++ b/src/carawayhitch/controllers/_changes.py
@@ -0,0 +1,176 @@
+"""Changes of operators: checked, written by conditional update, read back if unsure."""
+
+from __future__ import annotations
+
+from random import Random
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._configuration_checks import problems_of
+from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.core import actions, events, result_codes, rows
+
+RETRY_TIMER = "change_retry"
+CHANGE_LIMIT_SECONDS = 8.0
+RETRY_SECONDS = 0.2
+REWRITE_LIMIT = 5
+
+decide = new_controller()
+
+
+@decide.register(events.ChangeRequested)
+def _request(
+    event: events.ChangeRequested, board: Board, now: float, random: Random
+) -> Actions:
+    change = rows.ChangeRow(
+        event.operation_id,
+        event.change_id,
+        event.kind,
+        event.name,
+        event.value,
+        event.deleted,
+        event.expected_version,
+        now + CHANGE_LIMIT_SECONDS,
+    )
+    board.changes_by_operation_id[event.operation_id] = change
+    candidate = events.StoredObject(
+        event.kind, event.name, event.expected_version, event.value, event.deleted
+    )
+    return (actions.DecodeObjects(event.operation_id, (candidate,)),)
+
+
+@decide.register(events.ObjectsDecoded)
+def _check(
+    event: events.ObjectsDecoded, board: Board, now: float, random: Random
+) -> Actions:
+    """Refuse a change that adds a problem to the objects as this node knows them.
+
+    Two changes that pass their checks apart from each other may fail them together.
+    Problems that are there already do not stop a change, or none could be mended.
+    """
+    change = board.changes_by_operation_id.get(event.operation_id)
+    if change is None:
+        return ()
+    candidate = dict(board.decoded_by_key)
+    candidate.update(((entry.kind, entry.name), entry) for entry in event.objects)
+    known = set(problems_of(board.decoded_by_key.values()))
+    added = [line for line in problems_of(candidate.values()) if line not in known]
+    if added:
+        return _answer(board, change, result_codes.INVALID_DECLARATION, added[0])
+    return (_write(change),)
+
+
+def _write(change: rows.ChangeRow) -> actions.WriteObject:
+    return actions.WriteObject(
+        change.operation_id,
+        change.kind,
+        change.name,
+        change.value,
+        change.expected_version,
+    )
+
+
+def _read(change: rows.ChangeRow) -> actions.ReadObject:
+    return actions.ReadObject(change.operation_id, change.kind, change.name)
+
+
+@decide.register(events.ObjectWritten)
+def _written(
+    event: events.ObjectWritten, board: Board, now: float, random: Random
+) -> Actions:
+    change = board.changes_by_operation_id.get(event.operation_id)
+    if change is None:
+        return ()
+    if event.accepted:
+        return _accept(board, change, event.version)
+    # An earlier write of this change may be what the version refers to.
+    return (_read(change),)
+
+
+@decide.register(events.StoreCallFailed)
+def _failed(
+    event: events.StoreCallFailed, board: Board, now: float, random: Random
+) -> Actions:
+    change = board.changes_by_operation_id.get(event.operation_id)
+    if change is None:
+        return ()
+    count = change.failure_count + 1
+    board.changes_by_operation_id[change.operation_id] = change._replace(
+        failure_count=count
+    )
+    delay = RETRY_SECONDS * 2**count * random.uniform(0.5, 1.5)
+    counted = actions.Count(result_codes.STORE_CALL_FAILED)
+    if now + delay > change.deadline:
+        message = (
+            f"{change.kind}/{change.name}: the store did not answer ({event.detail}); "
+            f"change {change.change_id} may have been written, run diff to see"
+        )
+        return (counted, *_answer(board, change, result_codes.CHANGE_UNKNOWN, message))
+    timer = events.TimerFired(RETRY_TIMER, change.operation_id)
+    return (counted, actions.SetTimer(now + delay, timer))
+
+
+@decide.register(events.TimerFired)
+def _read_back(
+    event: events.TimerFired, board: Board, now: float, random: Random
+) -> Actions:
+    change = board.changes_by_operation_id.get(event.subject)
+    if event.name != RETRY_TIMER or change is None:
+        return ()
+    return (_read(change),)
+
+
+@decide.register(events.ObjectRead)
+def _compare(
+    event: events.ObjectRead, board: Board, now: float, random: Random
+) -> Actions:
+    """Resolve a write whose outcome is not known.
+
+    The value holds the change id, so an equal value is this change. If the version is
+    still the expected one, the write is repeated; at most one of the two can succeed.
+    """
+    change = board.changes_by_operation_id.get(event.operation_id)
+    if change is None:
+        return ()
+    stored = event.stored
+    if stored.value == change.value:
+        return _accept(board, change, stored.version)
+    if stored.version == change.expected_version:
+        if now < change.deadline and change.rewrite_count < REWRITE_LIMIT:
+            board.changes_by_operation_id[change.operation_id] = change._replace(
+                rewrite_count=change.rewrite_count + 1
+            )
+            return (_write(change),)
+        message = f"{change.kind}/{change.name}: not written in time, apply it again"
+        return _answer(board, change, result_codes.CHANGE_UNKNOWN, message)
+    message = (
+        f"{change.kind}/{change.name}: found version {stored.version} of change "
+        f"{stored.change_id!r}, expected version {change.expected_version}; "
+        "get the object and apply again"
+    )
+    return _answer(board, change, result_codes.CHANGE_CONFLICT, message)
+
+
+def _accept(board: Board, change: rows.ChangeRow, version: int) -> Actions:
+    del board.changes_by_operation_id[change.operation_id]
+    stored = events.StoredObject(
+        change.kind,
+        change.name,
+        version,
+        change.value,
+        change.deleted,
+        change.change_id,
+    )
+    return (
+        actions.Emit(events.ChangeAccepted(stored)),
+        actions.AnswerChange(change.operation_id, None, version=version),
+    )
+
+
+def _answer(
+    board: Board, change: rows.ChangeRow, code: result_codes.ResultCode, message: str
+) -> Actions:
+    del board.changes_by_operation_id[change.operation_id]
+    return (
+        actions.Count(code),
+        actions.AnswerChange(change.operation_id, code, message),
+    )
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -1,18 +1,51 @@
-"""Configuration: newest objects of the store, checked and put in force."""
+"""Configuration: newest objects of the store and of peers, checked, put in force.
+
+An object is only replaced by a higher version, whoever sends it. A candidate that fails
+its checks leaves the last good configuration in force.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from hashlib import blake2b
 from random import Random
 from typing import Any
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._cells import ranked
+from carawayhitch.controllers._configuration_checks import problems_of
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
 LIST_OPERATION = "configuration_list"
 WATCH_OPERATION = "configuration_watch"
-RETRY_SECONDS = 0.5
+DECODE_OPERATION = "configuration_decode"
+STORE_TIMER = "configuration_store"
+COMPARE_TIMER = "configuration_compare"
+
+# Entries that start together spread their first list over this time; the first one to
+# have it gives it to the others, which then make no list of their own.
+FIRST_LIST_SPREAD_SECONDS = 2.0
+STORE_RETRY_SECONDS = 0.5
+STORE_RETRY_LIMIT_SECONDS = 30.0
+# A burst of changes is answered by few watches, each of which counts as a call.
+WATCH_PAUSE_SECONDS = 0.2
+# A list finds changes that a watch skipped. 240 KB in 300 s are 0.8 KB/s.
+LIST_SECONDS = 300.0
+# The comparison is the safety net below pushes and gossip. Twice its longest interval
+# stays below the 8 s in which a change has to be in force everywhere.
+COMPARE_SECONDS = 3.0
+COMPARE_WHILE_INCOMPLETE_SECONDS = 0.3
+PULL_TIMEOUT_SECONDS = 2.0
+# Whole sets are only pulled when a store answer skipped a change. 240 KB each half
+# minute is 8 KB/s, within a node's 11 KB/s while the fault lasts.
+WHOLE_PULL_SECONDS = 30.0
+PUSH_COUNT = 2
+PUSH_COUNT_OF_WRITER = 3
+PUSH_OBJECT_LIMIT = 64
+PEER_MEMORY_SECONDS = 30.0
+
+LIVE_STATES = frozenset({"alive", "suspect"})
 
 decide = new_controller()
 
@@ -48,88 +81,512 @@
     )
 
 
+def object_hash(key: tuple[str, str], version: int) -> int:
+    """Return the hash of one version of an object."""
+    text = f"{key[0]}\0{key[1]}\0{version}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def digest_text(object_set: rows.ObjectSetRow) -> str:
+    """Return the digest of all keys and versions in hexadecimal."""
+    return f"{object_set.digest:016x}"
+
+
+def _update(board: Board, **changes: Any) -> rows.ObjectSetRow:
+    row = board.object_set._replace(**changes)
+    board.object_set_by_node_id[board.node_id] = row
+    return row
+
+
+def is_watcher(board: Board) -> bool:
+    """Return whether this node holds a watch of the store.
+
+    A node that knows no other live member watches, whatever its zone's ranking says.
+    """
+    live = [row for row in board.members_by_id.values() if row.state in LIVE_STATES]
+    if not any(row.node_id != board.node_id for row in live):
+        return True
+    zone = board.settings.node.zone
+    in_zone = {row.node_id for row in live if row.zone == zone} | {board.node_id}
+    count = board.settings.store.watchers_per_zone
+    return board.node_id in ranked(f"watch/{zone}", in_zone)[:count]
+
+
+# Store
+
+
 @decide.register(events.ProcessStarted)
-def _list_first(
+def _start(
     event: events.ProcessStarted, board: Board, now: float, random: Random
 ) -> Actions:
-    return (actions.ListObjects(LIST_OPERATION),)
+    compare = actions.SetTimer(now, events.TimerFired(COMPARE_TIMER))
+    if not _peers(board):
+        return (*_call_store(board, now), compare)
+    delay = random.uniform(0.1, 1.0) * FIRST_LIST_SPREAD_SECONDS
+    return (*_set_store_timer(board, now + delay), compare)
+
+
+def _set_store_timer(board: Board, deadline: float) -> Actions:
+    _update(board, store_call="timer")
+    return (actions.SetTimer(deadline, events.TimerFired(STORE_TIMER)),)
+
+
+def _call_store(board: Board, now: float) -> Actions:
+    """Return the next store call of this node, if it has to make one."""
+    known = board.object_set
+    if known.complete_revision >= 0 and not is_watcher(board):
+        _update(board, store_call="")
+        return ()
+    if now >= known.list_after:
+        _update(board, store_call="list")
+        return (actions.ListObjects(LIST_OPERATION),)
+    _update(board, store_call="watch")
+    return (actions.WatchObjects(WATCH_OPERATION, known.complete_revision),)
+
+
+@decide.register(events.TimerFired)
+def _timer(
+    event: events.TimerFired, board: Board, now: float, random: Random
+) -> Actions:
+    if event.name == STORE_TIMER and board.object_set.store_call == "timer":
+        return _call_store(board, now)
+    if event.name == COMPARE_TIMER:
+        return _compare(board, now, random)
+    return ()
+
+
+@decide.register(events.MembershipChanged)
+def _watch_if_due(
+    event: events.MembershipChanged, board: Board, now: float, random: Random
+) -> Actions:
+    decided: list[actions.Action] = []
+    if board.object_set.store_call == "" and is_watcher(board):
+        decided += _set_store_timer(board, now + random.uniform(0, WATCH_PAUSE_SECONDS))
+    for member in list(board.members_by_id.values()):
+        decided += _compare_with(
+            board, member.node_id, member.revision, member.configuration_digest, now
+        )
+    return decided
 
 
 @decide.register(events.ObjectsListed)
 def _take_list(
     event: events.ObjectsListed, board: Board, now: float, random: Random
 ) -> Actions:
-    return (
-        *_merge(board, event.objects, event.revision),
-        actions.WatchObjects(WATCH_OPERATION, event.revision),
-    )
+    list_after = now + LIST_SECONDS * random.uniform(0.5, 1.5)
+    _update(board, list_after=list_after)
+    first = board.object_set.complete_revision < 0
+    return _take_store_answer(board, event, now, random, PUSH_COUNT if first else 0)
 
 
 @decide.register(events.ObjectsChanged)
-def _take_changes(
+def _take_watch(
     event: events.ObjectsChanged, board: Board, now: float, random: Random
 ) -> Actions:
-    merged = _merge(board, event.objects, event.revision)
-    if event.source != "store":
-        return merged
-    return (*merged, actions.WatchObjects(WATCH_OPERATION, event.revision))
+    return _take_store_answer(board, event, now, random, PUSH_COUNT)
 
 
-@decide.register(events.StoreCallFailed)
-def _try_again(
-    event: events.StoreCallFailed, board: Board, now: float, random: Random
+def _take_store_answer(
+    board: Board,
+    event: events.ObjectsListed | events.ObjectsChanged,
+    now: float,
+    random: Random,
+    push_count: int,
 ) -> Actions:
-    if event.operation_id not in (LIST_OPERATION, WATCH_OPERATION):
-        return ()
-    delay = RETRY_SECONDS * random.uniform(0.5, 1.5)
-    timer = events.TimerFired(LIST_OPERATION)
+    """Merge what the store answered and schedule the next call.
+
+    An answer below the revision that is known comes late or from a store that lost
+    changes. Its objects are still merged by version, which never reverts one.
+    """
+    known = board.object_set
+    if event.revision < known.complete_revision:
+        decided = [
+            *_note_outdated(board, "store", event.revision),
+            *_merge(board, event.objects, now, random, push_count),
+            *_retry_store(board, now, random),
+        ]
+        return decided
+    _update(board, store_failure_count=0)
+    merged = _merge(
+        board, event.objects, now, random, push_count, complete=event.revision
+    )
+    return (*merged, *_set_store_timer(board, now + WATCH_PAUSE_SECONDS))
+
+
+def _note_outdated(board: Board, source: str, revision: int) -> Actions:
+    known = board.object_set
+    _update(board, outdated_count=known.outdated_count + 1)
+    fields = {
+        "source": source,
+        "revision": revision,
+        "known_revision": known.complete_revision,
+    }
     return (
-        actions.Count(result_codes.STORE_CALL_FAILED),
-        actions.SetTimer(now + delay, timer),
+        actions.Count(result_codes.CONFIGURATION_OUTDATED),
+        actions.Log("warning", "configuration is older than what is known", fields),
     )
 
 
-@decide.register(events.TimerFired)
-def _list_again(
-    event: events.TimerFired, board: Board, now: float, random: Random
+def _retry_store(board: Board, now: float, random: Random) -> Actions:
+    """Return a timer whose delay doubles with each failure in a row."""
+    count = board.object_set.store_failure_count
+    _update(board, store_failure_count=count + 1)
+    delay = min(STORE_RETRY_LIMIT_SECONDS, STORE_RETRY_SECONDS * 2 ** min(count, 10))
+    return _set_store_timer(board, now + delay * random.uniform(0.5, 1.5))
+
+
+@decide.register(events.StoreCallFailed)
+def _store_failed(
+    event: events.StoreCallFailed, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.name != LIST_OPERATION:
-        return ()
-    return (actions.ListObjects(LIST_OPERATION),)
+    if event.operation_id in (LIST_OPERATION, WATCH_OPERATION):
+        count = actions.Count(result_codes.STORE_CALL_FAILED)
+        return (count, *_retry_store(board, now, random))
+    return ()
+
+
+@decide.register(events.WatchExpired)
+def _list_after_gap(
+    event: events.WatchExpired, board: Board, now: float, random: Random
+) -> Actions:
+    _update(board, list_after=0.0)
+    return _retry_store(board, now, random)
+
+
+# Objects
 
 
 def _merge(
-    board: Board, objects: Iterable[events.StoredObject], revision: int
+    board: Board,
+    objects: Iterable[events.StoredObject],
+    now: float,
+    random: Random,
+    push_count: int,
+    complete: int = -1,
 ) -> Actions:
-    changed = False
+    """Take over objects with a higher version.
+
+    Parameters
+    ----------
+    push_count : int
+        Peers that are sent what changed.
+    complete : int
+        Revision up to which the sender vouches that nothing is missing.
+    """
+    known = board.object_set
+    revision, digest = known.revision, known.digest
+    changed: list[events.StoredObject] = []
     for stored in objects:
         key = (stored.kind, stored.name)
-        known = board.objects_by_key.get(key)
-        if known is not None and known.version >= stored.version:
+        row = board.objects_by_key.get(key)
+        if row is not None:
+            if row.version >= stored.version:
+                continue
+            digest ^= object_hash(key, row.version)
+        if stored.version <= 0:
             continue
         board.objects_by_key[key] = rows.ObjectRow(
             key, stored.version, stored.value, stored.deleted
         )
-        changed = True
-    if not changed and board.configuration is not None:
+        digest ^= object_hash(key, stored.version)
+        revision = max(revision, stored.version)
+        changed.append(stored)
+    first = known.complete_revision < 0 <= complete
+    _update(
+        board,
+        revision=revision,
+        digest=digest,
+        complete_revision=max(known.complete_revision, complete),
+    )
+    decided: list[actions.Action] = []
+    if changed:
+        decided.append(actions.DecodeObjects(DECODE_OPERATION, tuple(changed)))
+        decided += _push(board, changed, random, push_count)
+    elif first:
+        decided += _put_in_force(board, now)
+    return decided
+
+
+@decide.register(events.ObjectsDecoded)
+def _take_decoded(
+    event: events.ObjectsDecoded, board: Board, now: float, random: Random
+) -> Actions:
+    if event.operation_id != DECODE_OPERATION:
         return ()
-    return (actions.CheckConfiguration(revision),)
+    for decoded in event.objects:
+        key = (decoded.kind, decoded.name)
+        if board.objects_by_key[key].version == decoded.version:
+            board.decoded_by_key[key] = decoded
+    return _put_in_force(board, now)
 
 
-@decide.register(events.ConfigurationChecked)
-def _put_in_force(
-    event: events.ConfigurationChecked, board: Board, now: float, random: Random
+@decide.register(events.ChangeAccepted)
+def _take_change(
+    event: events.ChangeAccepted, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.problems:
-        fields = {"revision": event.revision, "problems": list(event.problems)}
+    _update(
+        board,
+        change_revision=event.stored.version,
+        change_accepted_at=now,
+        change_seconds=0.0,
+    )
+    return _merge(board, (event.stored,), now, random, PUSH_COUNT_OF_WRITER)
+
+
+def _put_in_force(board: Board, now: float) -> Actions:
+    """Put the newest objects in force if they are whole and pass their checks."""
+    known = board.object_set
+    if known.complete_revision < 0:
+        return ()
+    decoded = board.decoded_by_key.values()
+    problems = problems_of(decoded)
+    if problems:
+        _update(board, problems=problems, rejected_count=known.rejected_count + 1)
+        fields = {"revision": known.revision, "problems": list(problems)}
         return (
             actions.Count(result_codes.CONFIGURATION_REJECTED),
             actions.Log("error", "configuration rejected", fields),
         )
+    candidate = build_configuration(
+        known.revision,
+        (entry.declaration for entry in decoded if entry.declaration is not None),
+    )
     current = board.configuration
-    if current is not None and current.revision > event.revision:
+    if current is None and not _is_usable(candidate):
+        _update(board, problems=("no client_account or no binding is declared yet",))
+        return ()
+    if current is not None and current.revision > candidate.revision:
+        return ()
+    _update(board, problems=())
+    board.configuration_by_name["in_force"] = candidate
+    _note_in_force(board, now)
+    return (actions.Emit(events.ConfigurationChanged(candidate.revision)),)
+
+
+def _is_usable(candidate: declarations.Configuration) -> bool:
+    """Return whether any call could be served.
+
+    Operators write a first configuration object by object, bindings last. An entry
+    that became ready before them would refuse every call.
+    """
+    return bool(candidate.accounts_by_name and candidate.bindings_by_precedence)
+
+
+# Peers
+
+
+def _peers(board: Board) -> list[tuple[str, str, int]]:
+    """Return id, address and HTTP port of the entries that can be asked.
+
+    Seeds without a known member at their address are asked as well, so that a new
+    entry need not wait for gossip.
+    """
+    own = board.settings.node
+    members = [
+        row
+        for row in board.members_by_id.values()
+        if row.state in LIVE_STATES and row.node_id != own.id and row.http_port
+    ]
+    found = [(row.node_id, row.address, row.http_port) for row in members]
+    addresses = {(address, port) for _, address, port in found}
+    addresses.add((own.address, own.http_port))
+    if members:
+        return found
+    for seed in board.settings.peers.seeds:
+        if seed.http_port and (seed.address, seed.http_port) not in addresses:
+            peer_id = f"{seed.address}:{seed.http_port}"
+            found.append((peer_id, seed.address, seed.http_port))
+    return found
+
+
+def _own_state(
+    board: Board,
+    exchange_id: str,
+    since: int,
+    objects: Iterable[events.StoredObject] = (),
+) -> events.ObjectsExchanged:
+    known = board.object_set
+    configuration = board.configuration
+    return events.ObjectsExchanged(
+        exchange_id=exchange_id,
+        peer_id=board.node_id,
+        revision=known.revision,
+        complete_revision=known.complete_revision,
+        digest=digest_text(known),
+        in_force_revision=configuration.revision if configuration else 0,
+        since=since,
+        objects=tuple(objects),
+    )
+
+
+def _pull(board: Board, peer: tuple[str, str, int], since: int, now: float) -> Actions:
+    _update(board, pull_deadline=now + PULL_TIMEOUT_SECONDS)
+    return (actions.PullObjects(*peer, _own_state(board, "", since)),)
+
+
+def _push(
+    board: Board, changed: list[events.StoredObject], random: Random, count: int
+) -> Actions:
+    """Send what changed to some peers, each of which does the same.
+
+    Every entry pushes a change once, when it learns it, so a change costs two messages
+    an entry and reaches all in a number of rounds that grows with the logarithm of the
+    fleet, independent of gossip and of the store. A larger set is only announced.
+    """
+    peers = _peers(board)
+    if board.object_set.complete_revision < 0 or not peers:
+        return ()
+    offered = changed if len(changed) <= PUSH_OBJECT_LIMIT else []
+    request = _own_state(board, "", board.object_set.complete_revision, offered)
+    return tuple(
+        actions.PullObjects(*peer, request)
+        for peer in random.sample(peers, min(count, len(peers)))
+    )
+
+
+def _compare(board: Board, now: float, random: Random) -> Actions:
+    """Compare with one random peer and set the timer for the next time."""
+    known = board.object_set
+    interval = (
+        COMPARE_WHILE_INCOMPLETE_SECONDS
+        if known.complete_revision < 0
+        else COMPARE_SECONDS
+    )
+    deadline = now + interval * random.uniform(0.7, 1.3)
+    timer = actions.SetTimer(deadline, events.TimerFired(COMPARE_TIMER))
+    peers = _peers(board)
+    if not peers or now < known.pull_deadline:
+        return (timer,)
+    pull = _pull(board, random.choice(peers), known.complete_revision, now)
+    return (*pull, timer)
+
+
+def _compare_with(
+    board: Board, peer_id: str, revision: int, digest: str, now: float
+) -> Actions:
+    """Pull from a peer that knows changes which this node lacks."""
+    known = board.object_set
+    newer = revision > known.revision
+    differs = revision == known.revision and digest not in ("", digest_text(known))
+    if not (newer or differs) or now < known.pull_deadline:
         return ()
-    board.configuration_by_name["in_force"] = build_configuration(
-        event.revision, event.declarations
+    for peer in _peers(board):
+        if peer[0] == peer_id:
+            return _pull(board, peer, known.complete_revision, now)
+    return ()
+
+
+@decide.register(events.PeerRevisionSeen)
+def _see_peer(
+    event: events.PeerRevisionSeen, board: Board, now: float, random: Random
+) -> Actions:
+    _note_in_force(board, now)
+    return _compare_with(board, event.node_id, event.revision, event.digest, now)
+
+
+@decide.register(events.ExchangeFailed)
+def _exchange_failed(
+    event: events.ExchangeFailed, board: Board, now: float, random: Random
+) -> Actions:
+    _update(board, pull_deadline=0.0)
+    return (actions.Count(result_codes.CONFIGURATION_PULL_FAILED),)
+
+
+@decide.register(events.ObjectsExchanged)
+def _take_exchange(
+    event: events.ObjectsExchanged, board: Board, now: float, random: Random
+) -> Actions:
+    board.peer_states_by_id[event.peer_id] = rows.PeerStateRow(
+        event.peer_id, event.in_force_revision, now
+    )
+    if event.exchange_id:
+        return _answer_peer(board, event, now, random)
+    _update(board, pull_deadline=0.0)
+    known = board.object_set
+    covers = event.since <= known.complete_revision
+    first = known.complete_revision < 0
+    merged = _merge(
+        board,
+        event.objects,
+        now,
+        random,
+        0 if first else PUSH_COUNT,
+        complete=event.complete_revision if covers else -1,
     )
-    return (actions.Emit(events.ConfigurationChanged(event.revision)),)
+    _note_in_force(board, now)
+    return (*merged, *_pull_whole_set(board, event, now))
+
+
+def _pull_whole_set(
+    board: Board, event: events.ObjectsExchanged, now: float
+) -> Actions:
+    """Pull everything if the changes after the known revision were not enough.
+
+    This happens when a list or a watch of the store skipped a change.
+    """
+    known = board.object_set
+    if event.digest == digest_text(known) or event.revision != known.revision:
+        return ()
+    whole = min(event.complete_revision, known.complete_revision) >= known.revision
+    if not whole or event.since < 0 or now < known.whole_pull_after:
+        return ()
+    for peer in _peers(board):
+        if event.peer_id == peer[0]:
+            _update(board, whole_pull_after=now + WHOLE_PULL_SECONDS)
+            return _pull(board, peer, -1, now)
+    return ()
+
+
+def _answer_peer(
+    board: Board, event: events.ObjectsExchanged, now: float, random: Random
+) -> Actions:
+    """Take what a peer offers and answer with what it lacks."""
+    merged = _merge(board, event.objects, now, random, PUSH_COUNT)
+    known = board.object_set
+    if merged:
+        # The answer is made once the change is in force, which it reports.
+        return (*merged, actions.Emit(event._replace(objects=())))
+    lacking: Iterable[events.StoredObject] = ()
+    if event.digest != digest_text(known):
+        lacking = (
+            events.StoredObject(*row.key, row.version, row.value, row.deleted)
+            for row in board.objects_by_key.values()
+            if row.version > event.since
+        )
+    answer = _own_state(board, event.exchange_id, event.since, lacking)
+    _note_in_force(board, now)
+    pulled = _compare_with(board, event.peer_id, event.revision, event.digest, now)
+    return (*merged, actions.AnswerExchange(event.exchange_id, answer), *pulled)
+
+
+def _note_in_force(board: Board, now: float) -> None:
+    """Note how long the last change written here took to be in force everywhere."""
+    known = board.object_set
+    if not known.change_revision or known.change_seconds:
+        return
+    if all(
+        revision >= known.change_revision
+        for revision in revisions_in_force(board, now).values()
+    ):
+        seconds = max(now - known.change_accepted_at, 1e-6)
+        _update(board, change_seconds=seconds)
+
+
+def revisions_in_force(board: Board, now: float) -> dict[str, int]:
+    """Return the revision that each live entry last said to have in force."""
+    own = board.configuration
+    found = {board.node_id: own.revision if own else 0}
+    for row in board.peer_states_by_id.values():
+        member = board.members_by_id.get(row.peer_id)
+        live = (
+            now - row.seen_at < PEER_MEMORY_SECONDS
+            if member is None
+            else member.state in LIVE_STATES
+        )
+        if live:
+            found[row.peer_id] = row.in_force_revision
+    for member in board.members_by_id.values():
+        if member.state in LIVE_STATES and member.node_id != board.node_id:
+            heard = found.get(member.node_id, 0)
+            found[member.node_id] = max(heard, member.revision)
+    return found
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -4,6 +4,7 @@
 
 from typing import Any, NamedTuple
 
+from carawayhitch.core._events import ObjectsExchanged, StoredObject
 from carawayhitch.core._messages import PeerMessage
 from carawayhitch.core._result_codes import ResultCode
 
@@ -158,17 +159,52 @@
     revision: int
 
 
-class CheckConfiguration(NamedTuple):
-    """Decode all objects of the board and check them as a whole."""
+class DecodeObjects(NamedTuple):
+    """Decode the declarations of some objects."""
 
-    revision: int
+    operation_id: str
+    objects: tuple[StoredObject, ...]
 
 
 class PullObjects(NamedTuple):
-    """Read the objects that a peer has and this node lacks."""
+    """Offer objects to a peer and read those that it knows and this node lacks.
 
-    node_id: str
-    revision: int
+    Parameters
+    ----------
+    peer_id : str
+        Node id, or ``address:port`` of a seed whose id is not known yet.
+    request : ObjectsExchanged
+        State of this node with the offered objects.
+    """
+
+    peer_id: str
+    address: str
+    http_port: int
+    request: ObjectsExchanged
+
+
+class AnswerExchange(NamedTuple):
+    """Answer a peer that exchanges objects with this node."""
+
+    exchange_id: str
+    answer: ObjectsExchanged
+
+
+class AnswerChange(NamedTuple):
+    """Tell an operator the outcome of a change.
+
+    Parameters
+    ----------
+    code : ResultCode or None
+        None if the change is accepted.
+    version : int
+        Version of the object that the change made.
+    """
+
+    operation_id: str
+    code: ResultCode | None
+    message: str = ""
+    version: int = 0
 
 
 class Count(NamedTuple):
@@ -209,8 +245,10 @@
     | WriteObject
     | ListObjects
     | WatchObjects
-    | CheckConfiguration
+    | DecodeObjects
     | PullObjects
+    | AnswerExchange
+    | AnswerChange
     | Count
     | Log
     | StopProcess
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -191,6 +191,7 @@
     version: int
     value: bytes
     deleted: bool = False
+    change_id: str = ""
 
 
 class ObjectsListed(NamedTuple):
@@ -236,12 +237,109 @@
     detail: str
 
 
-class ConfigurationChecked(NamedTuple):
-    """Answer to ``CheckConfiguration``: decoded declarations, or what is wrong."""
+class WatchExpired(NamedTuple):
+    """The store no longer has the history after the revision of a watch."""
 
+    operation_id: str
+
+
+class DecodedObject(NamedTuple):
+    """One version of an object with its declaration, or with what is wrong.
+
+    Parameters
+    ----------
+    declaration : declaration or None
+        None if the object is deleted or could not be decoded.
+    problem : str
+        Empty if the object could be decoded.
+    """
+
+    kind: str
+    name: str
+    version: int
+    declaration: Any
+    problem: str = ""
+
+
+class ObjectsDecoded(NamedTuple):
+    """Answer to ``DecodeObjects``."""
+
+    operation_id: str
+    objects: tuple[DecodedObject, ...]
+
+
+class ObjectsExchanged(NamedTuple):
+    """Configuration of a peer, as its request or as the answer to ours.
+
+    Parameters
+    ----------
+    exchange_id : str
+        Request to answer; empty if this is an answer.
+    revision : int
+        Highest version that the peer knows.
+    complete_revision : int
+        Revision up to which the peer knows every change; -1 for none.
+    digest : str
+        Digest of all keys and versions that the peer knows.
+    in_force_revision : int
+        Revision that the peer has in force; 0 for none.
+    since : int
+        In a request, the revision after which the peer wants changes; in an answer,
+        the one after which ``objects`` holds all that the peer knows.
+    objects : tuple of StoredObject
+        Objects that the peer offers.
+    """
+
+    exchange_id: str
+    peer_id: str
+    revision: int
+    complete_revision: int
+    digest: str
+    in_force_revision: int
+    since: int
+    objects: tuple[StoredObject, ...]
+
+
+class ExchangeFailed(NamedTuple):
+    """A peer did not answer an exchange of objects."""
+
+    peer_id: str
+    detail: str
+
+
+class PeerRevisionSeen(NamedTuple):
+    """Gossip brought another revision or digest of a member."""
+
+    node_id: str
     revision: int
-    declarations: tuple[Any, ...]
-    problems: tuple[str, ...]
+    digest: str
+
+
+class ChangeAccepted(NamedTuple):
+    """The store holds an object that an operator changed through this node."""
+
+    stored: StoredObject
+
+
+class ChangeRequested(NamedTuple):
+    """An operator asks to write one object.
+
+    Parameters
+    ----------
+    value : bytes
+        Store value, including the change id; a deletion has one as well, so that a
+        lost answer can be resolved.
+    expected_version : int
+        Version that the change is based on; 0 for an absent object.
+    """
+
+    operation_id: str
+    change_id: str
+    kind: str
+    name: str
+    value: bytes
+    deleted: bool
+    expected_version: int
 
 
 class TimerFired(NamedTuple):
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -162,6 +162,12 @@
 CACHE_EVENT_GAP = ResultCode(
     4006, "CACHE_EVENT_GAP", "no", 0, "Cache events of an upstream had a gap."
 )
+CONFIGURATION_OUTDATED = ResultCode(
+    4010, "CONFIGURATION_OUTDATED", "no", 0, "An older configuration was not used."
+)
+CONFIGURATION_PULL_FAILED = ResultCode(
+    4011, "CONFIGURATION_PULL_FAILED", "no", 0, "A peer sent no configuration."
+)
 
 INVALID_SETTING = ResultCode(
     5001, "INVALID_SETTING", "no", 0, "A settings file has a wrong value."
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -214,6 +214,82 @@
     deleted: bool = False
 
 
+class ObjectSetRow(NamedTuple):
+    """What this node knows of the declared objects as a whole.
+
+    Parameters
+    ----------
+    revision : int
+        Highest version known.
+    complete_revision : int
+        Revision up to which every change is known; -1 before the first whole set.
+    digest : int
+        Exclusive or of the hashes of all keys and versions.
+    store_call : str
+        The one store call or timer that is outstanding: ``list``, ``watch``,
+        ``timer`` or none.
+    list_after : float
+        Time from which the next store call has to be a list.
+    store_failure_count : int
+        Store calls that failed in a row.
+    outdated_count, rejected_count : int
+        Answers that were older than what is known here; candidates that failed.
+    pull_deadline : float
+        Time until which a running pull from a peer holds back another one.
+    whole_pull_after : float
+        Time from which the whole set may be pulled again.
+    problems : tuple of str
+        Why the newest candidate is not in force.
+    change_revision, change_accepted_at, change_seconds
+        Last change that this node wrote, when the store accepted it, and how long it
+        took to be in force at all live members; 0 until it is.
+    """
+
+    revision: int = 0
+    complete_revision: int = -1
+    digest: int = 0
+    store_call: str = ""
+    list_after: float = 0.0
+    store_failure_count: int = 0
+    outdated_count: int = 0
+    rejected_count: int = 0
+    pull_deadline: float = 0.0
+    whole_pull_after: float = 0.0
+    problems: tuple[str, ...] = ()
+    change_revision: int = 0
+    change_accepted_at: float = 0.0
+    change_seconds: float = 0.0
+
+
+class PeerStateRow(NamedTuple):
+    """Configuration of another entry as last heard from it."""
+
+    peer_id: str
+    in_force_revision: int
+    seen_at: float
+
+
+class ChangeRow(NamedTuple):
+    """A change of an operator that this node writes to the store.
+
+    Parameters
+    ----------
+    deadline : float
+        Time at which the outcome is reported as unknown.
+    """
+
+    operation_id: str
+    change_id: str
+    kind: str
+    name: str
+    value: bytes
+    deleted: bool
+    expected_version: int
+    deadline: float
+    failure_count: int = 0
+    rewrite_count: int = 0
+
+
 class BudgetRow(NamedTuple):
     """Retry budget as a token bucket."""
 
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -30,10 +30,14 @@
 
 
 class SeedPeer(NamedTuple):
-    """Address of another entry, used until gossip has filled the membership."""
+    """Address of another entry, used until gossip has filled the membership.
+
+    Without an HTTP port, no configuration is read from the seed itself.
+    """
 
     address: str
     peer_port: Port
+    http_port: Port = 0
 
 
 class PeerSettings(NamedTuple):
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -14,6 +14,8 @@
 from carawayhitch.backends import CallContent
 from carawayhitch.core import actions, errors, events, result_codes, rows
 from carawayhitch.frontend._caller import SanicCaller, refusal_response
+from carawayhitch.frontend._operators import add_operator_routes
+from carawayhitch.frontend._peers import add_peer_routes
 from carawayhitch.node import Node, OpenCall, render_metrics
 
 GENERATION_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -38,6 +40,8 @@
         methods=SERVICE_METHODS,
         name="service",
     )
+    add_operator_routes(application, node)
+    add_peer_routes(application, node)
     application.add_route(_resume_handler(node), "/v1/streams/resume", name="resume")
     application.add_route(_health_handler(node), "/healthz", name="healthz")
     application.add_route(_ready_handler(node), "/readyz", name="readyz")
--- a/src/carawayhitch/node/__init__.py
+++ b/src/carawayhitch/node/__init__.py
@@ -4,5 +4,6 @@
 
 from carawayhitch.node._metrics import render_metrics
 from carawayhitch.node._node import CallerConnection, Node, OpenCall
+from carawayhitch.node._status import describe_status
 
-__all__ = ["CallerConnection", "Node", "OpenCall", "render_metrics"]
+__all__ = ["CallerConnection", "Node", "OpenCall", "describe_status", "render_metrics"]
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -84,6 +84,7 @@
         self.metrics: Metrics = new_metrics()
         self.calls_by_request_id: dict[str, OpenCall] = {}
         self.upstream_tasks_by_request_id: dict[str, asyncio.Task[None]] = {}
+        self.answers_by_operation_id: dict[str, asyncio.Future[Any]] = {}
         self.stopped = asyncio.Event()
         self._pending: deque[Any] = deque()
         self._deciding = False
@@ -184,6 +185,22 @@
 
         self.spawn(answer())
 
+    async def operate(self, operation_id: str, event: Any) -> Any:
+        """Feed an event and return the action that answers its operation."""
+        answer = asyncio.get_running_loop().create_future()
+        self.answers_by_operation_id[operation_id] = answer
+        try:
+            self.submit(event)
+            return await answer
+        finally:
+            self.answers_by_operation_id.pop(operation_id, None)
+
+    def answer_operation(self, operation_id: str, action: Any) -> None:
+        """Answer an operation unless its caller has left."""
+        answer = self.answers_by_operation_id.get(operation_id)
+        if answer is not None and not answer.done():
+            answer.set_result(action)
+
     def count(self, code: result_codes.ResultCode, rank: str) -> None:
         """Add to the counter of a result code."""
         self.metrics.outcomes.labels(str(code.number), code.name, rank).inc()
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -10,6 +10,7 @@
     UpstreamCall,
     call_store,
     cancel_generation,
+    exchange_objects,
     read_load,
     read_vm_list,
     resume_generation,
@@ -189,13 +190,26 @@
     node.spawn_answer(call_store(node.store, action))
 
 
-@perform.register(actions.CheckConfiguration)
-def _check_configuration(action: actions.CheckConfiguration, node: Node) -> None:
-    declared, problems = codecs.decode_objects(node.board.objects_by_key.values())
-    checked = events.ConfigurationChecked(
-        action.revision, tuple(declared), tuple(problems)
-    )
-    node.emit(checked)
+@perform.register(actions.DecodeObjects)
+def _decode_objects(action: actions.DecodeObjects, node: Node) -> None:
+    decoded = tuple(codecs.decode_object(stored) for stored in action.objects)
+    node.emit(events.ObjectsDecoded(action.operation_id, decoded))
+
+
+@perform.register(actions.PullObjects)
+def _pull_objects(action: actions.PullObjects, node: Node) -> None:
+    assert node.platform_session is not None
+    node.spawn_answer(exchange_objects(node.platform_session, node.settings, action))
+
+
+@perform.register(actions.AnswerExchange)
+def _answer_exchange(action: actions.AnswerExchange, node: Node) -> None:
+    node.answer_operation(action.exchange_id, action)
+
+
+@perform.register(actions.AnswerChange)
+def _answer_change(action: actions.AnswerChange, node: Node) -> None:
+    node.answer_operation(action.operation_id, action)
 
 
 @perform.register(actions.Count)
--- /dev/null
+++ b/src/carawayhitch/node/_status.py
@@ -0,0 +1,72 @@
+"""State of one entry for operators, read from the board."""
+
+from __future__ import annotations
+
+from carawayhitch import codecs, controllers
+from carawayhitch.board import Board
+from carawayhitch.core import rows
+
+
+def describe_status(board: Board, now: float) -> codecs.StatusBody:
+    """Return the state of this entry and of those that it knows."""
+    known = board.object_set
+    configuration = board.configuration
+    return {
+        "node": board.node_id,
+        "zone": board.settings.node.zone,
+        "state": board.lifecycle.state,
+        "in_force_revision": configuration.revision if configuration else 0,
+        "known_revision": known.revision,
+        "complete_revision": known.complete_revision,
+        "digest": controllers.digest_text(known),
+        "watching": known.store_call == "watch",
+        "problems": list(known.problems),
+        "rejected_count": known.rejected_count,
+        "outdated_count": known.outdated_count,
+        "store_failure_count": known.store_failure_count,
+        "change_revision": known.change_revision,
+        "change_seconds": round(known.change_seconds, 3),
+        "members": _members(board, now),
+        "upstreams": [
+            _upstream(upstream, board) for upstream in board.upstreams_by_id.values()
+        ],
+    }
+
+
+def _members(board: Board, now: float) -> list[codecs.MemberStatusBody]:
+    revisions = controllers.revisions_in_force(board, now)
+    found: list[codecs.MemberStatusBody] = [
+        {
+            "id": member.node_id,
+            "state": member.state,
+            "url": f"http://{member.address}:{member.http_port}",
+            "in_force_revision": revisions.get(member.node_id, member.revision),
+        }
+        for member in board.members_by_id.values()
+    ]
+    listed = {member["id"] for member in found}
+    found += (
+        {"id": node_id, "state": "seen", "url": "", "in_force_revision": revision}
+        for node_id, revision in revisions.items()
+        if node_id not in listed
+    )
+    return sorted(found, key=lambda member: member["id"])
+
+
+def _upstream(upstream: rows.UpstreamRow, board: Board) -> codecs.UpstreamStatusBody:
+    configuration = board.configuration
+    groups = configuration.serving_groups_by_name if configuration else {}
+    bindings = configuration.bindings_by_precedence if configuration else ()
+    matched = {
+        group.name
+        for group in groups.values()
+        if controllers.matches(group.selector, upstream.labels)
+    }
+    return {
+        "id": upstream.upstream_id,
+        "kind": upstream.kind,
+        "leaving": upstream.leaving,
+        "labels": dict(upstream.labels),
+        "serving_groups": sorted(matched),
+        "bindings": [binding.name for binding in bindings if binding.group in matched],
+    }
--- /dev/null
+++ b/tests/controllers/test_configuration.py
@@ -0,0 +1,444 @@
+"""The configuration controllers, event by event."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from collections import deque
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from carawayhitch import codecs, controllers
+from carawayhitch.board import new_board
+from carawayhitch.controllers import _changes, _configuration
+from carawayhitch.controllers._controller import combine
+from carawayhitch.core import actions, events, result_codes, rows, settings
+
+decide = combine((_configuration.decide, _changes.decide))
+TOKEN = "0" * 63 + "1"
+VALUES = {
+    ("rank_class", "urgent"): {"priority": 0},
+    ("serving_group", "quotes"): {"selector": {"model": "quotes"}},
+    ("client_account", "hotel"): {"token_sha256s": [TOKEN]},
+    ("binding", "quotes"): {"group": "quotes", "rank": "urgent"},
+}
+
+
+def stored(kind, name, version, change_id="", deleted=False, **fields):
+    mapping = {"name": name, **VALUES.get((kind, name), {}), **fields}
+    marks = {"_change": change_id} if change_id else {}
+    value = json.dumps({**marks, **mapping}).encode()
+    return events.StoredObject(kind, name, version, value, deleted, change_id)
+
+
+def whole_set(first_version=1):
+    return tuple(
+        stored(kind, name, first_version + index)
+        for index, (kind, name) in enumerate(VALUES)
+    )
+
+
+class Entry:
+    """A board with the two controllers; I/O actions are collected in `performed`."""
+
+    def __init__(self, node_id="n1", seeds=(), seed=0):
+        self.board = new_board(
+            settings.Settings(
+                node=settings.NodeSettings(node_id, "a", "r1"),
+                peers=settings.PeerSettings(
+                    keys=(settings.PeerKey(1, "k" * 32),), seeds=seeds
+                ),
+                store=settings.StoreSettings("http://127.0.0.1:1"),
+                platform=settings.PlatformSettings("http://127.0.0.1:1"),
+            ),
+            1,
+        )
+        self.now = 100.0
+        self.random = Random(seed)
+        self.performed = []
+
+    def feed(self, *fed):
+        pending = deque(fed)
+        before = len(self.performed)
+        while pending:
+            emitted = []
+            for action in decide(pending.popleft(), self.board, self.now, self.random):
+                if isinstance(action, actions.Emit):
+                    emitted.append(action.event)
+                elif isinstance(action, actions.DecodeObjects):
+                    decoded = tuple(map(codecs.decode_object, action.objects))
+                    emitted.append(events.ObjectsDecoded(action.operation_id, decoded))
+                else:
+                    self.performed.append(action)
+            pending.extendleft(reversed(emitted))
+        return self.performed[before:]
+
+    def changed(self, revision, *objects):
+        return self.feed(events.ObjectsChanged("store", revision, objects))
+
+    def listed(self, revision, *objects):
+        return self.feed(events.ObjectsListed(revision, objects))
+
+    def join(self, *node_ids, zone="a"):
+        for node_id in node_ids:
+            self.board.members_by_id[node_id] = rows.MemberRow(
+                node_id, 1, "alive", "127.0.0.1", 1, 2, zone, "r1"
+            )
+
+    @property
+    def weight(self):
+        return self.board.configuration.accounts_by_name["hotel"].quota_weight
+
+    def versions(self):
+        return {key: row.version for key, row in self.board.objects_by_key.items()}
+
+
+def ready_entry(**arguments):
+    entry = Entry(**arguments)
+    entry.listed(10, *whole_set())
+    return entry
+
+
+def account(version, weight):
+    return stored("client_account", "hotel", version, quota_weight=weight)
+
+
+def of_type(performed, action_type):
+    return [action for action in performed if isinstance(action, action_type)]
+
+
+def counted(performed):
+    return [action.code for action in of_type(performed, actions.Count)]
+
+
+class OrderTest(unittest.TestCase):
+    def test_fault_cases_end_in_the_highest_version(self):
+        """Guards against reordered, repeated, missed or late answers that revert."""
+        new, old = account(12, 2.0), account(11, 5.0)
+        cases = {
+            "repeated": [("changed", 12, new), ("changed", 12, new)],
+            "reordered": [("changed", 12, new), ("changed", 11, old)],
+            "late": [("changed", 12, new), ("changed", 10, account(3, 9.0))],
+            "older list": [("changed", 12, new), ("listed", 10, account(3, 9.0))],
+            "restarted store": [("changed", 12, new), ("listed", 2, account(1, 7.0))],
+            "emptied store": [("changed", 12, new), ("listed", 0)],
+            "list that skips": [("changed", 12, new), ("listed", 13)],
+            "missed": [("changed", 12), ("listed", 12, new)],
+            "both at once": [("changed", 12, new, old)],
+        }
+        for name, steps in cases.items():
+            with self.subTest(name):
+                entry = ready_entry()
+                for method, revision, *objects in steps:
+                    getattr(entry, method)(revision, *objects)
+                self.assertEqual(entry.weight, 2.0)
+                self.assertEqual(entry.board.configuration.revision, 12)
+
+    def test_older_store_is_counted_and_asked_less_often(self):
+        """Guards against a restarted store that goes unnoticed or is flooded."""
+        entry = ready_entry()
+        delays = []
+        for _ in range(8):
+            performed = entry.changed(2)
+            self.assertIn(result_codes.CONFIGURATION_OUTDATED, counted(performed))
+            timer = of_type(performed, actions.SetTimer)[0]
+            delays.append(timer.deadline - entry.now)
+        self.assertGreater(delays[-1], 10.0)
+        self.assertEqual(entry.board.object_set.outdated_count, 8)
+
+    @hypothesis_settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(("store", "list", "peer")),
+                st.lists(st.tuples(st.sampled_from("ab"), st.integers(1, 30))),
+                st.integers(0, 30),
+            ),
+            max_size=12,
+        )
+    )
+    def test_any_order_ends_in_the_highest_version(self, steps):
+        """Guards against any path on which an object goes back or the digest errs."""
+        entry = Entry()
+        expected = {}
+        for source, pairs, revision in steps:
+            objects = tuple(
+                stored("upstream", name, version, labels={"v": str(version)})
+                for name, version in pairs
+            )
+            before = entry.versions()
+            if source == "peer":
+                entry.feed(peer_answer(revision, objects))
+            elif source == "list":
+                entry.listed(revision, *objects)
+            else:
+                entry.changed(revision, *objects)
+            for name, version in pairs:
+                key = ("upstream", name)
+                expected[key] = max(expected.get(key, 0), version)
+            after = entry.versions()
+            self.assertTrue(all(after[key] >= before[key] for key in before))
+        self.assertEqual(entry.versions(), expected)
+        digest = 0
+        for key, version in expected.items():
+            digest ^= _configuration.object_hash(key, version)
+        self.assertEqual(entry.board.object_set.digest, digest)
+
+    def test_tombstone_is_not_undone_by_an_older_version(self):
+        """Guards against a deleted account that comes back with a late answer."""
+        entry = ready_entry()
+        other = stored("client_account", "x", 11, token_sha256s=["a" * 64])
+        entry.changed(11, other)
+        gone = events.StoredObject("client_account", "x", 12, b"", True)
+        entry.changed(12, gone)
+        entry.changed(12, other)
+        self.assertNotIn("x", entry.board.configuration.accounts_by_name)
+
+
+def peer_answer(revision, objects, since=-1, digest="", **fields):
+    return events.ObjectsExchanged(
+        "", "n2", revision, revision, digest, revision, since, tuple(objects)
+    )._replace(**fields)
+
+
+class ChecksTest(unittest.TestCase):
+    def test_failed_candidate_keeps_the_last_good_configuration(self):
+        """Guards against a wrong object that takes the whole configuration away."""
+        for name, wrong in {
+            "undecodable": stored("client_account", "hotel", 11, quota_weight=-1),
+            "reference": stored("binding", "quotes", 11, rank="absent"),
+        }.items():
+            with self.subTest(name):
+                entry = ready_entry()
+                performed = entry.changed(11, wrong)
+                rejected = result_codes.CONFIGURATION_REJECTED
+                self.assertIn(rejected, counted(performed))
+                self.assertEqual(entry.board.configuration.revision, 4)
+                self.assertTrue(entry.board.object_set.problems)
+                entry.changed(12, stored("upstream", "u", 12, labels={"a": "b"}))
+                self.assertEqual(entry.board.configuration.revision, 4)
+                entry.changed(13, *whole_set(13))
+                self.assertEqual(entry.board.configuration.revision, 16)
+                self.assertEqual(entry.board.object_set.problems, ())
+
+    def test_incomplete_first_candidate_is_not_put_in_force(self):
+        """Guards against an entry that becomes ready with half a configuration."""
+        entry = Entry()
+        offered = peer_answer(9, whole_set(), since=5, exchange_id="e1")
+        entry.feed(offered)
+        self.assertIsNone(entry.board.configuration)
+        entry.feed(peer_answer(-1, (), complete_revision=-1))
+        self.assertIsNone(entry.board.configuration)
+        entry.listed(4)
+        self.assertIsNotNone(entry.board.configuration)
+
+    def test_empty_store_does_not_make_an_entry_ready(self):
+        """Guards against an entry that refuses every call but says it is ready."""
+        entry = Entry()
+        entry.listed(0)
+        self.assertIsNone(entry.board.configuration)
+        for index, item in enumerate(whole_set(), 1):
+            self.assertIsNone(entry.board.configuration)
+            entry.changed(index, item)
+        self.assertIsNotNone(entry.board.configuration)
+
+
+class StoreCallsTest(unittest.TestCase):
+    def test_two_entries_a_zone_watch(self):
+        """Guards against a fleet in which every entry watches the store."""
+        ids = [f"n{index}" for index in range(20)]
+        watching = 0
+        for node_id in ids:
+            entry = Entry(node_id)
+            entry.join(*ids[:10], zone="a")
+            entry.join(*ids[10:], zone="b")
+            zone = "a" if node_id in ids[:10] else "b"
+            node = entry.board.settings.node._replace(zone=zone)
+            board = entry.board._replace(
+                settings=entry.board.settings._replace(node=node)
+            )
+            watching += controllers.is_watcher(board)
+        self.assertEqual(watching, 4)
+
+    def test_entry_that_is_alone_watches(self):
+        """Guards against a last entry that never learns of a change."""
+        entry = ready_entry()
+        entry.join("n2")
+        entry.board.members_by_id["n2"] = entry.board.members_by_id["n2"]._replace(
+            state="dead"
+        )
+        self.assertTrue(controllers.is_watcher(entry.board))
+
+    def test_failed_calls_back_off_with_one_call_at_a_time(self):
+        """Guards against a store that recovers under a flood of retries."""
+        entry = Entry()
+        failed = events.StoreCallFailed(_configuration.LIST_OPERATION, "")
+        performed = entry.feed(events.ProcessStarted(1))
+        for _ in range(10):
+            performed = entry.feed(failed)
+            timers = of_type(performed, actions.SetTimer)
+            self.assertEqual(len(timers), 1)
+        self.assertGreaterEqual(timers[0].deadline - entry.now, 15.0)
+        self.assertLessEqual(timers[0].deadline - entry.now, 45.0)
+
+    def test_passed_watch_window_is_answered_by_a_list(self):
+        """Guards against changes lost when the store's history was too short."""
+        entry = ready_entry()
+        entry.feed(events.WatchExpired(_configuration.WATCH_OPERATION))
+        entry.now += 5
+        performed = entry.feed(events.TimerFired(_configuration.STORE_TIMER))
+        self.assertTrue(of_type(performed, actions.ListObjects))
+
+    def test_entry_with_the_state_of_a_peer_does_not_list(self):
+        """Guards against a restart storm that becomes a list storm."""
+        entry = Entry(seeds=(settings.SeedPeer("127.0.0.1", 1, 2),))
+        entry.feed(events.ProcessStarted(1))
+        entry.join("n2", "n3", "n4", "n5", "n6", "n7", "n8")
+        entry.feed(peer_answer(4, whole_set()))
+        self.assertIsNotNone(entry.board.configuration)
+        performed = entry.feed(events.TimerFired(_configuration.STORE_TIMER))
+        self.assertFalse(of_type(performed, actions.ListObjects))
+
+
+class PeersTest(unittest.TestCase):
+    def test_change_is_pushed_once_to_some_peers(self):
+        """Guards against a change that depends on the store, or that never rests."""
+        entry = ready_entry()
+        entry.join("n2", "n3", "n4", "n5")
+        pushed = of_type(entry.changed(12, account(12, 2.0)), actions.PullObjects)
+        self.assertEqual(len({action.peer_id for action in pushed}), 2)
+        self.assertEqual(pushed[0].request.objects[0].version, 12)
+        again = entry.changed(12, account(12, 2.0))
+        self.assertFalse(of_type(again, actions.PullObjects))
+
+    def test_newer_revision_in_gossip_is_pulled(self):
+        """Guards against entries that wait for the next comparison."""
+        entry = ready_entry()
+        entry.join("n2")
+        performed = entry.feed(events.PeerRevisionSeen("n2", 12, "x"))
+        pulled = of_type(performed, actions.PullObjects)
+        self.assertEqual([action.request.since for action in pulled], [10])
+        performed = entry.feed(events.PeerRevisionSeen("n2", 13, "y"))
+        self.assertFalse(of_type(performed, actions.PullObjects))
+
+    def test_answer_holds_only_what_the_peer_lacks(self):
+        """Guards against exchanges of the whole set for each change."""
+        entry = ready_entry()
+        entry.changed(12, account(12, 2.0))
+        request = peer_answer(10, (), since=10, exchange_id="e1")
+        performed = entry.feed(request)
+        answer = of_type(performed, actions.AnswerExchange)[0].answer
+        self.assertEqual([item.version for item in answer.objects], [12])
+        same = request._replace(digest=answer.digest, revision=12)
+        answer = of_type(entry.feed(same), actions.AnswerExchange)[0].answer
+        self.assertEqual(answer.objects, ())
+
+    def test_skipped_change_is_found_by_the_digest(self):
+        """Guards against a watch that skips a change which nobody asks for again."""
+        entry = ready_entry()
+        entry.join("n2")
+        entry.changed(12)
+        self.assertEqual(entry.board.object_set.complete_revision, 12)
+        entry.changed(13, stored("upstream", "u", 13))
+        answer = peer_answer(13, (), since=13, digest="other")
+        pulled = of_type(entry.feed(answer), actions.PullObjects)
+        self.assertEqual([action.request.since for action in pulled], [-1])
+        whole = (account(12, 2.0), stored("upstream", "u", 13), *whole_set())
+        entry.feed(peer_answer(13, whole))
+        self.assertEqual(entry.weight, 2.0)
+        again = of_type(entry.feed(answer), actions.PullObjects)
+        self.assertFalse(again)
+
+    def test_time_until_in_force_everywhere_is_noted(self):
+        """Guards against a status that takes one entry for all."""
+        entry = ready_entry()
+        entry.join("n2", "n3")
+        entry.feed(events.ChangeAccepted(account(12, 2.0)))
+        entry.now += 2
+        for peer_id in ("n2", "n3"):
+            self.assertEqual(entry.board.object_set.change_seconds, 0.0)
+            entry.feed(peer_answer(12, ())._replace(peer_id=peer_id))
+        self.assertEqual(entry.board.object_set.change_seconds, 2.0)
+
+
+def change_request(version=10, weight=2.0, change_id="c1", **fields):
+    item = stored("client_account", "hotel", version, change_id, quota_weight=weight)
+    return events.ChangeRequested(
+        "change/1", change_id, "client_account", "hotel", item.value, False, version
+    )._replace(**fields)
+
+
+class ChangesTest(unittest.TestCase):
+    def setUp(self):
+        self.entry = ready_entry()
+        self.entry.join("n2", "n3", "n4", "n5")
+        performed = self.entry.feed(change_request())
+        self.assertTrue(of_type(performed, actions.WriteObject))
+
+    def outcome(self, *fed):
+        answers = of_type(self.entry.feed(*fed), actions.AnswerChange)
+        self.assertEqual(len(answers), 1)
+        return answers[0]
+
+    def read(self, version, change_id, weight=2.0):
+        item = stored(
+            "client_account", "hotel", version, change_id, quota_weight=weight
+        )
+        return events.ObjectRead("change/1", item)
+
+    def test_accepted_write_is_in_force_and_pushed_at_once(self):
+        """Guards against a change that waits for the store's watch."""
+        answer = self.outcome(events.ObjectWritten("change/1", True, 12))
+        self.assertEqual((answer.code, answer.version), (None, 12))
+        self.assertEqual(self.entry.weight, 2.0)
+        pushed = of_type(self.entry.performed, actions.PullObjects)
+        self.assertEqual(len(pushed), _configuration.PUSH_COUNT_OF_WRITER)
+
+    def test_lost_answer_is_resolved_by_the_change_id(self):
+        """Guards against an accepted change that is reported as a conflict."""
+        self.entry.feed(events.StoreCallFailed("change/1", "lost"))
+        timer = events.TimerFired(_changes.RETRY_TIMER, "change/1")
+        self.assertTrue(of_type(self.entry.feed(timer), actions.ReadObject))
+        answer = self.outcome(self.read(12, "c1"))
+        self.assertEqual((answer.code, answer.version), (None, 12))
+
+    def test_conflict_names_the_other_change(self):
+        """Guards against an operator who overwrites what another one changed."""
+        self.entry.feed(events.ObjectWritten("change/1", False, 12))
+        answer = self.outcome(self.read(12, "other-7", weight=9.0))
+        self.assertEqual(answer.code, result_codes.CHANGE_CONFLICT)
+        self.assertIn("other-7", answer.message)
+        self.assertEqual(self.entry.weight, 1.0)
+
+    def test_write_that_did_not_happen_is_repeated(self):
+        """Guards against a change that is given up after one lost call."""
+        performed = self.entry.feed(self.read(10, ""))
+        self.assertTrue(of_type(performed, actions.WriteObject))
+
+    def test_silent_store_ends_in_an_unknown_outcome(self):
+        """Guards against an operator who waits without end."""
+        for _ in range(20):
+            failed = events.StoreCallFailed("change/1", "down")
+            answers = of_type(self.entry.feed(failed), actions.AnswerChange)
+            self.entry.now += 1.0
+            if answers:
+                break
+        self.assertEqual(answers[0].code, result_codes.CHANGE_UNKNOWN)
+        self.assertFalse(self.entry.board.changes_by_operation_id)
+
+    def test_change_with_a_new_problem_is_not_written(self):
+        """Guards against two changes that are valid apart but not together."""
+        entry = ready_entry()
+        entry.changed(11, stored("rank_class", "urgent", 11, floor=0.6))
+        item = stored("rank_class", "patient", 0, "c2", priority=1, floor=0.6)
+        request = change_request()._replace(
+            kind="rank_class", name="patient", value=item.value, expected_version=0
+        )
+        performed = entry.feed(request)
+        self.assertFalse(of_type(performed, actions.WriteObject))
+        answer = of_type(performed, actions.AnswerChange)[0]
+        self.assertEqual(answer.code, result_codes.INVALID_DECLARATION)
+        self.assertIn("floor", answer.message)
