Add check, diff, apply, get and status to the command line

Operators had no way to write declarations but calls of the store. Changes go through the admin interface of any entry; bad input ends with status 2 and one line that names file, object, key, value and what was expected.

--- /dev/null
+++ b/src/carawayhitch/cli/_declarations.py
@@ -0,0 +1,292 @@
+"""Commands for declarations: check, diff, apply, get, status."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from typing import Any, NamedTuple
+from uuid import uuid4
+
+from carawayhitch import codecs, controllers
+from carawayhitch.cli._operator_client import (
+    Entry,
+    read_objects,
+    read_status,
+    read_token,
+    write_change,
+)
+from carawayhitch.core import declarations, errors, result_codes
+
+FAILURE_STATUS = 1
+CHANGED_STATUS = 1
+CODE = result_codes.INVALID_DECLARATION
+
+
+class Difference(NamedTuple):
+    """One object that differs between a folder and an entry.
+
+    Parameters
+    ----------
+    declaration : declaration or None
+        What the folder holds; None if the object is to be deleted.
+    """
+
+    key: declarations.ObjectKey
+    sign: str
+    declaration: Any
+    write_version: int
+
+
+def _entry(options: argparse.Namespace) -> Entry:
+    return Entry(options.entry, read_token(options.token_file))
+
+
+def _checked_folder(folder: str) -> codecs.DeclaredFolder:
+    found = codecs.read_declarations(folder)
+    _refuse_problems(found.declarations_by_key, found.sources_by_key)
+    return found
+
+
+def _refuse_problems(
+    declared: dict[declarations.ObjectKey, Any],
+    sources: dict[declarations.ObjectKey, str],
+) -> None:
+    problems = controllers.find_problems(declared.values())
+    if problems:
+        described = controllers.describe(problems[0], sources)
+        more = f" (and {len(problems) - 1} more)" if len(problems) > 1 else ""
+        raise errors.InvalidValueError(CODE, described + more)
+
+
+def run_check(options: argparse.Namespace) -> int:
+    """Check settings, declarations or both without any network."""
+    if not options.settings and not options.declarations:
+        message = "check: found no argument, expected --settings, a folder, or both"
+        raise errors.InvalidValueError(result_codes.INVALID_SETTING, message)
+    if options.settings:
+        codecs.read_settings(options.settings)
+        print(f"{options.settings}: settings are valid")
+    if options.declarations:
+        found = _checked_folder(options.declarations)
+        count = len(found.declarations_by_key)
+        print(f"{options.declarations}: {count} declarations are valid")
+    return 0
+
+
+def find_differences(
+    declared: dict[declarations.ObjectKey, Any],
+    stored: dict[declarations.ObjectKey, codecs.ObjectBody],
+    prune: bool,
+) -> list[Difference]:
+    """Return what a folder changes, in an order that keeps references valid.
+
+    Objects are written before those that refer to them, and deleted after them.
+    """
+    found: list[Difference] = []
+    for key in codecs.sorted_keys(declared):
+        known = stored.get(key)
+        write_version = known["write_version"] if known else 0
+        current = _stored_declaration(known) if known else None
+        if current != declared[key]:
+            sign = "+" if current is None else "~"
+            found.append(Difference(key, sign, declared[key], write_version))
+    if prune:
+        surplus = (key for key in stored if key not in declared)
+        found += (
+            Difference(key, "-", None, stored[key]["write_version"])
+            for key in reversed(codecs.sorted_keys(surplus))
+            if stored[key]["declaration"] is not None
+        )
+    return found
+
+
+def _stored_declaration(stored: codecs.ObjectBody) -> Any:
+    """Return the declaration of an object, or its mapping if that is not valid."""
+    mapping = stored["declaration"]
+    if mapping is None:
+        return None
+    try:
+        return codecs.declaration_from_value(
+            stored["kind"], stored["name"], codecs.encode_json(mapping)
+        )
+    except errors.InvalidValueError:
+        return mapping
+
+
+def _planned(options: argparse.Namespace, entry: Entry) -> list[Difference]:
+    """Return the changes, checked together with the objects that stay."""
+    folder = _checked_folder(options.declarations)
+    stored = read_objects(entry)
+    if not options.prune:
+        merged: dict[declarations.ObjectKey, Any] = {}
+        for key, known in stored.items():
+            current = _stored_declaration(known)
+            if current is not None and not isinstance(current, dict):
+                merged[key] = current
+        merged.update(folder.declarations_by_key)
+        sources = {key: f"{entry.url} (not in the folder)" for key in merged}
+        _refuse_problems(merged, {**sources, **folder.sources_by_key})
+    return find_differences(folder.declarations_by_key, stored, options.prune)
+
+
+def run_diff(options: argparse.Namespace) -> int:
+    """Print what apply would change; exit status 1 if there is anything."""
+    differences = _planned(options, _entry(options))
+    for difference in differences:
+        print(f"{difference.sign} {difference.key.kind}/{difference.key.name}")
+    return CHANGED_STATUS if differences else 0
+
+
+def run_apply(options: argparse.Namespace) -> int:
+    """Write what differs, one object at a time, until the first conflict."""
+    entry = _entry(options)
+    pending = _planned(options, entry)
+    run_id = options.change or uuid4().hex[:12]
+    written = 0
+    while pending:
+        postponed: list[tuple[Difference, errors.CarawayhitchError]] = []
+        for difference in pending:
+            key = difference.key
+            try:
+                version = write_change(entry, key, _change(difference, run_id))
+            except errors.CarawayhitchError as error:
+                if error.code == CODE:
+                    # The change may become valid once the others are written.
+                    postponed.append((difference, error))
+                    continue
+                print(
+                    f"carawayhitch: {error}; {written} objects were written before it, "
+                    "nothing after it",
+                    file=sys.stderr,
+                )
+                return FAILURE_STATUS
+            written += 1
+            print(f"{difference.sign} {key.kind}/{key.name}: version {version}")
+        if len(postponed) == len(pending):
+            raise postponed[0][1]
+        pending = [difference for difference, _ in postponed]
+    print(f"change {run_id}: {written} objects written")
+    return 0
+
+
+def _change(difference: Difference, run_id: str) -> codecs.ChangeBody:
+    declaration = difference.declaration
+    return {
+        "change_id": f"{run_id}/{uuid4().hex[:12]}",
+        "expected_version": difference.write_version,
+        "declaration": None
+        if declaration is None
+        else codecs.mapping_from_record(declaration),
+    }
+
+
+def run_get(options: argparse.Namespace) -> int:
+    """Print the declared objects; TOML can be committed and applied again."""
+    stored = read_objects(_entry(options))
+    kept = {
+        key: known
+        for key, known in stored.items()
+        if known["declaration"] is not None
+        and options.kind in (None, key.kind)
+        and options.name in (None, key.name)
+    }
+    if options.output == "json":
+        ordered = [kept[key] for key in codecs.sorted_keys(kept)]
+        print(codecs.encode_json(ordered).decode())
+        return 0
+    declared = {}
+    for key, known in kept.items():
+        value = codecs.encode_json(known["declaration"])
+        declared[key] = codecs.declaration_from_value(key.kind, key.name, value)
+    print(codecs.declarations_toml(declared), end="")
+    return 0
+
+
+def run_status(options: argparse.Namespace) -> int:
+    """Print the state of the entry and of those that it knows."""
+    entry = _entry(options)
+    status = read_status(entry)
+    if options.output == "json":
+        print(codecs.encode_json(status).decode())
+        return 0
+    print(_entry_line(status))
+    for member in status["members"]:
+        if member["id"] != status["node"]:
+            print(_member_line(entry, member))
+    for problem in status["problems"]:
+        print(f"not in force: {problem}")
+    if status["change_revision"]:
+        seconds = status["change_seconds"]
+        state = f"after {seconds:.1f} s" if seconds else "not yet"
+        print(f"revision {status['change_revision']} in force everywhere: {state}")
+    for upstream in status["upstreams"]:
+        leaving = ", leaving" if upstream["leaving"] else ""
+        groups = ", ".join(upstream["serving_groups"]) or "none"
+        bindings = ", ".join(upstream["bindings"]) or "none"
+        print(
+            f"upstream {upstream['id']} ({upstream['kind']}{leaving}): "
+            f"serving groups {groups}; bindings {bindings}"
+        )
+    return 0
+
+
+def _entry_line(status: codecs.StatusBody) -> str:
+    watching = ", watches the store" if status["watching"] else ""
+    return (
+        f"entry {status['node']}: {status['state']}, revision "
+        f"{status['in_force_revision']} in force, {status['known_revision']} known, "
+        f"{status['rejected_count']} rejected{watching}"
+    )
+
+
+def _member_line(entry: Entry, member: codecs.MemberStatusBody) -> str:
+    """Return what an entry says of itself, or what is known if it does not answer."""
+    if member["url"] and member["state"] in ("alive", "suspect", "leaving"):
+        try:
+            return _entry_line(read_status(Entry(member["url"], entry.token)))
+        except errors.CarawayhitchError:
+            pass
+    return (
+        f"entry {member['id']}: {member['state']}, revision "
+        f"{member['in_force_revision']} in force as last heard"
+    )
+
+
+def add_declaration_commands(commands: Any) -> None:
+    """Add the commands to the parser of the command line."""
+    check = commands.add_parser("check", help="check settings and declarations")
+    check.add_argument("--settings", help="TOML file")
+    check.add_argument("declarations", nargs="?", help="folder of TOML files")
+    check.set_defaults(run=run_check)
+    for name, run, text in (
+        ("diff", run_diff, "print what apply would change"),
+        ("apply", run_apply, "write what differs through an entry"),
+    ):
+        parser = commands.add_parser(name, help=text)
+        parser.add_argument("declarations", help="folder of TOML files")
+        parser.add_argument(
+            "--prune", action="store_true", help="delete what the folder lacks"
+        )
+        _add_entry_options(parser)
+        parser.set_defaults(run=run)
+        if name == "apply":
+            parser.add_argument("--change", help="name of the change, for the others")
+    get = commands.add_parser("get", help="print the declared objects")
+    get.add_argument(
+        "kind", nargs="?", choices=list(declarations.declaration_types_by_kind)
+    )
+    get.add_argument("name", nargs="?")
+    get.add_argument("-o", "--output", choices=("toml", "json"), default="toml")
+    _add_entry_options(get)
+    get.set_defaults(run=run_get)
+    status = commands.add_parser("status", help="print the state of the entries")
+    status.add_argument("-o", "--output", choices=("text", "json"), default="text")
+    _add_entry_options(status)
+    status.set_defaults(run=run_status)
+
+
+def _add_entry_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--entry", default="http://127.0.0.1:8080", help="URL of any entry"
+    )
+    parser.add_argument("--token-file", help="default: CARAWAYHITCH_ADMIN_TOKEN")
--- a/src/carawayhitch/cli/_main.py
+++ b/src/carawayhitch/cli/_main.py
@@ -10,11 +10,13 @@
 import uvloop
 
 from carawayhitch import __version__, codecs
+from carawayhitch.cli._declarations import add_declaration_commands
 from carawayhitch.cli._logs import configure_logs
-from carawayhitch.core import errors
+from carawayhitch.core import errors, result_codes
 from carawayhitch.frontend import serve
 
 USAGE_STATUS = 2
+FAILURE_STATUS = 1
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -24,7 +26,11 @@
         return options.run(options)
     except errors.CarawayhitchError as error:
         print(f"carawayhitch: {error}", file=sys.stderr)
-        return USAGE_STATUS
+        bad_input = error.code in (
+            result_codes.INVALID_SETTING,
+            result_codes.INVALID_DECLARATION,
+        )
+        return USAGE_STATUS if bad_input else FAILURE_STATUS
 
 
 def new_parser() -> argparse.ArgumentParser:
@@ -34,6 +40,7 @@
     serve_parser = commands.add_parser("serve", help="run one entry process")
     serve_parser.add_argument("--settings", required=True, help="TOML file")
     serve_parser.set_defaults(run=run_serve)
+    add_declaration_commands(commands)
     version_parser = commands.add_parser("version", help="print the version")
     version_parser.set_defaults(run=partial(run_version))
     return parser
