Let watchers continue from the state of a peer without a list

When 12 entries restarted at once, each listed the store although most had the state of a peer by then (python -m experiments.configuration_propagation: 12 lists, 16 calls in the busiest second). A watch continues from the revision up to which the peer knows everything.

--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -505,6 +505,10 @@
     known = board.object_set
     covers = event.since <= known.complete_revision
     first = known.complete_revision < 0
+    if first and covers and event.complete_revision >= 0:
+        # A watch continues from the peer's revision; a list would add nothing.
+        list_after = now + LIST_SECONDS * random.uniform(0.5, 1.5)
+        _update(board, list_after=list_after)
     merged = _merge(
         board,
         event.objects,
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -302,6 +302,15 @@
         performed = entry.feed(events.TimerFired(_configuration.STORE_TIMER))
         self.assertFalse(of_type(performed, actions.ListObjects))
 
+    def test_watcher_with_the_state_of_a_peer_watches_from_there(self):
+        """Guards against a list by each watcher after a restart of all."""
+        entry = Entry(seeds=(settings.SeedPeer("127.0.0.1", 1, 2),))
+        entry.feed(events.ProcessStarted(1), peer_answer(4, whole_set()))
+        performed = entry.feed(events.TimerFired(_configuration.STORE_TIMER))
+        self.assertEqual(
+            performed, [actions.WatchObjects(_configuration.WATCH_OPERATION, 4)]
+        )
+
 
 class PeersTest(unittest.TestCase):
     def test_change_is_pushed_once_to_some_peers(self):
