Let a push complete an entry that then has the same objects

An entry that received every object by push did not know that nothing was missing and listed the store. Equal digests mean equal sets, so the sender's complete revision holds for both.

--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -298,6 +298,9 @@
         digest=digest,
         complete_revision=max(known.complete_revision, complete),
     )
+    if first and not known.list_after:
+        # A watch continues from the peer's revision; a list would add nothing.
+        _update(board, list_after=now + LIST_SECONDS * random.uniform(0.5, 1.5))
     decided: list[actions.Action] = []
     if changed:
         decided.append(actions.DecodeObjects(DECODE_OPERATION, tuple(changed)))
@@ -505,10 +508,6 @@
     known = board.object_set
     covers = event.since <= known.complete_revision
     first = known.complete_revision < 0
-    if first and covers and event.complete_revision >= 0:
-        # A watch continues from the peer's revision; a list would add nothing.
-        list_after = now + LIST_SECONDS * random.uniform(0.5, 1.5)
-        _update(board, list_after=list_after)
     merged = _merge(
         board,
         event.objects,
@@ -517,8 +516,21 @@
         0 if first else PUSH_COUNT,
         complete=event.complete_revision if covers else -1,
     )
+    completed = _complete_with(board, event, now, random)
     _note_in_force(board, now)
-    return (*merged, *_pull_whole_set(board, event, now))
+    return (*merged, *completed, *_pull_whole_set(board, event, now))
+
+
+def _complete_with(
+    board: Board, event: events.ObjectsExchanged, now: float, random: Random
+) -> Actions:
+    """Take over the revision up to which a peer with the same objects is complete."""
+    known = board.object_set
+    if event.digest != digest_text(known):
+        return ()
+    if event.complete_revision <= known.complete_revision:
+        return ()
+    return _merge(board, (), now, random, 0, complete=event.complete_revision)
 
 
 def _pull_whole_set(
@@ -546,10 +558,11 @@
 ) -> Actions:
     """Take what a peer offers and answer with what it lacks."""
     merged = _merge(board, event.objects, now, random, PUSH_COUNT)
-    known = board.object_set
     if merged:
         # The answer is made once the change is in force, which it reports.
         return (*merged, actions.Emit(event._replace(objects=())))
+    completed = _complete_with(board, event, now, random)
+    known = board.object_set
     lacking: Iterable[events.StoredObject] = ()
     if event.digest != digest_text(known):
         lacking = (
@@ -560,7 +573,7 @@
     answer = _own_state(board, event.exchange_id, event.since, lacking)
     _note_in_force(board, now)
     pulled = _compare_with(board, event.peer_id, event.revision, event.digest, now)
-    return (*merged, actions.AnswerExchange(event.exchange_id, answer), *pulled)
+    return (*completed, actions.AnswerExchange(event.exchange_id, answer), *pulled)
 
 
 def _note_in_force(board: Board, now: float) -> None:
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -333,6 +333,16 @@
         performed = entry.feed(events.PeerRevisionSeen("n2", 13, "y"))
         self.assertFalse(of_type(performed, actions.PullObjects))
 
+    def test_push_of_the_same_objects_completes_an_entry(self):
+        """Guards against a list of the store by an entry that has the whole set."""
+        source, entry, objects = ready_entry(), Entry("n2"), whole_set()
+        request = _configuration._own_state(source.board, "e1", 10, objects)
+        entry.feed(request._replace(objects=objects[:3]))
+        self.assertIsNone(entry.board.configuration)
+        entry.feed(request)
+        self.assertIsNotNone(entry.board.configuration)
+        self.assertEqual(entry.board.object_set.complete_revision, 10)
+
     def test_answer_holds_only_what_the_peer_lacks(self):
         """Guards against exchanges of the whole set for each change."""
         entry = ready_entry()
