--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -9,6 +9,7 @@
     UpstreamCall,
     UpstreamSessions,
 )
+from carawayhitch.backends._engine_orders import read_engine_state, send_order
 from carawayhitch.backends._engines import (
     cancel_generation,
     resume_generation,
@@ -16,6 +17,7 @@
 )
 from carawayhitch.backends._object_exchange import exchange_objects
 from carawayhitch.backends._object_store import StoreClient, call_store
+from carawayhitch.backends._peers import PeerSocket
 from carawayhitch.backends._plain_services import run_service_call
 from carawayhitch.backends._platform import read_load, read_vm_list
 from carawayhitch.backends._sessions import open_session
@@ -23,6 +25,7 @@
 __all__ = [
     "CallContent",
     "Caller",
+    "PeerSocket",
     "StoreClient",
     "Submit",
     "UpstreamCall",
@@ -31,9 +34,11 @@
     "cancel_generation",
     "exchange_objects",
     "open_session",
+    "read_engine_state",
     "read_load",
     "read_vm_list",
     "resume_generation",
     "run_generation",
     "run_service_call",
+    "send_order",
 ]
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -21,6 +21,9 @@
     upstreams_by_id: dict[str, rows.UpstreamRow]
     cells_by_id: dict[str, rows.CellRow]
     members_by_id: dict[str, rows.MemberRow]
+    member_updates_by_id: dict[str, rows.MemberUpdateRow]
+    probes_by_sequence: dict[int, rows.ProbeRow]
+    probe_round_by_node_id: dict[str, rows.ProbeRoundRow]
     schedulers_by_cell_id: dict[str, tuple[str, ...]]
     asks_by_request_id: dict[str, rows.AskRow]
     grants_by_request_id: dict[str, rows.GrantRow]
@@ -29,10 +32,11 @@
     objects_by_key: dict[tuple[str, str], rows.ObjectRow]
     decoded_by_key: dict[tuple[str, str], events.DecodedObject]
     object_set_by_node_id: dict[str, rows.ObjectSetRow]
-    peer_states_by_id: dict[str, rows.PeerStateRow]
     changes_by_operation_id: dict[str, rows.ChangeRow]
     configuration_by_name: dict[str, declarations.Configuration]
     retry_budget_by_group: dict[str, rows.BudgetRow]
+    leases_by_group: dict[str, rows.LeaseRow]
+    engine_states_by_upstream_id: dict[str, rows.EngineStateRow]
 
     @property
     def node_id(self) -> str:
@@ -79,6 +83,9 @@
         upstreams_by_id={},
         cells_by_id={},
         members_by_id={},
+        member_updates_by_id={},
+        probes_by_sequence={},
+        probe_round_by_node_id={},
         schedulers_by_cell_id={},
         asks_by_request_id={},
         grants_by_request_id={},
@@ -87,8 +94,9 @@
         objects_by_key={},
         decoded_by_key={},
         object_set_by_node_id={node_id: rows.ObjectSetRow()},
-        peer_states_by_id={},
         changes_by_operation_id={},
         configuration_by_name={},
         retry_budget_by_group={},
+        leases_by_group={},
+        engine_states_by_upstream_id={},
     )
--- a/src/carawayhitch/cli/_declarations.py
+++ b/src/carawayhitch/cli/_declarations.py
@@ -4,6 +4,9 @@
 
 import argparse
 import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any, NamedTuple
 from uuid import uuid4
 
@@ -19,6 +22,8 @@
 
 FAILURE_STATUS = 1
 CHANGED_STATUS = 1
+ANSWERING_STATES = ("joining", "alive", "suspect", "leaving")
+STATUS_CALLS_AT_ONCE = 16
 CODE = result_codes.INVALID_DECLARATION
 
 
@@ -202,34 +207,87 @@
     return 0
 
 
+class Observation(NamedTuple):
+    """State of an entry and when it was read (seconds of the local clock)."""
+
+    status: codecs.StatusBody
+    read_at: float
+
+
 def run_status(options: argparse.Namespace) -> int:
     """Print the state of the entry and of those that it knows."""
     entry = _entry(options)
-    status = read_status(entry)
+    first = _observe(entry)
+    status = first.status
+    others = [
+        member
+        for member in status["members"]
+        if member["id"] != status["node"] and member["state"] in ANSWERING_STATES
+    ]
+    with ThreadPoolExecutor(STATUS_CALLS_AT_ONCE) as pool:
+        observed = list(pool.map(partial(_observe_member, token=entry.token), others))
+    found = [first, *filter(None, observed)]
     if options.output == "json":
-        print(codecs.encode_json(status).decode())
+        print(codecs.encode_json([item.status for item in found]).decode())
         return 0
-    print(_entry_line(status))
-    for member in status["members"]:
-        if member["id"] != status["node"]:
-            print(_member_line(entry, member))
-    for problem in status["problems"]:
-        print(f"not in force: {problem}")
-    if status["change_revision"]:
-        seconds = status["change_seconds"]
-        state = f"after {seconds:.1f} s" if seconds else "not yet"
-        print(f"revision {status['change_revision']} in force everywhere: {state}")
+    for item in found:
+        print(_entry_line(item.status))
+        for problem in item.status["problems"]:
+            print(f"  not in force: {problem}")
+    for member, answered in zip(others, observed, strict=True):
+        if answered is None:
+            print(
+                f"entry {member['id']}: {member['state']} but does not answer, "
+                f"revision {member['in_force_revision']} in force as last heard"
+            )
+    print(describe_last_change(found, len(others) + 1))
     for upstream in status["upstreams"]:
-        leaving = ", leaving" if upstream["leaving"] else ""
-        groups = ", ".join(upstream["serving_groups"]) or "none"
-        bindings = ", ".join(upstream["bindings"]) or "none"
-        print(
-            f"upstream {upstream['id']} ({upstream['kind']}{leaving}): "
-            f"serving groups {groups}; bindings {bindings}"
-        )
+        print(_upstream_line(upstream))
     return 0
 
 
+def _observe(entry: Entry) -> Observation:
+    status = read_status(entry)
+    return Observation(status, time.monotonic())
+
+
+def _observe_member(member: codecs.MemberStatusBody, token: str) -> Observation | None:
+    try:
+        return _observe(Entry(member["url"], token))
+    except errors.CarawayhitchError:
+        return None
+
+
+def describe_last_change(found: list[Observation], entry_count: int) -> str:
+    """Return how long the last change took to be in force at all entries.
+
+    Entries answer with ages, so that their clocks need not agree; an age is taken
+    relative to the time at which its answer was read.
+    """
+    writer = max(found, key=lambda item: item.status["change_revision"])
+    revision = writer.status["change_revision"]
+    if not revision:
+        return "last change: none was written through these entries since they started"
+    accepted_at = writer.read_at - writer.status["change_age_seconds"]
+    in_force = [
+        item.read_at - item.status["in_force_age_seconds"] - accepted_at
+        for item in found
+        if item.status["in_force_revision"] == revision
+    ]
+    newer = any(item.status["in_force_revision"] > revision for item in found)
+    if newer:
+        return f"last change: revision {revision}, replaced by one of another writer"
+    if len(in_force) < entry_count:
+        return (
+            f"last change: revision {revision}, in force at {len(in_force)} of "
+            f"{entry_count} entries"
+        )
+    seconds = max(0.0, *in_force)
+    return (
+        f"last change: revision {revision}, in force everywhere after {seconds:.1f} s"
+    )
+
+
 def _entry_line(status: codecs.StatusBody) -> str:
     watching = ", watches the store" if status["watching"] else ""
     return (
@@ -239,16 +297,13 @@
     )
 
 
-def _member_line(entry: Entry, member: codecs.MemberStatusBody) -> str:
-    """Return what an entry says of itself, or what is known if it does not answer."""
-    if member["url"] and member["state"] in ("alive", "suspect", "leaving"):
-        try:
-            return _entry_line(read_status(Entry(member["url"], entry.token)))
-        except errors.CarawayhitchError:
-            pass
+def _upstream_line(upstream: codecs.UpstreamStatusBody) -> str:
+    leaving = ", leaving" if upstream["leaving"] else ""
+    groups = ", ".join(upstream["serving_groups"]) or "none"
+    bindings = ", ".join(upstream["bindings"]) or "none"
     return (
-        f"entry {member['id']}: {member['state']}, revision "
-        f"{member['in_force_revision']} in force as last heard"
+        f"upstream {upstream['id']} ({upstream['kind']}{leaving}): "
+        f"serving groups {groups}; bindings {bindings}"
     )
 
 
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -44,22 +44,41 @@
     decode_change,
     describe_objects,
 )
+from carawayhitch.codecs._peer_messages import (
+    PeerAddress,
+    Received,
+    decode_message,
+    encode_datagrams,
+    encode_message,
+    message_name,
+)
 from carawayhitch.codecs._platform import (
     decode_cache_events,
+    decode_engine_state,
     decode_load,
     decode_objects_listed,
     decode_stored_object,
     decode_vm_list,
     decode_written_version,
     encode_json,
+    encode_order,
 )
 from carawayhitch.codecs._records import mapping_from_record, record_from_mapping
+from carawayhitch.codecs._replay_windows import ReplayWindow, advance_window
 from carawayhitch.codecs._resume_tokens import (
     ResumeToken,
     sign_resume_token,
     verify_resume_token,
 )
 from carawayhitch.codecs._settings_file import read_settings
+from carawayhitch.codecs._traces import (
+    TraceHeader,
+    TraceStep,
+    decode_trace,
+    encode_header,
+    encode_step,
+    without_private_data,
+)
 
 __all__ = [
     "PEER_HEADER",
@@ -69,9 +88,16 @@
     "MemberStatusBody",
     "ObjectBody",
     "ObjectsBody",
+    "PeerAddress",
+    "Received",
+    "ReplayWindow",
+    "ResumeToken",
     "ResumeToken",
     "StatusBody",
+    "TraceHeader",
+    "TraceStep",
     "UpstreamStatusBody",
+    "advance_window",
     "answer_token_count",
     "bearer_token_sha256",
     "change_answer",
@@ -80,21 +106,31 @@
     "decode_body",
     "decode_cache_events",
     "decode_change",
+    "decode_engine_state",
     "decode_exchange",
     "decode_load",
+    "decode_load",
+    "decode_message",
     "decode_object",
     "decode_objects_listed",
     "decode_stored_object",
+    "decode_trace",
     "decode_vm_list",
     "decode_written_version",
     "describe_objects",
+    "encode_datagrams",
     "encode_exchange",
+    "encode_header",
     "encode_json",
+    "encode_message",
+    "encode_order",
+    "encode_step",
     "engine_body",
     "error_body",
     "error_event",
     "generation_target",
     "mapping_from_record",
+    "message_name",
     "parse_labels",
     "read_declarations",
     "read_settings",
@@ -108,4 +144,5 @@
     "value_of_deletion",
     "verify_exchange",
     "verify_resume_token",
+    "without_private_data",
 ]
--- a/src/carawayhitch/codecs/_object_exchange.py
+++ b/src/carawayhitch/codecs/_object_exchange.py
@@ -24,7 +24,6 @@
     revision: int
     complete_revision: int
     digest: str
-    in_force_revision: int
     since: int
     objects: list[StoredBody]
 
@@ -36,7 +35,6 @@
         "revision": exchange.revision,
         "complete_revision": exchange.complete_revision,
         "digest": exchange.digest,
-        "in_force_revision": exchange.in_force_revision,
         "since": exchange.since,
         "objects": [stored_body(stored) for stored in exchange.objects],
     }
@@ -63,7 +61,6 @@
         revision=decoded["revision"],
         complete_revision=decoded["complete_revision"],
         digest=decoded["digest"],
-        in_force_revision=decoded["in_force_revision"],
         since=decoded["since"],
         objects=tuple(stored_object(item) for item in decoded["objects"]),
     )
--- a/src/carawayhitch/codecs/_operators.py
+++ b/src/carawayhitch/codecs/_operators.py
@@ -71,7 +71,10 @@
 
 
 class StatusBody(TypedDict):
-    """State of one entry."""
+    """State of one entry.
+
+    Ages are seconds before the answer, because the clocks of entries differ.
+    """
 
     node: str
     zone: str
@@ -85,8 +88,9 @@
     rejected_count: int
     outdated_count: int
     store_failure_count: int
+    in_force_age_seconds: float
     change_revision: int
-    change_seconds: float
+    change_age_seconds: float
     members: list[MemberStatusBody]
     upstreams: list[UpstreamStatusBody]
 
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -6,22 +6,30 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+from carawayhitch.board import Board
 from carawayhitch.controllers import (
     _admission,
     _changes,
     _configuration,
     _idempotency,
+    _leases,
     _lifecycle,
+    _membership,
+    _orders,
     _placement,
     _retries,
     _scheduling,
     _streams,
     _upstreams,
 )
+from carawayhitch.controllers._chain import run_chain
 from carawayhitch.controllers._configuration import (
     digest_text,
     is_watcher,
-    revisions_in_force,
 )
 from carawayhitch.controllers._configuration_checks import (
     describe,
@@ -30,26 +38,30 @@
 )
 from carawayhitch.controllers._controller import Actions, combine
 from carawayhitch.controllers._selectors import matches
+from carawayhitch.core import actions
 
 __all__ = [
     "CONTROLLERS",
     "Actions",
     "decide",
+    "decide_chain",
     "describe",
     "digest_text",
     "find_problems",
     "is_watcher",
     "kind_of",
     "matches",
-    "revisions_in_force",
 ]
 
 # Admission removes the row of an ended request, so it runs after every controller
 # that still reads the row; the lifecycle then counts the rows that are left.
+# Membership announces what the others decided, so it is last.
 CONTROLLERS = (
     _configuration.decide,
     _changes.decide,
     _upstreams.decide,
+    _leases.decide,
+    _orders.decide,
     _scheduling.decide,
     _placement.decide,
     _idempotency.decide,
@@ -57,6 +69,14 @@
     _streams.decide,
     _admission.decide,
     _lifecycle.decide,
+    _membership.decide,
 )
 
 decide = combine(CONTROLLERS)
+
+
+def decide_chain(
+    event: Any, board: Board, now: float, random: Random
+) -> Iterator[actions.Action]:
+    """Yield the actions of an event and of all events that it raises."""
+    return run_chain(decide, event, board, now, random)
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -43,7 +43,6 @@
 PUSH_COUNT = 2
 PUSH_COUNT_OF_WRITER = 3
 PUSH_OBJECT_LIMIT = 64
-PEER_MEMORY_SECONDS = 30.0
 
 LIVE_STATES = frozenset({"alive", "suspect"})
 
@@ -331,7 +330,6 @@
         board,
         change_revision=event.stored.version,
         change_accepted_at=now,
-        change_seconds=0.0,
     )
     return _merge(board, (event.stored,), now, random, PUSH_COUNT_OF_WRITER)
 
@@ -339,7 +337,7 @@
 def _put_in_force(board: Board, now: float) -> Actions:
     """Put the newest objects in force if they are whole and pass their checks."""
     known = board.object_set
-    if known.complete_revision < 0:
+    if known.complete_revision < 0 or not _is_decoded(board):
         return ()
     decoded = board.decoded_by_key.values()
     problems = problems_of(decoded)
@@ -360,12 +358,20 @@
         return ()
     if current is not None and current.revision > candidate.revision:
         return ()
-    _update(board, problems=())
+    _update(board, problems=(), in_force_since=now)
     board.configuration_by_name["in_force"] = candidate
-    _note_in_force(board, now)
     return (actions.Emit(events.ConfigurationChanged(candidate.revision)),)
 
 
+def _is_decoded(board: Board) -> bool:
+    """Return whether the newest version of every object has been decoded."""
+    decoded = board.decoded_by_key
+    return all(
+        key in decoded and decoded[key].version == row.version
+        for key, row in board.objects_by_key.items()
+    )
+
+
 def _is_usable(candidate: declarations.Configuration) -> bool:
     """Return whether any call could be served.
 
@@ -409,14 +415,12 @@
     objects: Iterable[events.StoredObject] = (),
 ) -> events.ObjectsExchanged:
     known = board.object_set
-    configuration = board.configuration
     return events.ObjectsExchanged(
         exchange_id=exchange_id,
         peer_id=board.node_id,
         revision=known.revision,
         complete_revision=known.complete_revision,
         digest=digest_text(known),
-        in_force_revision=configuration.revision if configuration else 0,
         since=since,
         objects=tuple(objects),
     )
@@ -483,7 +487,6 @@
 def _see_peer(
     event: events.PeerRevisionSeen, board: Board, now: float, random: Random
 ) -> Actions:
-    _note_in_force(board, now)
     return _compare_with(board, event.node_id, event.revision, event.digest, now)
 
 
@@ -499,9 +502,6 @@
 def _take_exchange(
     event: events.ObjectsExchanged, board: Board, now: float, random: Random
 ) -> Actions:
-    board.peer_states_by_id[event.peer_id] = rows.PeerStateRow(
-        event.peer_id, event.in_force_revision, now
-    )
     if event.exchange_id:
         return _answer_peer(board, event, now, random)
     _update(board, pull_deadline=0.0)
@@ -517,7 +517,6 @@
         complete=event.complete_revision if covers else -1,
     )
     completed = _complete_with(board, event, now, random)
-    _note_in_force(board, now)
     return (*merged, *completed, *_pull_whole_set(board, event, now))
 
 
@@ -559,8 +558,8 @@
     """Take what a peer offers and answer with what it lacks."""
     merged = _merge(board, event.objects, now, random, PUSH_COUNT)
     if merged:
-        # The answer is made once the change is in force, which it reports.
-        return (*merged, actions.Emit(event._replace(objects=())))
+        # The objects are decoded first; the answer may then complete the set.
+        return (*merged, actions.SetTimer(now, event._replace(objects=())))
     completed = _complete_with(board, event, now, random)
     known = board.object_set
     lacking: Iterable[events.StoredObject] = ()
@@ -571,39 +570,5 @@
             if row.version > event.since
         )
     answer = _own_state(board, event.exchange_id, event.since, lacking)
-    _note_in_force(board, now)
     pulled = _compare_with(board, event.peer_id, event.revision, event.digest, now)
     return (*completed, actions.AnswerExchange(event.exchange_id, answer), *pulled)
-
-
-def _note_in_force(board: Board, now: float) -> None:
-    """Note how long the last change written here took to be in force everywhere."""
-    known = board.object_set
-    if not known.change_revision or known.change_seconds:
-        return
-    if all(
-        revision >= known.change_revision
-        for revision in revisions_in_force(board, now).values()
-    ):
-        seconds = max(now - known.change_accepted_at, 1e-6)
-        _update(board, change_seconds=seconds)
-
-
-def revisions_in_force(board: Board, now: float) -> dict[str, int]:
-    """Return the revision that each live entry last said to have in force."""
-    own = board.configuration
-    found = {board.node_id: own.revision if own else 0}
-    for row in board.peer_states_by_id.values():
-        member = board.members_by_id.get(row.peer_id)
-        live = (
-            now - row.seen_at < PEER_MEMORY_SECONDS
-            if member is None
-            else member.state in LIVE_STATES
-        )
-        if live:
-            found[row.peer_id] = row.in_force_revision
-    for member in board.members_by_id.values():
-        if member.state in LIVE_STATES and member.node_id != board.node_id:
-            heard = found.get(member.node_id, 0)
-            found[member.node_id] = max(heard, member.revision)
-    return found
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -154,7 +154,15 @@
 
 
 class LoadReported(NamedTuple):
-    """Load of one engine as of ``reported_at`` (seconds of the node clock)."""
+    """Load of one engine as of ``reported_at`` (seconds of the node clock).
+
+    Parameters
+    ----------
+    leaving : bool
+        The engine will stop.
+    draining : bool
+        An order took the engine out of service for a while.
+    """
 
     upstream_id: str
     reported_at: float
@@ -165,6 +173,7 @@
     waiting_count: int
     preemption_count: int
     leaving: bool
+    draining: bool = False
 
 
 class LoadUnavailable(NamedTuple):
@@ -174,6 +183,31 @@
     detail: str
 
 
+class EngineStateRead(NamedTuple):
+    """State of an engine that orders can change.
+
+    Parameters
+    ----------
+    busy_count : int
+        Generations that run or wait in the engine.
+    """
+
+    upstream_id: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    busy_count: int
+
+
+class OrderAnswered(NamedTuple):
+    """Answer to ``SendOrder``; refused orders carried an old fencing number."""
+
+    upstream_id: str
+    kind: str
+    accepted: bool
+    detail: str
+
+
 class CacheChanged(NamedTuple):
     """Prefix blocks that an engine stored and evicted; events may have gaps."""
 
@@ -281,8 +315,6 @@
         Revision up to which the peer knows every change; -1 for none.
     digest : str
         Digest of all keys and versions that the peer knows.
-    in_force_revision : int
-        Revision that the peer has in force; 0 for none.
     since : int
         In a request, the revision after which the peer wants changes; in an answer,
         the one after which ``objects`` holds all that the peer knows.
@@ -295,7 +327,6 @@
     revision: int
     complete_revision: int
     digest: str
-    in_force_revision: int
     since: int
     objects: tuple[StoredObject, ...]
 
@@ -378,6 +409,10 @@
     """The set of entries that can schedule changed."""
 
 
+class LifecycleChanged(NamedTuple):
+    """The lifecycle row of this process has another state."""
+
+
 class ConfigurationChanged(NamedTuple):
     """Another configuration is in force."""
 
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -162,12 +162,21 @@
 CACHE_EVENT_GAP = ResultCode(
     4006, "CACHE_EVENT_GAP", "no", 0, "Cache events of an upstream had a gap."
 )
+ORDER_REFUSED = ResultCode(
+    4007, "ORDER_REFUSED", "no", 0, "An engine refused an order or did not answer."
+)
+LEASE_LOST = ResultCode(
+    4008, "LEASE_LOST", "no", 0, "A lease passed to another node or lapsed."
+)
 CONFIGURATION_OUTDATED = ResultCode(
     4010, "CONFIGURATION_OUTDATED", "no", 0, "An older configuration was not used."
 )
 CONFIGURATION_PULL_FAILED = ResultCode(
     4011, "CONFIGURATION_PULL_FAILED", "no", 0, "A peer sent no configuration."
 )
+PEER_UNREACHABLE = ResultCode(
+    4020, "PEER_UNREACHABLE", "no", 0, "A message to an entry could not be sent."
+)
 
 INVALID_SETTING = ResultCode(
     5001, "INVALID_SETTING", "no", 0, "A settings file has a wrong value."
@@ -184,6 +193,9 @@
 CHANGE_UNKNOWN = ResultCode(
     5005, "CHANGE_UNKNOWN", "unknown", 503, "The store did not confirm the change."
 )
+INVALID_TRACE = ResultCode(
+    5006, "INVALID_TRACE", "no", 0, "A line of a trace file could not be decoded."
+)
 
 codes_by_name: dict[str, ResultCode] = {
     value.name: value for value in list(vars().values()) if type(value) is ResultCode
--- a/src/carawayhitch/node/__init__.py
+++ b/src/carawayhitch/node/__init__.py
@@ -4,6 +4,16 @@
 
 from carawayhitch.node._metrics import render_metrics
 from carawayhitch.node._node import CallerConnection, Node, OpenCall
+from carawayhitch.node._replay import Difference, ReplayResult, replay_trace
 from carawayhitch.node._status import describe_status
 
-__all__ = ["CallerConnection", "Node", "OpenCall", "describe_status", "render_metrics"]
+__all__ = [
+    "CallerConnection",
+    "Difference",
+    "Node",
+    "OpenCall",
+    "ReplayResult",
+    "describe_status",
+    "render_metrics",
+    "replay_trace",
+]
--- a/src/carawayhitch/node/_status.py
+++ b/src/carawayhitch/node/_status.py
@@ -24,32 +24,26 @@
         "rejected_count": known.rejected_count,
         "outdated_count": known.outdated_count,
         "store_failure_count": known.store_failure_count,
+        "in_force_age_seconds": round(now - known.in_force_since, 3),
         "change_revision": known.change_revision,
-        "change_seconds": round(known.change_seconds, 3),
-        "members": _members(board, now),
+        "change_age_seconds": round(now - known.change_accepted_at, 3),
+        "members": _members(board),
         "upstreams": [
             _upstream(upstream, board) for upstream in board.upstreams_by_id.values()
         ],
     }
 
 
-def _members(board: Board, now: float) -> list[codecs.MemberStatusBody]:
-    revisions = controllers.revisions_in_force(board, now)
+def _members(board: Board) -> list[codecs.MemberStatusBody]:
     found: list[codecs.MemberStatusBody] = [
         {
             "id": member.node_id,
             "state": member.state,
             "url": f"http://{member.address}:{member.http_port}",
-            "in_force_revision": revisions.get(member.node_id, member.revision),
+            "in_force_revision": member.revision,
         }
         for member in board.members_by_id.values()
     ]
-    listed = {member["id"] for member in found}
-    found += (
-        {"id": node_id, "state": "seen", "url": "", "in_force_revision": revision}
-        for node_id, revision in revisions.items()
-        if node_id not in listed
-    )
     return sorted(found, key=lambda member: member["id"])
 
 
