Count joining members when choosing the store's watchers

An entry without an upstream stays joining, and only alive members counted, so all entries of such a fleet held themselves alone and watched the store. An entry is now alone once it knows no live member and heard from no peer for 6 s.

--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -44,7 +44,12 @@
 PUSH_COUNT_OF_WRITER = 3
 PUSH_OBJECT_LIMIT = 64
 
-LIVE_STATES = frozenset({"alive", "suspect"})
+# An entry without known members is not alone while a seed or peer answers; gossip
+# fills the membership within this time after a restart of all.
+ALONE_AFTER_SECONDS = 6.0
+
+# Entries that are not ready to schedule yet exchange objects all the same.
+LIVE_STATES = frozenset({"joining", "alive", "suspect"})
 
 decide = new_controller()
 
@@ -97,14 +102,14 @@
     return row
 
 
-def is_watcher(board: Board) -> bool:
+def is_watcher(board: Board, now: float) -> bool:
     """Return whether this node holds a watch of the store.
 
-    A node that knows no other live member watches, whatever its zone's ranking says.
+    A node that is alone watches, whatever its zone's ranking says.
     """
     live = [row for row in board.members_by_id.values() if row.state in LIVE_STATES]
     if not any(row.node_id != board.node_id for row in live):
-        return True
+        return now >= board.object_set.alone_after
     zone = board.settings.node.zone
     in_zone = {row.node_id for row in live if row.zone == zone} | {board.node_id}
     count = board.settings.store.watchers_per_zone
@@ -133,7 +138,7 @@
 def _call_store(board: Board, now: float) -> Actions:
     """Return the next store call of this node, if it has to make one."""
     known = board.object_set
-    if known.complete_revision >= 0 and not is_watcher(board):
+    if known.complete_revision >= 0 and not is_watcher(board, now):
         _update(board, store_call="")
         return ()
     if now >= known.list_after:
@@ -159,7 +164,7 @@
     event: events.MembershipChanged, board: Board, now: float, random: Random
 ) -> Actions:
     decided: list[actions.Action] = []
-    if board.object_set.store_call == "" and is_watcher(board):
+    if board.object_set.store_call == "" and is_watcher(board, now):
         decided += _set_store_timer(board, now + random.uniform(0, WATCH_PAUSE_SECONDS))
     for member in list(board.members_by_id.values()):
         decided += _compare_with(
@@ -461,11 +466,13 @@
     )
     deadline = now + interval * random.uniform(0.7, 1.3)
     timer = actions.SetTimer(deadline, events.TimerFired(COMPARE_TIMER))
+    decided: list[actions.Action] = [timer]
+    if known.store_call == "" and is_watcher(board, now):
+        decided += _set_store_timer(board, now + random.uniform(0, WATCH_PAUSE_SECONDS))
     peers = _peers(board)
-    if not peers or now < known.pull_deadline:
-        return (timer,)
-    pull = _pull(board, random.choice(peers), known.complete_revision, now)
-    return (*pull, timer)
+    if peers and now >= known.pull_deadline:
+        decided += _pull(board, random.choice(peers), known.complete_revision, now)
+    return decided
 
 
 def _compare_with(
@@ -502,6 +509,7 @@
 def _take_exchange(
     event: events.ObjectsExchanged, board: Board, now: float, random: Random
 ) -> Actions:
+    _update(board, alone_after=now + ALONE_AFTER_SECONDS)
     if event.exchange_id:
         return _answer_peer(board, event, now, random)
     _update(board, pull_deadline=0.0)
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -298,6 +298,8 @@
         Time until which a running pull from a peer holds back another one.
     whole_pull_after : float
         Time from which the whole set may be pulled again.
+    alone_after : float
+        Time from which the node counts as alone if it knows no other live member.
     problems : tuple of str
         Why the newest candidate is not in force.
     in_force_since : float
@@ -316,6 +318,7 @@
     rejected_count: int = 0
     pull_deadline: float = 0.0
     whole_pull_after: float = 0.0
+    alone_after: float = 0.0
     problems: tuple[str, ...] = ()
     in_force_since: float = 0.0
     change_revision: int = 0
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -264,7 +264,7 @@
             board = entry.board._replace(
                 settings=entry.board.settings._replace(node=node)
             )
-            watching += controllers.is_watcher(board)
+            watching += controllers.is_watcher(board, 0.0)
         self.assertEqual(watching, 4)
 
     def test_entry_that_is_alone_watches(self):
@@ -274,7 +274,17 @@
         entry.board.members_by_id["n2"] = entry.board.members_by_id["n2"]._replace(
             state="dead"
         )
-        self.assertTrue(controllers.is_watcher(entry.board))
+        entry.feed(peer_answer(10, ()))
+        self.assertFalse(controllers.is_watcher(entry.board, entry.now))
+        entry.now += 10
+        entry.board.object_set_by_node_id["n1"] = entry.board.object_set._replace(
+            store_call=""
+        )
+        performed = entry.feed(events.TimerFired(_configuration.COMPARE_TIMER))
+        self.assertIn(
+            events.TimerFired(_configuration.STORE_TIMER),
+            [action.event for action in of_type(performed, actions.SetTimer)],
+        )
 
     def test_failed_calls_back_off_with_one_call_at_a_time(self):
         """Guards against a store that recovers under a flood of retries."""
@@ -310,6 +320,7 @@
         """Guards against a list by each watcher after a restart of all."""
         entry = Entry(seeds=(settings.SeedPeer("127.0.0.1", 1, 2),))
         entry.feed(events.ProcessStarted(1), peer_answer(4, whole_set()))
+        entry.now += 10
         performed = entry.feed(events.TimerFired(_configuration.STORE_TIMER))
         self.assertEqual(
             performed, [actions.WatchObjects(_configuration.WATCH_OPERATION, 4)]
