--- a/experiments/__init__.py
+++ b/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of policies and costs; not shipped."""
+"""Experiments with the policies in virtual time; not shipped."""
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -17,9 +17,11 @@
 
 from aiohttp import web
 
-from fakes.engine_model import EngineLimits, EngineModel
+from fakes import engine_model
+from fakes.engine_model import EngineLimits
 
 LENGTH_HINT = re.compile(r"length=(\d+)")
+PADDING_HINT = re.compile(r"padding=(\d+)")
 KEPT_SECONDS = 30.0
 PREFIX_BLOCK_BYTES = 256
 
@@ -30,6 +32,7 @@
     def __init__(self, generation_id: str, streamed: bool) -> None:
         self.generation_id = generation_id
         self.streamed = streamed
+        self.padding = ""
         self.events: list[bytes] = []
         self.finished = False
         self.changed = asyncio.Event()
@@ -66,13 +69,16 @@
     """One engine process."""
 
     def __init__(self, limits: EngineLimits, load_lag_seconds: float = 0.2) -> None:
-        self.model = EngineModel(limits)
+        self.model = engine_model.new_engine(limits)
         self.load_lag_seconds = load_lag_seconds
         self.streams_by_id: dict[str, Stream] = {}
         self.started_count = 0
         self.cancelled_count = 0
+        self.refused_count = 0
         self.leaving = False
         self.stalled = False
+        self.silent = False
+        self.answer_faults: list[str] = []
         self.crash_text = ""
         self.fencing_enforced = True
         self.fencing_number = 0
@@ -109,14 +115,14 @@
 
     async def _step_forever(self) -> None:
         while True:
-            if not self.model.waiting and not self.model.running:
+            if not self.model.waiting_by_id and not self.model.running_count:
                 self._wake.clear()
                 self._note_load()
                 await self._wake.wait()
             if self.stalled:
                 await asyncio.sleep(0.02)
                 continue
-            result = self.model.step()
+            result = engine_model.step(self.model)
             finished = set(result.finished_ids)
             for generation_id in result.produced_ids:
                 self._publish(generation_id, generation_id in finished)
@@ -131,7 +137,8 @@
         index = len(stream.events) + 1
         choice = {"index": 0, "text": f"{generation_id}:{index} "}
         choice["finish_reason"] = "stop" if finished else None
-        body = json.dumps({"id": generation_id, "choices": [choice]})
+        event = {"id": generation_id, "choices": [choice], "padding": stream.padding}
+        body = json.dumps(event)
         stream.append(f"id: {index}\ndata: {body}\n\n".encode())
         if finished:
             stream.append(f"id: {index + 1}\ndata: [DONE]\n\n".encode(), True)
@@ -144,11 +151,12 @@
 
     def _forget(self, generation_id: str) -> None:
         self.streams_by_id.pop(generation_id, None)
-        self.model.cancel(generation_id)
+        engine_model.cancel_generation(self.model, generation_id)
 
     async def generate(self, request: web.Request) -> web.StreamResponse:
         """Start a generation and answer it whole or as a stream."""
         if self.leaving:
+            self.refused_count += 1
             return web.json_response({"error": "leaving"}, status=503)
         text = await request.text()
         if self.crash_text and self.crash_text in text:
@@ -162,8 +170,11 @@
         limit = body.get("max_completion_tokens") or body.get("max_tokens") or length
         self.started_count += 1
         stream = Stream(generation_id, bool(body.get("stream")))
+        padding = PADDING_HINT.search(prompt_text)
+        stream.padding = "x" * int(padding[1]) if padding else ""
         self.streams_by_id[generation_id] = stream
-        self.model.add(
+        engine_model.add_generation(
+            self.model,
             generation_id,
             max(1, len(prompt_text) // 4),
             min(length, limit),
@@ -171,6 +182,8 @@
             _prefix_blocks(prompt_text.encode()),
         )
         self._wake.set()
+        while self.silent:
+            await asyncio.sleep(0.02)
         if stream.streamed:
             return await self._send_stream(request, stream, 0)
         return await self._send_whole(request, stream)
@@ -195,6 +208,9 @@
             "usage": {"completion_tokens": token_count},
         }
         self._forget(stream.generation_id)
+        if self.answer_faults:
+            fault = self.answer_faults.pop(0)
+            await _send_faulty(request, stream.generation_id, answer, fault)
         headers = {"X-Generation-Id": stream.generation_id}
         return web.json_response(answer, headers=headers)
 
@@ -246,11 +262,11 @@
         model = self.model
         report = {
             "memory_capacity": model.limits.memory_tokens,
-            "memory_used": model.memory_used,
-            "running": len(model.running),
+            "memory_used": model.counter.memory_used,
+            "running": model.running_count,
             "running_limit": model.limits.running_limit,
-            "waiting": len(model.waiting),
-            "preemptions": model.preemption_count,
+            "waiting": len(model.waiting_by_id),
+            "preemptions": model.counter.preemption_count,
             "role": self.wanted_state.role,
         }
         self.loads.append((now, report))
@@ -293,7 +309,7 @@
         """Return how many generations an order breaks off."""
         if order["kind"] not in ("load_model", "unload_model"):
             return 0
-        return len(self.model.running) + len(self.model.waiting)
+        return self.model.running_count + len(self.model.waiting_by_id)
 
     async def list_orders(self, request: web.Request) -> web.Response:
         """Return the orders taken."""
@@ -306,19 +322,30 @@
                 "models": sorted(self.wanted_state.models),
                 "adapters": sorted(self.wanted_state.adapters),
                 "role": self.wanted_state.role,
-                "running": len(self.model.running),
-                "waiting": len(self.model.waiting),
+                "running": self.model.running_count,
+                "waiting": len(self.model.waiting_by_id),
             }
         )
 
     async def inject(self, request: web.Request) -> web.Response:
-        """Inject a fault: leaving, stall, unstall, crash_on, fencing."""
+        """Inject a fault.
+
+        Names are leaving, stall, unstall, silent, speak, forget, answers (see
+        `_send_faulty`), crash_on and fencing.
+        """
         fault = request.match_info["fault"]
         body = await request.json() if request.can_read_body else {}
         if fault == "leaving":
             self.leaving = True
         elif fault in ("stall", "unstall"):
             self.stalled = fault == "stall"
+        elif fault in ("silent", "speak"):
+            self.silent = fault == "silent"
+        elif fault == "forget":
+            for generation_id in list(self.streams_by_id):
+                self._forget(generation_id)
+        elif fault == "answers":
+            self.answer_faults = list(body["faults"])
         elif fault == "crash_on":
             self.crash_text = body["text"]
         elif fault == "fencing":
@@ -333,14 +360,52 @@
             {
                 "started": self.started_count,
                 "cancelled": self.cancelled_count,
-                "running": len(self.model.running),
-                "waiting": len(self.model.waiting),
-                "memory_used": self.model.memory_used,
-                "preemptions": self.model.preemption_count,
+                "refused": self.refused_count,
+                "running": self.model.running_count,
+                "waiting": len(self.model.waiting_by_id),
+                "memory_used": self.model.counter.memory_used,
+                "preemptions": self.model.counter.preemption_count,
             }
         )
 
 
+async def _send_faulty(
+    request: web.Request, generation_id: str, answer: dict[str, Any], fault: str
+) -> None:
+    """Write a faulty whole answer past the library and close the connection.
+
+    ``cut`` ends in the middle, ``unframed`` as well but without a declared length,
+    ``short_length`` declares too little, ``invalid`` is no JSON, ``foreign`` carries
+    the body of another generation, ``leftover`` is followed by a second answer.
+    """
+    transport = request.transport
+    assert transport is not None
+    body = json.dumps(answer).encode()
+    other = json.dumps({**answer, "id": "g-other"}).encode()
+    whole = _raw_answer(generation_id, body, len(body))
+    written = {
+        "cut": whole[: -len(body) // 2],
+        "unframed": _raw_answer(generation_id, body, None)[: -len(body) // 2],
+        "short_length": _raw_answer(generation_id, body, len(body) - 5),
+        "invalid": _raw_answer(generation_id, body[:-2], len(body) - 2),
+        "foreign": _raw_answer(generation_id, other, len(other)),
+        "leftover": whole,
+    }
+    transport.write(written[fault])
+    if fault == "leftover":
+        await asyncio.sleep(0.05)
+        transport.write(_raw_answer("g-other", other, len(other)))
+        await asyncio.sleep(KEPT_SECONDS)
+    transport.close()
+
+
+def _raw_answer(generation_id: str, body: bytes, length: int | None) -> bytes:
+    head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    head += f"X-Generation-Id: {generation_id}\r\n"
+    head += f"Content-Length: {length}\r\n" if length is not None else ""
+    return head.encode() + b"\r\n" + body
+
+
 def _prefix_blocks(text: bytes, limit: int = 16) -> tuple[str, ...]:
     blocks: list[str] = []
     chained = b""
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -24,6 +24,7 @@
     _retries,
     _scheduling,
     _streams,
+    _suspects,
     _upstreams,
 )
 from carawayhitch.controllers._chain import run_chain
@@ -38,6 +39,7 @@
 )
 from carawayhitch.controllers._controller import Actions, combine
 from carawayhitch.controllers._selectors import matches
+from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions
 
 __all__ = [
@@ -51,8 +53,10 @@
     "is_watcher",
     "kind_of",
     "matches",
+    "merge_crashes",
 ]
 
+# Suspects read the grants of a failed upstream before scheduling removes them.
 # Admission removes the row of an ended request, so it runs after every controller
 # that still reads the row; the lifecycle then counts the rows that are left.
 # Membership announces what the others decided, so it is last.
@@ -62,6 +66,7 @@
     _upstreams.decide,
     _leases.decide,
     _orders.decide,
+    _suspects.decide,
     _scheduling.decide,
     _placement.decide,
     _idempotency.decide,
--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -11,7 +11,7 @@
 from carawayhitch.controllers._cells import SCHEDULING_STATES
 from carawayhitch.controllers._configuration import digest_text
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.controllers._crash_merge import merge_crashes
+from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions, events, messages, rows
 
 PROBE_TIMER = "membership_probe"
--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -56,7 +56,11 @@
             *end_request(row, event.final_code, retry_after=1.0),
         )
     board.retry_budget_by_group[row.group] = rows.BudgetRow(budget.retries - 1.0, now)
-    finished = finished_message(board, row, complete=False, upstream_failed=True)
+    # A refused or unopened connection never ran the request, so it is no evidence
+    # against the request, but the scheduler stops placing work there for a while.
+    upstream_failed = event.code is result_codes.RETRY_BEFORE_FIRST_TOKEN
+    finished = finished_message(board, row, False, upstream_failed)
+    finished = finished._replace(upstream_refused=not upstream_failed)
     again = row._replace(
         phase="asking",
         attempt=row.attempt + 1,
@@ -65,6 +69,7 @@
         generation_id="",
         scheduler_id="",
         token_count=0,
+        resume_count=0,
     )
     board.requests_by_id[row.request_id] = again
     delay = backoff_seconds(board, row.attempt, random)
--- /dev/null
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -0,0 +1,195 @@
+"""Choice of an upstream for one ask: limits, memory, prefix cache, load."""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+from carawayhitch.board import Board
+from carawayhitch.controllers import _affinity, _memory, _suspects
+from carawayhitch.controllers._ranks import (
+    first_rank_is_active,
+    floor_deficit,
+    highest_priority,
+    rank_class,
+)
+from carawayhitch.core import rows
+
+# Share of slots and memory that only the first rank may use while it is active, so
+# that it need not wait for a patient request to finish.
+FIRST_RANK_RESERVE = 0.06
+# An upstream that holds the longest prefix is used while its load is within this
+# share of the least loaded one.
+AFFINITY_BOUND = 0.1
+# Keeps new requests away from an upstream that runs one on record, so that its
+# next crash leaves no doubt about the cause; not at the price of a queue.
+SUSPECT_PENALTY = 0.25
+
+Blocked = Literal["", "ask", "cell"]
+
+
+class Need(NamedTuple):
+    """What an ask needs of an upstream.
+
+    Parameters
+    ----------
+    ask : AskRow
+        The ask.
+    memory : MemoryRow
+        Predicted memory of the request.
+    share : float
+        Part of slots and memory that the ask may fill.
+    settling : bool
+        Whether running requests may be unknown here.
+    """
+
+    ask: rows.AskRow
+    memory: rows.MemoryRow
+    share: float
+    settling: bool
+
+
+class Choice(NamedTuple):
+    """Chosen upstream, or what stands in the way of any.
+
+    Parameters
+    ----------
+    blocked : {"", "ask", "cell"}
+        ``ask`` if constraints of this ask alone rule out every upstream, so that
+        others may pass it; ``cell`` if the cell has no room.
+    """
+
+    upstream_id: str = ""
+    blocked: Blocked = "cell"
+
+
+def is_usable(board: Board, upstream: rows.UpstreamRow, now: float) -> bool:
+    """Return whether an upstream may receive new work at all."""
+    if not upstream.takes_work(now):
+        return False
+    return _suspects.may_receive_work(board, upstream)
+
+
+def is_settling(board: Board, cell_id: str, now: float) -> bool:
+    """Return whether running requests of the cell may still be unknown here."""
+    return now < board.settle_deadlines_by_cell_id.get(cell_id, 0.0)
+
+
+def upstream_load(board: Board, upstream: rows.UpstreamRow) -> float:
+    """Return the load as a share of slots or predicted memory, the larger one."""
+    known = _memory.ledger(board, upstream.upstream_id)
+    count = len(board.grant_ids_by_upstream_id.get(upstream.upstream_id, ()))
+    load = (count + known.foreign_count) / max(1, upstream.running_limit)
+    if not upstream.memory_capacity:
+        return load
+    peak = _memory.predicted_peak(board, upstream.upstream_id)
+    return max(load, (peak + known.foreign_tokens) / upstream.memory_capacity)
+
+
+def _need(board: Board, ask: rows.AskRow, now: float) -> Need:
+    # A rank below its floor may use the reserve as well, or the floor could not be
+    # kept while the first rank fills the rest.
+    may_use_reserve = (
+        rank_class(board, ask.rank).priority <= highest_priority(board)
+        or not first_rank_is_active(board, ask.cell_id, now)
+        or floor_deficit(board, ask.cell_id, ask.rank, now) > 0
+    )
+    return Need(
+        ask=ask,
+        memory=_memory.predict(
+            board, ask.binding, ask.prompt_tokens, 0, ask.maximum_tokens
+        ),
+        share=1.0 if may_use_reserve else 1.0 - FIRST_RANK_RESERVE,
+        settling=is_settling(board, ask.cell_id, now),
+    )
+
+
+def has_room(board: Board, upstream: rows.UpstreamRow, need: Need, now: float) -> bool:
+    """Return whether slots and predicted memory allow one more request."""
+    known = _memory.ledger(board, upstream.upstream_id)
+    count = len(board.grant_ids_by_upstream_id.get(upstream.upstream_id, ()))
+    occupied = count + known.foreign_count
+    if occupied and occupied + 1 > upstream.running_limit * need.share:
+        return False
+    if upstream.kind != "engine":
+        return True
+    if need.settling and (not upstream.reported_at or upstream.waiting_count):
+        return False
+    # A request larger than the limit runs alone, or it would never run.
+    if not occupied:
+        return True
+    limit = need.share * _memory.memory_limit(board, upstream, now)
+    limit -= _foreign_memory(board, known, need.ask)
+    return _memory.peak_with(board, upstream.upstream_id, need.memory) <= limit
+
+
+def _foreign_memory(board: Board, known: rows.LedgerRow, ask: rows.AskRow) -> float:
+    """Return the memory of work of unknown origin, as if it had just started."""
+    if not known.foreign_count:
+        return known.foreign_tokens
+    held = known.foreign_tokens / known.foreign_count
+    predicted = _memory.predict(board, ask.binding, held, 0, 0)
+    return known.foreign_count * max(predicted.means)
+
+
+def choose_upstream(
+    board: Board, cell: rows.CellRow, ask: rows.AskRow, now: float
+) -> Choice:
+    """Return the upstream for an ask."""
+    usable = [
+        upstream
+        for upstream_id in cell.upstream_ids
+        if (upstream := board.upstreams_by_id.get(upstream_id)) is not None
+        and is_usable(board, upstream, now)
+    ]
+    suspects = _suspects.suspects_by_upstream(board, now)
+    allowed = _allowed(board, cell, usable, ask, suspects, now)
+    if usable and not allowed:
+        return Choice(blocked="ask")
+    need = _need(board, ask, now)
+    for upstream in _by_preference(board, allowed, ask, suspects):
+        if has_room(board, upstream, need, now):
+            return Choice(upstream.upstream_id, "")
+    return Choice(blocked="cell" if len(allowed) == len(usable) else "ask")
+
+
+def _allowed(
+    board: Board,
+    cell: rows.CellRow,
+    usable: list[rows.UpstreamRow],
+    ask: rows.AskRow,
+    suspects: dict[str, set[str]],
+    now: float,
+) -> list[rows.UpstreamRow]:
+    excluded = set(ask.excluded_upstream_ids)
+    # A retry may return to an upstream only if it has been to all of the cell.
+    if excluded.issuperset(cell.upstream_ids):
+        excluded.clear()
+    wanted = [row for row in usable if row.upstream_id not in excluded]
+    if not wanted or wanted[0].kind != "engine":
+        return wanted
+    names = [row.upstream_id for row in wanted]
+    names = _suspects.allowed_upstreams(board, ask.fingerprint, names, suspects, now)
+    return [board.upstreams_by_id[name] for name in names]
+
+
+def _by_preference(
+    board: Board,
+    allowed: list[rows.UpstreamRow],
+    ask: rows.AskRow,
+    suspects: dict[str, set[str]],
+) -> list[rows.UpstreamRow]:
+    loads = {
+        upstream.upstream_id: upstream_load(board, upstream)
+        + SUSPECT_PENALTY * (upstream.upstream_id in suspects)
+        for upstream in allowed
+    }
+    bound = min(loads.values(), default=0.0) + AFFINITY_BOUND
+
+    def order(upstream: rows.UpstreamRow) -> tuple[int, float, str]:
+        load = loads[upstream.upstream_id]
+        held = 0
+        if load <= bound and ask.prefix_blocks:
+            held = _affinity.held_prefix(board, upstream.upstream_id, ask.prefix_blocks)
+        return (-held, load, upstream.upstream_id)
+
+    return sorted(allowed, key=order)
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -68,10 +68,25 @@
 
 
 class CloseUpstream(NamedTuple):
-    """Close the upstream connection; cancel the generation if it still runs."""
+    """Close the upstream connection; cancel the generation if it still runs.
+
+    Parameters
+    ----------
+    linger_seconds : float
+        How long to wait for the headers of a stream, which name the generation to
+        cancel; 0 to close at once.
+    """
 
     request_id: str
     cancel_generation: bool
+    linger_seconds: float = 0.0
+
+
+class CancelGeneration(NamedTuple):
+    """Stop a generation that no request of this entry needs."""
+
+    address: str
+    generation_id: str
 
 
 class StartStream(NamedTuple):
@@ -124,6 +139,14 @@
     address: str
 
 
+class PollCacheEvents(NamedTuple):
+    """Read the cache events of an upstream after sequence ``since``."""
+
+    upstream_id: str
+    address: str
+    since: int
+
+
 class PollVmList(NamedTuple):
     """Read the platform's list of VMs."""
 
@@ -251,6 +274,10 @@
     fields: dict[str, Any]
 
 
+class CloseIdleConnections(NamedTuple):
+    """Close the connections of callers on which no call is open."""
+
+
 class StopProcess(NamedTuple):
     """End the process; nothing of it runs any more."""
 
@@ -263,12 +290,14 @@
     | OpenUpstream
     | ResumeUpstream
     | CloseUpstream
+    | CancelGeneration
     | StartStream
     | ForwardChunk
     | FinishStream
     | SendAnswer
     | RefuseCall
     | PollLoad
+    | PollCacheEvents
     | PollVmList
     | ReadEngineState
     | SendOrder
@@ -282,5 +311,6 @@
     | AnswerChange
     | Count
     | Log
+    | CloseIdleConnections
     | StopProcess
 )
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -112,7 +112,15 @@
 
 
 class Finished(NamedTuple):
-    """A granted request ended; ``upstream_failed`` if its upstream died under it."""
+    """A granted request ended.
+
+    Parameters
+    ----------
+    upstream_failed : bool
+        The upstream may have died under the request.
+    upstream_refused : bool
+        The upstream took no work or no connection; the request did not run.
+    """
 
     sender_id: str
     request_id: str
@@ -121,6 +129,7 @@
     token_count: int
     complete: bool
     upstream_failed: bool
+    upstream_refused: bool = False
 
 
 class Probe(NamedTuple):
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -55,6 +55,12 @@
         Number of the current ask; answers to older ones are ignored.
     last_sequence : int
         Highest event sequence delivered to the caller; 0 before the first.
+    last_chunk_at : float
+        Time of the last bytes of this attempt, or of its start before the first.
+    paused_at : float
+        Time since which the caller takes no bytes; 0 while it does.
+    may_have_run : bool
+        Whether any attempt was sent, so that no refusal may say ``no`` any more.
     """
 
     request_id: str
@@ -87,6 +93,8 @@
     last_chunk_at: float = 0.0
     resume_count: int = 0
     response_started: bool = False
+    paused_at: float = 0.0
+    may_have_run: bool = False
 
 
 class UpstreamRow(NamedTuple):
@@ -109,6 +117,7 @@
     leaving: bool = False
     draining: bool = False
     unreachable_until: float = 0.0
+    refused_until: float = 0.0
     reported_at: float = 0.0
     memory_capacity: int = 0
     memory_used: int = 0
@@ -119,7 +128,8 @@
 
     def takes_work(self, now: float) -> bool:
         """Return whether new requests may be placed here."""
-        return not (self.leaving or self.draining) and now >= self.unreachable_until
+        back_at = max(self.unreachable_until, self.refused_until)
+        return not (self.leaving or self.draining) and now >= back_at
 
 
 class CellRow(NamedTuple):
@@ -202,6 +212,26 @@
     tick_deadline: float
 
 
+class SchedulerContactRow(NamedTuple):
+    """How reliably a scheduler answers this entry.
+
+    Parameters
+    ----------
+    silent_since : float
+        Time at which the first message counted as unanswered (seconds of the node
+        clock).
+    unanswered_count : int
+        Asks and progress messages without an answer since its last one.
+    avoid_deadline : float
+        Time until which others are asked instead (seconds of the node clock).
+    """
+
+    scheduler_id: str
+    silent_since: float
+    unanswered_count: int = 0
+    avoid_deadline: float = 0.0
+
+
 class AskRow(NamedTuple):
     """A request that waits at the scheduler of its cell."""
 
@@ -220,10 +250,30 @@
     excluded_upstream_ids: tuple[str, ...]
     queued_at: float
     deadline: float
+    renewed_at: float = 0.0
+
+
+class MemoryRow(NamedTuple):
+    """Predicted memory after numbers of further tokens, as mean and variance."""
+
+    means: tuple[float, ...] = ()
+    variances: tuple[float, ...] = ()
 
 
 class GrantRow(NamedTuple):
-    """A request that a scheduler has placed on an upstream."""
+    """A request that a scheduler has placed on an upstream.
+
+    Parameters
+    ----------
+    renewed_at : float
+        Time of the last progress for the request.
+    memory : MemoryRow
+        Predicted memory, as of the last progress.
+    charged_prompt : bool
+        False if an earlier scheduler charged the prompt.
+    charged_tokens : int
+        Output tokens that this scheduler charged.
+    """
 
     request_id: str
     attempt: int
@@ -240,6 +290,95 @@
     token_count: int
     granted_at: float
     deadline: float
+    renewed_at: float = 0.0
+    memory: MemoryRow = MemoryRow()
+    charged_prompt: bool = True
+    charged_tokens: int = 0
+
+
+class UsageRow(NamedTuple):
+    """Virtual token counter of one account in one rank of one cell.
+
+    Parameters
+    ----------
+    charged : float
+        Tokens divided by the quota weight of the account.
+    """
+
+    charged: float
+    open_count: int
+
+
+class RateRow(NamedTuple):
+    """Tokens charged and grants made in a rank; both decay with the charge window.
+
+    Parameters
+    ----------
+    grants : float
+        Grants since the queue of the rank was last empty.
+    """
+
+    tokens: float = 0.0
+    grants: float = 0.0
+    updated_at: float = 0.0
+
+
+class QueueRow(NamedTuple):
+    """Length of the queue of a rank, and the time at which it was last empty."""
+
+    length: int = 0
+    since: float = 0.0
+
+
+class LengthsRow(NamedTuple):
+    """Output lengths that finished in one binding.
+
+    Parameters
+    ----------
+    counts : tuple of float
+        Requests by bucket of geometric width.
+    survival : tuple of tuple of float
+        Shares of requests that go on, by produced tokens and further tokens.
+    survival_total : float
+        Number of requests that ``survival`` was computed from.
+    """
+
+    counts: tuple[float, ...]
+    survival: tuple[tuple[float, ...], ...]
+    survival_total: float
+
+
+class FinishRow(NamedTuple):
+    """Memory that a finished grant gave back."""
+
+    granted_at: float
+    finished_at: float
+    memory: int
+
+
+class LedgerRow(NamedTuple):
+    """What an engine's reports say beyond the grants that this scheduler knows.
+
+    Parameters
+    ----------
+    foreign_tokens, foreign_count : int
+        Memory and requests of unknown origin, as of the last report.
+    backoff : float
+        Share of the memory target in use; below 1 after preemptions.
+    """
+
+    foreign_tokens: int = 0
+    foreign_count: int = 0
+    preemption_count: int = -1
+    backoff: float = 1.0
+    backoff_at: float = 0.0
+    finishes: tuple[FinishRow, ...] = ()
+
+
+class CacheRow(NamedTuple):
+    """Position in the cache events of an engine."""
+
+    sequence: int = 0
 
 
 class CrashRow(NamedTuple):
@@ -251,6 +390,26 @@
     deadline: float
 
 
+class DeathRow(NamedTuple):
+    """The last failure of an upstream.
+
+    Parameters
+    ----------
+    fingerprints : tuple of str
+        Requests that were granted there when it failed.
+    recent_count : int
+        Grants that may have been opened only after the failure.
+    confirmed : bool
+        False until a load poll shows whether the engine died or only a link did.
+    """
+
+    upstream_id: str
+    died_at: float
+    fingerprints: tuple[str, ...]
+    recent_count: int
+    confirmed: bool
+
+
 class ClaimRow(NamedTuple):
     """State of one idempotency key in this process."""
 
--- a/src/carawayhitch/frontend/_operators.py
+++ b/src/carawayhitch/frontend/_operators.py
@@ -12,7 +12,7 @@
 
 from carawayhitch import codecs
 from carawayhitch.core import actions, errors, result_codes
-from carawayhitch.frontend._caller import JSON_CONTENT_TYPE, refusal_response
+from carawayhitch.frontend._refusals import JSON_CONTENT_TYPE, refusal_response
 from carawayhitch.node import Node, describe_status
 
 Handler = Callable[..., Coroutine[Any, Any, HTTPResponse]]
--- a/src/carawayhitch/frontend/_peers.py
+++ b/src/carawayhitch/frontend/_peers.py
@@ -10,7 +10,7 @@
 
 from carawayhitch import codecs
 from carawayhitch.core import actions, errors
-from carawayhitch.frontend._caller import JSON_CONTENT_TYPE, refusal_response
+from carawayhitch.frontend._refusals import JSON_CONTENT_TYPE, refusal_response
 from carawayhitch.node import Node
 
 PEER_ERROR_STATUS = 403
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -6,7 +6,7 @@
 import secrets
 import time
 from collections import deque
-from collections.abc import Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
@@ -32,6 +32,10 @@
 class CallerConnection(Protocol):
     """The caller's side of a call, implemented by the front end."""
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the caller has not taken enough of what was written."""
+
     async def writable(self) -> None:
         """Wait until the caller has taken enough of what was written."""
 
@@ -88,6 +92,7 @@
         self.upstream_tasks_by_request_id: dict[str, asyncio.Task[None]] = {}
         self.answers_by_operation_id: dict[str, asyncio.Future[Any]] = {}
         self.stopped = asyncio.Event()
+        self.close_idle_connections: Callable[[], None] = lambda: None
         self._pending: deque[Any] = deque()
         self._deciding = False
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/tests/codecs/test_peer_messages.py
+++ b/tests/codecs/test_peer_messages.py
@@ -193,6 +193,19 @@
             changed[place] ^= 1 << data.draw(st.integers(0, 7))
         self.decode_signed(bytes(changed))
 
+    def test_every_flipped_bit_of_a_member_row(self):
+        """Guards against an unknown state number that ends the receive handler."""
+        row = rows.MemberRow("n", 1, "joining", "127.0.0.1", 1, 2, "a", "r")
+        message = messages.IndirectProbe("n", 1, "m", (row,))
+        encoded = encode(message)
+        with _peer_messages._schema.Envelope.from_bytes(encoded) as reader:
+            content = bytes(reader.content)
+        for place in range(len(content)):
+            for bit in range(8):
+                damaged = bytearray(content)
+                damaged[place] ^= 1 << bit
+                self.decode_signed(bytes(damaged))
+
     def decode_signed(self, content):
         signature = _peer_messages._signature(OLD_KEY, HERE, content)
         datagram = _peer_messages._schema.Envelope.new_message(
