--- a/experiments/__init__.py
+++ b/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments with the policies in virtual time; not shipped."""
+"""Measurements of policies and costs; not shipped."""
--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -10,6 +10,7 @@
 import asyncio
 import base64
 from collections import Counter
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -38,14 +39,18 @@
     def __init__(self) -> None:
         self.revision = 0
         self.objects_by_key: dict[tuple[str, str], Stored] = {}
-        self.history: list[Stored] = []
+        self.history_by_kind: dict[str, list[Stored]] = {}
         self.calls_by_kind: Counter[str] = Counter()
         self.down = False
         self.delay_seconds = 0.0
         self.lost_write_answers = 0
         self.skipped_changes = 0
         self.history_limit = HISTORY_LIMIT
-        self.forgotten_revision = 0
+        self.forgotten_by_kind: dict[str, int] = {}
+        self.late_writes = 0
+        self.late_seconds = 0.0
+        self.writes_until_down = 0
+        self._late_tasks: set[asyncio.Task[Any]] = set()
         self._changed = asyncio.Event()
 
     def application(self) -> web.Application:
@@ -70,28 +75,54 @@
     async def _faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         if request.path.startswith("/fake/"):
             return await handler(request)
-        self.calls_by_kind[f"{request.method} {request.path.split('/')[2]}"] += 1
+        kind = "list" if request.path == "/v1/objects" else request.path.split("/")[2]
+        self.calls_by_kind[f"{request.method} {kind}"] += 1
         if self.delay_seconds:
             await asyncio.sleep(self.delay_seconds)
         if self.down:
             return web.json_response({"error": "unavailable"}, status=503)
+        if request.method == "PUT" and self.late_writes > 0:
+            self.late_writes -= 1
+            return await self._write_late(request)
         response = await handler(request)
+        if request.method == "PUT" and self.writes_until_down > 0:
+            self.writes_until_down -= 1
+            if self.writes_until_down == 0:
+                self.down = True
+                assert request.transport is not None
+                request.transport.abort()
         if request.method in ("PUT", "DELETE") and self.lost_write_answers > 0:
             self.lost_write_answers -= 1
             assert request.transport is not None
             request.transport.abort()
         return response
 
+    async def _write_late(self, request: web.Request) -> web.StreamResponse:
+        """Close the connection at once and make the write take effect later."""
+        await request.read()
+
+        async def write() -> None:
+            await asyncio.sleep(self.late_seconds)
+            await self.write(request)
+
+        task = asyncio.create_task(write())
+        self._late_tasks.add(task)
+        task.add_done_callback(self._late_tasks.discard)
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response(status=503)
+
     def _store(self, kind: str, name: str, value: bytes, deleted: bool) -> Stored:
         self.revision += 1
         stored = Stored(kind, name, self.revision, value, deleted)
         self.objects_by_key[kind, name] = stored
+        history = self.history_by_kind.setdefault(kind, [])
         if self.skipped_changes > 0:
             self.skipped_changes -= 1
         else:
-            self.history.append(stored)
-        while len(self.history) > self.history_limit:
-            self.forgotten_revision = self.history.pop(0).version
+            history.append(stored)
+        while len(history) > self.history_limit:
+            self.forgotten_by_kind[kind] = history.pop(0).version
         self._changed.set()
         self._changed = asyncio.Event()
         return stored
@@ -147,13 +178,14 @@
         kinds = set(filter(None, request.query.get("kinds", "").split(",")))
         deadline = asyncio.get_running_loop().time() + float(request.query["timeout"])
         while True:
-            if since < self.forgotten_revision:
+            watched = kinds or set(self.forgotten_by_kind)
+            if any(since < self.forgotten_by_kind.get(kind, 0) for kind in watched):
                 return web.json_response({"error": "history passed"}, status=410)
             changed = self._changed
             found = [
                 stored.to_json()
-                for stored in self.history
-                if stored.version > since and (not kinds or stored.kind in kinds)
+                for stored in self._changes(kinds or set(self.history_by_kind))
+                if stored.version > since
             ]
             remaining = deadline - asyncio.get_running_loop().time()
             if found or remaining <= 0 or self.down:
@@ -166,13 +198,23 @@
             return web.json_response({"error": "unavailable"}, status=503)
         return web.json_response({"revision": self.revision, "objects": found})
 
+    def _changes(self, kinds: set[str]) -> Sequence[Stored]:
+        """Return all changes of some kinds; a watch skips the other kinds' writes."""
+        found = [
+            stored for kind in kinds for stored in self.history_by_kind.get(kind, ())
+        ]
+        return sorted(found, key=lambda stored: stored.version)
+
     async def inject(self, request: web.Request) -> web.Response:
         """Set faults.
 
-        ``down``, ``delay_seconds``; ``lost_write_answers`` and ``skipped_changes``
-        apply to the next writes, whose answers or watch events are dropped;
-        ``history_limit`` is how many changes a watch can go back; ``forget_all``
-        empties the store as a restart without its data would.
+        ``down``, ``delay_seconds``; ``lost_write_answers``: writes whose answer is
+        lost; ``skipped_changes``: writes that no watch reports; ``late_writes``:
+        writes that take effect ``late_seconds`` after their connection closed;
+        ``writes_until_down``: the last of so many writes takes effect, loses its
+        answer and begins an outage; ``history_limit``: changes of a kind that a
+        watch can go back; ``forget_all``: empty the store as a restart without its
+        data would.
         """
         faults = await request.json()
         self.down = faults.get("down", self.down)
@@ -182,9 +224,12 @@
         self.history_limit = faults.get("history_limit", self.history_limit)
         if faults.get("forget_all"):
             self.revision = 0
-            self.forgotten_revision = 0
+            self.forgotten_by_kind.clear()
             self.objects_by_key.clear()
-            self.history.clear()
+            self.history_by_kind.clear()
+        self.late_writes = faults.get("late_writes", 0)
+        self.late_seconds = faults.get("late_seconds", 0.0)
+        self.writes_until_down = faults.get("writes_until_down", 0)
         self._changed.set()
         self._changed = asyncio.Event()
         return web.json_response({"down": self.down})
--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -15,6 +15,12 @@
     resume_generation,
     run_generation,
 )
+from carawayhitch.backends._forwards import (
+    FORWARD_PATH,
+    PROOF_HEADER,
+    forward_call,
+)
+from carawayhitch.backends._journal import call_journal
 from carawayhitch.backends._object_exchange import exchange_objects
 from carawayhitch.backends._object_store import StoreClient, call_store
 from carawayhitch.backends._peers import PeerSocket
@@ -27,6 +33,8 @@
 from carawayhitch.backends._sessions import open_session
 
 __all__ = [
+    "FORWARD_PATH",
+    "PROOF_HEADER",
     "CallContent",
     "Caller",
     "PeerSocket",
@@ -34,9 +42,11 @@
     "Submit",
     "UpstreamCall",
     "UpstreamSessions",
+    "call_journal",
     "call_store",
     "cancel_generation",
     "exchange_objects",
+    "forward_call",
     "open_session",
     "read_cache_events",
     "read_engine_state",
--- a/src/carawayhitch/backends/_plain_services.py
+++ b/src/carawayhitch/backends/_plain_services.py
@@ -6,6 +6,7 @@
 from yarl import URL
 
 from carawayhitch.backends._calls import UpstreamCall, failure, read_body
+from carawayhitch.backends._sessions import send_once
 from carawayhitch.core import actions, errors, events, rows
 
 
@@ -30,6 +31,7 @@
             data=call.content.body or None,
             headers=headers,
             allow_redirects=False,
+            middlewares=() if target.idempotent else (send_once(),),
         ) as response:
             body = await read_body(call, response)
             call.submit(
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -34,6 +34,7 @@
     queues_by_rank: dict[tuple[str, str], dict[str, dict[str, None]]]
     queue_lengths_by_rank: dict[tuple[str, str], rows.QueueRow]
     last_charged_by_rank: dict[tuple[str, str], float]
+    blocked_rank_by_cell_id: dict[str, str]
     grant_ids_by_upstream_id: dict[str, dict[str, None]]
     upstreams_by_fingerprint: dict[str, dict[str, str]]
     cleared_by_fingerprint: dict[str, float]
@@ -45,6 +46,8 @@
     crashes_by_fingerprint: dict[str, rows.CrashRow]
     deaths_by_upstream_id: dict[str, rows.DeathRow]
     claims_by_key: dict[str, rows.ClaimRow]
+    shards_by_name: dict[str, rows.ShardRow]
+    journal_layouts_by_name: dict[str, rows.LayoutRow]
     objects_by_key: dict[tuple[str, str], rows.ObjectRow]
     decoded_by_key: dict[tuple[str, str], events.DecodedObject]
     object_set_by_node_id: dict[str, rows.ObjectSetRow]
@@ -69,6 +72,11 @@
         """What this node knows of the declared objects as a whole."""
         return self.object_set_by_node_id[self.settings.node.id]
 
+    @property
+    def journal_layout(self) -> rows.LayoutRow | None:
+        """Layout of the claim journals, or None before it was read."""
+        return self.journal_layouts_by_name.get("in_force")
+
     @property
     def lifecycle(self) -> rows.LifecycleRow:
         """State of this process."""
@@ -112,6 +120,7 @@
         queues_by_rank={},
         queue_lengths_by_rank={},
         last_charged_by_rank={},
+        blocked_rank_by_cell_id={},
         grant_ids_by_upstream_id={},
         upstreams_by_fingerprint={},
         cleared_by_fingerprint={},
@@ -123,6 +132,8 @@
         crashes_by_fingerprint={},
         deaths_by_upstream_id={},
         claims_by_key={},
+        shards_by_name={},
+        journal_layouts_by_name={},
         objects_by_key={},
         decoded_by_key={},
         object_set_by_node_id={node_id: rows.ObjectSetRow()},
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from math import exp
+from math import exp, sqrt
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _fairness
@@ -14,8 +14,8 @@
 RETRY_AFTER_MAXIMUM_SECONDS = 60.0
 # Without a known rate, a middle value spreads the callers that come back.
 RETRY_AFTER_DEFAULT_SECONDS = 10.0
-# Fewer grants or a shorter backlog say too little about the rate to refuse by it.
-KNOWN_RATE_GRANTS = 20.0
+# Fewer grants or a shorter backlog say too little about the rate.
+KNOWN_RATE_GRANTS = 4.0
 KNOWN_RATE_SECONDS = 2.0
 
 
@@ -86,12 +86,20 @@
 def expected_wait(board: Board, ask: rows.AskRow, now: float) -> float:
     """Return the expected wait of a new ask in seconds; 0 if nothing is known.
 
+    If the whole queue is served before the deadline, it is the time for that.
+
     Accounts take turns by quota weight, so of a longer queue only as many asks go
-    first as the other account's weight allows.
+    first as the other account's weight allows. The rate is taken two standard
+    deviations above what was counted, so that nobody is refused by mere chance.
     """
     grants = grants_per_second(board, ask.cell_id, ask.rank, now)
     if not grants:
         return 0.0
+    counted = _fairness.rate(board, ask.cell_id, ask.rank, now).grants
+    grants *= 1.0 + 2.0 / sqrt(counted)
+    longest = (queue_length(board, ask.cell_id, ask.rank) + 1) / grants
+    if now + longest <= ask.deadline:
+        return longest
     waiting = board.queues_by_rank.get((ask.cell_id, ask.rank), {})
     own = len(waiting.get(ask.account, ())) + 1
     weight = _fairness.quota_weight(board, ask.account)
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -85,10 +85,12 @@
     if waiting is not None:
         if waiting.attempt > event.attempt:
             return ()
-        # A repeated ask keeps its place in the queue.
-        kept = ask._replace(queued_at=waiting.queued_at)
-        board.asks_by_request_id[event.request_id] = kept
-        return (_queued(board, ask),)
+        if waiting.cell_id == ask.cell_id:
+            # A repeated ask keeps its place in the queue.
+            kept = ask._replace(queued_at=waiting.queued_at)
+            board.asks_by_request_id[event.request_id] = kept
+            return (_queued(board, ask),)
+        _queue.remove_ask(board, event.request_id)
     if event.cell_id not in board.cells_by_id:
         return (_queue.refusal(board, ask, result_codes.NO_UPSTREAM, 1.0),)
     if _suspects.is_convicted(board, event.fingerprint, now):
@@ -98,7 +100,14 @@
         return (_queue.refusal(board, ask, *refused),)
     decided = _begin_settling(board, event.cell_id, now)
     _queue.add_ask(board, ask)
-    decided.extend(_schedule(board, event.cell_id, now))
+    # Without room for its rank or an earlier one, it waits for the next finish,
+    # report or sweep.
+    blocked = board.blocked_rank_by_cell_id.get(event.cell_id)
+    if (
+        blocked is None
+        or rank_class(board, blocked).priority > rank_class(board, event.rank).priority
+    ):
+        decided.extend(_schedule(board, event.cell_id, now))
     if event.request_id not in board.asks_by_request_id:
         return decided
     return (*decided, _queued(board, ask))
@@ -138,7 +147,7 @@
     active = {cell_id for cell_id, _ in board.queues_by_rank}
     active.update(grant.cell_id for grant in board.grants_by_request_id.values())
     for cell_id, deadline in list(board.settle_deadlines_by_cell_id.items()):
-        owners = board.schedulers_by_cell_id.get(cell_id) or (board.node_id,)
+        owners = board.schedulers_by_cell_id.get(cell_id) or ("",)
         if owners[0] != board.node_id and cell_id not in active and now >= deadline:
             del board.settle_deadlines_by_cell_id[cell_id]
 
@@ -177,9 +186,9 @@
     cell = board.cells_by_id.get(cell_id)
     if cell is None:
         return decided
+    board.blocked_rank_by_cell_id.pop(cell_id, None)
     skipped: set[str] = set()
-    room = True
-    while room and len(skipped) < SKIP_LIMIT:
+    while len(skipped) < SKIP_LIMIT:
         ask = _next_ask(board, cell_id, skipped, now)
         if ask is None:
             break
@@ -194,7 +203,8 @@
         elif choice.blocked == "ask":
             skipped.add(ask.request_id)
         else:
-            room = False
+            board.blocked_rank_by_cell_id[cell_id] = ask.rank
+            break
     return decided
 
 
@@ -268,6 +278,7 @@
     ask = board.asks_by_request_id.get(event.request_id)
     if ask is not None and ask.attempt <= event.attempt:
         _queue.remove_ask(board, event.request_id)
+        return _schedule(board, ask.cell_id, now)
     return ()
 
 
@@ -325,4 +336,8 @@
         if upstream_id not in board.upstreams_by_id:
             del board.ledgers_by_upstream_id[upstream_id]
             _affinity.forget_cache(board, upstream_id)
+    # The entries place asks of a cell that is gone in another one.
+    for ask in list(board.asks_by_request_id.values()):
+        if ask.cell_id not in board.cells_by_id:
+            _queue.remove_ask(board, ask.request_id)
     return _schedule_all(board, now)
--- a/src/carawayhitch/controllers/_targets.py
+++ b/src/carawayhitch/controllers/_targets.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from functools import singledispatch
 from typing import Any, NamedTuple
+from urllib.parse import unquote
 
-from carawayhitch.core import result_codes, rows
+from carawayhitch.core import declarations, result_codes, rows
 from carawayhitch.core import settings as settings_types
 
+READ_METHODS = frozenset({"GET", "HEAD"})
+UNCERTAIN_SEGMENTS = frozenset({"", ".", ".."})
+
 
 class AdmissionSize(NamedTuple):
     """What a scheduler needs to know to place a call, in tokens."""
@@ -38,6 +43,23 @@
     return target.idempotent
 
 
+@is_idempotent.register
+def _forward_is_idempotent(target: rows.ForwardTarget) -> bool:
+    return False
+
+
+@singledispatch
+def service_name(target: Any) -> str:
+    """Return the plain service of a call; empty for calls to engines."""
+    return ""
+
+
+@service_name.register(rows.ServiceTarget)
+@service_name.register(rows.ForwardTarget)
+def _service_name(target: rows.ServiceTarget | rows.ForwardTarget) -> str:
+    return target.service
+
+
 @singledispatch
 def admission_size(target: Any) -> AdmissionSize:
     """Return the size of a call; calls without a generation have none."""
@@ -71,6 +93,14 @@
     return result_codes.OUTCOME_UNKNOWN if sent and not target.idempotent else None
 
 
+@final_code.register
+def _forward_final_code(
+    target: rows.ForwardTarget, sent: bool
+) -> result_codes.ResultCode | None:
+    # Only the entry that issued the key knows whether an earlier call ran.
+    return result_codes.OUTCOME_UNKNOWN
+
+
 @singledispatch
 def is_streamed(target: Any) -> bool:
     """Return whether the upstream answers with a stream."""
@@ -96,3 +126,41 @@
     if target.stream:
         return settings.streams.first_byte_timeout_seconds
     return settings.limits.default_deadline_seconds
+
+
+@singledispatch
+def apply_declaration(target: Any, configuration: declarations.Configuration) -> Any:
+    """Return a target with what operators declared for its calls."""
+    return target
+
+
+@apply_declaration.register
+def _declare_service(
+    target: rows.ServiceTarget, configuration: declarations.Configuration
+) -> rows.ServiceTarget:
+    service = configuration.services_by_name.get(target.service)
+    routes = service.routes if service else ()
+    declared = find_route(routes, target.method, target.path)
+    if declared is None:
+        return target._replace(idempotent=target.method in READ_METHODS)
+    return target._replace(idempotent=declared.idempotent)
+
+
+def find_route(
+    routes: Sequence[declarations.ServiceRoute], method: str, path: str
+) -> declarations.ServiceRoute | None:
+    """Return the route with the longest prefix of whole path segments, if any.
+
+    A path with empty, ``.`` or ``..`` segments, also percent-encoded ones, matches no
+    route, because the client library or the service may resolve it to another path.
+    """
+    path = unquote(path)
+    if not UNCERTAIN_SEGMENTS.isdisjoint(path.rstrip("/").split("/")[1:]):
+        return None
+    found = [
+        route
+        for route in routes
+        if route.method == method
+        and (path + "/").startswith(route.path_prefix.rstrip("/") + "/")
+    ]
+    return max(found, key=lambda route: len(route.path_prefix), default=None)
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -136,6 +136,9 @@
 ANSWER_FOREIGN = ResultCode(
     2042, "ANSWER_FOREIGN", "unknown", 502, "The answer is of another generation."
 )
+FORWARD_REFUSED = ResultCode(
+    2009, "FORWARD_REFUSED", "unknown", 403, "The forwarded call was not signed."
+)
 
 RETRY_CONNECT = ResultCode(
     3001, "RETRY_CONNECT", "no", 0, "No connection; tried at another upstream."
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 import time
-from contextlib import suppress
 from typing import Any
 from uuid import uuid4
 
 from sanic import Request, Sanic
-from sanic.exceptions import PayloadTooLarge
 from sanic.response import HTTPResponse, json, raw
 
 from carawayhitch import codecs
-from carawayhitch.backends import CallContent
-from carawayhitch.core import errors, events, result_codes, rows
+from carawayhitch.backends import FORWARD_PATH, CallContent
+from carawayhitch.core import events, result_codes, rows
 from carawayhitch.frontend._caller import SanicCaller
+from carawayhitch.frontend._keys import add_key, check_forward, keys_handler
 from carawayhitch.frontend._operators import add_operator_routes
 from carawayhitch.frontend._peers import add_peer_routes
+from carawayhitch.frontend._receiving import check_head, malformed, receive_body
 from carawayhitch.frontend._refusals import code_of, error_response
 from carawayhitch.node import Node, OpenCall, render_metrics
 
@@ -27,25 +26,8 @@
 KEY_HEADER = "Idempotency-Key"
 WAIT_HEADER = "Carawayhitch-Wait-Seconds"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-# Headers whose repetition would let two readers of a request disagree about it.
-SINGLE_HEADERS = (
-    "authorization",
-    KEY_HEADER,
-    LABELS_HEADER,
-    WAIT_HEADER,
-    "carawayhitch-resume",
-    "last-event-id",
-    "content-type",
-)
-# Line breaks and header names that other readers could understand differently: bare
-# line feeds or carriage returns, NUL, folded lines, blanks before the colon.
-AMBIGUOUS_HEAD = re.compile(
-    rb"(?<!\r)\n|\r(?!\n)|\x00|\r\n[ \t]|\r\n[^:\r]*[ \t]:|\r\n:"
-)
 # Decimal digits only; sequence numbers of event streams have at most 15.
 SEQUENCE = re.compile(r"[0-9]{1,15}\Z", re.ASCII)
-# Bytes of an oversized body that are read so that the caller sees the refusal.
-DISCARDED_BYTES_LIMIT = 64 * 1024 * 1024
 DOT_SEGMENT = re.compile(r"(?:\A|/)(?:\.|%2e){1,2}(?:/|\Z)", re.IGNORECASE)
 SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 
@@ -74,6 +56,20 @@
     add_operator_routes(application, node)
     add_peer_routes(application, node)
     application.exception(Exception)(_error_handler(node))
+    application.add_route(
+        check_forward(node, _service_handler(node, forwarded=True)),
+        FORWARD_PATH + "/<service:str>/<path:path>",
+        methods=SERVICE_METHODS,
+        name="forwarded",
+        stream=True,
+    )
+    application.add_route(
+        keys_handler(node, _serve),
+        "/v1/idempotency-keys",
+        methods=["POST"],
+        name="keys",
+        stream=True,
+    )
     application.add_route(_resume_handler(node), "/v1/streams/resume", name="resume")
     application.add_route(_health_handler(node), "/healthz", name="healthz")
     application.add_route(_ready_handler(node), "/readyz", name="readyz")
@@ -98,82 +94,6 @@
     application.config.ACCESS_LOG = False
 
 
-def _malformed(message: str) -> errors.MalformedMessageError:
-    return errors.MalformedMessageError(result_codes.MALFORMED_REQUEST, message)
-
-
-def _check_head(request: Request) -> None:
-    """Refuse requests that another reader could understand differently."""
-    if request.version != "1.1":
-        raise errors.CallRefusedError(
-            result_codes.HTTP_VERSION_REFUSED,
-            f"HTTP version is {request.version}, expected 1.1",
-        )
-    if AMBIGUOUS_HEAD.search(request.head):
-        raise _malformed("ambiguous line breaks or header names")
-    headers = request.headers
-    for name in SINGLE_HEADERS:
-        values = headers.getall(name, ())
-        if len(values) > 1:
-            raise _malformed(f"{len(values)} headers {name}, expected one")
-        if values and not values[0].isascii():
-            raise _malformed(f"header {name} is not ASCII text")
-
-
-async def _receive(node: Node, request: Request) -> None:
-    """Receive a body within the limits of size, time and number."""
-    # sanic types the stream as its base class, which lacks what HTTP/1.1 adds.
-    stream: Any = request.stream
-    transport: Any = request.transport
-    limits = node.settings.limits
-    stream.request_max_size = limits.body_bytes
-    if not stream.request_body:
-        return
-    context = request.app.ctx
-    if context.receiving_count >= limits.receiving_requests:
-        stream.keep_alive = False
-        raise errors.CallRefusedError(
-            result_codes.ENTRY_OVERLOADED,
-            f"{context.receiving_count} requests are being received",
-        )
-    context.receiving_count += 1
-    refusal: errors.CallRefusedError | None = errors.CallRefusedError(
-        result_codes.REQUEST_TIMEOUT,
-        f"body did not arrive within {limits.receive_timeout_seconds} s",
-    )
-    try:
-        async with asyncio.timeout(limits.receive_timeout_seconds):
-            try:
-                await request.receive_body()
-                refusal = None
-            except PayloadTooLarge:
-                refusal = errors.CallRefusedError(
-                    result_codes.BODY_TOO_LARGE,
-                    f"body exceeds the limit of {limits.body_bytes} bytes",
-                )
-                await _discard_body(stream)
-    except TimeoutError:
-        stream.request_body = None
-    finally:
-        context.receiving_count -= 1
-    if refusal is not None:
-        stream.keep_alive = False
-        raise refusal
-    # sanic pauses reading at 64 KB and would not see the caller leave from then on.
-    if transport is not None:
-        transport.resume_reading()
-
-
-async def _discard_body(stream: Any) -> None:
-    """Read on after the limit: a caller that still sends would see only a reset."""
-    if stream.expecting_continue:
-        return
-    stream.request_max_size = DISCARDED_BYTES_LIMIT
-    with suppress(PayloadTooLarge):
-        while stream.request_body:
-            await stream.read()
-
-
 def _error_handler(node: Node) -> Any:
     async def handle_error(request: Request, error: Exception) -> HTTPResponse:
         _close_when_draining(node, request)
@@ -219,6 +139,7 @@
         query=request.query_string,
         content_type=request.headers.get("content-type", "application/octet-stream"),
         body=request.body,
+        headers=tuple(request.headers.items()),
     )
 
 
@@ -227,16 +148,18 @@
     request_id: str,
     target: rows.GenerationTarget | rows.ServiceTarget,
     labels: dict[str, str],
+    path: str,
 ) -> events.CallReceived:
     headers = request.headers
-    body_sha256 = codecs.sha256_hex(request.body)
     return events.CallReceived(
         request_id=request_id,
         token_sha256=codecs.bearer_token_sha256(headers.get("authorization", "")),
         labels=labels,
         target=target,
-        fingerprint=codecs.sha256_hex(request.path.encode() + b"\0" + request.body),
-        body_sha256=body_sha256,
+        fingerprint=codecs.sha256_hex(path.encode() + b"\0" + request.body),
+        body_sha256=codecs.request_sha256(
+            request.method, path, request.query_string, request.body
+        ),
         idempotency_key=headers.get(KEY_HEADER, ""),
         wait_seconds=_wait_seconds(headers.get(WAIT_HEADER, "")),
     )
@@ -250,7 +173,7 @@
     except ValueError:
         value = -1.0
     if not 0.0 < value < 86400.0:
-        raise _malformed(
+        raise malformed(
             f"{WAIT_HEADER} is {header!r}, expected seconds between 0 and 86400"
         )
     return value
@@ -258,12 +181,12 @@
 
 def _generation_handler(node: Node, path: str) -> Any:
     async def handle_generation(request: Request) -> HTTPResponse | None:
-        _check_head(request)
-        await _receive(node, request)
+        check_head(request)
+        await receive_body(node, request)
         target = codecs.generation_target(path, request.body)
         labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
         labels = {**labels, "model": target.model, "path": path}
-        event = _call_event(request, "", target, labels)
+        event = _call_event(request, "", target, labels, path)
         return await _serve(
             node,
             request,
@@ -274,23 +197,24 @@
     return handle_generation
 
 
-def _service_handler(node: Node) -> Any:
+def _service_handler(node: Node, forwarded: bool = False) -> Any:
     async def handle_service(
         request: Request, service: str, path: str
     ) -> HTTPResponse | None:
-        _check_head(request)
-        await _receive(node, request)
+        check_head(request)
+        await receive_body(node, request)
         if DOT_SEGMENT.search(path):
-            raise _malformed(f"path {path!r} has a dot segment")
+            raise malformed(f"path {path!r} has a dot segment")
         target = rows.ServiceTarget(
             service=service,
             method=request.method,
             path=f"/{path}",
-            idempotent=request.method in ("GET", "HEAD"),
         )
         labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
         labels = {**labels, "service": service, "path": target.path}
-        event = _call_event(request, "", target, labels)
+        called_path = f"/services/{service}/{path}"
+        event = _call_event(request, "", target, labels, called_path)
+        event = add_key(event, node, forwarded)
         return await _serve(
             node,
             request,
@@ -303,7 +227,7 @@
 
 def _resume_handler(node: Node) -> Any:
     async def handle_resume(request: Request) -> HTTPResponse | None:
-        _check_head(request)
+        check_head(request)
         token = codecs.verify_resume_token(
             request.headers.get("Carawayhitch-Resume", ""),
             node.settings.peers.keys,
@@ -311,7 +235,7 @@
         )
         last_event_id = request.headers.get("Last-Event-ID", "0")
         if not SEQUENCE.match(last_event_id):
-            raise _malformed(f"Last-Event-ID is {last_event_id!r}, expected a number")
+            raise malformed(f"Last-Event-ID is {last_event_id!r}, expected a number")
         event = events.ResumeReceived(
             request_id="",
             token_sha256=codecs.bearer_token_sha256(
--- a/tests/controllers/test_scheduling.py
+++ b/tests/controllers/test_scheduling.py
@@ -5,7 +5,14 @@
 import unittest
 
 from carawayhitch.controllers import _fairness, _lengths, _memory
-from carawayhitch.core import declarations, events, messages, result_codes
+from carawayhitch.core import (
+    actions,
+    declarations,
+    events,
+    messages,
+    result_codes,
+    rows,
+)
 from tests.controllers.scheduling_world import (
     CELL,
     PATIENT,
@@ -111,7 +118,7 @@
         # 40 asks wait and 5 a second are served.
         soon = feed(board, ask("soon", deadline=now + 2.0), now)
         self.assertEqual(refusals(soon), {"soon": "DEADLINE_UNREACHABLE"})
-        later = feed(board, ask("later", deadline=now + 20.0), now)
+        later = feed(board, ask("later", deadline=now + 12.0), now)
         self.assertEqual(refusals(later), {})
 
     def test_few_arrivals_are_not_taken_for_little_capacity(self):
@@ -338,6 +345,71 @@
         queued = list(board.queues_by_rank[CELL, "urgent"]["hotel"])
         self.assertEqual(queued, ["one", "two"])
 
+    def test_asks_of_a_cell_that_is_gone_are_placed_again(self):
+        """Guards against calls that wait for a cell that a resize removed."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        fill(board, rank="urgent")
+        feed(board, ask("waiting"), 2.0)
+        cell = board.cells_by_id.pop(CELL)
+        board.cells_by_id["quotes/region-1/1"] = cell._replace(
+            cell_id="quotes/region-1/1"
+        )
+        target = rows.GenerationTarget("/v1/completions", "quotes", True, 10, 10)
+        board.requests_by_id["own"] = rows.RequestRow(
+            "own", "hotel", "quotes", "urgent", "urgent", target, "f", "b", "", 0.0, 9.0
+        )._replace(cell_id=CELL, scheduler_id="entry-1", queued=True)
+        decided = feed(board, events.UpstreamsChanged(), 3.0)
+        self.assertEqual(board.asks_by_request_id, {})
+        placed_again = actions.Emit(events.RequestAdmitted("own"))
+        self.assertIn(placed_again, decided)
+        feed(board, placed_again.event, 3.0)
+        self.assertEqual(board.requests_by_id["own"].cell_id, "quotes/region-1/1")
+        self.assertEqual(board.requests_by_id["own"].attempt, 2)
+
+    def test_two_schedulers_over_admit_only_until_the_next_report(self):
+        """Guards against two nodes that fill one engine with twice its limit."""
+        boards = [scheduling_board(engine_count=1) for _ in range(2)]
+        for board in boards:
+            report_all(board, 1.0, running_limit=20)
+        counts = []
+        for number, board in enumerate(boards):
+            for index in range(8):
+                feed(board, ask(f"{number}-{index}"), 1.1)
+            counts.append(len(board.grants_by_request_id))
+        self.assertEqual(counts, [8, 8])
+        for board in boards:
+            report_all(board, 2.0, running_limit=20, running_count=16, memory_used=1700)
+            for index in range(20):
+                feed(board, ask(f"more-{index}"), 2.1)
+            ledger = board.ledgers_by_upstream_id["engine-0"]
+            self.assertEqual(ledger.foreign_count, 8)
+            self.assertEqual(len(board.grants_by_request_id), 12)
+
+    def test_ask_that_moves_to_another_cell_leaves_its_queue(self):
+        """Guards against queues that name asks which are not there."""
+        board = scheduling_board()
+        board.cells_by_id["other"] = board.cells_by_id[CELL]._replace(cell_id="other")
+        board.settle_deadlines_by_cell_id["other"] = 0.0
+        report_all(board, 1.0)
+        fill(board, rank="urgent")
+        feed(board, ask("moved"), 2.0)
+        feed(board, ask("moved", attempt=2, cell_id="other"), 2.1)
+        self.assertNotIn((CELL, "urgent"), board.queues_by_rank)
+        self.assertEqual(board.asks_by_request_id["moved"].cell_id, "other")
+        feed(board, messages.AskWithdrawn("entry-2", "moved", 2, "other"), 2.2)
+        self.assertEqual(board.queues_by_rank, {})
+
+    def test_progress_moves_a_grant_to_the_upstream_in_use(self):
+        """Guards against load counted where another scheduler's grant is unused."""
+        board = scheduling_board()
+        report_all(board, 1.0)
+        feed(board, ask("twice"), 1.0)
+        self.assertIn("engine-0", board.grant_ids_by_upstream_id)
+        feed(board, running("twice", "engine-1"), 2.0)
+        self.assertEqual(list(board.grant_ids_by_upstream_id), ["engine-1"])
+        self.assertEqual(list(board.memory_by_upstream_id), ["engine-1"])
+
     def test_running_request_leaves_the_queue(self):
         """Guards against a second run of a request that another node granted."""
         board = scheduling_board()
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -180,13 +180,13 @@
         for name in self.entries:
             self.fleet.kill(name)
         calls_url = self.fleet.url("store") + "/fake/calls"
-        before = json.loads(call("GET", calls_url)[1])["GET objects"]
+        before = json.loads(call("GET", calls_url)[1])["GET list"]
         for name in self.entries:
             self.fleet.start_entry(name, wait=False)
         for name in self.entries:
             self.fleet.wait_ready(name)
         time.sleep(2.0)
-        lists = json.loads(call("GET", calls_url)[1])["GET objects"] - before
+        lists = json.loads(call("GET", calls_url)[1])["GET list"] - before
         self.assertLessEqual(lists, len(self.entries))
 
     def test_entry_alone_without_store_is_not_ready(self):
