--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 VALUE_LIMIT = 1_000_000
+HISTORY_LIMIT = 10_000
 
 
 class Stored(NamedTuple):
@@ -43,6 +44,9 @@
         self.down = False
         self.delay_seconds = 0.0
         self.lost_write_answers = 0
+        self.skipped_changes = 0
+        self.history_limit = HISTORY_LIMIT
+        self.forgotten_by_kind: dict[str, int] = {}
         self.late_writes = 0
         self.late_seconds = 0.0
         self.writes_until_down = 0
@@ -71,7 +75,8 @@
     async def _faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         if request.path.startswith("/fake/"):
             return await handler(request)
-        self.calls_by_kind[f"{request.method} {request.path.split('/')[2]}"] += 1
+        kind = "list" if request.path == "/v1/objects" else request.path.split("/")[2]
+        self.calls_by_kind[f"{request.method} {kind}"] += 1
         if self.delay_seconds:
             await asyncio.sleep(self.delay_seconds)
         if self.down:
@@ -111,7 +116,13 @@
         self.revision += 1
         stored = Stored(kind, name, self.revision, value, deleted)
         self.objects_by_key[kind, name] = stored
-        self.history_by_kind.setdefault(kind, []).append(stored)
+        history = self.history_by_kind.setdefault(kind, [])
+        if self.skipped_changes > 0:
+            self.skipped_changes -= 1
+        else:
+            history.append(stored)
+        while len(history) > self.history_limit:
+            self.forgotten_by_kind[kind] = history.pop(0).version
         self._changed.set()
         self._changed = asyncio.Event()
         return stored
@@ -162,11 +173,14 @@
         return web.json_response({"revision": self.revision, "objects": objects})
 
     async def watch(self, request: web.Request) -> web.Response:
-        """Wait for changes after a revision."""
+        """Wait for changes after a revision; 410 if they are no longer kept."""
         since = int(request.query["since"])
         kinds = set(filter(None, request.query.get("kinds", "").split(",")))
         deadline = asyncio.get_running_loop().time() + float(request.query["timeout"])
         while True:
+            watched = kinds or set(self.forgotten_by_kind)
+            if any(since < self.forgotten_by_kind.get(kind, 0) for kind in watched):
+                return web.json_response({"error": "history passed"}, status=410)
             changed = self._changed
             found = [
                 stored.to_json()
@@ -195,14 +209,24 @@
         """Set faults.
 
         ``down``, ``delay_seconds``; ``lost_write_answers``: writes whose answer is
-        lost; ``late_writes``: writes that take effect ``late_seconds`` after their
-        connection closed; ``writes_until_down``: the last of so many writes takes
-        effect, loses its answer and begins an outage.
+        lost; ``skipped_changes``: writes that no watch reports; ``late_writes``:
+        writes that take effect ``late_seconds`` after their connection closed;
+        ``writes_until_down``: the last of so many writes takes effect, loses its
+        answer and begins an outage; ``history_limit``: changes of a kind that a
+        watch can go back; ``forget_all``: empty the store as a restart without its
+        data would.
         """
         faults = await request.json()
         self.down = faults.get("down", self.down)
         self.delay_seconds = faults.get("delay_seconds", self.delay_seconds)
         self.lost_write_answers = faults.get("lost_write_answers", 0)
+        self.skipped_changes = faults.get("skipped_changes", 0)
+        self.history_limit = faults.get("history_limit", self.history_limit)
+        if faults.get("forget_all"):
+            self.revision = 0
+            self.forgotten_by_kind.clear()
+            self.objects_by_key.clear()
+            self.history_by_kind.clear()
         self.late_writes = faults.get("late_writes", 0)
         self.late_seconds = faults.get("late_seconds", 0.0)
         self.writes_until_down = faults.get("writes_until_down", 0)
--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -21,6 +21,7 @@
     forward_call,
 )
 from carawayhitch.backends._journal import call_journal
+from carawayhitch.backends._object_exchange import exchange_objects
 from carawayhitch.backends._object_store import StoreClient, call_store
 from carawayhitch.backends._peers import PeerSocket
 from carawayhitch.backends._plain_services import run_service_call
@@ -44,6 +45,7 @@
     "call_journal",
     "call_store",
     "cancel_generation",
+    "exchange_objects",
     "forward_call",
     "open_session",
     "read_cache_events",
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from carawayhitch.core import declarations, rows
+from carawayhitch.core import declarations, events, rows
 from carawayhitch.core import settings as settings_types
 
 
@@ -49,6 +49,9 @@
     shards_by_name: dict[str, rows.ShardRow]
     journal_layouts_by_name: dict[str, rows.LayoutRow]
     objects_by_key: dict[tuple[str, str], rows.ObjectRow]
+    decoded_by_key: dict[tuple[str, str], events.DecodedObject]
+    object_set_by_node_id: dict[str, rows.ObjectSetRow]
+    changes_by_operation_id: dict[str, rows.ChangeRow]
     configuration_by_name: dict[str, declarations.Configuration]
     retry_budget_by_group: dict[str, rows.BudgetRow]
     leases_by_group: dict[str, rows.LeaseRow]
@@ -64,6 +67,11 @@
         """The configuration in force, or None before the first one."""
         return self.configuration_by_name.get("in_force")
 
+    @property
+    def object_set(self) -> rows.ObjectSetRow:
+        """What this node knows of the declared objects as a whole."""
+        return self.object_set_by_node_id[self.settings.node.id]
+
     @property
     def journal_layout(self) -> rows.LayoutRow | None:
         """Layout of the claim journals, or None before it was read."""
@@ -127,6 +135,9 @@
         shards_by_name={},
         journal_layouts_by_name={},
         objects_by_key={},
+        decoded_by_key={},
+        object_set_by_node_id={node_id: rows.ObjectSetRow()},
+        changes_by_operation_id={},
         configuration_by_name={},
         retry_budget_by_group={},
         leases_by_group={},
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -13,6 +13,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers import (
     _admission,
+    _changes,
     _configuration,
     _idempotency,
     _journal_layout,
@@ -28,11 +29,33 @@
     _upstreams,
 )
 from carawayhitch.controllers._chain import run_chain
+from carawayhitch.controllers._configuration import (
+    digest_text,
+    is_watcher,
+)
+from carawayhitch.controllers._configuration_checks import (
+    describe,
+    find_problems,
+    kind_of,
+)
 from carawayhitch.controllers._controller import Actions, combine
+from carawayhitch.controllers._selectors import matches
 from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions
 
-__all__ = ["CONTROLLERS", "Actions", "decide", "decide_chain", "merge_crashes"]
+__all__ = [
+    "CONTROLLERS",
+    "Actions",
+    "decide",
+    "decide_chain",
+    "describe",
+    "digest_text",
+    "find_problems",
+    "is_watcher",
+    "kind_of",
+    "matches",
+    "merge_crashes",
+]
 
 # Suspects read the grants of a failed upstream before scheduling removes them.
 # Admission removes the row of an ended request, so it runs after every controller
@@ -40,6 +63,7 @@
 # Membership announces what the others decided, so it is last.
 CONTROLLERS = (
     _configuration.decide,
+    _changes.decide,
     _upstreams.decide,
     _leases.decide,
     _orders.decide,
--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -4,12 +4,12 @@
 
 import math
 from collections.abc import Iterable
-from hashlib import blake2b
 from heapq import nsmallest
 from random import Random
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._cells import SCHEDULING_STATES
+from carawayhitch.controllers._configuration import digest_text
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions, events, messages, rows
@@ -68,15 +68,6 @@
 decide = new_controller()
 
 
-def configuration_digest(board: Board) -> str:
-    """Return a digest of key and version of every configuration object."""
-    digest = blake2b(digest_size=8)
-    for key in sorted(board.objects_by_key):
-        version = board.objects_by_key[key].version
-        digest.update(f"{key[0]}\0{key[1]}\0{version}\n".encode())
-    return digest.hexdigest()
-
-
 def is_present(row: rows.MemberRow) -> bool:
     """Return whether a member is believed to run."""
     return row.state in PRESENT_STATES
@@ -161,9 +152,9 @@
     if own is None:
         return ()
     configuration = board.configuration
-    revision = configuration.revision if configuration else 0
     own = own._replace(
-        revision=revision, configuration_digest=configuration_digest(board)
+        revision=configuration.revision if configuration else 0,
+        configuration_digest=digest_text(board.object_set),
     )
     # Revision and digest travel in the own row of every message and are not
     # disseminated further: at 4,100 configuration changes a day, the updates of 390
@@ -658,6 +649,11 @@
         board.members_by_id[row.node_id] = known._replace(
             revision=row.revision, configuration_digest=row.configuration_digest
         )
+        if row.configuration_digest != known.configuration_digest:
+            seen = events.PeerRevisionSeen(
+                row.node_id, row.revision, row.configuration_digest
+            )
+            return (actions.Emit(seen),)
     return ()
 
 
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -192,6 +192,12 @@
 LEASE_LOST = ResultCode(
     4008, "LEASE_LOST", "no", 0, "A lease passed to another node or lapsed."
 )
+CONFIGURATION_OUTDATED = ResultCode(
+    4010, "CONFIGURATION_OUTDATED", "no", 0, "An older configuration was not used."
+)
+CONFIGURATION_PULL_FAILED = ResultCode(
+    4011, "CONFIGURATION_PULL_FAILED", "no", 0, "A peer sent no configuration."
+)
 PEER_UNREACHABLE = ResultCode(
     4020, "PEER_UNREACHABLE", "no", 0, "A message to an entry could not be sent."
 )
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -15,6 +15,8 @@
 from carawayhitch.core import events, result_codes, rows
 from carawayhitch.frontend._caller import SanicCaller
 from carawayhitch.frontend._keys import add_key, check_forward, keys_handler
+from carawayhitch.frontend._operators import add_operator_routes
+from carawayhitch.frontend._peers import add_peer_routes
 from carawayhitch.frontend._receiving import check_head, malformed, receive_body
 from carawayhitch.frontend._refusals import code_of, error_response
 from carawayhitch.node import Node, OpenCall, render_metrics
@@ -51,6 +53,8 @@
         name="service",
         stream=True,
     )
+    add_operator_routes(application, node)
+    add_peer_routes(application, node)
     application.exception(Exception)(_error_handler(node))
     application.add_route(
         check_forward(node, _service_handler(node, forwarded=True)),
--- a/src/carawayhitch/node/__init__.py
+++ b/src/carawayhitch/node/__init__.py
@@ -5,6 +5,7 @@
 from carawayhitch.node._metrics import render_metrics
 from carawayhitch.node._node import CallerConnection, Node, OpenCall
 from carawayhitch.node._replay import Difference, ReplayResult, replay_trace
+from carawayhitch.node._status import describe_status
 
 __all__ = [
     "CallerConnection",
@@ -12,6 +13,7 @@
     "Node",
     "OpenCall",
     "ReplayResult",
+    "describe_status",
     "render_metrics",
     "replay_trace",
 ]
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -13,6 +13,7 @@
     call_journal,
     call_store,
     cancel_generation,
+    exchange_objects,
     forward_call,
     read_cache_events,
     read_engine_state,
@@ -281,6 +282,29 @@
     node.spawn_answer(call_store(node.store, action))
 
 
+@perform.register(actions.DecodeObjects)
+def _decode_objects(action: actions.DecodeObjects, node: Node) -> None:
+    decoded = tuple(codecs.decode_object(stored) for stored in action.objects)
+    node.submit(events.ObjectsDecoded(action.operation_id, decoded))
+
+
+@perform.register(actions.PullObjects)
+def _pull_objects(action: actions.PullObjects, node: Node) -> None:
+    assert node.platform_session is not None
+    session, settings = node.platform_session, node.settings
+    node.spawn_answer(exchange_objects(session, settings, action, node.count_exchange))
+
+
+@perform.register(actions.AnswerExchange)
+def _answer_exchange(action: actions.AnswerExchange, node: Node) -> None:
+    node.answer_operation(action.exchange_id, action)
+
+
+@perform.register(actions.AnswerChange)
+def _answer_change(action: actions.AnswerChange, node: Node) -> None:
+    node.answer_operation(action.operation_id, action)
+
+
 @perform.register(actions.ReadJournal)
 @perform.register(actions.WriteJournal)
 @perform.register(actions.ReadLayout)
@@ -316,15 +340,6 @@
     opened.caller.answer(answer)
 
 
-@perform.register(actions.CheckConfiguration)
-def _check_configuration(action: actions.CheckConfiguration, node: Node) -> None:
-    declared, problems = codecs.decode_objects(node.board.objects_by_key.values())
-    checked = events.ConfigurationChecked(
-        action.revision, tuple(declared), tuple(problems)
-    )
-    node.submit(checked)
-
-
 @perform.register(actions.Count)
 def _count(action: actions.Count, node: Node) -> None:
     node.count(action.code, action.rank)
