Refuse unknown states and halve identifiers in peer messages

The fuzz test found that a member state outside the schema raises RuntimeError in pycapnp, which reached the event loop. It is counted as PEER_MESSAGE_MALFORMED now. New tests change every byte of the unpacked content of signed messages and of an envelope; pycapnp's own as_builder() ends the process on a damaged message, so it must not be used on received data.

--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -4,6 +4,7 @@
 
 import hmac
 import math
+import re
 from collections.abc import Callable, Iterable, Sequence
 from functools import cache, singledispatch
 from hashlib import sha256
@@ -28,6 +29,13 @@
 MAXIMUM_PREFIX_BLOCKS = 32
 MAXIMUM_REMAINING_SECONDS = 1e7
 
+# Fields that usually hold hexadecimal, which takes half the bytes as Data.
+IDENTIFIER_FIELDS = frozenset({"request_id", "fingerprint"})
+IDENTIFIER_LIST_FIELDS = frozenset(
+    {"prefix_blocks", "waiting_request_ids", "unknown_request_ids"}
+)
+HEXADECIMAL = re.compile(r"(?:[0-9a-f]{2})+")
+
 _schema: Any = capnp.load(str(Path(__file__).with_name("peers.capnp")))
 
 _types_by_name: dict[str, Any] = {
@@ -73,9 +81,33 @@
     return min(max(deadline - now, -limit), limit)
 
 
+def pack_identifier(text: str) -> bytes:
+    """Return a text in half its size if it is hexadecimal, as most identifiers are."""
+    if HEXADECIMAL.fullmatch(text):
+        return b"\1" + bytes.fromhex(text)
+    return b"\0" + text.encode()
+
+
+def unpack_identifier(data: bytes) -> str:
+    """Return the text that `pack_identifier` packed."""
+    if data[:1] == b"\1":
+        return data[1:].hex()
+    if data[:1] == b"\0":
+        return data[1:].decode()
+    raise ValueError(f"an identifier starts with {data[:1]!r}, expected 0 or 1")
+
+
+def _wire_value(name: str, value: Any) -> Any:
+    if name in IDENTIFIER_FIELDS:
+        return pack_identifier(value)
+    if name in IDENTIFIER_LIST_FIELDS:
+        return [pack_identifier(item) for item in value]
+    return list(value) if isinstance(value, tuple) else value
+
+
 def _plain_fields(record: Any) -> dict[str, Any]:
     return {
-        _wire_name(name): list(value) if isinstance(value, tuple) else value
+        _wire_name(name): _wire_value(name, value)
         for name, value in zip(record._fields, record, strict=True)
         if name != "sender_id"
     }
@@ -104,10 +136,9 @@
 
 @wire_fields.register(messages.AdmissionAsk)
 def _fields_of_ask(message: messages.AdmissionAsk, now: float) -> dict[str, Any]:
-    return _plain_fields(message) | {
-        "deadline": _remaining(message.deadline, now),
-        "prefixBlocks": list(message.prefix_blocks[:MAXIMUM_PREFIX_BLOCKS]),
-    }
+    blocks = message.prefix_blocks[:MAXIMUM_PREFIX_BLOCKS]
+    fields = _plain_fields(message._replace(prefix_blocks=blocks))
+    return fields | {"deadline": _remaining(message.deadline, now)}
 
 
 @wire_fields.register(messages.AdmissionRefusal)
@@ -328,9 +359,16 @@
     try:
         content = _verified_content(datagram, destination, keys)
         return _decode_content(content, now)
-    except (capnp.KjException, ValueError, OverflowError, KeyError) as error:
-        if isinstance(error, errors.MalformedMessageError):
-            raise
+    except errors.MalformedMessageError:
+        raise
+    except (
+        capnp.KjException,
+        ValueError,
+        OverflowError,
+        KeyError,
+        # pycapnp raises it for a member of an enumeration that the schema lacks.
+        RuntimeError,
+    ) as error:
         raise errors.MalformedMessageError(
             result_codes.PEER_MESSAGE_MALFORMED, f"not a peer message: {error}"
         ) from None
@@ -399,6 +437,14 @@
     return tuple(_bounded(value))
 
 
+def _decode_identifier(value: bytes, now: float) -> str:
+    return unpack_identifier(bytes(value))
+
+
+def _decode_identifiers(value: Any, now: float) -> tuple[str, ...]:
+    return tuple(unpack_identifier(bytes(item)) for item in _bounded(value))
+
+
 def _decode_deadline(value: float, now: float) -> float:
     return now + _decode_seconds(value, now)
 
@@ -427,10 +473,9 @@
 
 
 _decoders_by_field: dict[str, Callable[[Any, float], Any]] = {
-    "prefix_blocks": _decode_texts,
+    **dict.fromkeys(IDENTIFIER_FIELDS, _decode_identifier),
+    **dict.fromkeys(IDENTIFIER_LIST_FIELDS, _decode_identifiers),
     "excluded_upstream_ids": _decode_texts,
-    "waiting_request_ids": _decode_texts,
-    "unknown_request_ids": _decode_texts,
     "upstream_ids": _decode_texts,
     "deadline": _decode_deadline,
     "retry_after": _decode_seconds,
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -29,31 +29,34 @@
   }
 }
 
+# Identifiers and hashes are Data: a zero byte and text, or a one byte and the bytes that
+# the text names in hexadecimal.
+
 struct AskReference {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt32;
   cellId @2 :Text;
 }
 
 struct AdmissionAsk {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt32;
   cellId @2 :Text;
   group @3 :Text;
   account @4 :Text;
   rank @5 :Text;
   binding @6 :Text;
-  fingerprint @7 :Text;
+  fingerprint @7 :Data;
   promptTokens @8 :UInt32;
   maximumTokens @9 :UInt32;
-  prefixBlocks @10 :List(Text);
+  prefixBlocks @10 :List(Data);
   excludedUpstreamIds @11 :List(Text);
   deadline @12 :Float32;
   # Deadlines are sent as remaining seconds.
 }
 
 struct AdmissionGrant {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt32;
   cellId @2 :Text;
   upstreamId @3 :Text;
@@ -63,7 +66,7 @@
 }
 
 struct AdmissionRefusal {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt32;
   cellId @2 :Text;
   code @3 :UInt16;
@@ -71,13 +74,13 @@
 }
 
 struct RunningRequest {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt32;
   group @2 :Text;
   account @3 :Text;
   rank @4 :Text;
   binding @5 :Text;
-  fingerprint @6 :Text;
+  fingerprint @6 :Data;
   upstreamId @7 :Text;
   promptTokens @8 :UInt32;
   maximumTokens @9 :UInt32;
@@ -87,16 +90,16 @@
 struct Progress {
   cellId @0 :Text;
   running @1 :List(RunningRequest);
-  waitingRequestIds @2 :List(Text);
+  waitingRequestIds @2 :List(Data);
 }
 
 struct ProgressAck {
   cellId @0 :Text;
-  unknownRequestIds @1 :List(Text);
+  unknownRequestIds @1 :List(Data);
 }
 
 struct Finished {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt32;
   cellId @2 :Text;
   tokenCount @3 :UInt32;
@@ -127,7 +130,7 @@
 }
 
 struct Crash {
-  fingerprint @0 :Text;
+  fingerprint @0 :Data;
   upstreamIds @1 :List(Text);
   convicted @2 :Bool;
   deadline @3 :Float32;
--- a/tests/codecs/test_peer_messages.py
+++ b/tests/codecs/test_peer_messages.py
@@ -26,7 +26,10 @@
 counts = st.integers(0, 2**32 - 1)
 # Multiples of 1/8 are exact in the 32 bits of a duration.
 seconds = st.integers(-80_000, 80_000).map(lambda value: value / 8)
+identifiers = st.one_of(texts, st.binary(max_size=16).map(bytes.hex))
 strategies_by_field = {
+    "request_id": identifiers,
+    "fingerprint": identifiers,
     "deadline": seconds.map(lambda value: NOW + value),
     "retry_after": seconds,
     "state_deadline": st.just(0.0),
@@ -49,7 +52,7 @@
             fields[name] = strategies_by_field[name]
         elif hasattr(annotation, "__args__"):
             item = get_args(annotation)[0]
-            items = texts if item is str else records(item)
+            items = identifiers if item is str else records(item)
             fields[name] = st.lists(items, max_size=4).map(tuple)
         else:
             fields[name] = {str: texts, int: counts, bool: st.booleans()}[annotation]
@@ -67,6 +70,18 @@
     return codecs.decode_message(datagram, destination, keys, NOW)
 
 
+def pack(message):
+    """Return capnp's packed form without its run lengths."""
+    packed = bytearray()
+    for start in range(0, len(message), 8):
+        word = message[start : start + 8]
+        packed.append(sum(1 << place for place, byte in enumerate(word) if byte))
+        packed += bytes(byte for byte in word if byte)
+        if all(word) or not any(word):
+            packed.append(0)
+    return bytes(packed)
+
+
 def running(index):
     return messages.RunningRequest(
         f"request-{index:030}", 1, "g", "a", "r", "b", "f" * 64, "u", 10, 20, 5
@@ -193,6 +208,36 @@
             changed[place] ^= 1 << data.draw(st.integers(0, 7))
         self.decode_signed(bytes(changed))
 
+    def test_every_changed_byte_inside_a_signed_message(self):
+        """Guards against unknown states, types and pointers ending the process."""
+        member = rows.MemberRow("node-1", 1, "joining", "a", 1, 1, "z", "r")
+        row = rows.CrashRow("ab" * 8, ("engine-1",), False, NOW + 1.0)
+        probe = messages.Probe("node-1", 1, (member, member), (row,))
+        progress = messages.Progress("node-1", "c", (running(1),), ("ab" * 8,))
+        for message in (probe, progress):
+            with _peer_messages._schema.Envelope.from_bytes(encode(message)) as opened:
+                packed = bytes(opened.content)
+            content = _peer_messages._schema.Content.from_bytes_packed(packed)
+            unpacked = content.as_builder().to_bytes()
+            self.assertEqual(self.decode_signed(pack(unpacked)), message)
+            for place in range(len(unpacked)):
+                for value in (0, 1, 6, 127, 255):
+                    changed = bytearray(unpacked)
+                    changed[place] = value
+                    self.decode_signed(pack(changed))
+
+    def test_every_changed_byte_of_an_envelope(self):
+        """Guards against datagrams of strangers that end the process."""
+        datagram = encode(self.PROBE)
+        for place in range(len(datagram)):
+            for value in (0, 1, 6, 127, 255):
+                changed = bytearray(datagram)
+                changed[place] = value
+                try:
+                    decode(bytes(changed))
+                except errors.MalformedMessageError:
+                    pass
+
     def decode_signed(self, content):
         signature = _peer_messages._signature(OLD_KEY, HERE, content)
         datagram = _peer_messages._schema.Envelope.new_message(
@@ -201,8 +246,9 @@
         try:
             received = decode(datagram)
         except errors.MalformedMessageError:
-            return
+            return None
         self.assertIsInstance(received.message, MESSAGE_TYPES)
+        return received.message
 
     def test_wrong_key_is_refused(self):
         """Guards against messages of a system with another key."""
