--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -460,11 +460,7 @@
 
 
 def _decode_state(value: Any, now: float) -> str:
-    try:
-        return str(value)
-    except RuntimeError:
-        # pycapnp raises this for a number that the schema does not name.
-        raise ValueError(f"unknown member state {value.raw}") from None
+    return str(value)
 
 
 def _decoder_of_rows(record_type: Any) -> Callable[[Any, float], tuple[Any, ...]]:
