Ignore late grants of a removed cell; check types of experiments

Before: test_asks_of_a_cell_that_is_gone failed (attempt 1, expected 2). After: passes ('python -m tests controllers', 115 passed, 0 failed). mypy now covers experiments/ (3 errors before, 0 after).

--- a/experiments/configuration_propagation.py
+++ b/experiments/configuration_propagation.py
@@ -194,14 +194,15 @@
 
 def account(index: int, weight: float) -> events.StoredObject:
     """Return one of many accounts as the store holds it."""
+    name = f"account-{index:05}"
     value = {
-        "name": f"account-{index:05}",
+        "name": name,
         "token_sha256s": [token_hash(f"token-{index}"), token_hash(f"spare-{index}")],
         "labels": {"tier": "abc"[index % 3], "country": f"c{index % 40}"},
         "quota_weight": weight,
     }
     body = json.dumps(value).encode()
-    return events.StoredObject("client_account", value["name"], index + 1, body)
+    return events.StoredObject("client_account", name, index + 1, body)
 
 
 def measure_cost(account_count: int, repeats: int) -> None:
@@ -215,7 +216,7 @@
         ),
         1,
     )
-    others = (
+    others: tuple[tuple[str, dict[str, Any]], ...] = (
         ("rank_class", {"name": "urgent", "priority": 0}),
         ("serving_group", {"name": "quotes", "selector": {"model": "quotes"}}),
         ("binding", {"name": "all", "group": "quotes", "rank": "urgent"}),
--- a/experiments/relay_cost.py
+++ b/experiments/relay_cost.py
@@ -195,8 +195,8 @@
     async def connect(self) -> None:
         """Open the engine's side."""
         loop = asyncio.get_running_loop()
-        self.peer = CopyingSide(self.engine_port, self)
-        await loop.create_connection(lambda: self.peer, "127.0.0.1", self.engine_port)
+        peer = self.peer = CopyingSide(self.engine_port, self)
+        await loop.create_connection(lambda: peer, "127.0.0.1", self.engine_port)
 
     def data_received(self, data: bytes) -> None:
         """Copy bytes to the other side."""
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -461,10 +461,10 @@
     """Place a waiting request again if its cell is gone and the group has another."""
     if row.cell_id in board.cells_by_id or not choose_cell(board, row.group, random):
         return ()
-    return (
-        *_withdraw(board, row, ""),
-        actions.Emit(events.RequestAdmitted(row.request_id)),
-    )
+    withdrawn = _withdraw(board, row, "")
+    # A late grant for the old cell no longer applies.
+    board.requests_by_id[row.request_id] = row._replace(attempt=row.attempt + 1)
+    return (*withdrawn, actions.Emit(events.RequestAdmitted(row.request_id)))
 
 
 def _follow_schedulers(board: Board, now: float) -> Actions:
