--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
@@ -27,9 +28,9 @@
         self.fleet.put_defaults()
         self.fleet.start_entry("entry-1")
 
-    def post(self, prompt, stream):
+    def post(self, prompt, stream, entry="entry-1"):
         body = {"model": "quotes", "prompt": prompt, "stream": stream}
-        url = self.fleet.url("entry-1") + "/v1/completions"
+        url = self.fleet.url(entry) + "/v1/completions"
         status, answer, _ = call("POST", url, body, HEADERS)
         return status, answer
 
@@ -54,6 +55,41 @@
         self.assertEqual(names[-3:], ["SUSPECT_REFUSED"] * 3)
         self.assertEqual(self.post("length=5", False)[0], 200)
 
+    def test_resends_through_other_entries_are_recognized(self):
+        """Guards against a caller that the balancer sends to another entry."""
+        entries = ("entry-1", "entry-2", "entry-3")
+        for name in entries[1:]:
+            self.fleet.start_entry(name)
+        names = [
+            json.loads(self.post("poison", False, entry)[1])["error"]["name"]
+            for entry in entries * 3
+        ]
+        self.assertLessEqual(len(self.lost_engines()), 2, names)
+        self.assertEqual(names[-3:], ["SUSPECT_REFUSED"] * 3)
+
+    def test_record_outlives_the_scheduler(self):
+        """Guards against a scheduler whose crash records end with its process."""
+        entries = ("entry-1", "entry-2", "entry-3")
+        for name in entries[1:]:
+            self.fleet.start_entry(name)
+        self.post("poison", False)
+        scheduler = self.scheduler_of(entries)
+        # Crash records travel with the probes, one a second.
+        time.sleep(4.0)
+        self.fleet.kill(scheduler)
+        others = [name for name in entries if name != scheduler]
+        time.sleep(6.0)
+        names = [
+            json.loads(self.post("poison", False, entry)[1])["error"]["name"]
+            for entry in others * 3
+        ]
+        self.assertLessEqual(len(self.lost_engines()), 2, names)
+        self.assertEqual(names[-1], "SUSPECT_REFUSED")
+        self.assertEqual(self.post("length=5", False, others[0])[0], 200)
 
-if __name__ == "__main__":
-    unittest.main()
+    def scheduler_of(self, entries):
+        """Return the entry whose log tells of the engine that died."""
+        for name in entries:
+            if "upstream died" in self.fleet.log_text(name):
+                return name
+        raise AssertionError("no entry has seen the crash")
