Divide claims from the writing of their journals

Ruled out: more functions in the same module; the two topics handle different events. 'python -m tests idempotency', 400 seeds, and 'python -m tests at_most', real processes: passed before and after. The simulation now combines both controllers, which the one module held before.

--- /dev/null
+++ b/src/carawayhitch/controllers/_claim_tables.py
@@ -0,0 +1,52 @@
+"""Tables of claims and journal shards, and when a shard is compared again."""
+
+from __future__ import annotations
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._controller import Actions
+from carawayhitch.core import actions, events, rows
+
+
+def shard_name(key: str, shard_count: int) -> str:
+    """Return the journal object that holds a key."""
+    return f"{int(key[:8], 16) % shard_count:04d}"
+
+
+def find_shard(board: Board, name: str) -> rows.ShardRow:
+    """Return the row of a shard, a new one if it was not used yet."""
+    return board.shards_by_name.get(name, rows.ShardRow(name))
+
+
+def put_shard(board: Board, shard: rows.ShardRow) -> None:
+    """Store the row of a shard."""
+    board.shards_by_name[shard.name] = shard
+
+
+def put_claim(board: Board, claim: rows.ClaimRow) -> None:
+    """Store the row of a claim."""
+    board.claims_by_key[claim.key] = claim
+
+
+def own_identity(board: Board) -> tuple[str, int]:
+    """Return node and incarnation, as the records of this process carry them."""
+    return board.node_id, board.lifecycle.incarnation
+
+
+def plan_flush(board: Board, claim: rows.ClaimRow, flush_at: float) -> Actions:
+    """Note that a claim has to be compared with its journal object."""
+    if not claim.shard:
+        return ()
+    shard = find_shard(board, claim.shard)
+    if claim.key not in shard.pending_keys:
+        shard = shard._replace(pending_keys=(*shard.pending_keys, claim.key))
+    put_shard(board, shard)
+    return set_flush(board, shard, flush_at)
+
+
+def set_flush(board: Board, shard: rows.ShardRow, flush_at: float) -> Actions:
+    """Set the timer for the next comparison unless an earlier one is set."""
+    flush_at = max(flush_at, shard.write_not_before)
+    if shard.operation_id or 0.0 < shard.flush_at <= flush_at:
+        return ()
+    put_shard(board, shard._replace(flush_at=flush_at))
+    return (actions.SetTimer(flush_at, events.JournalFlush(shard.name)),)
--- a/src/carawayhitch/controllers/_idempotency.py
+++ b/src/carawayhitch/controllers/_idempotency.py
@@ -11,23 +11,25 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._claim_tables import (
+    find_shard,
+    own_identity,
+    plan_flush,
+    put_claim,
+    shard_name,
+)
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._issued_keys import issued_key_hash, key_hash
 from carawayhitch.controllers._journal import (
     REQUEST_HASH_LENGTH,
-    compare,
     live_record,
     new_record,
-    plan_write,
 )
 from carawayhitch.controllers._placement import end_request, finished_message
 from carawayhitch.controllers._targets import is_idempotent, service_name
 from carawayhitch.core import actions, events, result_codes, rows
 
-OPERATION_PREFIX = "journal"
 NONCE_BITS = 96
-# Pause before a failed store call is repeated, so that an outage costs few calls.
-RETRY_SECONDS = 0.1
 UNRESOLVED_STATES = frozenset({"writing", "granted", "running"})
 UNSENT_STATES = frozenset({"writing", "granted"})
 
@@ -46,23 +48,6 @@
     return row.body_sha256[:REQUEST_HASH_LENGTH]
 
 
-def shard_name(key: str, shard_count: int) -> str:
-    """Return the journal object that holds a key."""
-    return f"{int(key[:8], 16) % shard_count:04d}"
-
-
-def _shard(board: Board, name: str) -> rows.ShardRow:
-    return board.shards_by_name.get(name, rows.ShardRow(name))
-
-
-def _put_shard(board: Board, shard: rows.ShardRow) -> None:
-    board.shards_by_name[shard.name] = shard
-
-
-def _put_claim(board: Board, claim: rows.ClaimRow) -> None:
-    board.claims_by_key[claim.key] = claim
-
-
 # Duplicates
 
 
@@ -89,11 +74,11 @@
         return _join(board, claim, row)
     record = _known_record(board, key, now)
     if record is not None and not _is_abandoned(record, claim):
-        own = (record.node_id, record.incarnation) == _identity(board)
+        own = (record.node_id, record.incarnation) == own_identity(board)
         if own or record.status or record.request_sha256 != request_hash(row):
             return _replay(row, record)
     if _key_expired(board, row, now):
-        return _end(row, result_codes.KEY_EXPIRED)
+        return end_claimed(row, result_codes.KEY_EXPIRED)
     return None
 
 
@@ -101,11 +86,7 @@
     layout = board.journal_layout
     if layout is None:
         return None
-    return live_record(_shard(board, shard_name(key, layout.shard_count)), key, now)
-
-
-def _identity(board: Board) -> tuple[str, int]:
-    return board.node_id, board.lifecycle.incarnation
+    return live_record(find_shard(board, shard_name(key, layout.shard_count)), key, now)
 
 
 def _is_abandoned(record: rows.JournalRecord, claim: rows.ClaimRow | None) -> bool:
@@ -123,11 +104,11 @@
 def _join(board: Board, claim: rows.ClaimRow, row: rows.RequestRow) -> Actions:
     """Return the outcome of a claim of this process to a duplicate, or let it wait."""
     if claim.request_sha256 != request_hash(row):
-        return _end(row, result_codes.KEY_REUSED)
+        return end_claimed(row, result_codes.KEY_REUSED)
     if claim.state not in UNRESOLVED_STATES:
-        return _replay(row, new_record(claim, *_identity(board)))
+        return _replay(row, new_record(claim, *own_identity(board)))
     released = _release_grant(board, row)
-    _put_claim(
+    put_claim(
         board,
         claim._replace(
             waiting_request_ids=(*claim.waiting_request_ids, row.request_id)
@@ -150,11 +131,11 @@
 def _replay(row: rows.RequestRow, record: rows.JournalRecord) -> Actions:
     """Answer a duplicate from a record that will not change here any more."""
     if record.request_sha256 != request_hash(row):
-        return _end(row, result_codes.KEY_REUSED)
+        return end_claimed(row, result_codes.KEY_REUSED)
     if not record.status:
-        return _end(row, result_codes.OUTCOME_UNKNOWN)
+        return end_claimed(row, result_codes.OUTCOME_UNKNOWN)
     if record.body is None:
-        return _end(row, result_codes.RESULT_NOT_KEPT)
+        return end_claimed(row, result_codes.RESULT_NOT_KEPT)
     return _send_answer(row, record.status, record.content_type, record.body)
 
 
@@ -167,7 +148,8 @@
     )
 
 
-def _end(row: rows.RequestRow, code: result_codes.ResultCode) -> Actions:
+def end_claimed(row: rows.RequestRow, code: result_codes.ResultCode) -> Actions:
+    """Return the actions that end a call with an error answer."""
     retry_after = 1.0 if code.http_status == 503 else 0.0
     return end_request(row, code, retry_after)
 
@@ -191,7 +173,7 @@
     if claim is not None and claim.request_id == row.request_id:
         if claim.state == "granted":
             return _send_once(board, claim, row, now)
-        return _end(row, result_codes.OUTCOME_UNKNOWN)
+        return end_claimed(row, result_codes.OUTCOME_UNKNOWN)
     if row.issued_key is not None:
         return _claim_in_memory(board, row, row.issued_key, now, random)
     return _claim_in_journal(board, row, claim, now, random)
@@ -207,13 +189,13 @@
     claim = rows.ClaimRow(
         key=claim_key(row),
         request_sha256=request_hash(row),
-        nonce=_nonce(random),
+        nonce=new_nonce(random),
         state="granted",
         deadline=issued.deadline,
         expires_at=issued.deadline,
         request_id=row.request_id,
     )
-    _put_claim(board, claim)
+    put_claim(board, claim)
     return (
         actions.SetTimer(issued.deadline, events.IssuedKeyExpired(claim.key)),
         *_send_once(board, claim, row, now),
@@ -229,7 +211,7 @@
 ) -> Actions:
     layout = board.journal_layout
     if layout is None:
-        return _end(row, result_codes.STORE_UNAVAILABLE)
+        return end_claimed(row, result_codes.STORE_UNAVAILABLE)
     settings = board.settings.idempotency
     key = claim_key(row)
     lifetime = layout.retention_seconds + settings.clock_tolerance_seconds
@@ -237,7 +219,7 @@
     claim = rows.ClaimRow(
         key=key,
         request_sha256=request_hash(row),
-        nonce=_nonce(random),
+        nonce=new_nonce(random),
         state="writing",
         deadline=min(now + settings.claim_timeout_seconds, row.deadline),
         expires_at=max(now, row.key_created_at or now) + lifetime,
@@ -245,14 +227,15 @@
         shard=shard_name(key, layout.shard_count),
         abandoned_nonces=abandoned,
     )
-    _put_claim(board, claim)
+    put_claim(board, claim)
     return (
         actions.SetTimer(claim.deadline, events.ClaimTimedOut(key, claim.nonce)),
-        *_plan_flush(board, claim, now + settings.batch_interval_seconds),
+        *plan_flush(board, claim, now + settings.batch_interval_seconds),
     )
 
 
-def _nonce(random: Random) -> str:
+def new_nonce(random: Random) -> str:
+    """Return a name that no other claim or operation has."""
     return f"{random.getrandbits(NONCE_BITS):024x}"
 
 
@@ -261,7 +244,7 @@
 ) -> Actions:
     """Send the call of a granted claim, or ask for another upstream first."""
     if now >= row.grant_deadline:
-        _put_claim(board, claim._replace(state="granted"))
+        put_claim(board, claim._replace(state="granted"))
         released = _release_grant(board, row)
         again = board.requests_by_id[row.request_id]._replace(
             phase="asking", attempt=row.attempt + 1
@@ -272,7 +255,7 @@
             actions.Count(result_codes.RETRY_GRANT_EXPIRED, row.rank),
             actions.Emit(events.RequestAdmitted(row.request_id)),
         )
-    _put_claim(board, claim._replace(state="running"))
+    put_claim(board, claim._replace(state="running"))
     overdue = events.CallOverdue(row.request_id, row.attempt)
     deadline = now + board.settings.idempotency.answer_timeout_seconds
     return (
@@ -289,7 +272,7 @@
     if claim is None or claim.nonce != event.nonce or claim.state != "writing":
         return ()
     row = board.requests_by_id[claim.request_id]
-    return _end(row, result_codes.STORE_UNAVAILABLE)
+    return end_claimed(row, result_codes.STORE_UNAVAILABLE)
 
 
 @decide.register(events.IssuedKeyExpired)
@@ -329,7 +312,7 @@
         return ()
     claim = _own_claim(board, row)
     if claim is not None and claim.state == "running":
-        _put_claim(board, claim._replace(state="granted"))
+        put_claim(board, claim._replace(state="granted"))
     return ()
 
 
@@ -352,7 +335,7 @@
         body=kept,
         waiting_request_ids=(),
     )
-    _put_claim(board, finished)
+    put_claim(board, finished)
     decided: list[actions.Action] = []
     for request_id in claim.waiting_request_ids:
         waiting = board.requests_by_id[request_id]
@@ -360,7 +343,7 @@
             _send_answer(waiting, event.status, event.content_type, event.body)
         )
     flush_at = now + settings.completion_interval_seconds
-    return (*decided, *_plan_flush(board, finished, flush_at))
+    return (*decided, *plan_flush(board, finished, flush_at))
 
 
 @decide.register(events.CallOverdue)
@@ -372,7 +355,7 @@
         return ()
     return (
         actions.CloseUpstream(row.request_id, cancel_generation=False),
-        *_end(row, result_codes.OUTCOME_UNKNOWN),
+        *end_claimed(row, result_codes.OUTCOME_UNKNOWN),
     )
 
 
@@ -386,7 +369,7 @@
     claim = board.claims_by_key.get(claim_key(row))
     if claim is None or row.request_id not in claim.waiting_request_ids:
         return ()
-    return _end(row, result_codes.OUTCOME_UNKNOWN)
+    return end_claimed(row, result_codes.OUTCOME_UNKNOWN)
 
 
 @decide.register(events.RequestEnded)
@@ -403,7 +386,7 @@
         waiting = tuple(
             other for other in claim.waiting_request_ids if other != row.request_id
         )
-        _put_claim(board, claim._replace(waiting_request_ids=waiting))
+        put_claim(board, claim._replace(waiting_request_ids=waiting))
         return ()
     if claim.state in UNSENT_STATES:
         return _abandon(board, claim, event, now)
@@ -418,16 +401,16 @@
     """Give up a claim that never sent its call; its record is removed later."""
     abandoned = claim._replace(state="abandoned", waiting_request_ids=())
     if claim.shard:
-        _put_claim(board, abandoned)
+        put_claim(board, abandoned)
     else:
         del board.claims_by_key[claim.key]
     interval = board.settings.idempotency.completion_interval_seconds
-    planned = _plan_flush(board, abandoned, now + interval)
+    planned = plan_flush(board, abandoned, now + interval)
     decided: list[actions.Action] = []
     for request_id in claim.waiting_request_ids:
         waiting = board.requests_by_id[request_id]
         if event.code is not None and event.code.ran == "no":
-            decided.extend(_end(waiting, event.code))
+            decided.extend(end_claimed(waiting, event.code))
         else:
             # The caller left before the call was sent; its duplicates take over.
             decided.append(actions.Emit(events.UpstreamGranted(request_id)))
@@ -436,257 +419,29 @@
 
 def _mark_unknown(board: Board, claim: rows.ClaimRow) -> Actions:
     unknown = claim._replace(state="unknown", waiting_request_ids=())
-    _put_claim(board, unknown)
+    put_claim(board, unknown)
     if claim.shard:
         # The record of the journal now says the same.
         del board.claims_by_key[claim.key]
     decided: list[actions.Action] = []
     for request_id in claim.waiting_request_ids:
         waiting = board.requests_by_id[request_id]
-        decided.extend(_end(waiting, result_codes.OUTCOME_UNKNOWN))
+        decided.extend(end_claimed(waiting, result_codes.OUTCOME_UNKNOWN))
     return decided
 
 
-# Journal objects
-
-
-def _plan_flush(board: Board, claim: rows.ClaimRow, flush_at: float) -> Actions:
-    """Note that a claim has to be compared with its journal object."""
-    if not claim.shard:
-        return ()
-    shard = _shard(board, claim.shard)
-    if claim.key not in shard.pending_keys:
-        shard = shard._replace(pending_keys=(*shard.pending_keys, claim.key))
-    _put_shard(board, shard)
-    return _set_flush(board, shard, flush_at)
-
-
-def _set_flush(board: Board, shard: rows.ShardRow, flush_at: float) -> Actions:
-    flush_at = max(flush_at, shard.write_not_before)
-    if shard.operation_id or 0.0 < shard.flush_at <= flush_at:
-        return ()
-    _put_shard(board, shard._replace(flush_at=flush_at))
-    return (actions.SetTimer(flush_at, events.JournalFlush(shard.name)),)
-
-
-@decide.register(events.JournalFlush)
-def _flush(
-    event: events.JournalFlush, board: Board, now: float, random: Random
-) -> Actions:
-    shard = _shard(board, event.shard)
-    if shard.operation_id or not shard.flush_at:
-        return ()
-    if now < shard.flush_at:
-        # Event loops round timers to milliseconds and may fire early.
-        return (actions.SetTimer(shard.flush_at, event),)
-    shard = shard._replace(flush_at=0.0)
-    _put_shard(board, shard)
-    if shard.version < 0 or shard.contended:
-        return _start_read(board, shard, random)
-    return _settle(board, shard.name, False, now, random)
-
-
-def _operation_id(shard: rows.ShardRow, random: Random) -> str:
-    return f"{OPERATION_PREFIX}/{shard.name}/{_nonce(random)}"
-
-
-def _start_read(board: Board, shard: rows.ShardRow, random: Random) -> Actions:
-    operation_id = _operation_id(shard, random)
-    _put_shard(board, shard._replace(operation_id=operation_id, flush_at=0.0))
-    return (actions.ReadJournal(operation_id, shard.name),)
-
-
-def _find_operation(board: Board, operation_id: str) -> rows.ShardRow | None:
-    prefix, _, rest = operation_id.partition("/")
-    if prefix != OPERATION_PREFIX:
-        return None
-    shard = board.shards_by_name.get(rest.partition("/")[0])
-    return shard if shard is not None and shard.operation_id == operation_id else None
-
-
-@decide.register(events.JournalRead)
-def _take_journal(
-    event: events.JournalRead, board: Board, now: float, random: Random
-) -> Actions:
-    shard = _find_operation(board, event.operation_id)
-    if shard is None:
-        return ()
-    shard = shard._replace(
-        operation_id="",
-        version=event.version,
-        contended=shard.contended and event.version != shard.version,
-        records_by_key={record.key: record for record in event.records},
-    )
-    if shard.unresolved_version != event.version:
-        shard = shard._replace(unresolved_version=-1)
-    _put_shard(board, shard)
-    return _settle(board, shard.name, True, now, random)
-
-
-def _settle(
-    board: Board, name: str, fresh: bool, now: float, random: Random
-) -> Actions:
-    """Compare the pending claims with the journal and start what they need."""
-    decided = list(_resolve(board, name, fresh, now))
-    shard = _shard(board, name)
-    verdicts = _verdicts(board, shard, fresh, now)
-    if "read" in verdicts.values():
-        return (*decided, *_start_read(board, shard, random))
-    if not verdicts:
-        return (*decided, actions.Emit(events.JournalSettled(name)))
-    if now < shard.write_not_before:
-        return (*decided, *_set_flush(board, shard, shard.write_not_before))
-    decided.extend(_start_write(board, shard, verdicts, now, random))
-    return decided
-
-
-def _verdicts(
-    board: Board, shard: rows.ShardRow, fresh: bool, now: float
-) -> dict[str, str]:
-    unresolved = shard.unresolved_version >= 0
-    return {
-        key: compare(
-            board.claims_by_key[key], live_record(shard, key, now), fresh, unresolved
-        )
-        for key in shard.pending_keys
-        if key in board.claims_by_key
-    }
-
-
-def _resolve(board: Board, name: str, fresh: bool, now: float) -> Actions:
-    """Act on the claims that the journal decides; the others stay pending."""
-    shard = _shard(board, name)
-    verdicts = _verdicts(board, shard, fresh, now)
-    decided_keys = {
-        key for key, found in verdicts.items() if found in ("won", "duplicate", "done")
-    }
-    _put_shard(
-        board,
-        shard._replace(
-            pending_keys=tuple(key for key in verdicts if key not in decided_keys)
-        ),
-    )
-    decided: list[actions.Action] = []
-    for key in decided_keys:
-        claim = board.claims_by_key[key]
-        if verdicts[key] == "won":
-            decided.extend(_win(board, claim, now))
-        elif verdicts[key] == "duplicate":
-            decided.extend(_lose(board, claim, shard.records_by_key[key]))
-        elif claim.state in ("finished", "abandoned"):
-            del board.claims_by_key[key]
-    return decided
-
-
-def _win(board: Board, claim: rows.ClaimRow, now: float) -> Actions:
+def win(board: Board, claim: rows.ClaimRow, now: float) -> Actions:
+    """Send the call of a claim that the journal holds."""
     row = board.requests_by_id[claim.request_id]
     if now >= claim.deadline:
-        return _end(row, result_codes.STORE_UNAVAILABLE)
+        return end_claimed(row, result_codes.STORE_UNAVAILABLE)
     return _send_once(board, claim, row, now)
 
 
-def _lose(board: Board, claim: rows.ClaimRow, record: rows.JournalRecord) -> Actions:
+def lose(board: Board, claim: rows.ClaimRow, record: rows.JournalRecord) -> Actions:
     """Answer all calls of a claim that another process made first."""
     del board.claims_by_key[claim.key]
     decided: list[actions.Action] = []
     for request_id in (claim.request_id, *claim.waiting_request_ids):
         decided.extend(_replay(board.requests_by_id[request_id], record))
     return decided
-
-
-def _start_write(
-    board: Board,
-    shard: rows.ShardRow,
-    verdicts: dict[str, str],
-    now: float,
-    random: Random,
-) -> Actions:
-    found: dict[str, dict[str, rows.JournalRecord]] = {"insert": {}, "replace": {}}
-    removed = []
-    for key, verdict in verdicts.items():
-        if verdict == "remove":
-            removed.append(key)
-        elif verdict in found:
-            record = new_record(board.claims_by_key[key], *_identity(board))
-            found[verdict][key] = record
-    settings = board.settings.idempotency
-    plan = plan_write(
-        (record for record in shard.records_by_key.values() if now < record.expires_at),
-        removed,
-        found["replace"],
-        found["insert"],
-        settings.journal_bytes,
-    )
-    decided: list[actions.Action] = []
-    for key in plan.refused_keys:
-        row = board.requests_by_id[board.claims_by_key[key].request_id]
-        decided.extend(_end(row, result_codes.JOURNAL_FULL))
-    if len(plan.refused_keys) == len(verdicts):
-        return decided
-    operation_id = _operation_id(shard, random)
-    written = shard._replace(
-        operation_id=operation_id,
-        written_by_key=plan.records_by_key,
-        write_not_before=now + settings.batch_interval_seconds,
-        flush_at=0.0,
-    )
-    _put_shard(board, written)
-    return (
-        *decided,
-        actions.WriteJournal(
-            operation_id,
-            shard.name,
-            tuple(plan.records_by_key.values()),
-            shard.version,
-        ),
-    )
-
-
-@decide.register(events.ObjectWritten)
-def _take_written(
-    event: events.ObjectWritten, board: Board, now: float, random: Random
-) -> Actions:
-    shard = _find_operation(board, event.operation_id)
-    if shard is None:
-        return ()
-    # A write that arrived, accepted or not, ends every earlier one for this version.
-    shard = shard._replace(operation_id="", unresolved_version=-1)
-    if not event.accepted:
-        shard = shard._replace(written_by_key=None, contended=True)
-        _put_shard(board, shard)
-        return (
-            actions.Count(result_codes.RETRY_CLAIM_CONFLICT),
-            *_start_read(board, shard, random),
-        )
-    assert shard.written_by_key is not None
-    _put_shard(
-        board,
-        shard._replace(
-            version=event.version,
-            records_by_key=shard.written_by_key,
-            written_by_key=None,
-        ),
-    )
-    resolved = _resolve(board, shard.name, False, now)
-    shard = _shard(board, shard.name)
-    if not shard.pending_keys:
-        return (*resolved, actions.Emit(events.JournalSettled(shard.name)))
-    return (*resolved, *_set_flush(board, shard, now))
-
-
-@decide.register(events.StoreCallFailed)
-def _read_back(
-    event: events.StoreCallFailed, board: Board, now: float, random: Random
-) -> Actions:
-    shard = _find_operation(board, event.operation_id)
-    if shard is None:
-        return ()
-    if shard.written_by_key is not None:
-        shard = shard._replace(unresolved_version=shard.version)
-    shard = shard._replace(operation_id="", version=-1, written_by_key=None)
-    _put_shard(board, shard)
-    pause = RETRY_SECONDS * random.uniform(0.5, 1.5)
-    return (
-        actions.Count(result_codes.STORE_CALL_FAILED),
-        *_set_flush(board, shard, now + pause),
-    )
--- a/tests/controllers/test_idempotency.py
+++ b/tests/controllers/test_idempotency.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from carawayhitch.board import new_board
-from carawayhitch.controllers import _idempotency
+from carawayhitch.controllers import _idempotency, _journal_sync
+from carawayhitch.controllers._controller import combine
 from carawayhitch.core import actions, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
 
@@ -18,6 +19,8 @@
 KEY_COUNT = 6
 SEEDS = range(400)
 
+decide = combine((_idempotency.decide, _journal_sync.decide))
+
 
 class Simulation:
     """Two entries, one store, and a heap of events in the order of their times.
@@ -93,7 +96,7 @@
         """Feed an event, then those that it emitted, as the node does."""
         board = self.boards[entry]
         emitted = []
-        for action in _idempotency.decide(event, board, now, self.random):
+        for action in decide(event, board, now, self.random):
             match action:
                 case actions.Emit(events.ClaimGranted(request_id)):
                     self.send(entry, request_id)
