--- /dev/null
+++ b/src/carawayhitch/controllers/_member_table.py
@@ -0,0 +1,270 @@
+"""Table of members: which reports replace which, and what travels with messages."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from heapq import nsmallest
+from random import Random
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._cells import SCHEDULING_STATES
+from carawayhitch.controllers._controller import Actions
+from carawayhitch.core import actions, events, rows
+
+SUSPICION_TIMER = "membership_suspicion"
+# A report about a process replaces one of the same incarnation with a lower rank.
+# Leaving outranks suspect, because a leaving node must not schedule again.
+STATE_RANKS: dict[rows.MemberState, int] = {
+    "joining": 0,
+    "alive": 1,
+    "suspect": 2,
+    "leaving": 3,
+    "dead": 4,
+    "left": 5,
+}
+PRESENT_STATES = frozenset({"joining", "alive", "suspect", "leaving"})
+# States that are reported without addresses: the receiver knows the member already.
+BRIEF_STATES = frozenset({"suspect", "dead", "left"})
+# Each change is sent this many times the decimal logarithm of the fleet size (12 times
+# at 390 nodes), so a node misses it with a probability of about e**-12.
+RETRANSMIT_FACTOR = 4
+# A full row takes about 100 bytes of a datagram and a brief one about 40; these sizes
+# in units of a brief row keep a probe with four crash records below 1,400 bytes.
+FULL_ROW_UNITS = 3
+BRIEF_ROW_UNITS = 1
+UPDATE_UNITS_IN_MESSAGE = 16
+CRASHES_IN_MESSAGE = 4
+# Rows of dead members outlive a partition of an hour, so that both sides meet again.
+DEAD_ROW_SECONDS = 7200.0
+# Long enough for old reports to die out, which would otherwise add the member again.
+LEFT_ROW_SECONDS = 600.0
+# Incarnations start at microseconds of Unix time (below 2**51 until 2041); the bound
+# leaves room to refute any report that is accepted.
+MAXIMUM_INCARNATION = 2**62
+
+
+def is_present(row: rows.MemberRow) -> bool:
+    """Return whether a member is believed to run."""
+    return row.state in PRESENT_STATES
+
+
+def supersedes(row: rows.MemberRow, known: rows.MemberRow) -> bool:
+    """Return whether a report replaces what is known of the member."""
+    return (row.incarnation, STATE_RANKS[row.state]) > (
+        known.incarnation,
+        STATE_RANKS[known.state],
+    )
+
+
+def _scheduling_place(row: rows.MemberRow | None) -> str | None:
+    """Return the region in which a member can schedule, or None if it cannot."""
+    if row is None or row.state not in SCHEDULING_STATES:
+        return None
+    return row.region
+
+
+def present_peers(board: Board) -> list[rows.MemberRow]:
+    """Return all other members that are believed to run."""
+    return [
+        row
+        for row in board.members_by_id.values()
+        if is_present(row) and row.node_id != board.node_id
+    ]
+
+
+def sample(
+    random: Random, items: list[rows.MemberRow], size: int
+) -> list[rows.MemberRow]:
+    """Return some members at random, all of them if there are fewer."""
+    return random.sample(items, min(size, len(items)))
+
+
+def put_member(board: Board, row: rows.MemberRow, now: float) -> Actions:
+    """Store a changed row, queue it for dissemination and set its deadline."""
+    known = board.members_by_id.get(row.node_id)
+    timeout = board.settings.peers.suspicion_timeout_seconds
+    deadlines = {
+        "suspect": now + timeout,
+        "dead": now + DEAD_ROW_SECONDS,
+        "left": now + LEFT_ROW_SECONDS,
+    }
+    row = row._replace(state_deadline=deadlines.get(row.state, 0.0))
+    board.members_by_id[row.node_id] = row
+    added = known is None or (is_present(row) and not is_present(known))
+    board.member_updates_by_id[row.node_id] = rows.MemberUpdateRow(
+        row.node_id, added, 0
+    )
+    decided: list[actions.Action] = []
+    if row.state == "suspect":
+        decided.append(suspicion_timer(row))
+    if known is None or known.state != row.state:
+        level = "debug" if row.state in ("joining", "alive") else "info"
+        fields = {"member": row.node_id, "state": row.state, "zone": row.zone}
+        decided.append(actions.Log(level, "member state", fields))
+    if _scheduling_place(known) != _scheduling_place(row):
+        decided.append(actions.Emit(events.MembershipChanged()))
+    return decided
+
+
+def suspicion_timer(row: rows.MemberRow) -> actions.SetTimer:
+    """Return the timer that ends the time in which a member can refute."""
+    timer = events.TimerFired(SUSPICION_TIMER, row.node_id)
+    return actions.SetTimer(row.state_deadline, timer)
+
+
+def remove_old_rows(board: Board, now: float) -> None:
+    """Forget members that have been dead or gone for long enough."""
+    for row in list(board.members_by_id.values()):
+        if (
+            not is_present(row)
+            and now >= row.state_deadline
+            and row.node_id != board.node_id
+        ):
+            del board.members_by_id[row.node_id]
+            board.member_updates_by_id.pop(row.node_id, None)
+
+
+def add_to_round(board: Board, node_id: str, random: Random) -> None:
+    """Insert a new member at a random place, so that not all probe it at once."""
+    tick = board.probe_round_by_node_id.get(board.node_id)
+    if tick is None:
+        return
+    place = random.randint(0, len(tick.remaining_ids))
+    remaining = (*tick.remaining_ids[:place], node_id, *tick.remaining_ids[place:])
+    board.probe_round_by_node_id[board.node_id] = tick._replace(
+        remaining_ids=remaining, added_count=tick.added_count + 1
+    )
+
+
+def report_of(row: rows.MemberRow) -> rows.MemberRow:
+    """Return a row as it is sent: brief if the state needs no address."""
+    if row.state not in BRIEF_STATES:
+        return row
+    return rows.MemberRow(
+        row.node_id, row.incarnation, row.state, "", 0, 0, zone="", region=""
+    )
+
+
+def is_brief(row: rows.MemberRow) -> bool:
+    """Return whether a received row has only identity, incarnation and state."""
+    return not row.address
+
+
+def row_units(row: rows.MemberRow) -> int:
+    """Return the size of a report in units of a brief row."""
+    return BRIEF_ROW_UNITS if row.state in BRIEF_STATES else FULL_ROW_UNITS
+
+
+def piggyback(
+    board: Board, receiver_id: str, random: Random
+) -> tuple[rows.MemberRow, ...]:
+    """Return the rows for a message: the own one first, then changes, then others."""
+    members = board.members_by_id
+    picked = {board.node_id: members[board.node_id]}
+    receiver = members.get(receiver_id)
+    if receiver is not None and receiver.state not in ("joining", "alive"):
+        # The receiver can refute only a report that reaches it.
+        picked[receiver_id] = report_of(receiver)
+    limit = RETRANSMIT_FACTOR * math.ceil(math.log10(len(members) + 1))
+    updates = board.member_updates_by_id
+    units = 0
+    # A suspicion and its refutation race against a deadline. Rows of new members do
+    # not, and hundreds of them would delay the others when a zone starts.
+    for update in nsmallest(
+        UPDATE_UNITS_IN_MESSAGE,
+        updates.values(),
+        key=lambda update: (update.added, update.sent_count),
+    ):
+        row = members[update.node_id]
+        units += row_units(row)
+        if units > UPDATE_UNITS_IN_MESSAGE:
+            break
+        picked[update.node_id] = report_of(row)
+        if update.sent_count + 1 >= limit:
+            del updates[update.node_id]
+        else:
+            updates[update.node_id] = update._replace(sent_count=update.sent_count + 1)
+    others = [row for row in members.values() if row.node_id != board.node_id]
+    for row in sample(random, others, 1):
+        picked.setdefault(row.node_id, report_of(row))
+    return tuple(picked.values())
+
+
+def recent_crashes(board: Board, random: Random) -> tuple[rows.CrashRow, ...]:
+    """Return the newest crash records and random others."""
+    crashes = board.crashes_by_fingerprint.values()
+    if len(crashes) <= CRASHES_IN_MESSAGE:
+        return tuple(crashes)
+    newest = nsmallest(CRASHES_IN_MESSAGE // 2, crashes, key=lambda row: -row.deadline)
+    others = [row for row in crashes if row not in newest]
+    return (*newest, *random.sample(others, CRASHES_IN_MESSAGE - len(newest)))
+
+
+def merge_members(
+    board: Board,
+    sender_id: str,
+    members: Iterable[rows.MemberRow],
+    now: float,
+    random: Random,
+) -> Actions:
+    """Take over what is newer in received reports, and refute wrong ones."""
+    decided: list[actions.Action] = []
+    if board.node_id not in board.members_by_id:
+        # The socket is open before the process has started.
+        return ()
+    for row in members:
+        if row.incarnation >= MAXIMUM_INCARNATION or not row.node_id:
+            continue
+        if row.node_id == board.node_id:
+            decided.extend(_refute(board, row, now))
+            continue
+        decided.extend(_merge_row(board, row, row.node_id == sender_id, now, random))
+    return decided
+
+
+def _merge_row(
+    board: Board, row: rows.MemberRow, direct: bool, now: float, random: Random
+) -> Actions:
+    known = board.members_by_id.get(row.node_id)
+    if known is None:
+        if is_brief(row) or not is_present(row):
+            return ()
+        add_to_round(board, row.node_id, random)
+        return put_member(board, row, now)
+    if is_brief(row):
+        if is_present(row) and row.incarnation != known.incarnation:
+            # It is a report about a process whose address is not known yet.
+            return ()
+        row = known._replace(incarnation=row.incarnation, state=row.state)
+    if supersedes(row, known):
+        if not is_present(known) and is_present(row):
+            add_to_round(board, row.node_id, random)
+        return put_member(board, row, now)
+    same_process = row.incarnation == known.incarnation
+    if same_process and (
+        row.revision > known.revision or (direct and row.revision == known.revision)
+    ):
+        board.members_by_id[row.node_id] = known._replace(
+            revision=row.revision, configuration_digest=row.configuration_digest
+        )
+        if row.configuration_digest != known.configuration_digest:
+            seen = events.PeerRevisionSeen(
+                row.node_id, row.revision, row.configuration_digest
+            )
+            return (actions.Emit(seen),)
+    return ()
+
+
+def _refute(board: Board, row: rows.MemberRow, now: float) -> Actions:
+    """Answer a wrong report about this node with a higher incarnation."""
+    own = board.members_by_id[board.node_id]
+    if not supersedes(row, own):
+        return ()
+    elsewhere = (row.address, row.peer_port) != (own.address, own.peer_port)
+    if elsewhere and is_present(row) and not is_brief(row):
+        # Another process with this node id runs. The one that started later keeps the
+        # id; two processes that refute each other would never end.
+        fields = {"address": row.address, "peer_port": row.peer_port}
+        return (actions.Log("error", "node id is used by another process", fields),)
+    return put_member(board, own._replace(incarnation=row.incarnation + 1), now)
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -10,7 +10,7 @@
 
 from carawayhitch import codecs
 from carawayhitch.board import new_board
-from carawayhitch.controllers import _membership
+from carawayhitch.controllers import _member_table, _membership
 from carawayhitch.core import actions, events, messages, rows
 from carawayhitch.core import settings as settings_types
 
@@ -212,7 +212,7 @@
         fleet.kill("node-2")
         fleet.run(0.1)
         self.assert_all_see(fleet, self.everyone(6, node_2="left"))
-        fleet.run(_membership.LEFT_ROW_SECONDS + 10.0)
+        fleet.run(_member_table.LEFT_ROW_SECONDS + 10.0)
         self.assertNotIn("node-2", fleet.states("node-0"))
 
     def test_leaving_node_that_dies_is_dead(self):
@@ -258,7 +258,7 @@
         fleet = Fleet(2)
         fleet.run(3.0)
         fleet.kill("node-0")
-        fleet.run(_membership.DEAD_ROW_SECONDS + 20.0)
+        fleet.run(_member_table.DEAD_ROW_SECONDS + 20.0)
         self.assertEqual(fleet.states("node-1"), {"node-1": "alive"})
         fleet.start("node-0", 0, [], START_INCARNATION + 10**9)
         fleet.run(5.0)
@@ -429,7 +429,7 @@
 
     def test_brief_reports(self):
         """Guards against states of a process whose address is not known."""
-        brief = _membership.report_of(self.peer._replace(state="dead"))
+        brief = _member_table.report_of(self.peer._replace(state="dead"))
         self.assertEqual(self.report(brief)["node-1"].state, "dead")
         self.assertEqual(self.report(brief)["node-1"].address, self.peer.address)
         unknown = brief._replace(node_id="node-8", state="suspect")
