Refuse peer messages of several segments

A signed content that names a further segment and ends before it made the C++ destructor of pycapnp's reader raise, which ended the process. Random damage in tests.codecs.test_peer_messages found it once the schema changed; the new test ended its process without the check. Only holders of the peer key can send such content.

Contents are written with one segment of 16 KB and any other is refused.

--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -24,6 +24,11 @@
 # Bounds on what a datagram can make the decoder traverse and allocate.
 TRAVERSAL_LIMIT_WORDS = 16384
 NESTING_LIMIT = 8
+# Room for any message that fits a datagram, so that it has one segment.
+SEGMENT_WORDS = 2048
+# The low bits of a packed message's first byte tell which bytes of the number of further
+# segments are not zero.
+FURTHER_SEGMENTS_MASK = 0x0F
 MAXIMUM_LIST_LENGTH = 1024
 # Longer prefixes differ in blocks that few requests share.
 MAXIMUM_PREFIX_BLOCKS = 32
@@ -280,6 +285,7 @@
     """
     try:
         content = _schema.Content.new_message(
+            num_first_segment_words=SEGMENT_WORDS,
             senderId=message.sender_id,
             incarnation=incarnation,
             sequence=sequence,
@@ -397,6 +403,10 @@
 
 
 def _decode_content(content: bytes, now: float) -> Received:
+    # A reader of several segments that is destroyed before it read them all raises in
+    # its C++ destructor, which ends the process.
+    if content[:1] and content[0] & FURTHER_SEGMENTS_MASK:
+        raise ValueError("the content has several segments, expected one")
     reader = _schema.Content.from_bytes_packed(
         content,
         traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
--- a/tests/codecs/test_peer_messages.py
+++ b/tests/codecs/test_peer_messages.py
@@ -221,6 +221,16 @@
                 damaged[place] ^= 1 << bit
                 self.decode_signed(bytes(damaged))
 
+    def test_content_of_several_segments_is_refused(self):
+        """Guards against a truncated further segment that ends the process."""
+        with _peer_messages._schema.Envelope.from_bytes(encode(self.PROBE)) as opened:
+            content = _peer_messages._schema.Content.from_bytes_packed(opened.content)
+        unpacked = content.as_builder().to_bytes()
+        # One further segment of 16 words, whose words are missing.
+        header = (1).to_bytes(4, "little") + unpacked[4:8]
+        header += (16).to_bytes(4, "little") + bytes(4)
+        self.assertIsNone(self.decode_signed(pack(header + unpacked[8:])))
+
     def test_every_changed_byte_inside_a_signed_message(self):
         """Guards against unknown states, types and pointers ending the process."""
         member = rows.MemberRow("node-1", 1, "joining", "a", 1, 1, "z", "r")
