--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -461,6 +461,8 @@
     """Place a waiting request again if its cell is gone and the group has another."""
     if row.cell_id in board.cells_by_id or not choose_cell(board, row.group, random):
         return ()
+    # A late answer of the old cell must not count as one of the new cell.
+    board.requests_by_id[row.request_id] = row._replace(attempt=row.attempt + 1)
     return (
         *_withdraw(board, row, ""),
         actions.Emit(events.RequestAdmitted(row.request_id)),
