Keep the settings in force on the board

Settings were a value that the node, the peer socket and each caller held apart, so a later change of a key could not reach them. The board now holds them as one row, and each part reads them at use; resume tokens of calls that waited in a queue are signed with the keys of that moment. The test that builds a board with another zone sets the row instead of the field.

--- a/src/carawayhitch/backends/_peers.py
+++ b/src/carawayhitch/backends/_peers.py
@@ -17,7 +17,11 @@
 
 
 class PeerEvents(Protocol):
-    """What the transport reports to the node."""
+    """What the transport reports to the node, and the settings in force."""
+
+    @property
+    def settings(self) -> settings_types.Settings:
+        """The settings in force; keys change in a rotation."""
 
     def submit(self, event: Any) -> None:
         """Feed a received message to the controllers."""
@@ -37,23 +41,18 @@
 
     Parameters
     ----------
-    settings : Settings
-        Address, port and keys.
     incarnation : int
         Number of this process.
     node : PeerEvents
-        Receives messages and counts.
+        Has address, port and keys; receives messages and counts.
     """
 
-    def __init__(
-        self, settings: settings_types.Settings, incarnation: int, node: PeerEvents
-    ) -> None:
-        self.settings = settings
+    def __init__(self, incarnation: int, node: PeerEvents) -> None:
         self.incarnation = incarnation
         self.node = node
         self.windows_by_sender_id: dict[str, codecs.ReplayWindow] = {}
         self._own_address = codecs.PeerAddress(
-            settings.node.address, settings.node.peer_port
+            node.settings.node.address, node.settings.node.peer_port
         )
         self._next_sequence: Callable[[], int] = count(1).__next__
         self._transport: asyncio.DatagramTransport | None = None
@@ -82,7 +81,7 @@
                 self.incarnation,
                 self._next_sequence,
                 destination,
-                self.settings.peers.keys[0],
+                self.node.settings.peers.keys[0],
                 self.node.now(),
             )
             for datagram in datagrams:
@@ -114,7 +113,7 @@
         now = self.node.now()
         try:
             received = codecs.decode_message(
-                data, self._own_address, self.settings.peers.keys, now
+                data, self._own_address, self.node.settings.peers.keys, now
             )
         except errors.MalformedMessageError as error:
             self.node.count(error.code, "")
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -15,7 +15,7 @@
     replaced as a whole, so that a reader never sees half a change.
     """
 
-    settings: settings_types.Settings
+    settings_by_name: dict[str, settings_types.Settings]
     lifecycle_by_node_id: dict[str, rows.LifecycleRow]
     requests_by_id: dict[str, rows.RequestRow]
     upstreams_by_id: dict[str, rows.UpstreamRow]
@@ -57,6 +57,11 @@
     leases_by_group: dict[str, rows.LeaseRow]
     engine_states_by_upstream_id: dict[str, rows.EngineStateRow]
 
+    @property
+    def settings(self) -> settings_types.Settings:
+        """The settings in force."""
+        return self.settings_by_name["in_force"]
+
     @property
     def node_id(self) -> str:
         """Name of this process's node."""
@@ -101,7 +106,7 @@
     node_id = settings.node.id
     lifecycle = rows.LifecycleRow(node_id, incarnation, "starting")
     return Board(
-        settings=settings,
+        settings_by_name={"in_force": settings},
         lifecycle_by_node_id={node_id: lifecycle},
         requests_by_id={},
         upstreams_by_id={},
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -117,7 +117,7 @@
     node: Node, request: Request, content: CallContent, make_event: Any
 ) -> HTTPResponse | None:
     request_id = uuid4().hex
-    caller = SanicCaller(request, node.settings, time.time)
+    caller = SanicCaller(request, lambda: node.settings, time.time)
     node.calls_by_request_id[request_id] = OpenCall(content, caller)
     _close_when_draining(node, request)
     try:
--- a/src/carawayhitch/frontend/_caller.py
+++ b/src/carawayhitch/frontend/_caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from functools import singledispatch
 from typing import Any
 
@@ -26,10 +27,13 @@
     """
 
     def __init__(
-        self, request: Request, settings: settings_types.Settings, unix_time: Any
+        self,
+        request: Request,
+        settings_in_force: Callable[[], settings_types.Settings],
+        unix_time: Any,
     ) -> None:
         self.request = request
-        self.settings = settings
+        self.settings_in_force = settings_in_force
         self.unix_time = unix_time
         self._begun: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
@@ -87,15 +91,17 @@
 
     async def respond_stream(self, action: actions.StartStream) -> None:
         """Send a stream until it ends."""
+        # Read here: the keys may have changed while the call was queued.
+        settings = self.settings_in_force()
         token = codecs.ResumeToken(
             action.upstream_id,
             action.address,
             action.generation_id,
             action.account,
             action.group,
-            self.unix_time() + self.settings.streams.resume_lifetime_seconds,
+            self.unix_time() + settings.streams.resume_lifetime_seconds,
         )
-        signed = codecs.sign_resume_token(token, self.settings.peers.keys)
+        signed = codecs.sign_resume_token(token, settings.peers.keys)
         headers = {"Cache-Control": "no-store"}
         if action.generation_id:
             headers[RESUME_HEADER] = signed
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -81,7 +81,6 @@
         log: Any = None,
         seed: int | None = None,
     ) -> None:
-        self.settings = settings
         self.incarnation = time.time_ns() // 1000
         self.board: Board = new_board(settings, self.incarnation)
         self.seed = secrets.randbits(64) if seed is None else seed
@@ -102,6 +101,11 @@
         self.store: StoreClient | None = None
         self.peers: PeerSocket | None = None
 
+    @property
+    def settings(self) -> settings_types.Settings:
+        """The settings in force."""
+        return self.board.settings
+
     def now(self) -> float:
         """Return the node clock in seconds."""
         return time.monotonic()
@@ -116,7 +120,7 @@
         self.store = StoreClient(self.platform_session, self.settings)
         if self.settings.logs.trace_file:
             self._recorder = TraceRecorder(self.settings, self.incarnation, self.seed)
-        self.peers = PeerSocket(self.settings, self.incarnation, self)
+        self.peers = PeerSocket(self.incarnation, self)
         await self.peers.open()
         self.submit(events.ProcessStarted(self.incarnation))
 
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -262,7 +262,7 @@
             zone = "a" if node_id in ids[:10] else "b"
             node = entry.board.settings.node._replace(zone=zone)
             board = entry.board._replace(
-                settings=entry.board.settings._replace(node=node)
+                settings_by_name={"in_force": entry.board.settings._replace(node=node)}
             )
             watching += controllers.is_watcher(board, 0.0)
         self.assertEqual(watching, 4)
