Read keys, operators' token and log level again on SIGHUP

A peer key could only be changed by restarting every entry. SIGHUP now reads the settings file; it is checked as a whole, reloadable values take effect as one row of the board, every other changed key is named in a log line, and an invalid file changes nothing. The event names the changed keys, because a trace holds no secrets to compare; comparing the values in the controller was ruled out for that reason. Empty lists of keys and repeated ids are refused, and errors about settings no longer show the value of a secret.

--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -69,6 +69,8 @@
 
     def __init__(self, settings_text: str = "") -> None:
         self.settings_text = settings_text
+        self.peer_keys = [(1, PEER_SECRET)]
+        self.admin_token = ADMIN_TOKEN
         self.folder = tempfile.TemporaryDirectory(prefix="carawayhitch-")
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self.ports_by_name: dict[str, int] = {}
@@ -220,8 +222,7 @@
         ports = self.entry_ports.get(name) or (free_port(), free_port())
         self.entry_ports[name] = ports
         self.ports_by_name[name] = ports[0]
-        path = Path(self.folder.name) / f"{name}.toml"
-        path.write_text(self._settings(name, zone))
+        path = self.write_settings(name, zone)
         self._spawn(
             name,
             [sys.executable, "-m", "carawayhitch", "serve", "--settings", str(path)],
@@ -229,6 +230,14 @@
         if wait:
             self.wait_ready(name)
 
+    def write_settings(self, name: str, zone: str = "a", added_text: str = "") -> Path:
+        """Replace the settings file of an entry as a whole and return its path."""
+        path = Path(self.folder.name) / f"{name}.toml"
+        written = path.with_suffix(".new")
+        written.write_text(self._settings(name, zone) + added_text)
+        written.replace(path)
+        return path
+
     def _settings(self, name: str, zone: str) -> str:
         http_port, peer_port = self.entry_ports[name]
         seeds = ", ".join(
@@ -236,6 +245,10 @@
             for other, (http, peer) in self.entry_ports.items()
             if other != name
         )
+        keys = ", ".join(
+            f'{{id = {number}, secret = "{secret}"}}'
+            for number, secret in self.peer_keys
+        )
         return f"""
 [node]
 id = "{name}"
@@ -244,14 +257,14 @@
 http_port = {http_port}
 peer_port = {peer_port}
 [peers]
-keys = [{{id = 1, secret = "{PEER_SECRET}"}}]
+keys = [{keys}]
 seeds = [{seeds}]
 [store]
 url = "{self.url("store")}"
 [platform]
 vm_list_url = "{self.url("vm_list")}/v1/vms"
 [admin]
-token_sha256 = "{token_hash(ADMIN_TOKEN)}"
+token_sha256 = "{token_hash(self.admin_token)}"
 {self.settings_text}
 """
 
--- a/src/carawayhitch/cli/_main.py
+++ b/src/carawayhitch/cli/_main.py
@@ -10,10 +10,9 @@
 
 from carawayhitch import __version__, codecs
 from carawayhitch.cli._declarations import add_declaration_commands
-from carawayhitch.cli._logs import configure_logs
 from carawayhitch.core import errors, result_codes
 from carawayhitch.frontend import serve
-from carawayhitch.node import replay_trace
+from carawayhitch.node import configure_logs, replay_trace
 
 USAGE_STATUS = 2
 FAILURE_STATUS = 1
@@ -56,7 +55,7 @@
     """Serve until stopped."""
     settings = codecs.read_settings(options.settings)
     log = configure_logs(settings)
-    uvloop.run(serve(settings, log))
+    uvloop.run(serve(settings, log, options.settings))
     return 0
 
 
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -87,7 +87,7 @@
     sign_resume_token,
     verify_resume_token,
 )
-from carawayhitch.codecs._settings_file import read_settings
+from carawayhitch.codecs._settings_file import changed_settings, read_settings
 from carawayhitch.codecs._traces import (
     TraceHeader,
     TraceStep,
@@ -118,6 +118,7 @@
     "answer_token_count",
     "bearer_token_sha256",
     "change_answer",
+    "changed_settings",
     "declaration_from_value",
     "declarations_toml",
     "decode_body",
--- a/src/carawayhitch/codecs/_operators.py
+++ b/src/carawayhitch/codecs/_operators.py
@@ -79,6 +79,7 @@
     node: str
     zone: str
     state: str
+    peer_key_ids: list[int]
     in_force_revision: int
     known_revision: int
     complete_revision: int
--- a/src/carawayhitch/codecs/_records.py
+++ b/src/carawayhitch/codecs/_records.py
@@ -12,6 +12,7 @@
 from carawayhitch.core import errors, result_codes
 
 Record = TypeVar("Record")
+SECRET_PATH = re.compile(r"peers\Z|peers\.keys|store\Z|store\.token|admin")
 
 
 def is_record_type(candidate: Any) -> bool:
@@ -121,10 +122,22 @@
     if not path:
         return f"{source}: {message}"
     value = _value_at(mapping, path)
-    found = "" if value is None else f", found {value!r}"
+    found = "" if value is None else f", found {_shown(path, value)}"
     return f"{source}: key {path!r}: {message}{found}"
 
 
+def _shown(path: str, value: Any) -> str:
+    """Return a value for an error message, without secrets.
+
+    A table or list may hold a secret under a misspelled name.
+    """
+    if isinstance(value, dict):
+        return f"a table with {sorted(value)}"
+    if SECRET_PATH.match(path):
+        return f"a {type(value).__name__} (value not shown)"
+    return repr(value)
+
+
 def _value_at(mapping: Any, path: str) -> Any:
     value = mapping
     for key, index in re.findall(r"([^.\[\]]+)|\[(\d+)\]", path):
--- a/src/carawayhitch/codecs/_settings_file.py
+++ b/src/carawayhitch/codecs/_settings_file.py
@@ -24,4 +24,28 @@
         raise errors.InvalidValueError(
             result_codes.INVALID_SETTING, f"{path}: {error}"
         ) from None
-    return record_from_mapping(settings_types.Settings, mapping, path)
+    settings = record_from_mapping(settings_types.Settings, mapping, path)
+    _check_peer_keys(settings, path)
+    return settings
+
+
+def _check_peer_keys(settings: settings_types.Settings, path: str) -> None:
+    ids = [key.id for key in settings.peers.keys]
+    if not ids or len(set(ids)) < len(ids):
+        raise errors.InvalidValueError(
+            result_codes.INVALID_SETTING,
+            f"{path}: key 'peers.keys': expected at least one key and distinct ids,"
+            f" found ids {ids}",
+        )
+
+
+def changed_settings(
+    old: settings_types.Settings, new: settings_types.Settings
+) -> tuple[str, ...]:
+    """Return the dotted names of the values that differ, without the values."""
+    return tuple(
+        f"{section}.{name}"
+        for section in old._fields
+        for name in getattr(old, section)._fields
+        if getattr(getattr(old, section), name) != getattr(getattr(new, section), name)
+    )
--- a/src/carawayhitch/codecs/_traces.py
+++ b/src/carawayhitch/codecs/_traces.py
@@ -64,7 +64,8 @@
 
 
 def _record_types() -> Iterator[tuple[str, Any]]:
-    for namespace in (actions, declarations, events, messages, rows):
+    namespaces = (actions, declarations, events, messages, rows, settings_types)
+    for namespace in namespaces:
         for name, value in vars(namespace).items():
             if isinstance(value, type) and hasattr(value, "_fields"):
                 yield name, value
@@ -77,6 +78,8 @@
     """Return a value as JSON types; records carry the name of their type."""
     if isinstance(value, result_codes.ResultCode):
         return {CODE_KEY: value.name}
+    if isinstance(value, settings_types.Settings):
+        value = _without_secrets(value)
     if hasattr(value, "_fields"):
         plain = {name: to_plain(getattr(value, name), name) for name in value._fields}
         return {TYPE_KEY: type(value).__name__, **plain}
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -24,6 +24,7 @@
     _placement,
     _retries,
     _scheduling,
+    _settings,
     _streams,
     _suspects,
     _upstreams,
@@ -40,6 +41,7 @@
 )
 from carawayhitch.controllers._controller import Actions, combine
 from carawayhitch.controllers._selectors import matches
+from carawayhitch.controllers._settings import peer_key_ids
 from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions
 
@@ -55,6 +57,7 @@
     "kind_of",
     "matches",
     "merge_crashes",
+    "peer_key_ids",
 ]
 
 # Suspects read the grants of a failed upstream before scheduling removes them.
@@ -62,6 +65,7 @@
 # that still reads the row; the lifecycle then counts the rows that are left.
 # Membership announces what the others decided, so it is last.
 CONTROLLERS = (
+    _settings.decide,
     _configuration.decide,
     _changes.decide,
     _upstreams.decide,
--- /dev/null
+++ b/src/carawayhitch/controllers/_settings.py
@@ -0,0 +1,62 @@
+"""Settings that take effect without a restart."""
+
+from __future__ import annotations
+
+from random import Random
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.core import actions, events, result_codes
+from carawayhitch.core import settings as settings_types
+
+LOG_LEVEL = "logs.level"
+RELOADABLE_KEYS = frozenset({"peers.keys", "admin.token_sha256", LOG_LEVEL})
+
+decide = new_controller()
+
+
+@decide.register(events.SettingsRead)
+def _apply(
+    event: events.SettingsRead, board: Board, now: float, random: Random
+) -> Actions:
+    old, new = board.settings, event.settings
+    board.settings_by_name["in_force"] = merge_reloadable(old, new)
+    applied = [key for key in event.changed_keys if key in RELOADABLE_KEYS]
+    decided: list[actions.Action] = [
+        actions.Log("warning", "setting needs a restart, ignored", {"key": key})
+        for key in event.changed_keys
+        if key not in RELOADABLE_KEYS
+    ]
+    if LOG_LEVEL in applied:
+        decided.append(actions.OpenLog())
+    fields = {"changed_keys": applied, "peer_key_ids": peer_key_ids(new)}
+    decided.append(actions.Log("info", "settings read", fields))
+    return decided
+
+
+@decide.register(events.SettingsRejected)
+def _reject(
+    event: events.SettingsRejected, board: Board, now: float, random: Random
+) -> Actions:
+    code = result_codes.INVALID_SETTING
+    fields = {"code": code.name, "problem": event.message}
+    return (
+        actions.Log("error", "settings rejected, nothing changed", fields),
+        actions.Count(code, ""),
+    )
+
+
+def merge_reloadable(
+    old: settings_types.Settings, new: settings_types.Settings
+) -> settings_types.Settings:
+    """Return the old settings with the reloadable values of the new ones."""
+    return old._replace(
+        peers=old.peers._replace(keys=new.peers.keys),
+        admin=old.admin._replace(token_sha256=new.admin.token_sha256),
+        logs=old.logs._replace(level=new.logs.level),
+    )
+
+
+def peer_key_ids(settings: settings_types.Settings) -> list[int]:
+    """Return the ids of the shared keys; the first one signs."""
+    return [key.id for key in settings.peers.keys]
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -314,6 +314,10 @@
     fields: dict[str, Any]
 
 
+class OpenLog(NamedTuple):
+    """Write further log lines as the settings in force say."""
+
+
 class CloseIdleConnections(NamedTuple):
     """Close the connections of callers on which no call is open."""
 
@@ -356,6 +360,7 @@
     | AnswerChange
     | Count
     | Log
+    | OpenLog
     | CloseIdleConnections
     | StopProcess
 )
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -14,6 +14,7 @@
     ServiceTarget,
     UpstreamKind,
 )
+from carawayhitch.core._settings import Settings
 
 FailureKind = Literal[
     "connect",
@@ -38,6 +39,26 @@
     immediate: bool
 
 
+class SettingsRead(NamedTuple):
+    """The settings file was read again and is valid as a whole.
+
+    Parameters
+    ----------
+    changed_keys : tuple of str
+        Dotted names of the values that differ from the settings in force. Decisions
+        use these names, because a trace has no secrets that could be compared.
+    """
+
+    settings: Settings
+    changed_keys: tuple[str, ...]
+
+
+class SettingsRejected(NamedTuple):
+    """The settings file was read again and is not valid."""
+
+    message: str
+
+
 class CallReceived(NamedTuple):
     """A call of a caller, decoded but not yet authenticated.
 
--- a/src/carawayhitch/frontend/_server.py
+++ b/src/carawayhitch/frontend/_server.py
@@ -8,7 +8,8 @@
 
 from sanic.server import AsyncioServer
 
-from carawayhitch.core import events
+from carawayhitch import codecs
+from carawayhitch.core import errors, events
 from carawayhitch.core import settings as settings_types
 from carawayhitch.frontend._application import new_application
 from carawayhitch.frontend._protocol import CallerProtocol
@@ -17,10 +18,13 @@
 FLUSH_INTERVAL_SECONDS = 0.02
 
 
-async def serve(settings: settings_types.Settings, log: Any = None) -> None:
+async def serve(
+    settings: settings_types.Settings, log: Any, settings_path: str
+) -> None:
     """Run one entry process until it has drained.
 
-    The first SIGTERM or SIGINT drains; the second one stops at once.
+    The first SIGTERM or SIGINT drains; the second one stops at once. SIGHUP reads the
+    settings file again.
     """
     node = Node(settings, log)
     application = new_application(node)
@@ -35,7 +39,7 @@
     assert server is not None
     await server.startup()
     node.close_idle_connections = lambda: _close_idle(server)
-    _handle_signals(node)
+    _handle_signals(node, settings_path)
     await node.start()
     node.log.info("serving", node=settings.node.id, port=settings.node.http_port)
     await node.stopped.wait()
@@ -58,7 +62,7 @@
         connection.abort()
 
 
-def _handle_signals(node: Node) -> None:
+def _handle_signals(node: Node, settings_path: str) -> None:
     loop = asyncio.get_running_loop()
     received: list[int] = []
 
@@ -68,3 +72,14 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop, number)
+    loop.add_signal_handler(signal.SIGHUP, _read_settings, node, settings_path)
+
+
+def _read_settings(node: Node, path: str) -> None:
+    try:
+        settings = codecs.read_settings(path)
+    except errors.InvalidValueError as error:
+        node.submit(events.SettingsRejected(error.message))
+        return
+    changed_keys = codecs.changed_settings(node.settings, settings)
+    node.submit(events.SettingsRead(settings, changed_keys))
--- a/src/carawayhitch/node/__init__.py
+++ b/src/carawayhitch/node/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from carawayhitch.node._logs import configure_logs
 from carawayhitch.node._metrics import render_metrics
 from carawayhitch.node._node import CallerConnection, Node, OpenCall
 from carawayhitch.node._replay import Difference, ReplayResult, replay_trace
@@ -13,6 +14,7 @@
     "Node",
     "OpenCall",
     "ReplayResult",
+    "configure_logs",
     "describe_status",
     "render_metrics",
     "replay_trace",
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -25,6 +25,7 @@
     send_order,
 )
 from carawayhitch.core import actions, events, messages, result_codes, rows
+from carawayhitch.node._logs import configure_logs
 
 if TYPE_CHECKING:
     from carawayhitch.node._node import Node
@@ -350,6 +351,11 @@
     getattr(node.log, action.level)(action.event, **action.fields)
 
 
+@perform.register(actions.OpenLog)
+def _open_log(action: actions.OpenLog, node: Node) -> None:
+    node.log = configure_logs(node.settings)
+
+
 @perform.register(actions.StopProcess)
 def _stop_process(action: actions.StopProcess, node: Node) -> None:
     node.stopped.set()
--- a/src/carawayhitch/node/_status.py
+++ b/src/carawayhitch/node/_status.py
@@ -15,6 +15,7 @@
         "node": board.node_id,
         "zone": board.settings.node.zone,
         "state": board.lifecycle.state,
+        "peer_key_ids": controllers.peer_key_ids(board.settings),
         "in_force_revision": configuration.revision if configuration else 0,
         "known_revision": known.revision,
         "complete_revision": known.complete_revision,
