Restart three entries under calls that run at most once

The load of the rolling restart had no guides. It now has guides with keys of callers and with issued keys, and calls to the draining entry that have to be refused and retried elsewhere; each refusal that says 'no' is compared with the run counter of the service, and every key that ran has an answer.

--- a/tests/load_callers.py
+++ b/tests/load_callers.py
@@ -29,6 +29,7 @@
         self.lost: list[object] = []
         self.refused_count = self.done_count = 0
         self.key = ""
+        self.attempt = 0
         self.done_keys: list[str] = []
         self.refused_keys: list[str] = []
         self.refusals: list[str] = []
@@ -44,6 +45,7 @@
     def call_once(self, number: int) -> None:
         self.key = ""
         for attempt in range(12):
+            self.attempt = attempt
             entries = list(self.ready)
             if not entries:
                 time.sleep(0.05)
@@ -98,14 +100,15 @@
     def issued_guide(self, entry):
         """Send a call with an issued key to another entry than the one that issued it.
 
-        After a refusal the caller fetches a new key elsewhere.
+        After a refusal the caller fetches a new key elsewhere and uses it there.
         """
         failure = self.exchange(entry, "POST", "/v1/idempotency-keys", b"{}")
         if failure:
             return failure
         self.key = json.loads(self.answer)["keys"][0]
         others = [name for name in self.ready if name != entry]
-        return self.send_guide(others[0] if others else entry)
+        forwarded = others and self.attempt == 0
+        return self.send_guide(others[0] if forwarded else entry)
 
     def send_guide(self, entry):
         headers = {"Idempotency-Key": self.key}
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import json
 import signal
 import socket
@@ -12,6 +11,7 @@
 
 from fakes.processes import Fleet, call
 from fakes.stream_caller import StreamCaller
+from tests.load_callers import LoadCaller, load
 from tests.test_streams import HEADERS, wait_until
 
 SETTINGS = """
@@ -133,92 +133,13 @@
         self.assertFalse(stream.finish().ended_cleanly)
 
 
-class LoadCaller(threading.Thread):
-    """Calls ready entries one after the other, like a caller behind a balancer.
-
-    A refusal with ``ran: no`` is tried at the next entry; anything else but success
-    counts as lost.
-    """
-
-    def __init__(self, fleet: Fleet, kind: str, ready: list[str]) -> None:
-        super().__init__()
-        self.fleet, self.kind, self.ready = fleet, kind, ready
-        self.lost: list[object] = []
-        self.refused_count = self.done_count = 0
-        self.stopping = False
-
-    def run(self) -> None:
-        number = 0
-        while not self.stopping:
-            number += 1
-            self.call_once(number)
-
-    def call_once(self, number: int) -> None:
-        for attempt in range(12):
-            entries = list(self.ready)
-            if not entries:
-                time.sleep(0.05)
-                continue
-            entry = entries[(number + attempt) % len(entries)]
-            try:
-                failure = getattr(self, self.kind)(entry)
-            except ConnectionRefusedError:
-                failure = "no"
-            except (OSError, http.client.HTTPException) as error:
-                failure = f"{entry}: {error!r}"
-            if failure == "no":
-                self.refused_count += 1
-                continue
-            self.done_count += 1
-            if failure:
-                self.lost.append(failure)
-            return
-        self.lost.append("no entry takes the call")
-
-    def stream(self, entry):
-        body = {"model": "quotes", "prompt": "length=60", "stream": True}
-        url = self.fleet.url(entry)
-        caller = StreamCaller(url, "/v1/completions", body, HEADERS)
-        try:
-            received = caller.finish()
-        finally:
-            caller.close()
-        if received.status != 200:
-            return self.judge(entry, received.status, received.text)
-        numbers = [number for _, number in received.tokens]
-        whole = received.ended_cleanly and numbers == list(range(1, 61))
-        return "" if whole else f"{entry}: stream ended after {numbers[-1:]}"
-
-    def whole(self, entry):
-        body = json.dumps({"model": "quotes", "prompt": "length=30"}).encode()
-        return self.exchange(entry, "POST", "/v1/completions", body)
-
-    def service(self, entry):
-        return self.exchange(entry, "GET", "/services/register/suppliers/7", None)
-
-    def exchange(self, entry, method, path, body):
-        port = self.fleet.ports_by_name[entry]
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=20.0)
-        try:
-            connection.request(method, path, body, HEADERS)
-            response = connection.getresponse()
-            return self.judge(entry, response.status, response.read().decode())
-        finally:
-            connection.close()
-
-    def judge(self, entry, status, text):
-        if status == 200:
-            return ""
-        try:
-            ran = json.loads(text)["error"]["ran"]
-        except ValueError:
-            ran = ""
-        return "no" if ran == "no" else f"{entry}: {status} {text}"
-
-
 class RollingRestartTest(unittest.TestCase):
     def test_rolling_restart_loses_no_call(self):
-        """Guards against calls of any kind that a planned restart interrupts."""
+        """Guards against calls of any kind that a planned restart interrupts.
+
+        Guides run once; a guide that was only refused has not run, which the callers
+        compare with the run counter at each refusal.
+        """
         fleet = Fleet(SETTINGS.format(grace=0.6, limit=30.0))
         self.addCleanup(fleet.stop)
         fleet.start_platform()
@@ -230,27 +151,68 @@
         for name in names:
             fleet.start_entry(name)
         ready = list(names)
-        callers = [
-            LoadCaller(fleet, kind, ready)
-            for kind in ("stream", "whole", "service")
-            for _ in range(3)
-        ]
-        for caller in callers:
-            caller.start()
-        try:
+        kinds = ("stream", "whole", "service", "lookup", "guide", "issued_guide")
+        retried: list[LoadCaller] = []
+        with load(fleet, kinds, ready, count=3) as callers:
             time.sleep(0.5)
             for name in names:
+                # Holds the drain open until the calls below were refused.
+                stream = self.open_stream(fleet, name)
+                unused_key = self.issue_key(fleet, name)
                 fleet.send_signal(name, signal.SIGTERM)
                 time.sleep(0.3)
                 ready.remove(name)
+                time.sleep(0.5)
+                retried += self.call_draining(fleet, name, ready[0], unused_key)
+                self.assertEqual(len(stream.finish().tokens), 150)
                 self.assertEqual(fleet.wait_exit(name), 0)
                 fleet.start_entry(name)
                 ready.append(name)
             time.sleep(0.5)
-        finally:
-            for caller in callers:
-                caller.stopping = True
-            for caller in callers:
-                caller.join()
         self.assertEqual([lost for caller in callers for lost in caller.lost], [])
         self.assertGreater(sum(caller.done_count for caller in callers), 200)
+        _, body, _ = call("GET", fleet.url("service-1") + "/fake/runs")
+        runs = json.loads(body)
+        for caller in retried:
+            self.assertEqual((caller.lost, caller.done_count), ([], 1))
+            self.assertIn("DRAINING", caller.refusals[0])
+        callers += retried
+        keys = [key for caller in callers for key in caller.done_keys]
+        self.assertGreater(len(keys), 50)
+        self.assertEqual([key for key in keys if runs.get(key) != 1], [])
+        refused = [key for caller in callers for key in caller.refused_keys]
+        self.assertGreaterEqual(len(refused), len(names))
+        # The service counts calls without a key by their path.
+        guides = {key: count for key, count in runs.items() if key[0] != "/"}
+        self.assertEqual(set(guides), set(keys))
+
+    def open_stream(self, fleet: Fleet, entry: str) -> StreamCaller:
+        body = {"model": "quotes", "prompt": "length=150", "stream": True}
+        caller = StreamCaller(fleet.url(entry), "/v1/completions", body, HEADERS)
+        self.addCleanup(caller.close)
+        caller.read_tokens(1)
+        return caller
+
+    def issue_key(self, fleet: Fleet, entry: str) -> str:
+        url = fleet.url(entry) + "/v1/idempotency-keys"
+        return json.loads(call("POST", url, {}, HEADERS)[1])["keys"][0]
+
+    def call_draining(
+        self, fleet: Fleet, draining: str, other: str, unused_key: str
+    ) -> list[LoadCaller]:
+        """Call a draining entry first and then another one; return the callers.
+
+        A key of the draining entry that was not used before the stop does not run.
+        """
+        headers = {**HEADERS, "Idempotency-Key": unused_key}
+        url = fleet.url(other) + "/services/register/guides"
+        _, body, _ = call("POST", url, {"lot": 1}, headers)
+        error = json.loads(body)["error"]
+        self.assertEqual((error["name"], error["ran"]), ("DRAINING", "no"))
+        retried = []
+        for kind in ("guide", "issued_guide"):
+            caller = LoadCaller(fleet, kind, [draining, other])
+            caller.call_once(0)
+            retried.append(caller)
+        self.assertEqual(caller.runs_of(unused_key), 0)
+        return retried
