--- /dev/null
+++ b/fakes/least_loaded_entry.py
@@ -0,0 +1,88 @@
+"""Entry without scheduling as a baseline: forwards at once to the least loaded engine.
+
+The load of an engine is what it last reported plus what was sent there since. Several
+of these entries know nothing of each other. Lookups get the first priority, so that
+engines order their queues as they do under the scheduler.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+POLL_SECONDS = 0.5
+PRIORITIES_BY_LABELS = {"work=lookup": 0}
+DEFAULT_PRIORITY = 10
+
+
+class LeastLoadedEntry:
+    """One entry before several engines."""
+
+    def __init__(self, upstream_ports: list[int]) -> None:
+        self.loads_by_port = dict.fromkeys(upstream_ports, 0)
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application()
+        application.add_routes([web.post("/{path:.*}", self.relay)])
+        application.cleanup_ctx.append(self._run)
+        return application
+
+    async def _run(self, application: web.Application) -> Any:
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=None)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        ) as self.session:
+            poll = asyncio.create_task(self._poll())
+            yield
+            poll.cancel()
+
+    async def _poll(self) -> None:
+        while True:
+            for port in self.loads_by_port:
+                url = f"http://127.0.0.1:{port}/load"
+                async with self.session.get(url) as answer:
+                    load = await answer.json()
+                self.loads_by_port[port] = load["running"] + load["waiting"]
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def relay(self, request: web.Request) -> web.StreamResponse:
+        """Copy the answer of the least loaded engine."""
+        body = json.loads(await request.read())
+        labels = request.headers.get("Carawayhitch-Labels", "")
+        body["priority"] = PRIORITIES_BY_LABELS.get(labels, DEFAULT_PRIORITY)
+        port = min(self.loads_by_port, key=self.loads_by_port.__getitem__)
+        self.loads_by_port[port] += 1
+        url = f"http://127.0.0.1:{port}{request.path}"
+        async with self.session.post(url, json=body) as found:
+            answer = web.StreamResponse(status=found.status)
+            answer.content_type = found.content_type
+            await answer.prepare(request)
+            async for part in found.content.iter_any():
+                await answer.write(part)
+            return answer
+
+
+def main() -> None:
+    """Serve one entry."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--upstream-ports", type=int, nargs="+", required=True)
+    arguments = parser.parse_args()
+    web.run_app(
+        LeastLoadedEntry(arguments.upstream_ports).application(),
+        host="127.0.0.1",
+        port=arguments.port,
+        print=lambda *_: None,
+        handler_cancellation=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
