--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable
 from random import Random
 from typing import Any
 
@@ -90,6 +90,6 @@
 
 def decide_chain(
     event: Any, board: Board, now: float, random: Random
-) -> Iterator[actions.Action]:
-    """Yield the actions of an event and of all events that it raises."""
+) -> Iterable[actions.Action]:
+    """Return the actions of an event and of all events that it raises."""
     return run_chain(decide, event, board, now, random)
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -6,7 +6,7 @@
 import secrets
 import time
 from collections import deque
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
@@ -154,21 +154,19 @@
             self._deciding = False
 
     def _decide_pending(self) -> None:
+        decide_chain, board, random = controllers.decide_chain, self.board, self.random
         while self._pending:
             event = self._pending.popleft()
             now = self.now()
             if self._recorder is None:
-                for action in self._decide(event, now):
+                for action in decide_chain(event, board, now, random):
                     perform(action, self)
             else:
                 self._decide_recorded(event, now, self._recorder)
 
-    def _decide(self, event: Any, now: float) -> Iterator[actions.Action]:
-        return controllers.decide_chain(event, self.board, now, self.random)
-
     def _decide_recorded(self, event: Any, now: float, recorder: TraceRecorder) -> None:
         decided: list[actions.Action] = []
-        for action in self._decide(event, now):
+        for action in controllers.decide_chain(event, self.board, now, self.random):
             decided.append(action)
             perform(action, self)
         recorder.record(now, event, decided)
