Open the measured streams over time and count them

All 1,000 callers came within the settle time of the scheduler, so about half were refused by the account's queue limit of 500. That, and not a full core, was why half of the tokens arrived. The figure 'streams' now counts begun streams.

--- a/experiments/relay_cost.py
+++ b/experiments/relay_cost.py
@@ -21,6 +21,9 @@
 from fakes.processes import ACCOUNT_TOKENS, Fleet, call, free_port
 
 INTERVAL_SECONDS = 0.035
+# Callers that arrive together while the scheduler settles would exceed the queue limit
+# of their account, which is 500.
+CALLER_INTERVAL_SECONDS = 0.005
 SETTINGS = "[limits]\nopen_requests = 4000\n[streams]\nstall_timeout_seconds = 30.0\n"
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 AUTHORIZATION = f"Authorization: Bearer {ACCOUNT_TOKENS['hotel']}\r\n"
@@ -121,29 +124,37 @@
 
     def __init__(self, request: bytes, counts: list[int]) -> None:
         self.request, self.counts = request, counts
+        self.has_stream = False
 
     def connection_made(self, transport: Any) -> None:
         """Send the request."""
         transport.write(self.request)
 
     def data_received(self, data: bytes) -> None:
-        """Count events."""
+        """Count events and callers whose stream has begun."""
         self.counts[0] += data.count(b"\ndata: ")
+        if not self.has_stream and b"\ndata: " in data:
+            self.has_stream = True
+            self.counts[1] += 1
 
 
 def run_callers(port: int, count: int, connection: Any) -> None:
-    """Hold streams open and answer each message with the events received so far."""
+    """Hold streams open and answer each message with the counts so far.
+
+    The counts are those of received events and of streams that have begun.
+    """
 
     async def serve() -> None:
         loop = asyncio.get_running_loop()
-        counts = [0]
+        counts = [0, 0]
         request = new_request({"model": "quotes", "prompt": "a", "stream": True})
         for _ in range(count):
             await loop.create_connection(
                 lambda: DiscardingCaller(request, counts), "127.0.0.1", port
             )
+            await asyncio.sleep(CALLER_INTERVAL_SECONDS)
         while await loop.run_in_executor(None, connection.recv):
-            connection.send(counts[0])
+            connection.send(tuple(counts))
 
     uvloop.run(serve())
 
@@ -269,20 +280,21 @@
             target=run_callers, args=(self.port, count, theirs)
         )
         callers.start()
-        time.sleep(4.0 + count / 250)
+        time.sleep(4.0 + 1.6 * CALLER_INTERVAL_SECONDS * count)
         ours.send(True)
-        tokens_before, before = ours.recv(), self.processor_seconds()
+        (tokens_before, _), before = ours.recv(), self.processor_seconds()
         started_at = time.monotonic()
         time.sleep(seconds)
         ours.send(True)
-        tokens, used = ours.recv() - tokens_before, self.processor_seconds() - before
+        tokens_after, begun = ours.recv()
+        tokens, used = tokens_after - tokens_before, self.processor_seconds() - before
         elapsed = time.monotonic() - started_at
         megabytes = self.resident_megabytes()
         callers.kill()
         callers.join()
         time.sleep(2.0)
         return {
-            "streams": count,
+            "streams": begun,
             "tokens_per_second": round(tokens / elapsed),
             "microseconds_per_token": round(1e6 * used / max(1, tokens), 1),
             "core_share": round(used / elapsed, 2),
