--- a/experiments/relay_cost.py
+++ b/experiments/relay_cost.py
@@ -18,7 +18,7 @@
 
 import uvloop
 
-from fakes.processes import ACCOUNT_TOKENS, Fleet, call, free_port
+from fakes.processes import ACCOUNT_TOKENS, Fleet, call, free_port, token_hash
 
 INTERVAL_SECONDS = 0.035
 # Callers that arrive together while the scheduler settles would exceed the queue limit
@@ -27,6 +27,7 @@
 SETTINGS = "[limits]\nopen_requests = 4000\n[streams]\nstall_timeout_seconds = 30.0\n"
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 AUTHORIZATION = f"Authorization: Bearer {ACCOUNT_TOKENS['hotel']}\r\n"
+QUEUED_TOKEN = "queued-token"
 WHOLE = json.dumps(
     {"id": "g-1", "choices": [{"text": "a"}], "usage": {"completion_tokens": 1}}
 ).encode()
@@ -35,8 +36,8 @@
 class PacedEngine(asyncio.Protocol):
     """One connection of an engine that paces its streams by a shared timer."""
 
-    def __init__(self, streams: list[PacedEngine]) -> None:
-        self.streams = streams
+    def __init__(self, streams: list[PacedEngine], running_limit: int) -> None:
+        self.streams, self.running_limit = streams, running_limit
         self.sequence = 0
         self.received = b""
 
@@ -68,7 +69,7 @@
                     "memory_capacity": 10**9,
                     "memory_used": 0,
                     "running": 0,
-                    "running_limit": 4000,
+                    "running_limit": self.running_limit,
                     "waiting": 0,
                     "preemptions": 0,
                     "age_seconds": 0.0,
@@ -99,13 +100,15 @@
             self.streams.remove(self)
 
 
-def run_engine(port: int) -> None:
+def run_engine(port: int, running_limit: int = 4000) -> None:
     """Serve a paced engine; tokens of the streams are spread over the interval."""
 
     async def serve() -> None:
         loop = asyncio.get_running_loop()
         streams: list[PacedEngine] = []
-        await loop.create_server(lambda: PacedEngine(streams), "127.0.0.1", port)
+        await loop.create_server(
+            lambda: PacedEngine(streams, running_limit), "127.0.0.1", port
+        )
         slots, slot = 35, 0
         next_at = loop.time()
         while True:
@@ -138,7 +141,9 @@
             self.counts[1] += 1
 
 
-def run_callers(port: int, count: int, connection: Any) -> None:
+def run_callers(
+    port: int, count: int, connection: Any, request: bytes | None = None
+) -> None:
     """Hold streams open and answer each message with the counts so far.
 
     The counts are those of received events and of streams that have begun.
@@ -147,10 +152,11 @@
     async def serve() -> None:
         loop = asyncio.get_running_loop()
         counts = [0, 0]
-        request = new_request({"model": "quotes", "prompt": "a", "stream": True})
+        body = {"model": "quotes", "prompt": "a", "stream": True}
+        sent = request or new_request(body)
         for _ in range(count):
             await loop.create_connection(
-                lambda: DiscardingCaller(request, counts), "127.0.0.1", port
+                lambda: DiscardingCaller(sent, counts), "127.0.0.1", port
             )
             await asyncio.sleep(CALLER_INTERVAL_SECONDS)
         while await loop.run_in_executor(None, connection.recv):
@@ -249,12 +255,54 @@
             time.sleep(1.0)
             return
         self.fleet.list_vm("engine-1", "engine", {"model": "quotes"}, "a")
+        self.add_full_engine()
         self.fleet.start_entry("entry-1")
         # The first load report tells the scheduler the engine's running limit.
         time.sleep(3.0)
         self.port = self.fleet.ports_by_name["entry-1"]
         self.pid = self.fleet.processes_by_name["entry-1"].pid
 
+    def add_full_engine(self) -> None:
+        """Add an engine for one generation and an account that may queue one call."""
+        port = self.fleet.ports_by_name["engine-2"] = free_port()
+        self.full_engine = multiprocessing.Process(target=run_engine, args=(port, 1))
+        self.full_engine.start()
+        self.fleet.list_vm("engine-2", "engine", {"model": "full"}, "a")
+        self.fleet.put_object("serving_group", "full", {"selector": {"model": "full"}})
+        binding = {
+            "group": "full",
+            "rank": "patient",
+            "request_selector": {"model": "full"},
+            "precedence": 30,
+        }
+        self.fleet.put_object("binding", "full", binding)
+        account = {
+            "token_sha256s": [token_hash(QUEUED_TOKEN)],
+            "queue_limit": 1,
+        }
+        self.fleet.put_object("client_account", "queued", account)
+
+    def measure_full_queue(self, count: int) -> dict[str, Any]:
+        """Return the cost of a refusal because of a full queue, and its result code."""
+        authorization = f"Authorization: Bearer {QUEUED_TOKEN}\r\n"
+        body = {"model": "full", "prompt": "a", "stream": True}
+        request = new_request(body, authorization)
+        ours, theirs = multiprocessing.Pipe()
+        callers = multiprocessing.Process(
+            target=run_callers, args=(self.port, 2, theirs, request)
+        )
+        callers.start()
+        time.sleep(3.0)
+        url = self.fleet.url("entry-1") + "/v1/completions"
+        name, _, value = authorization.strip().partition(": ")
+        headers = {name: value, "Content-Type": "application/json"}
+        _, answer, _ = call("POST", url, body, headers)
+        cost = self.measure_requests(request, count)
+        callers.kill()
+        callers.join()
+        code = json.loads(answer)["error"]["name"]
+        return {"full_queue_microseconds": cost, "full_queue_code": code}
+
     def processor_seconds(self) -> float:
         """Return user and system time of the entry so far."""
         fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(") ", 1)[1].split()
@@ -318,6 +366,9 @@
         if self.copy is not None:
             self.copy.kill()
             self.copy.join()
+        else:
+            self.full_engine.kill()
+            self.full_engine.join()
         self.engine.kill()
         self.engine.join()
         self.fleet.stop()
@@ -346,7 +397,7 @@
         if arguments.requests and not arguments.copy:
             whole = new_request({"model": "quotes", "prompt": "a"})
             unknown = new_request({"model": "quotes", "prompt": "a"}, "")
-            costs = {
+            costs: dict[str, Any] = {
                 "whole_answer_microseconds": entry.measure_requests(
                     whole, arguments.requests
                 ),
@@ -354,6 +405,7 @@
                     unknown, arguments.requests
                 ),
             }
+            costs.update(entry.measure_full_queue(arguments.requests))
             url = entry.fleet.url("entry-1")
             status, _, _ = call("GET", url + "/healthz")
             print(json.dumps({**costs, "health_status": status}), flush=True)
