Send whole progress rows only until they are acknowledged

Progress sent about 150 bytes for each running request and second. The scheduler that granted a request, or named it in an answer, now gets request id, attempt and token count; ProgressAck names rows taken and rows missing, and the entry sends the missing ones at once. A bit in the grant keeps whole rows for schedulers of an earlier release. Ends are remembered for the lifetime of progress, so late whole rows create no grant.

Existing tests are unchanged.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -28,6 +28,7 @@
     scheduler_contacts_by_id: dict[str, rows.SchedulerContactRow]
     asks_by_request_id: dict[str, rows.AskRow]
     grants_by_request_id: dict[str, rows.GrantRow]
+    ended_by_request_id: dict[str, rows.EndedRow]
     usage_by_account: dict[tuple[str, str, str], rows.UsageRow]
     rates_by_rank: dict[tuple[str, str], rows.RateRow]
     lengths_by_binding: dict[str, rows.LengthsRow]
@@ -114,6 +115,7 @@
         scheduler_contacts_by_id={},
         asks_by_request_id={},
         grants_by_request_id={},
+        ended_by_request_id={},
         usage_by_account={},
         rates_by_rank={},
         lengths_by_binding={},
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -26,8 +26,8 @@
 NESTING_LIMIT = 8
 # Room for any message that fits a datagram, so that it has one segment.
 SEGMENT_WORDS = 2048
-# The low bits of a packed message's first byte tell which bytes of the number of further
-# segments are not zero.
+# The low bits of a packed message's first byte tell which bytes of the number of
+# further segments are not zero.
 FURTHER_SEGMENTS_MASK = 0x0F
 MAXIMUM_LIST_LENGTH = 1024
 # Longer prefixes differ in blocks that few requests share.
@@ -37,7 +37,13 @@
 # Fields that usually hold hexadecimal, which takes half the bytes as Data.
 IDENTIFIER_FIELDS = frozenset({"request_id", "fingerprint"})
 IDENTIFIER_LIST_FIELDS = frozenset(
-    {"prefix_blocks", "waiting_request_ids", "unknown_request_ids"}
+    {
+        "prefix_blocks",
+        "waiting_request_ids",
+        "unknown_request_ids",
+        "known_running_ids",
+        "unknown_running_ids",
+    }
 )
 HEXADECIMAL = re.compile(r"(?:[0-9a-f]{2})+")
 
@@ -127,6 +133,7 @@
 @wire_fields.register(messages.AdmissionQueued)
 @wire_fields.register(messages.AskWithdrawn)
 @wire_fields.register(messages.RunningRequest)
+@wire_fields.register(messages.RunningCount)
 @wire_fields.register(messages.ProgressAck)
 @wire_fields.register(messages.Finished)
 def _fields_of_plain(record: Any, now: float) -> dict[str, Any]:
@@ -155,8 +162,10 @@
 
 @wire_fields.register(messages.Progress)
 def _fields_of_progress(message: messages.Progress, now: float) -> dict[str, Any]:
-    running = [wire_fields(running, now) for running in message.running]
-    return _plain_fields(message) | {"running": running}
+    return _plain_fields(message) | {
+        "running": [wire_fields(running, now) for running in message.running],
+        "counts": [wire_fields(count, now) for count in message.counts],
+    }
 
 
 @wire_fields.register(rows.MemberRow)
@@ -196,27 +205,28 @@
 
 
 @smaller_messages.register(messages.Progress)
-def _divide_progress(message: messages.Progress) -> tuple[messages.PeerMessage, ...]:
-    running, waiting = message.running, message.waiting_request_ids
-    if len(running) + len(waiting) < 2:
-        return ()
-    middle, half = (len(running) + 1) // 2, len(waiting) // 2
-    return (
-        message._replace(running=running[:middle], waiting_request_ids=waiting[:half]),
-        message._replace(running=running[middle:], waiting_request_ids=waiting[half:]),
-    )
-
-
 @smaller_messages.register(messages.ProgressAck)
-def _divide_ack(message: messages.ProgressAck) -> tuple[messages.PeerMessage, ...]:
-    unknown = message.unknown_request_ids
-    if len(unknown) < 2:
+def _divide_lists(
+    message: messages.Progress | messages.ProgressAck,
+) -> tuple[messages.PeerMessage, ...]:
+    lists = {
+        name: value
+        for name, value in message._asdict().items()
+        if isinstance(value, tuple)
+    }
+    if sum(map(len, lists.values())) < 2:
         return ()
-    half = len(unknown) // 2
-    return (
-        message._replace(unknown_request_ids=unknown[:half]),
-        message._replace(unknown_request_ids=unknown[half:]),
-    )
+    # The halves of an odd number go to the first and the second part in turn, so that
+    # lists of one item each are divided too.
+    first: dict[str, Any] = {}
+    second: dict[str, Any] = {}
+    extra = 1
+    for name, value in lists.items():
+        middle = (len(value) + extra) // 2
+        if len(value) % 2:
+            extra = 1 - extra
+        first[name], second[name] = value[:middle], value[middle:]
+    return message._replace(**first), message._replace(**second)
 
 
 @smaller_messages.register(messages.AdmissionAsk)
@@ -492,6 +502,7 @@
     "code": _decode_code,
     "state": _decode_state,
     "running": _decoder_of_rows(messages.RunningRequest),
+    "counts": _decoder_of_rows(messages.RunningCount),
     "members": _decoder_of_rows(rows.MemberRow),
     "crashes": _decoder_of_rows(rows.CrashRow),
 }
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -63,6 +63,7 @@
   address @4 :Text;
   priority @5 :Int32;
   deadline @6 :Float32;
+  takesShortProgress @7 :Bool;
 }
 
 struct AdmissionRefusal {
@@ -87,15 +88,24 @@
   tokenCount @10 :UInt32;
 }
 
+struct RunningCount {
+  requestId @0 :Data;
+  attempt @1 :UInt32;
+  tokenCount @2 :UInt32;
+}
+
 struct Progress {
   cellId @0 :Text;
   running @1 :List(RunningRequest);
   waitingRequestIds @2 :List(Data);
+  counts @3 :List(RunningCount);
 }
 
 struct ProgressAck {
   cellId @0 :Text;
   unknownRequestIds @1 :List(Data);
+  knownRunningIds @2 :List(Data);
+  unknownRunningIds @3 :List(Data);
 }
 
 struct Finished {
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -235,6 +235,7 @@
         address=event.address,
         priority=event.priority,
         grant_deadline=event.deadline,
+        known_by_id=event.sender_id if event.takes_short_progress else "",
     )
     return (actions.Emit(events.UpstreamGranted(row.request_id)),)
 
@@ -380,7 +381,10 @@
 
 
 def progress_messages(board: Board) -> list[tuple[str, messages.Progress]]:
-    """Return one progress message for each scheduler and cell in use."""
+    """Return one progress message for each scheduler and cell in use.
+
+    A scheduler that granted a request or acknowledged its row gets only its counts.
+    """
     rows_by_cell: dict[tuple[str, str], list[rows.RequestRow]] = {}
     for row in board.requests_by_id.values():
         if row.scheduler_id:
@@ -393,11 +397,18 @@
                 sender_id=board.node_id,
                 cell_id=cell_id,
                 running=tuple(
-                    running_request(row) for row in found if row.phase in GRANTED_PHASES
+                    running_request(row)
+                    for row in found
+                    if row.phase in GRANTED_PHASES and row.known_by_id != scheduler_id
                 ),
                 waiting_request_ids=tuple(
                     row.request_id for row in found if row.phase in WAITING_PHASES
                 ),
+                counts=tuple(
+                    messages.RunningCount(row.request_id, row.attempt, row.token_count)
+                    for row in found
+                    if row.phase in GRANTED_PHASES and row.known_by_id == scheduler_id
+                ),
             ),
         )
         for (scheduler_id, cell_id), found in rows_by_cell.items()
@@ -434,9 +445,38 @@
             continue
         if row.phase in WAITING_PHASES:
             decided.extend(_ask(board, row, now))
+    _note_known(board, event)
+    if event.unknown_running_ids:
+        decided.extend(_send_whole_rows(board, event))
     return decided
 
 
+def _note_known(board: Board, event: messages.ProgressAck) -> None:
+    """Note which rows the scheduler has; a late answer is corrected by the next one."""
+    known_by_id = dict.fromkeys(event.known_running_ids, event.sender_id)
+    known_by_id |= dict.fromkeys(event.unknown_running_ids, "")
+    for request_id, scheduler_id in known_by_id.items():
+        row = board.requests_by_id.get(request_id)
+        if row is not None and row.scheduler_id == event.sender_id:
+            noted = row._replace(known_by_id=scheduler_id)
+            board.requests_by_id[request_id] = noted
+
+
+def _send_whole_rows(board: Board, event: messages.ProgressAck) -> Actions:
+    """Send the rows that a restarted scheduler lacks without waiting for a round."""
+    running = tuple(
+        running_request(row)
+        for row in map(board.requests_by_id.get, event.unknown_running_ids)
+        if row is not None
+        and (row.scheduler_id, row.cell_id) == (event.sender_id, event.cell_id)
+        and row.phase in GRANTED_PHASES
+    )
+    if not running:
+        return ()
+    message = messages.Progress(board.node_id, event.cell_id, running, ())
+    return (actions.Send(event.sender_id, message),)
+
+
 @decide.register(events.UpstreamsChanged)
 @decide.register(events.MembershipChanged)
 def _move_cells(
--- a/src/carawayhitch/controllers/_rebuild.py
+++ b/src/carawayhitch/controllers/_rebuild.py
@@ -86,14 +86,63 @@
     remove_grant(board, grant, now)
 
 
+def note_end(board: Board, event: messages.Finished, now: float) -> None:
+    """Remember the end of an attempt for as long as its progress may be on the way."""
+    lifetime = board.settings.scheduling.progress_lifetime_seconds
+    # Removed and added again, so that the first row is the one with the first deadline.
+    earlier = board.ended_by_request_id.pop(event.request_id, None)
+    attempt = max(event.attempt, earlier.attempt if earlier else 0)
+    ended = rows.EndedRow(attempt, now + lifetime)
+    board.ended_by_request_id[event.request_id] = ended
+
+
+def forget_ends(board: Board, now: float) -> None:
+    """Remove the ends whose deadline passed."""
+    for request_id, ended in list(board.ended_by_request_id.items()):
+        if now < ended.deadline:
+            break
+        del board.ended_by_request_id[request_id]
+
+
+def _has_ended(board: Board, request_id: str, attempt: int) -> bool:
+    ended = board.ended_by_request_id.get(request_id)
+    return ended is not None and attempt <= ended.attempt
+
+
+def take_count(
+    board: Board, event: messages.Progress, running: messages.RunningCount, now: float
+) -> bool:
+    """Renew the grant of a running request; return False if its row is needed."""
+    if _has_ended(board, running.request_id, running.attempt):
+        return True
+    known = board.grants_by_request_id.get(running.request_id)
+    if (
+        known is None
+        or known.attempt < running.attempt
+        or known.entry_id != event.sender_id
+        or known.cell_id != event.cell_id
+    ):
+        return False
+    if known.attempt == running.attempt:
+        note_tokens(board, known, running.token_count, now)
+    return True
+
+
 def take_running(
     board: Board, event: messages.Progress, running: messages.RunningRequest, now: float
-) -> None:
+) -> bool:
     """Renew the grant of a running request, or rebuild it.
 
     A rebuilt grant is charged only for what it produces from now on; the earlier
     scheduler charged the rest.
+
+    Returns
+    -------
+    bool
+        Whether the row as reported is held here now.
     """
+    if _has_ended(board, running.request_id, running.attempt):
+        return False
     ask = board.asks_by_request_id.get(running.request_id)
     if ask is not None and ask.attempt <= running.attempt:
         _queue.remove_ask(board, running.request_id)
@@ -102,9 +151,9 @@
         # Of two schedulers' grants the entry uses one, perhaps that of the other.
         if (known.attempt, known.upstream_id) == (running.attempt, running.upstream_id):
             note_tokens(board, known, running.token_count, now)
-            return
+            return True
         if known.attempt > running.attempt:
-            return
+            return False
         remove_grant(board, known, now)
     lifetime = board.settings.scheduling.grant_lifetime_seconds
     add_grant(
@@ -136,6 +185,7 @@
             charged_prompt=False,
         ),
     )
+    return True
 
 
 def lapse_grants(board: Board, now: float) -> None:
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -42,6 +42,7 @@
         return ()
     decided = _queue.expire_asks(board, now)
     _rebuild.lapse_grants(board, now)
+    _rebuild.forget_ends(board, now)
     _fairness.forget_idle_accounts(board)
     _forget_idle_cells(board, now)
     decided.extend(_schedule_all(board, now))
@@ -165,6 +166,7 @@
         address=upstream.address,
         priority=rank_class(board, grant.rank).priority,
         deadline=grant.deadline,
+        takes_short_progress=True,
     )
     return [actions.Send(grant.entry_id, message)]
 
@@ -262,6 +264,7 @@
 def _release(
     event: messages.Finished, board: Board, now: float, random: Random
 ) -> Actions:
+    _rebuild.note_end(board, event, now)
     grant = board.grants_by_request_id.get(event.request_id)
     if grant is None or grant.attempt != event.attempt:
         return ()
@@ -292,8 +295,16 @@
     moved on lapse, and the answer names only asks that are not queued here.
     """
     decided = _begin_settling(board, event.cell_id, now)
-    for running in event.running:
-        _rebuild.take_running(board, event, running, now)
+    known_running = [
+        running.request_id
+        for running in event.running
+        if _rebuild.take_running(board, event, running, now)
+    ]
+    unknown_running = [
+        running.request_id
+        for running in event.counts
+        if not _rebuild.take_count(board, event, running, now)
+    ]
     unknown: list[str] = []
     for request_id in event.waiting_request_ids:
         ask = board.asks_by_request_id.get(request_id)
@@ -302,7 +313,13 @@
         else:
             # Also covers a grant whose message was lost: the repeated ask gets it.
             unknown.append(request_id)
-    ack = messages.ProgressAck(board.node_id, event.cell_id, tuple(unknown))
+    ack = messages.ProgressAck(
+        board.node_id,
+        event.cell_id,
+        tuple(unknown),
+        tuple(known_running),
+        tuple(unknown_running),
+    )
     return (*decided, actions.Send(event.sender_id, ack))
 
 
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -37,7 +37,14 @@
 
 
 class AdmissionGrant(NamedTuple):
-    """Answer to an ask: run the request on this upstream before the deadline."""
+    """Answer to an ask: run the request on this upstream before the deadline.
+
+    Parameters
+    ----------
+    takes_short_progress : bool
+        The scheduler keeps the whole row and reads ``Progress.counts``; entries of an
+        earlier release do not.
+    """
 
     sender_id: str
     request_id: str
@@ -47,6 +54,7 @@
     address: str
     priority: int
     deadline: float
+    takes_short_progress: bool = False
 
 
 class AdmissionQueued(NamedTuple):
@@ -94,21 +102,52 @@
     token_count: int
 
 
+class RunningCount(NamedTuple):
+    """Progress of a running request whose whole row the scheduler has."""
+
+    request_id: str
+    attempt: int
+    token_count: int
+
+
 class Progress(NamedTuple):
-    """State of one entry's requests in one cell; renews their asks and grants."""
+    """State of one entry's requests in one cell; renews their asks and grants.
+
+    Each part of it stands alone, so that parts may be lost or arrive in any order.
+
+    Parameters
+    ----------
+    running : tuple of RunningRequest
+        Requests whose row the scheduler has not acknowledged.
+    counts : tuple of RunningCount
+        Requests whose row it has.
+    """
 
     sender_id: str
     cell_id: str
     running: tuple[RunningRequest, ...]
     waiting_request_ids: tuple[str, ...]
+    counts: tuple[RunningCount, ...] = ()
 
 
 class ProgressAck(NamedTuple):
-    """Answer to ``Progress``: the scheduler lives and does not know these asks."""
+    """Answer to ``Progress``: the scheduler lives.
+
+    Parameters
+    ----------
+    unknown_request_ids : tuple of str
+        Reported as waiting, but neither queued nor granted.
+    known_running_ids : tuple of str
+        Reported with whole rows, which the scheduler now has.
+    unknown_running_ids : tuple of str
+        Reported with counts, for which the scheduler has no row.
+    """
 
     sender_id: str
     cell_id: str
     unknown_request_ids: tuple[str, ...]
+    known_running_ids: tuple[str, ...] = ()
+    unknown_running_ids: tuple[str, ...] = ()
 
 
 class Finished(NamedTuple):
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -108,6 +108,8 @@
         Time since which the caller takes no bytes; 0 while it does.
     may_have_run : bool
         Whether any attempt was sent, so that no refusal may say ``no`` any more.
+    known_by_id : str
+        Scheduler that has the row of the running request; progress to it is short.
     """
 
     request_id: str
@@ -146,6 +148,7 @@
     response_started: bool = False
     paused_at: float = 0.0
     may_have_run: bool = False
+    known_by_id: str = ""
 
 
 class UpstreamRow(NamedTuple):
@@ -331,6 +334,21 @@
     peak: float = 0.0
 
 
+class EndedRow(NamedTuple):
+    """A request that ended, so that late progress does not bring its grant back.
+
+    Parameters
+    ----------
+    attempt : int
+        The attempt that ended; a later one may run.
+    deadline : float
+        When the row is removed (seconds of the node clock).
+    """
+
+    attempt: int
+    deadline: float
+
+
 class GrantRow(NamedTuple):
     """A request that a scheduler has placed on an upstream.
 
