Take the less loaded of two random cells

An entry chose among the cells of a group at random. The first scheduler of a cell now tells its requests per upstream in AdmissionGrant, AdmissionQueued and ProgressAck; an entry keeps the value for 3 s and adds its own requests to it. A cell without a value counts as the mean of the known ones: as idle it would be flooded by all entries at once.

--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -36,6 +36,8 @@
   requestId @0 :Data;
   attempt @1 :UInt32;
   cellId @2 :Text;
+  loadPercent @3 :UInt32;
+  # Only in admissionQueued.
 }
 
 struct AdmissionAsk {
@@ -64,6 +66,7 @@
   priority @5 :Int32;
   deadline @6 :Float32;
   takesShortProgress @7 :Bool;
+  loadPercent @8 :UInt32;
 }
 
 struct AdmissionRefusal {
@@ -106,6 +109,7 @@
   unknownRequestIds @1 :List(Data);
   knownRunningIds @2 :List(Data);
   unknownRunningIds @3 :List(Data);
+  loadPercent @4 :UInt32;
 }
 
 struct Finished {
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -20,6 +20,9 @@
 # Membership takes about 6 s to declare a scheduler dead. If it is still a member after
 # this time, it is asked again.
 AVOID_SECONDS = 10.0
+# Entries learn of a cell's load with each answer, usually once a second while they use
+# it; an older value says little, because requests end within seconds.
+LOAD_AGE_SECONDS = 3.0
 PROGRESS_TIMER = "progress"
 CHECK_TIMER = "scheduler_check"
 WAITING_PHASES = frozenset({"asking"})
@@ -30,12 +33,55 @@
 decide = new_controller()
 
 
-def choose_cell(board: Board, group: str, random: Random) -> rows.CellRow | None:
-    """Return a cell of the group, in this entry's region if there is one."""
+def choose_cell(
+    board: Board, group: str, now: float, random: Random
+) -> rows.CellRow | None:
+    """Return a cell of the group, in this entry's region if there is one.
+
+    Of two random cells the less loaded one is taken. A cell of unknown load counts as
+    the mean of the known ones, so that it is neither flooded nor left out.
+    """
+    nearby = _nearby_cells(board, group)
+    if len(nearby) < 2:
+        return nearby[0] if nearby else None
+    loads_by_cell_id = {
+        cell.cell_id: load.load_percent
+        for cell in nearby
+        if (load := board.loads_by_cell_id.get(cell.cell_id)) and now < load.deadline
+    }
+    usual = sum(loads_by_cell_id.values()) / max(1, len(loads_by_cell_id))
+    return min(
+        random.sample(nearby, 2),
+        key=lambda cell: loads_by_cell_id.get(cell.cell_id, usual),
+    )
+
+
+def _nearby_cells(board: Board, group: str) -> list[rows.CellRow]:
     cells = [cell for cell in board.cells_by_id.values() if cell.group == group]
     region = board.settings.node.region
-    nearby = [cell for cell in cells if cell.region == region] or cells
-    return random.choice(nearby) if nearby else None
+    return [cell for cell in cells if cell.region == region] or cells
+
+
+def _note_load(
+    event: messages.AdmissionGrant | messages.AdmissionQueued | messages.ProgressAck,
+    board: Board,
+    now: float,
+) -> None:
+    """Keep the load that an answer tells; a former scheduler may know less."""
+    owners = board.schedulers_by_cell_id.get(event.cell_id, ())
+    if event.cell_id in board.cells_by_id and event.sender_id in owners[:1]:
+        noted = rows.CellLoadRow(event.load_percent, now + LOAD_AGE_SECONDS)
+        board.loads_by_cell_id[event.cell_id] = noted
+
+
+def _count_own_request(board: Board, cell: rows.CellRow) -> None:
+    """Add a request to a known load, so that a burst does not share one stale value."""
+    load = board.loads_by_cell_id.get(cell.cell_id)
+    if load is not None:
+        share = 100 // max(1, len(cell.upstream_ids))
+        board.loads_by_cell_id[cell.cell_id] = load._replace(
+            load_percent=load.load_percent + share
+        )
 
 
 def choose_scheduler(board: Board, cell_id: str, ask_count: int, now: float) -> str:
@@ -150,9 +196,10 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None:
         return ()
-    cell = choose_cell(board, row.group, random)
+    cell = choose_cell(board, row.group, now, random)
     if cell is None:
         return end_request(row, result_codes.NO_UPSTREAM, retry_after=1.0)
+    _count_own_request(board, cell)
     scheduler_id = choose_scheduler(board, cell.cell_id, 0, now)
     row = row._replace(
         phase="asking", cell_id=cell.cell_id, scheduler_id=scheduler_id, ask_count=0
@@ -206,6 +253,7 @@
     event: messages.AdmissionQueued, board: Board, now: float, random: Random
 ) -> Actions:
     _note_answer(board, event.sender_id)
+    _note_load(event, board, now)
     row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
     if row is not None and row.scheduler_id == event.sender_id:
         board.requests_by_id[row.request_id] = row._replace(queued=True)
@@ -217,6 +265,7 @@
     event: messages.AdmissionGrant, board: Board, now: float, random: Random
 ) -> Actions:
     _note_answer(board, event.sender_id)
+    _note_load(event, board, now)
     row = _current(board, event.request_id, event.attempt, WAITING_PHASES)
     if row is None:
         return _return_grant(event, board)
@@ -438,6 +487,7 @@
     event: messages.ProgressAck, board: Board, now: float, random: Random
 ) -> Actions:
     _note_answer(board, event.sender_id)
+    _note_load(event, board, now)
     decided: list[actions.Action] = []
     for request_id in event.unknown_request_ids:
         row = board.requests_by_id.get(request_id)
@@ -490,16 +540,18 @@
     )
     board.schedulers_by_cell_id.clear()
     board.schedulers_by_cell_id.update(derived)
+    for cell_id in board.loads_by_cell_id.keys() - board.cells_by_id.keys():
+        del board.loads_by_cell_id[cell_id]
     decided = list(_follow_schedulers(board, now))
     for row in list(board.requests_by_id.values()):
         if row.scheduler_id and row.phase in WAITING_PHASES:
-            decided.extend(_leave_old_cell(board, row, random))
+            decided.extend(_leave_old_cell(board, row))
     return decided
 
 
-def _leave_old_cell(board: Board, row: rows.RequestRow, random: Random) -> Actions:
+def _leave_old_cell(board: Board, row: rows.RequestRow) -> Actions:
     """Place a waiting request again if its cell is gone and the group has another."""
-    if row.cell_id in board.cells_by_id or not choose_cell(board, row.group, random):
+    if row.cell_id in board.cells_by_id or not _nearby_cells(board, row.group):
         return ()
     # A late answer of the old cell must not count as one of the new cell.
     board.requests_by_id[row.request_id] = row._replace(attempt=row.attempt + 1)
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -24,6 +24,23 @@
     return board.queue_lengths_by_rank.get((cell_id, rank), rows.QueueRow()).length
 
 
+def load_percent(board: Board, cell_id: str) -> int:
+    """Return waiting and granted requests per upstream of a cell, in hundredths."""
+    cell = board.cells_by_id.get(cell_id)
+    if cell is None or not cell.upstream_ids:
+        return 0
+    waiting = sum(
+        queue.length
+        for (queue_cell_id, _), queue in board.queue_lengths_by_rank.items()
+        if queue_cell_id == cell_id
+    )
+    running = sum(
+        len(board.grant_ids_by_upstream_id.get(upstream_id, ()))
+        for upstream_id in cell.upstream_ids
+    )
+    return 100 * (waiting + running) // len(cell.upstream_ids)
+
+
 def account_queue(
     board: Board, cell_id: str, rank: str, account: str
 ) -> dict[str, None]:
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -116,7 +116,11 @@
 
 def _queued(board: Board, ask: rows.AskRow) -> actions.Send:
     queued = messages.AdmissionQueued(
-        board.node_id, ask.request_id, ask.attempt, ask.cell_id
+        board.node_id,
+        ask.request_id,
+        ask.attempt,
+        ask.cell_id,
+        _queue.load_percent(board, ask.cell_id),
     )
     return actions.Send(ask.entry_id, queued)
 
@@ -167,6 +171,7 @@
         priority=rank_class(board, grant.rank).priority,
         deadline=grant.deadline,
         takes_short_progress=True,
+        load_percent=_queue.load_percent(board, grant.cell_id),
     )
     return [actions.Send(grant.entry_id, message)]
 
@@ -319,6 +324,7 @@
         tuple(unknown),
         tuple(known_running),
         tuple(unknown_running),
+        _queue.load_percent(board, event.cell_id),
     )
     return (*decided, actions.Send(event.sender_id, ack))
 
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -44,6 +44,8 @@
     takes_short_progress : bool
         The scheduler keeps the whole row and reads ``Progress.counts``; entries of an
         earlier release do not.
+    load_percent : int
+        Requests per upstream of the cell, in hundredths; 0 from an earlier release.
     """
 
     sender_id: str
@@ -55,15 +57,23 @@
     priority: int
     deadline: float
     takes_short_progress: bool = False
+    load_percent: int = 0
 
 
 class AdmissionQueued(NamedTuple):
-    """Answer to an ask that waits; the entry need not repeat it until the deadline."""
+    """Answer to an ask that waits; the entry need not repeat it until the deadline.
+
+    Parameters
+    ----------
+    load_percent : int
+        As in ``AdmissionGrant``.
+    """
 
     sender_id: str
     request_id: str
     attempt: int
     cell_id: str
+    load_percent: int = 0
 
 
 class AdmissionRefusal(NamedTuple):
@@ -141,6 +151,8 @@
         Reported with whole rows, which the scheduler now has.
     unknown_running_ids : tuple of str
         Reported with counts, for which the scheduler has no row.
+    load_percent : int
+        As in ``AdmissionGrant``.
     """
 
     sender_id: str
@@ -148,6 +160,7 @@
     unknown_request_ids: tuple[str, ...]
     known_running_ids: tuple[str, ...] = ()
     unknown_running_ids: tuple[str, ...] = ()
+    load_percent: int = 0
 
 
 class Finished(NamedTuple):
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -195,6 +195,22 @@
     upstream_ids: tuple[str, ...]
 
 
+class CellLoadRow(NamedTuple):
+    """Load of a cell as its scheduler last told this entry.
+
+    Parameters
+    ----------
+    load_percent : int
+        Waiting and running requests per upstream, in hundredths, with those that this
+        entry placed since.
+    deadline : float
+        Until when the value counts (seconds of the node clock).
+    """
+
+    load_percent: int
+    deadline: float
+
+
 class MemberRow(NamedTuple):
     """One entry process as membership knows it.
 
