Send progress that holds only counts every second round

Progress and its answer are one datagram each for every scheduler an entry uses; headers exceed the counts in them, so shorter rows alone do not reach the bound. Rounds without counts keep whole rows and waiting asks at 1 s. Answers that are missing are still repeated after 0.2 s, and grants live 5 s. A scheduler that restarts under its name gets the rows within 2 s; the engines' reports bound what it grants until then.

--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -24,6 +24,9 @@
 # it; an older value says little, because requests end within seconds.
 LOAD_AGE_SECONDS = 3.0
 PROGRESS_TIMER = "progress"
+# Every second round leaves out cells whose scheduler has all rows and no ask waits:
+# the counts only refine the memory prediction, which load reports correct as well.
+SHORT_ROUND = "without counts"
 CHECK_TIMER = "scheduler_check"
 WAITING_PHASES = frozenset({"asking"})
 GRANTED_PHASES = frozenset({"claiming", "opening", "relaying"})
@@ -378,12 +381,12 @@
 def _start_progress(
     event: events.ProcessStarted, board: Board, now: float, random: Random
 ) -> Actions:
-    return (_next_progress(board, now),)
+    return (_next_progress(board, "", now),)
 
 
-def _next_progress(board: Board, now: float) -> actions.SetTimer:
+def _next_progress(board: Board, kind: str, now: float) -> actions.SetTimer:
     interval = board.settings.scheduling.progress_interval_seconds
-    return actions.SetTimer(now + interval, events.TimerFired(PROGRESS_TIMER))
+    return actions.SetTimer(now + interval, events.TimerFired(PROGRESS_TIMER, kind))
 
 
 @decide.register(events.TimerFired)
@@ -395,13 +398,17 @@
     if event.name != PROGRESS_TIMER:
         return ()
     decided = list(_follow_schedulers(board, now))
+    is_short = event.subject == SHORT_ROUND
+    awaited: dict[str, None] = {}
     for scheduler_id, message in progress_messages(board):
+        if is_short and not (message.running or message.waiting_request_ids):
+            continue
         decided.append(actions.Send(scheduler_id, message))
-    awaited = dict.fromkeys(row.scheduler_id for row in board.requests_by_id.values())
+        awaited[scheduler_id] = None
     for scheduler_id in awaited:
-        if scheduler_id and scheduler_id != board.node_id:
+        if scheduler_id != board.node_id:
             decided.extend(_await_answer(board, scheduler_id, now))
-    return (*decided, _next_progress(board, now))
+    return (*decided, _next_progress(board, "" if is_short else SHORT_ROUND, now))
 
 
 def _await_answer(board: Board, scheduler_id: str, now: float) -> Actions:
--- a/tests/controllers/test_progress.py
+++ b/tests/controllers/test_progress.py
@@ -127,6 +127,42 @@
                 self.assertEqual(len(progress.counts), int(short))
                 self.assertEqual(len(progress.running), int(not short))
 
+    def test_counts_alone_are_sent_every_second_round(self):
+        """Guards against datagrams that exceed the budget, and lapsed grants."""
+        entry = entry_board(2)
+        first, second = entry.requests_by_id.values()
+        event = events.TimerFired(_placement.PROGRESS_TIMER)
+        table = [
+            ("whole rows", {}, {}, [1, 1, 1, 1]),
+            ("counts", {"known_by_id": FIRST}, {"known_by_id": FIRST}, [1, 0, 1, 0]),
+            ("waiting", {"known_by_id": FIRST}, {"phase": "asking"}, [1, 1, 1, 1]),
+        ]
+        for name, first_fields, second_fields, expected in table:
+            with self.subTest(name):
+                entry.requests_by_id.update(
+                    {
+                        first.request_id: first._replace(**first_fields),
+                        second.request_id: second._replace(**second_fields),
+                    }
+                )
+                found, upcoming = [], event
+                for at in range(4):
+                    decided = _placement.decide(upcoming, entry, float(at), Random(1))
+                    sent = [a for a in decided if isinstance(a, actions.Send)]
+                    found.append(len(sent))
+                    upcoming = decided[-1].event
+                    # Only a scheduler that was sent to owes an answer.
+                    timers = [a for a in decided if isinstance(a, actions.SetTimer)]
+                    self.assertEqual(len(timers), 1 + len(sent))
+                    entry.scheduler_contacts_by_id.clear()
+                self.assertEqual(found, expected)
+        # Counts must come well within the time after which the scheduler drops a grant.
+        scheduling = entry.settings.scheduling
+        self.assertLess(
+            2 * 2 * scheduling.progress_interval_seconds,
+            scheduling.progress_lifetime_seconds,
+        )
+
     def test_lost_ack_is_followed_by_whole_rows(self):
         """Guards against counts for rows that never arrived."""
         world = World(2, loss=1.0)
