--- a/experiments/control_cost.py
+++ b/experiments/control_cost.py
@@ -24,7 +24,6 @@
 from fakes.processes import ACCOUNT_TOKENS, Fleet, call
 
 START_BATCH = 8
-SETTLE_SECONDS = 30.0
 COUNTER = re.compile(
     r'^carawayhitch_peer_(messages|bytes)_total\{direction="sent",type="(\w+)"\} (\S+)',
     re.MULTILINE,
@@ -195,7 +194,7 @@
                 fleet.start_entry(name, wait=False)
             for name in batch:
                 fleet.wait_ready(name)
-        time.sleep(SETTLE_SECONDS)
+        time.sleep(options.settle_seconds)
         show("idle", measure(fleet, names, options.seconds))
         if options.rate_per_node:
             rate = options.rate_per_node * nodes
@@ -215,6 +214,7 @@
     parser.add_argument("--rate-per-node", type=float, default=4.0)
     parser.add_argument("--running-per-node", type=int, nargs="*", default=[8, 40])
     parser.add_argument("--accounts", type=int, default=0)
+    parser.add_argument("--settle-seconds", type=float, default=30.0)
     parser.add_argument("--seconds", type=float, default=15.0)
     options = parser.parse_args()
     for nodes in options.sizes:
