Log refusals and retries of calls with their code

Only the end of an admitted call was logged. Refusals before admission and retries were counted but could not be found by request. They now have a line with request id, account, rank, upstream and code; what is not known at that point is empty. Messages stay out of the line, because some name a value of the caller. The stub request of tests/frontend gets an id, as sanic has one.

--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._call_logs import refusal_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._issued_keys import (
     is_issuer,
@@ -77,12 +78,19 @@
     return issued_key_hash(issued) in board.claims_by_key
 
 
-def refuse(request_id: str, code: result_codes.ResultCode, rank: str = "") -> Actions:
+def refuse(
+    event: events.CallReceived | events.ResumeReceived | events.KeysRequested,
+    board: Board,
+    code: result_codes.ResultCode,
+) -> Actions:
     """Return the actions that refuse a call before a row exists for it."""
+    known = board.configuration
+    account = known and known.accounts_by_token_sha256.get(event.token_sha256)
     retry_after = OVERLOAD_RETRY_AFTER_SECONDS if code.http_status == 503 else 0.0
     return (
-        actions.Count(code, rank),
-        actions.RefuseCall(request_id, code, code.meaning, retry_after),
+        actions.Count(code, ""),
+        refusal_logged(event.request_id, account.name if account else "", code),
+        actions.RefuseCall(event.request_id, code, code.meaning, retry_after),
     )
 
 
@@ -92,12 +100,12 @@
 ) -> Actions:
     refusal = find_refusal(board)
     if refusal is not None and not _key_is_used(event, board):
-        return refuse(event.request_id, refusal)
+        return refuse(event, board, refusal)
     configuration = board.configuration
     assert configuration is not None
     admitted = admit(event, configuration, board)
     if isinstance(admitted, result_codes.ResultCode):
-        return refuse(event.request_id, admitted)
+        return refuse(event, board, admitted)
     wait_seconds = admitted.rank.maximum_wait_seconds
     if event.wait_seconds:
         wait_seconds = min(wait_seconds, event.wait_seconds)
@@ -164,14 +172,14 @@
     # engine, so a resume is checked but neither placed nor queued again.
     refusal = find_refusal(board)
     if refusal is not None:
-        return refuse(event.request_id, refusal)
+        return refuse(event, board, refusal)
     configuration = board.configuration
     assert configuration is not None
     account = configuration.accounts_by_token_sha256.get(event.token_sha256)
     if account is None:
-        return refuse(event.request_id, result_codes.UNKNOWN_ACCOUNT)
+        return refuse(event, board, result_codes.UNKNOWN_ACCOUNT)
     if account.name != event.account:
-        return refuse(event.request_id, result_codes.RESUME_INVALID)
+        return refuse(event, board, result_codes.RESUME_INVALID)
     target = rows.ResumeTarget(
         event.upstream_id, event.generation_id, event.last_sequence
     )
@@ -230,12 +238,12 @@
         # A key is of no use once its process has stopped.
         refusal = result_codes.DRAINING
     if refusal is not None:
-        return refuse(event.request_id, refusal)
+        return refuse(event, board, refusal)
     configuration = board.configuration
     assert configuration is not None
     account = configuration.accounts_by_token_sha256.get(event.token_sha256)
     if account is None:
-        return refuse(event.request_id, result_codes.UNKNOWN_ACCOUNT)
+        return refuse(event, board, result_codes.UNKNOWN_ACCOUNT)
     serials = tuple(
         f"{random.getrandbits(SERIAL_BITS):024x}" for _ in range(event.key_count)
     )
--- a/src/carawayhitch/controllers/_idempotency.py
+++ b/src/carawayhitch/controllers/_idempotency.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._call_logs import retry_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._issued_keys import issued_key_hash, key_hash
 from carawayhitch.controllers._journal import (
@@ -270,6 +271,7 @@
         return (
             *released,
             actions.Count(result_codes.RETRY_GRANT_EXPIRED, row.rank),
+            retry_logged(row, result_codes.RETRY_GRANT_EXPIRED),
             actions.Emit(events.RequestAdmitted(row.request_id)),
         )
     _put_claim(board, claim._replace(state="running"))
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._call_logs import retry_logged
 from carawayhitch.controllers._cells import derive_schedulers
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._targets import admission_size
@@ -173,7 +174,8 @@
     decided = _note_silence(board, row.scheduler_id, now)
     moved = board.requests_by_id[row.request_id]
     if moved.scheduler_id != row.scheduler_id:
-        return (actions.Count(result_codes.RETRY_ASK, row.rank), *decided)
+        counted = actions.Count(result_codes.RETRY_ASK, row.rank)
+        return (counted, retry_logged(row, result_codes.RETRY_ASK), *decided)
     return (*decided, *_ask_other(board, row, now))
 
 
@@ -186,6 +188,7 @@
     moved = row._replace(scheduler_id=scheduler_id, ask_count=ask_count)
     return (
         actions.Count(result_codes.RETRY_ASK, row.rank),
+        retry_logged(row, result_codes.RETRY_ASK),
         *_withdraw(board, row, scheduler_id),
         *_ask(board, moved, now),
     )
@@ -226,6 +229,7 @@
         return (
             *_return_grant(event, board),
             actions.Count(result_codes.RETRY_GRANT_EXPIRED, row.rank),
+            retry_logged(row, result_codes.RETRY_GRANT_EXPIRED),
             actions.Emit(events.RequestAdmitted(row.request_id)),
         )
     board.requests_by_id[row.request_id] = row._replace(
--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._call_logs import retry_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._placement import end_request, finished_message
 from carawayhitch.core import actions, events, result_codes, rows
@@ -53,6 +54,7 @@
     if budget.retries < 1.0:
         return (
             actions.Count(result_codes.RETRY_BUDGET_EMPTY, row.rank),
+            retry_logged(row, result_codes.RETRY_BUDGET_EMPTY),
             *end_request(row, event.final_code, retry_after=1.0),
         )
     board.retry_budget_by_group[row.group] = rows.BudgetRow(budget.retries - 1.0, now)
@@ -76,6 +78,7 @@
     return (
         actions.Send(row.scheduler_id, finished),
         actions.Count(event.code, row.rank),
+        retry_logged(row, event.code),
         actions.SetTimer(now + delay, events.RequestAdmitted(row.request_id)),
     )
 
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._call_logs import retry_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._placement import end_request
 from carawayhitch.controllers._targets import (
@@ -239,6 +240,7 @@
     board.requests_by_id[row.request_id] = row
     closed = (
         actions.Count(code, row.rank),
+        retry_logged(row, code),
         actions.CloseUpstream(row.request_id, cancel_generation=False),
     )
     if row.resume_count == 1:
--- a/src/carawayhitch/frontend/_protocol.py
+++ b/src/carawayhitch/frontend/_protocol.py
@@ -35,6 +35,7 @@
         if len(self.connections) >= node.settings.limits.connections:
             self._refused = True
             node.count(result_codes.ENTRY_OVERLOADED, "")
+            node.log.info("connection refused", code="ENTRY_OVERLOADED")
             transport.write(_refusal(result_codes.ENTRY_OVERLOADED))
             transport.close()
             return
--- a/src/carawayhitch/frontend/_refusals.py
+++ b/src/carawayhitch/frontend/_refusals.py
@@ -96,5 +96,15 @@
         message = error.message
     elif code is result_codes.INTERNAL_ERROR:
         node.log.error("call failed", path=request.path, error=repr(error))
+    if code is not result_codes.INTERNAL_ERROR:
+        # Without the message, which may name a value of the caller.
+        node.log.info(
+            "call refused",
+            request_id=str(request.id),
+            account="",
+            rank="",
+            upstream="",
+            code=code.name,
+        )
     retry_after = 1.0 if code.http_status == 503 else 0.0
     return refusal_response(actions.RefuseCall("", code, message, retry_after))
--- a/tests/frontend/test_refusals.py
+++ b/tests/frontend/test_refusals.py
@@ -16,7 +16,7 @@
 class RefusalsTest(unittest.TestCase):
     def refusal(self, error, method="POST"):
         node = mock.Mock()
-        request = SimpleNamespace(method=method, path="/v1/completions")
+        request = SimpleNamespace(method=method, path="/v1/completions", id="r1")
         response = _refusals.error_response(node, request, error)
         node.count.assert_called_once()
         return response, json.loads(response.body)["error"], node
