--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -42,6 +42,7 @@
         return ()
     decided = _queue.expire_asks(board, now)
     _rebuild.lapse_grants(board, now)
+    _rebuild.forget_ends(board, now)
     _fairness.forget_idle_accounts(board)
     _forget_idle_cells(board, now)
     decided.extend(_schedule_all(board, now))
@@ -115,7 +116,11 @@
 
 def _queued(board: Board, ask: rows.AskRow) -> actions.Send:
     queued = messages.AdmissionQueued(
-        board.node_id, ask.request_id, ask.attempt, ask.cell_id
+        board.node_id,
+        ask.request_id,
+        ask.attempt,
+        ask.cell_id,
+        _queue.load_percent(board, ask.cell_id),
     )
     return actions.Send(ask.entry_id, queued)
 
@@ -165,6 +170,8 @@
         address=upstream.address,
         priority=rank_class(board, grant.rank).priority,
         deadline=grant.deadline,
+        takes_short_progress=True,
+        load_percent=_queue.load_percent(board, grant.cell_id),
     )
     return [actions.Send(grant.entry_id, message)]
 
@@ -262,6 +269,7 @@
 def _release(
     event: messages.Finished, board: Board, now: float, random: Random
 ) -> Actions:
+    _rebuild.note_end(board, event, now)
     grant = board.grants_by_request_id.get(event.request_id)
     if grant is None or grant.attempt != event.attempt:
         return ()
@@ -292,8 +300,16 @@
     moved on lapse, and the answer names only asks that are not queued here.
     """
     decided = _begin_settling(board, event.cell_id, now)
-    for running in event.running:
-        _rebuild.take_running(board, event, running, now)
+    known_running = [
+        running.request_id
+        for running in event.running
+        if _rebuild.take_running(board, event, running, now)
+    ]
+    unknown_running = [
+        running.request_id
+        for running in event.counts
+        if not _rebuild.take_count(board, event, running, now)
+    ]
     unknown: list[str] = []
     for request_id in event.waiting_request_ids:
         ask = board.asks_by_request_id.get(request_id)
@@ -302,7 +318,14 @@
         else:
             # Also covers a grant whose message was lost: the repeated ask gets it.
             unknown.append(request_id)
-    ack = messages.ProgressAck(board.node_id, event.cell_id, tuple(unknown))
+    ack = messages.ProgressAck(
+        board.node_id,
+        event.cell_id,
+        tuple(unknown),
+        tuple(known_running),
+        tuple(unknown_running),
+        _queue.load_percent(board, event.cell_id),
+    )
     return (*decided, actions.Send(event.sender_id, ack))
 
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -108,6 +108,8 @@
         Time since which the caller takes no bytes; 0 while it does.
     may_have_run : bool
         Whether any attempt was sent, so that no refusal may say ``no`` any more.
+    known_by_id : str
+        Scheduler that has the row of the running request; progress to it is short.
     """
 
     request_id: str
@@ -146,6 +148,7 @@
     response_started: bool = False
     paused_at: float = 0.0
     may_have_run: bool = False
+    known_by_id: str = ""
 
 
 class UpstreamRow(NamedTuple):
@@ -192,6 +195,22 @@
     upstream_ids: tuple[str, ...]
 
 
+class CellLoadRow(NamedTuple):
+    """Load of a cell as its scheduler last told this entry.
+
+    Parameters
+    ----------
+    load_percent : int
+        Waiting and running requests per upstream, in hundredths, with those that this
+        entry placed since.
+    deadline : float
+        Until when the value counts (seconds of the node clock).
+    """
+
+    load_percent: int
+    deadline: float
+
+
 class MemberRow(NamedTuple):
     """One entry process as membership knows it.
 
@@ -331,6 +350,21 @@
     peak: float = 0.0
 
 
+class EndedRow(NamedTuple):
+    """A request that ended, so that late progress does not bring its grant back.
+
+    Parameters
+    ----------
+    attempt : int
+        The attempt that ended; a later one may run.
+    deadline : float
+        When the row is removed (seconds of the node clock).
+    """
+
+    attempt: int
+    deadline: float
+
+
 class GrantRow(NamedTuple):
     """A request that a scheduler has placed on an upstream.
 
