Log the type and place of an internal error, not its text

The text of an exception can hold a token or a part of a body, and the line had neither request id nor code. The test now also asks that the text of the error is absent from the line.

--- a/src/carawayhitch/frontend/_refusals.py
+++ b/src/carawayhitch/frontend/_refusals.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import traceback
 from functools import singledispatch
+from pathlib import Path
 
 from sanic import Request, exceptions
 from sanic.response import HTTPResponse, raw
@@ -95,16 +97,25 @@
     if isinstance(error, errors.CarawayhitchError):
         message = error.message
     elif code is result_codes.INTERNAL_ERROR:
-        node.log.error("call failed", path=request.path, error=repr(error))
+        node.log.error("call failed", **_log_fields(request, code), **_fault(error))
     if code is not result_codes.INTERNAL_ERROR:
-        # Without the message, which may name a value of the caller.
-        node.log.info(
-            "call refused",
-            request_id=str(request.id),
-            account="",
-            rank="",
-            upstream="",
-            code=code.name,
-        )
+        node.log.info("call refused", **_log_fields(request, code))
     retry_after = 1.0 if code.http_status == 503 else 0.0
     return refusal_response(actions.RefuseCall("", code, message, retry_after))
+
+
+def _log_fields(request: Request, code: result_codes.ResultCode) -> dict[str, str]:
+    return {
+        "request_id": str(request.id),
+        "account": "",
+        "rank": "",
+        "upstream": "",
+        "code": code.name,
+    }
+
+
+def _fault(error: Exception) -> dict[str, str]:
+    """Return type and place of an error; its text may hold a token or a body."""
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
+    return {"error": type(error).__name__, "place": place}
--- a/tests/frontend/test_refusals.py
+++ b/tests/frontend/test_refusals.py
@@ -28,6 +28,9 @@
         self.assertEqual((error["ran"], error["code"]), ("unknown", 2041))
         self.assertNotIn(b"secret-token", response.body)
         node.log.error.assert_called_once()
+        fields = node.log.error.call_args.kwargs
+        self.assertEqual((fields["request_id"], fields["error"]), ("r1", "KeyError"))
+        self.assertNotIn("secret-token", str(fields))
 
     def test_errors_of_the_library_have_codes(self):
         """Guards against a library error that is reported as an internal one."""
