--- a/tests/controllers/test_progress.py
+++ b/tests/controllers/test_progress.py
@@ -95,7 +95,9 @@
 def scheduler(name):
     board = scheduling_board()
     node = board.settings.node._replace(id=name)
-    return board._replace(settings=board.settings._replace(node=node))
+    return board._replace(
+        settings_by_name={"in_force": board.settings._replace(node=node)}
+    )
 
 
 class ShortProgressTest(unittest.TestCase):
