--- a/tests/frontend/test_refusals.py
+++ b/tests/frontend/test_refusals.py
@@ -16,7 +16,7 @@
 class RefusalsTest(unittest.TestCase):
     def refusal(self, error, method="POST"):
         node = mock.Mock()
-        request = SimpleNamespace(method=method, path="/v1/completions")
+        request = SimpleNamespace(method=method, path="/v1/completions", id="r1")
         response = _refusals.error_response(node, request, error)
         node.count.assert_called_once()
         return response, json.loads(response.body)["error"], node
@@ -28,6 +28,9 @@
         self.assertEqual((error["ran"], error["code"]), ("unknown", 2041))
         self.assertNotIn(b"secret-token", response.body)
         node.log.error.assert_called_once()
+        fields = node.log.error.call_args.kwargs
+        self.assertEqual((fields["request_id"], fields["error"]), ("r1", "KeyError"))
+        self.assertNotIn("secret-token", str(fields))
 
     def test_errors_of_the_library_have_codes(self):
         """Guards against a library error that is reported as an internal one."""
