Make room in a full rank queue for accounts that hold less of it

An account that asks far beyond its quota filled the queue of its rank, and the scheduler then refused the asks of every other account with QUEUE_FULL. The order of service was fair, but only among the asks that got into the queue. The limits of accounts do not prevent it where their sum exceeds the limit of the rank, as with three accounts of 500 in a rank of 1000.

A new ask of an account with fewer asks waiting by quota weight now takes the place of the newest ask of the account with the most. That one is refused with QUEUE_FULL; it has not run.

The load tool now takes the code of a broken stream from its error event, and the lookups of the urgent flood are longer, because at 820 calls a second the load tool itself was 1.3 s late.

--- a/experiments/flood_processes.py
+++ b/experiments/flood_processes.py
@@ -139,7 +139,7 @@
         prompt_tokens=PROMPT_TOKENS,
         median_tokens=8.0,
         spread=0.5,
-        maximum_tokens=40,
+        maximum_tokens=100,
     )
 
 
@@ -269,9 +269,13 @@
 
 
 def run_urgent_flood(setup: Setup) -> None:
-    """Lookups at 5 times the capacity beside documents at 0.7."""
+    """Lookups at 5 times the capacity beside documents at 0.7.
+
+    The lookups are longer than in the other scenarios: with 8 tokens, 820 calls a
+    second are needed, and the load tool was 1.3 s late.
+    """
     with start(setup) as fleet:
-        flood = lookups(fleet, 1.0, 25.0)
+        flood = lookups(fleet, 1.0, 25.0)._replace(median_tokens=24.0)
         rate = 5.0 * capacity_tokens() / mean_tokens(flood)
         classes = [flood._replace(rate=rate), documents(fleet, "patient", 0.7, 25.0)]
         records = load(classes, setup.seed, 6.0)
--- a/experiments/load.py
+++ b/experiments/load.py
@@ -177,6 +177,8 @@
                 self.last_sequence += 1
             elif line.startswith(b"data: [DONE]"):
                 return COMPLETE
+            elif line.startswith(b'data: {"error"'):
+                return json.loads(line[6:])["error"]["name"]
             elif line.startswith(b"data: "):
                 self.token_times.append(time.monotonic())
                 self.token_count += 1
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -127,7 +127,7 @@
         for (cell_id, _), accounts in board.queues_by_rank.items()
         if cell_id == ask.cell_id
     )
-    if length >= declared.queue_limit:
+    if length >= declared.queue_limit and displaced_ask(board, ask) is None:
         return result_codes.QUEUE_FULL, _retry_after(board, ask, length, now)
     if account is not None and own >= account.queue_limit:
         return result_codes.QUEUE_FULL, _retry_after(board, ask, own, now)
@@ -139,6 +139,38 @@
     return None
 
 
+def displaced_ask(board: Board, ask: rows.AskRow) -> rows.AskRow | None:
+    """Return the waiting ask that makes room for a new one, or None.
+
+    It is the newest one of the account that has the most waiting by quota weight.
+    Without this, an account that asks far beyond its quota fills the queue of its
+    rank, and accounts within theirs are refused.
+    """
+    waiting = board.queues_by_rank.get((ask.cell_id, ask.rank), {})
+
+    def weighted(account: str, more: int = 0) -> float:
+        held = len(waiting.get(account, ())) + more
+        return held / _fairness.quota_weight(board, account)
+
+    largest = max(waiting, key=weighted, default=ask.account)
+    if weighted(ask.account, 1) > weighted(largest) or largest == ask.account:
+        return None
+    return board.asks_by_request_id[next(reversed(waiting[largest]))]
+
+
+def displace_ask(board: Board, ask: rows.AskRow, now: float) -> list[actions.Action]:
+    """Make room for a new ask in the full queue of its rank."""
+    length = queue_length(board, ask.cell_id, ask.rank)
+    if length < rank_class(board, ask.rank).queue_limit:
+        return []
+    displaced = displaced_ask(board, ask)
+    if displaced is None:
+        return []
+    retry_after = _retry_after(board, displaced, length, now)
+    remove_ask(board, displaced.request_id)
+    return [refusal(board, displaced, result_codes.QUEUE_FULL, retry_after)]
+
+
 def _retry_after(board: Board, ask: rows.AskRow, length: int, now: float) -> float:
     """Return the time in which half of a queue is served, within limits."""
     grants = grants_per_second(board, ask.cell_id, ask.rank, now)
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -98,7 +98,8 @@
     refused = _queue.find_refusal(board, ask, now)
     if refused is not None:
         return (_queue.refusal(board, ask, *refused),)
-    decided = _begin_settling(board, event.cell_id, now)
+    decided = _queue.displace_ask(board, ask, now)
+    decided.extend(_begin_settling(board, event.cell_id, now))
     _queue.add_ask(board, ask)
     # Without room for its rank or an earlier one, it waits for the next finish,
     # report or sweep.
--- a/tests/controllers/test_scheduling.py
+++ b/tests/controllers/test_scheduling.py
@@ -103,6 +103,35 @@
                 refused = sent(decided, messages.AdmissionRefusal)[0]
                 self.assertGreaterEqual(refused.retry_after, 1.0)
 
+    def test_full_rank_takes_asks_of_accounts_with_few_waiting(self):
+        """Guards against a large account that fills the queue and shuts others out."""
+        accounts = (
+            declarations.ClientAccount("large", ()),
+            declarations.ClientAccount("small", ()),
+            declarations.ClientAccount("heavy", (), quota_weight=4.0),
+        )
+        board = scheduling_board(accounts=accounts)
+        report_all(board, 1.0)
+        fill(board, rank="urgent")
+        for index in range(50):
+            feed(board, ask(f"large-{index}", account="large"), 2.0)
+        decided = feed(board, ask("small-0", account="small"), 3.0)
+        # The newest ask of the account with the most waiting makes room.
+        self.assertEqual(refusals(decided), {"large-49": "QUEUE_FULL"})
+        self.assertIn("small-0", board.asks_by_request_id)
+        again = feed(board, ask("large-50", account="large"), 3.0)
+        self.assertEqual(refusals(again), {"large-50": "QUEUE_FULL"})
+        for index in range(100):
+            feed(board, ask(f"heavy-{index}", account="heavy"), 4.0)
+            feed(board, ask(f"small-{index}", account="small"), 4.0)
+        waiting = board.queues_by_rank[CELL, "urgent"]
+        self.assertEqual(sum(map(len, waiting.values())), 50)
+        shares = {account: len(queue) for account, queue in waiting.items()}
+        # Of 50 places by weights 1, 1 and 4.
+        self.assertEqual(shares["heavy"], 34)
+        self.assertEqual(shares["small"] + shares["large"], 16)
+        self.assertLessEqual(abs(shares["small"] - shares["large"]), 1)
+
     def test_deadline_that_the_queue_cannot_meet(self):
         """Guards against callers that wait in a queue only to expire in it."""
         board = scheduling_board(engine_count=1)
