Read callers refused for overload in turn

Callers of a full entry that send again at once took its whole core: 180 of them got 2,000 refusals a second, each turn of the event loop answered all of them first, and tokens of running streams left in bundles. The cost of a single refusal was ruled out as the only cause: at 0.4 ms, 180 in one turn take 75 ms.

The entry now reads the next request of a connection that it refused with ENTRY_OVERLOADED in turn, one each 5 ms and after at most 5 s. Callers that wait for Retry-After notice nothing unless more than 200 of them are refused in a second. Callers that open a connection for each call are not slowed.

--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -37,6 +37,7 @@
     application = Sanic(f"carawayhitch-{uuid4().hex}", configure_logging=False)
     application.ctx.node = node
     application.ctx.receiving_count = 0
+    application.ctx.refused_read_at = 0.0
     _configure(application, node)
     for path in GENERATION_PATHS:
         application.add_route(
--- a/src/carawayhitch/frontend/_caller.py
+++ b/src/carawayhitch/frontend/_caller.py
@@ -10,7 +10,7 @@
 from sanic.response import HTTPResponse, raw
 
 from carawayhitch import codecs
-from carawayhitch.core import actions
+from carawayhitch.core import actions, result_codes
 from carawayhitch.core import settings as settings_types
 from carawayhitch.frontend._refusals import refusal_response
 
@@ -73,6 +73,10 @@
         """Wait until the caller has taken enough of what was written."""
         await self._protocol.writable()
 
+    def defer_reading(self) -> None:
+        """Read the next request of this caller later, because the entry is full."""
+        self._protocol.defer_reading()
+
     def _begin(self, action: Any) -> None:
         if not self._begun.done():
             self._begun.set_result(action)
@@ -140,6 +144,8 @@
 async def _respond_refusal(
     action: actions.RefuseCall, caller: SanicCaller
 ) -> HTTPResponse | None:
+    if action.code == result_codes.ENTRY_OVERLOADED:
+        caller.defer_reading()
     return refusal_response(action)
 
 
--- a/src/carawayhitch/frontend/_protocol.py
+++ b/src/carawayhitch/frontend/_protocol.py
@@ -11,6 +11,12 @@
 from carawayhitch import codecs
 from carawayhitch.core import result_codes
 
+# Refused callers are read in turn at this interval: 200 refusals a second take less
+# than a tenth of a core.
+REFUSED_READ_INTERVAL_SECONDS = 0.005
+# The most that a caller who waits for Retry-After (1 s) or longer can be delayed.
+REFUSED_READ_LIMIT_SECONDS = 5.0
+
 
 class CallerProtocol(HttpProtocol):
     """sanic's connection with a limit on connections and on slow senders.
@@ -20,13 +26,14 @@
     """
 
     # sanic's metaclass leaves no attributes but slots.
-    __slots__ = ("_refused", "_resumed", "is_paused")
+    __slots__ = ("_read_at", "_refused", "_resumed", "is_paused")
 
     def __init__(self, **keywords: Any) -> None:
         super().__init__(**keywords)
         self._resumed = asyncio.Event()
         self._resumed.set()
         self._refused = False
+        self._read_at = 0.0
         self.is_paused = False
 
     def connection_made(self, transport: Any) -> None:
@@ -55,6 +62,28 @@
         if self.http is not None and self.http.stage is Stage.REQUEST:
             self._time = started_at
 
+    def defer_reading(self) -> None:
+        """Read the next request of a caller refused for overload later.
+
+        Callers that send again at once would otherwise take the time that running
+        streams need: 180 of them raised the p95 gap between tokens from 24 to 75 ms.
+        """
+        context = self.app.ctx
+        now = self.loop.time()
+        slot = max(now, context.refused_read_at) + REFUSED_READ_INTERVAL_SECONDS
+        context.refused_read_at = self._read_at = min(
+            slot, now + REFUSED_READ_LIMIT_SECONDS
+        )
+
+    async def receive_more(self) -> None:
+        """Wait for bytes, after a refusal for overload not before its time."""
+        delay = self._read_at - self.loop.time()
+        if delay > 0:
+            transport: Any = self.transport
+            transport.pause_reading()
+            await asyncio.sleep(delay)
+        await super().receive_more()
+
     def pause_writing(self) -> None:
         """Note that the caller has not taken what was written."""
         self.is_paused = True
