Refuse generations before their body is decoded

A full or stopping entry received, decoded and hashed the body of a generation before it found that it takes no call at all. The check of admission now runs once before that for generations; admission itself still checks, and calls with idempotency keys are decided there alone, because one may repeat a call that runs. The unread body is discarded, so the connection stays in use.

--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -28,6 +28,7 @@
     _suspects,
     _upstreams,
 )
+from carawayhitch.controllers._admission import find_refusal
 from carawayhitch.controllers._chain import run_chain
 from carawayhitch.controllers._configuration import (
     digest_text,
@@ -51,6 +52,7 @@
     "describe",
     "digest_text",
     "find_problems",
+    "find_refusal",
     "is_watcher",
     "kind_of",
     "matches",
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -17,7 +17,12 @@
 from carawayhitch.frontend._keys import add_key, check_forward, keys_handler
 from carawayhitch.frontend._operators import add_operator_routes
 from carawayhitch.frontend._peers import add_peer_routes
-from carawayhitch.frontend._receiving import check_head, malformed, receive_body
+from carawayhitch.frontend._receiving import (
+    check_head,
+    malformed,
+    receive_body,
+    refuse_early,
+)
 from carawayhitch.frontend._refusals import code_of, error_response
 from carawayhitch.node import Node, OpenCall, render_metrics
 
@@ -99,7 +104,11 @@
     async def handle_error(request: Request, error: Exception) -> HTTPResponse:
         _close_when_draining(node, request)
         stream: Any = request.stream
-        if code_of(error, request) is result_codes.MALFORMED_REQUEST:
+        code = code_of(error, request)
+        protocol: Any = request.protocol
+        if code is result_codes.ENTRY_OVERLOADED and protocol is not None:
+            protocol.defer_reading()
+        if code is result_codes.MALFORMED_REQUEST:
             # What follows could be part of the request that was not understood.
             stream.keep_alive = False
         return error_response(node, request, error)
@@ -183,6 +192,7 @@
 def _generation_handler(node: Node, path: str) -> Any:
     async def handle_generation(request: Request) -> HTTPResponse | None:
         check_head(request)
+        refuse_early(node)
         await receive_body(node, request)
         target = codecs.generation_target(path, request.body)
         labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
--- a/src/carawayhitch/frontend/_receiving.py
+++ b/src/carawayhitch/frontend/_receiving.py
@@ -54,6 +54,17 @@
             raise malformed(f"header {name} is not ASCII text")
 
 
+def refuse_early(node: Node) -> None:
+    """Refuse a generation that this entry would refuse whatever its body says.
+
+    Decoding and hashing the body cost more than the refusal. Calls with idempotency
+    keys are not refused here: one of them may repeat a call that runs.
+    """
+    code = node.find_refusal()
+    if code is not None:
+        raise errors.CallRefusedError(code, code.meaning)
+
+
 async def receive_body(node: Node, request: Request) -> None:
     """Receive a body within the limits of size, time and number."""
     # sanic types the stream as its base class, which lacks what HTTP/1.1 adds.
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -169,6 +169,10 @@
             perform(action, self)
         recorder.record(now, event, decided)
 
+    def find_refusal(self) -> result_codes.ResultCode | None:
+        """Return why no call at all is taken now, or None."""
+        return controllers.find_refusal(self.board)
+
     def set_timer(self, deadline: float, event: Any) -> None:
         """Feed an event at a time of the node clock."""
         delay = max(0.0, deadline - self.now())
