--- a/experiments/entry_overload.py
+++ b/experiments/entry_overload.py
@@ -73,7 +73,9 @@
         writer.close()
 
 
-def run_counted(port: int, request: bytes, count: int, callers: int, ended: Any):
+def run_counted(
+    port: int, request: bytes, count: int, callers: int, ended: Any
+) -> None:
     """Send requests over some connections and tell when all are answered."""
 
     async def serve() -> None:
@@ -130,7 +132,9 @@
         fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(") ", 1)[1].split()
         return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
-    def streams(self, name: str, rate: float, begin: float, end: float, length: int):
+    def streams(
+        self, name: str, rate: float, begin: float, end: float, length: int
+    ) -> CallClass:
         """Return a class of streams of one length."""
         token = ACCOUNT_TOKENS["inspection"]
         urls = (self.fleet.url("entry-1"),)
