Remove a field that is always true and a second timer

Cause: every call to an upstream uses a connection of its own since streams were completed, so OpenUpstream.fresh_connection was true everywhere; leases and orders each kept a timer with the same interval. Ruled out: keeping the field for later; a reused connection breaks two guarantees. Before: two timers a node and one dead branch. After: orders read the engines in the round of the leases.

--- a/src/carawayhitch/controllers/_leases.py
+++ b/src/carawayhitch/controllers/_leases.py
@@ -16,6 +16,7 @@
 from carawayhitch.core import actions, events, result_codes, rows
 
 LEASE_KIND = "order_lease"
+# Orders read the engines in the same round.
 LEASE_TIMER = "order_leases"
 READ_PREFIX = "order_lease_read:"
 WRITE_PREFIX = "order_lease_write:"
--- a/src/carawayhitch/controllers/_orders.py
+++ b/src/carawayhitch/controllers/_orders.py
@@ -13,11 +13,14 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.controllers._leases import groups_to_lead, holds_lease
+from carawayhitch.controllers._leases import (
+    LEASE_TIMER,
+    groups_to_lead,
+    holds_lease,
+)
 from carawayhitch.controllers._selectors import matches
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
-ORDER_TIMER = "orders"
 DRAINING_ROLE = "draining"
 
 decide = new_controller()
@@ -95,31 +98,18 @@
     ]
 
 
-@decide.register(events.ProcessStarted)
-def _start(
-    event: events.ProcessStarted, board: Board, now: float, random: Random
-) -> Actions:
-    return (_next_round(board, now),)
-
-
-def _next_round(board: Board, now: float) -> actions.SetTimer:
-    interval = board.settings.orders.interval_seconds
-    return actions.SetTimer(now + interval, events.TimerFired(ORDER_TIMER))
-
-
 @decide.register(events.TimerFired)
 def _read_states(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.name != ORDER_TIMER:
+    if event.name != LEASE_TIMER:
         return ()
-    reads = [
+    return [
         actions.ReadEngineState(upstream.upstream_id, upstream.address)
         for group in groups_to_lead(board)
         if holds_lease(board, group, now)
         for upstream in engines_of_group(board, group)
     ]
-    return (*reads, _next_round(board, now))
 
 
 @decide.register(events.EngineStateRead)
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -64,9 +64,6 @@
             upstream_id=row.upstream_id,
             address=row.address,
             priority=row.priority,
-            # aiohttp reads bytes that arrive on an idle connection as the answer to
-            # the next call, so a late answer could reach another caller.
-            fresh_connection=True,
         ),
         actions.SetTimer(deadline, events.StallCheck(row.request_id, row.attempt)),
     )
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -42,12 +42,10 @@
 
 
 class OpenUpstream(NamedTuple):
-    """Send the request's stored body to an upstream.
+    """Send the request's stored body to an upstream, over a connection of its own.
 
-    Parameters
-    ----------
-    fresh_connection : bool
-        Use a connection of its own.
+    On a connection that is used again, the library would send a call twice or read
+    bytes of an earlier answer.
     """
 
     request_id: str
@@ -55,7 +53,6 @@
     upstream_id: str
     address: str
     priority: int
-    fresh_connection: bool
 
 
 class ResumeUpstream(NamedTuple):
--- a/src/carawayhitch/frontend/_refusals.py
+++ b/src/carawayhitch/frontend/_refusals.py
@@ -96,9 +96,9 @@
     message = code.meaning
     if isinstance(error, errors.CarawayhitchError):
         message = error.message
-    elif code is result_codes.INTERNAL_ERROR:
+    if code is result_codes.INTERNAL_ERROR:
         node.log.error("call failed", **_log_fields(request, code), **_fault(error))
-    if code is not result_codes.INTERNAL_ERROR:
+    else:
         node.log.info("call refused", **_log_fields(request, code))
     retry_after = 1.0 if code.http_status == 503 else 0.0
     return refusal_response(actions.RefuseCall("", code, message, retry_after))
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -69,7 +69,7 @@
 @perform.register(actions.OpenUpstream)
 def _open_upstream(action: actions.OpenUpstream, node: Node) -> None:
     row = node.board.requests_by_id[action.request_id]
-    call = _upstream_call(action, node, action.fresh_connection)
+    call = _upstream_call(action, node)
     if call is not None:
         _run_call(node, call, _start_call(row.target, action, call, row))
 
@@ -113,28 +113,27 @@
 
 @perform.register(actions.ResumeUpstream)
 def _resume_upstream(action: actions.ResumeUpstream, node: Node) -> None:
-    call = _upstream_call(action, node, fresh_connection=True)
+    call = _upstream_call(action, node)
     if call is not None:
         _run_call(node, call, resume_generation(call, action))
 
 
 def _upstream_call(
-    action: actions.OpenUpstream | actions.ResumeUpstream,
-    node: Node,
-    fresh_connection: bool,
+    action: actions.OpenUpstream | actions.ResumeUpstream, node: Node
 ) -> UpstreamCall | None:
     opened = node.calls_by_request_id.get(action.request_id)
     if opened is None:
         node.submit(events.CallerGone(action.request_id))
         return None
     assert node.sessions is not None
-    session = node.sessions.fresh if fresh_connection else node.sessions.reused
     return UpstreamCall(
         request_id=action.request_id,
         attempt=action.attempt,
         content=opened.content,
         caller=opened.caller,
-        session=session,
+        # aiohttp reads bytes that arrive on an idle connection as the answer to the
+        # next call, so a late answer could reach another caller.
+        session=node.sessions.fresh,
         settings=node.settings,
         submit=node.submit,
     )
