Seed membership from the platform's list of VMs

Cause: a replaced VM has another address, so seeds in settings files go out of date; the platform lists live VMs. Ruled out: a registry object in the store, because it costs a write for each start. Before: entries without seeds stay alone. After: three entries with no seeds in their settings see each other ('python -m unittest tests.test_membership_processes.SeedsFromVmListTest', 5.6 s).

--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -67,11 +67,17 @@
         TOML that is added to the settings of every entry.
     vm_list_interval_seconds : float
         Interval in which entries read the list of VMs.
+    seeds_from_vm_list : bool
+        Whether entries know each other from the list of VMs instead of settings.
     """
 
     def __init__(
-        self, settings_text: str = "", vm_list_interval_seconds: float = 2.0
+        self,
+        settings_text: str = "",
+        vm_list_interval_seconds: float = 2.0,
+        seeds_from_vm_list: bool = False,
     ) -> None:
+        self.seeds_from_vm_list = seeds_from_vm_list
         self.settings_text = settings_text
         self.vm_list_interval_seconds = vm_list_interval_seconds
         self.peer_keys = [(1, PEER_SECRET)]
@@ -140,13 +146,15 @@
         self.start_module(name, "fakes.plain_service")
         self.list_vm(name, "service", {"service": service}, zone)
 
-    def list_vm(self, name: str, kind: str, labels: dict[str, str], zone: str) -> None:
-        """Put a VM on the platform's list."""
+    def list_vm(
+        self, name: str, kind: str, labels: dict[str, str], zone: str, port: int = 0
+    ) -> None:
+        """Put a VM on the platform's list, with its HTTP port unless told otherwise."""
         self.vms = [vm for vm in self.vms if vm["id"] != name]
         self.vms.append(
             {
                 "id": name,
-                "address": f"127.0.0.1:{self.ports_by_name[name]}",
+                "address": f"127.0.0.1:{port or self.ports_by_name[name]}",
                 "zone": zone,
                 "region": "r1",
                 "kind": kind,
@@ -227,6 +235,8 @@
         ports = self.entry_ports.get(name) or (free_port(), free_port())
         self.entry_ports[name] = ports
         self.ports_by_name[name] = ports[0]
+        if self.seeds_from_vm_list:
+            self.list_vm(name, "entry", {}, zone, port=ports[1])
         path = self.write_settings(name, zone)
         self._spawn(
             name,
@@ -248,7 +258,7 @@
         seeds = ", ".join(
             f'{{address = "127.0.0.1", peer_port = {peer}, http_port = {http}}}'
             for other, (http, peer) in self.entry_ports.items()
-            if other != name
+            if other != name and not self.seeds_from_vm_list
         )
         keys = ", ".join(
             f'{{id = {number}, secret = "{secret}"}}'
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -19,6 +19,7 @@
     lifecycle_by_node_id: dict[str, rows.LifecycleRow]
     requests_by_id: dict[str, rows.RequestRow]
     upstreams_by_id: dict[str, rows.UpstreamRow]
+    listed_entries_by_vm_id: dict[str, settings_types.SeedPeer]
     cells_by_id: dict[str, rows.CellRow]
     members_by_id: dict[str, rows.MemberRow]
     member_updates_by_id: dict[str, rows.MemberUpdateRow]
@@ -112,6 +113,7 @@
         lifecycle_by_node_id={node_id: lifecycle},
         requests_by_id={},
         upstreams_by_id={},
+        listed_entries_by_vm_id={},
         cells_by_id={},
         members_by_id={},
         member_updates_by_id={},
--- a/src/carawayhitch/codecs/_platform.py
+++ b/src/carawayhitch/codecs/_platform.py
@@ -46,7 +46,7 @@
     address: str
     zone: str
     region: str
-    kind: rows.UpstreamKind
+    kind: rows.VmKind
     labels: NotRequired[dict[str, str]]
     leaving: NotRequired[bool]
 
--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -24,6 +24,7 @@
 )
 from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions, events, messages, rows
+from carawayhitch.core import settings as settings_types
 
 PROBE_TIMER = "membership_probe"
 ACK_TIMER = "membership_ack"
@@ -258,11 +259,16 @@
     )
 
 
+def _seeds(board: Board) -> list[settings_types.SeedPeer]:
+    """Return the seeds of the settings and the entries of the platform's list."""
+    return [*board.settings.peers.seeds, *board.listed_entries_by_vm_id.values()]
+
+
 def _contact_seeds(board: Board, random: Random) -> Actions:
     node = board.settings.node
     seeds = [
         seed
-        for seed in board.settings.peers.seeds
+        for seed in _seeds(board)
         if (seed.address, seed.peer_port) != (node.address, node.peer_port)
     ]
     return [
@@ -278,7 +284,7 @@
     present = {(row.address, row.peer_port) for row in present_peers(board)}
     node = board.settings.node
     present.add((node.address, node.peer_port))
-    lost = {(seed.address, seed.peer_port): "" for seed in board.settings.peers.seeds}
+    lost = {(seed.address, seed.peer_port): "" for seed in _seeds(board)}
     for row in board.members_by_id.values():
         if row.state == "dead":
             lost[row.address, row.peer_port] = row.node_id
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 
 from carawayhitch.board import Board
@@ -9,6 +10,7 @@
 from carawayhitch.controllers._cells import derive_cells
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.core import actions, events, messages, rows
+from carawayhitch.core import settings as settings_types
 
 VM_LIST_TIMER = "vm_list"
 LOAD_TIMER = "load"
@@ -114,13 +116,24 @@
 def _take_vm_list(
     event: events.VmListReceived, board: Board, now: float, random: Random
 ) -> Actions:
-    merged = {vm.vm_id: _merge(vm, board) for vm in event.vms}
+    _take_listed_entries(board, event.vms)
+    merged = {vm.vm_id: _merge(vm, board) for vm in event.vms if vm.kind != "entry"}
     changed = _identities(merged) != _identities(board.upstreams_by_id)
     board.upstreams_by_id.clear()
     board.upstreams_by_id.update(merged)
     return _divide_again(board) if changed else ()
 
 
+def _take_listed_entries(board: Board, vms: Sequence[events.VmListed]) -> None:
+    """Keep the entries of the list, which serve as seeds of membership."""
+    board.listed_entries_by_vm_id.clear()
+    for vm in vms:
+        address, _, port = vm.address.rpartition(":")
+        if vm.kind == "entry" and not vm.leaving and port.isdecimal():
+            seed = settings_types.SeedPeer(address, int(port))
+            board.listed_entries_by_vm_id[vm.vm_id] = seed
+
+
 def _identities(upstreams: dict[str, rows.UpstreamRow]) -> set[tuple[object, ...]]:
     return {
         (row.upstream_id, row.address, row.region, tuple(sorted(row.labels.items())))
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -12,7 +12,7 @@
     JournalRecord,
     LayoutRow,
     ServiceTarget,
-    UpstreamKind,
+    VmKind,
 )
 from carawayhitch.core._settings import Settings
 
@@ -201,13 +201,19 @@
 
 
 class VmListed(NamedTuple):
-    """One VM of the platform's list."""
+    """One VM of the platform's list.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port: HTTP for upstreams, peer messages for entries.
+    """
 
     vm_id: str
     address: str
     zone: str
     region: str
-    kind: UpstreamKind
+    kind: VmKind
     labels: Labels
     leaving: bool
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -6,7 +6,7 @@
 
 from carawayhitch.core._declarations import Labels
 
-UpstreamKind = Literal["engine", "service"]
+VmKind = Literal["engine", "service", "entry"]
 MemberState = Literal["joining", "alive", "suspect", "leaving", "left", "dead"]
 LifecycleState = Literal["starting", "ready", "draining", "refusing", "stopped"]
 RequestPhase = Literal["asking", "claiming", "opening", "relaying", "finished"]
@@ -166,7 +166,7 @@
     address: str
     zone: str
     region: str
-    kind: UpstreamKind
+    kind: VmKind
     labels: Labels
     leaving: bool = False
     draining: bool = False
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -196,3 +196,28 @@
         self.assertRegex(text, r'name="PEER_MESSAGE_MALFORMED",rank=""\} \d+')
         self.assertEqual(generate(self.fleet, "entry-1", 5).status, 200)
         self.wait_for_members(ENTRIES, {"alive": 3})
+
+
+class SeedsFromVmListTest(unittest.TestCase):
+    def test_entries_find_each_other_by_the_list(self):
+        """Guards against replaced VMs that no settings file names as seeds."""
+        fleet = Fleet(vm_list_interval_seconds=0.3, seeds_from_vm_list=True)
+        self.addCleanup(fleet.stop)
+        fleet.start_platform()
+        fleet.start_engine("engine-1")
+        fleet.put_defaults()
+        for name in ENTRIES:
+            fleet.start_entry(name)
+        deadline = time.monotonic() + 20.0
+        while time.monotonic() < deadline:
+            counts = [alive_count(fleet, name) for name in ENTRIES]
+            if counts == [len(ENTRIES)] * len(ENTRIES):
+                return
+            time.sleep(0.1)
+        self.fail(f"members alive as seen by each entry: {counts}")
+
+
+def alive_count(fleet: Fleet, name: str) -> int:
+    text = call("GET", fleet.url(name) + "/metrics")[1].decode()
+    found = re.search(r'carawayhitch_members\{state="alive"\} (\d+)', text)
+    return int(found[1]) if found else 0
