Wait until schedulers know of a drain before models are replaced

The engine was idle for a moment when its state was read, while the scheduler had not yet seen the drain in a load report, which lags, and placed new work there. Ruled out: reading the state again directly before the order; the gap only gets shorter. After: models are replaced only after orders.drain_settle_seconds (4 s: lag, poll interval and grant lifetime) and while the engine is idle; the table test fails without the check. Conclusion: a change of models takes 4 s longer for each engine.

--- a/src/carawayhitch/controllers/_orders.py
+++ b/src/carawayhitch/controllers/_orders.py
@@ -34,7 +34,10 @@
 
 
 def find_step(
-    wanted: declarations.EngineOrder, state: rows.EngineStateRow, may_drain: bool
+    wanted: declarations.EngineOrder,
+    state: rows.EngineStateRow,
+    may_drain: bool,
+    now: float,
 ) -> Step | None:
     """Return the next order that brings an engine nearer to its wanted state.
 
@@ -44,7 +47,7 @@
         Whether one more engine of the group may be taken out of service.
     """
     if set(wanted.models) != set(state.models):
-        return _replace_models(wanted, state, may_drain)
+        return _replace_models(wanted, state, may_drain, now)
     if state.role != wanted.role and state.role == DRAINING_ROLE:
         return Step("set_role", wanted.role)
     if state.role != wanted.role:
@@ -59,11 +62,16 @@
 
 
 def _replace_models(
-    wanted: declarations.EngineOrder, state: rows.EngineStateRow, may_drain: bool
+    wanted: declarations.EngineOrder,
+    state: rows.EngineStateRow,
+    may_drain: bool,
+    now: float,
 ) -> Step | None:
     if state.role != DRAINING_ROLE:
         return Step("set_role", DRAINING_ROLE) if may_drain else None
-    if state.busy_count:
+    # An engine may be idle for a moment while a scheduler does not yet know of the
+    # drain and places work there.
+    if state.busy_count or now < state.settle_deadline:
         return None
     for model in state.models:
         if model not in wanted.models:
@@ -123,6 +131,7 @@
         role=event.role,
         busy_count=event.busy_count,
         read_at=now,
+        settle_deadline=_settle_deadline(board, event, now),
     )
     board.engine_states_by_upstream_id[event.upstream_id] = state
     upstream = board.upstreams_by_id.get(event.upstream_id)
@@ -130,14 +139,14 @@
     wanted = order_for_group(board, group) if group else None
     if upstream is None or wanted is None:
         return ()
-    step = find_step(wanted, state, _may_drain(board, wanted, state))
+    step = find_step(wanted, state, _may_drain(board, wanted, state), now)
     if step is None:
         return ()
     if step == Step("set_role", DRAINING_ROLE):
         # Counts as out of service at once, so that no second engine is drained before
         # this one has answered.
         board.engine_states_by_upstream_id[event.upstream_id] = state._replace(
-            role=DRAINING_ROLE
+            role=DRAINING_ROLE, settle_deadline=0.0
         )
     lease = board.leases_by_group[group]
     return (
@@ -152,6 +161,15 @@
     )
 
 
+def _settle_deadline(board: Board, event: events.EngineStateRead, now: float) -> float:
+    if event.role != DRAINING_ROLE:
+        return 0.0
+    known = board.engine_states_by_upstream_id.get(event.upstream_id)
+    if known is not None and known.settle_deadline:
+        return known.settle_deadline
+    return now + board.settings.orders.drain_settle_seconds
+
+
 def _leading_group(board: Board, upstream: rows.UpstreamRow, now: float) -> str:
     for group in board.leases_by_group:
         if holds_lease(board, group, now) and upstream in engines_of_group(
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -722,7 +722,13 @@
 
 
 class EngineStateRow(NamedTuple):
-    """What an engine answered when it was last asked for its state."""
+    """What an engine answered when it was last asked for its state.
+
+    Parameters
+    ----------
+    settle_deadline : float
+        Time from which no scheduler places work on the draining engine any more.
+    """
 
     upstream_id: str
     models: tuple[str, ...]
@@ -730,6 +736,7 @@
     role: str
     busy_count: int
     read_at: float
+    settle_deadline: float = 0.0
 
 
 class BudgetRow(NamedTuple):
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -154,12 +154,15 @@
     """Orders to engines.
 
     The margin covers the difference between the clock rates of two VMs over one lease
-    lifetime and the time in which a frozen process may still send.
+    lifetime and the time in which a frozen process may still send. The settle time
+    covers the lag of load reports, their poll interval and the lifetime of a grant:
+    until then, schedulers may still place work on an engine that drains.
     """
 
     interval_seconds: PositiveSeconds = 2.0
     lease_lifetime_seconds: PositiveSeconds = 10.0
     lease_margin_seconds: PositiveSeconds = 2.0
+    drain_settle_seconds: PositiveSeconds = 4.0
 
 
 class LogSettings(NamedTuple):
--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -32,6 +32,12 @@
     StepCase("as wanted", engine_state(), True, None),
     StepCase("wrong model", engine_state(("m1",)), True, ("set_role", "draining")),
     StepCase("wrong model, another engine drains", engine_state(("m1",)), False, None),
+    StepCase(
+        "drained, idle for a moment, schedulers may not know it",
+        engine_state(("m1",), (), "draining")._replace(settle_deadline=2.0),
+        True,
+        None,
+    ),
     StepCase("drained but busy", engine_state(("m1",), (), "draining", 3), True, None),
     StepCase(
         "drained and idle",
@@ -87,7 +93,7 @@
         """Guards against orders that interrupt generations or never end."""
         for case in STEP_CASES:
             with self.subTest(case.name):
-                found = _orders.find_step(WANTED, case.state, case.may_drain)
+                found = _orders.find_step(WANTED, case.state, case.may_drain, 1.0)
                 self.assertEqual(found, case.step)
 
 
@@ -116,6 +122,20 @@
                 board.leases_by_group["g"] = lease
             self.assertEqual(decide(board, state_read("e1", ("m1",)), 1.0), [])
 
+    def test_drain_settles_before_models_are_replaced(self):
+        """Guards against an order between a late grant and its request."""
+        board = board_with_orders()
+        board.leases_by_group["g"] = rows.LeaseRow("g", 5, True, 100.0)
+        board.engine_states_by_upstream_id["e2"] = engine_state(upstream_id="e2")
+        settle = board.settings.orders.drain_settle_seconds
+        (drain,) = decide(board, state_read("e1", ("m1",)), 1.0)
+        self.assertEqual(drain.subject, "draining")
+        for at in (1.2, 2.0, 1.2 + settle - 0.1):
+            idle = state_read("e1", ("m1",), "draining")
+            self.assertEqual(decide(board, idle, at), [])
+        (unload,) = decide(board, idle, 1.2 + settle)
+        self.assertEqual(unload.kind, "unload_model")
+
 
 class LeaseTest(unittest.TestCase):
     def test_absent_lease_is_taken_at_once(self):
