--- a/tests/backends/test_plain_services.py
+++ b/tests/backends/test_plain_services.py
@@ -71,7 +71,7 @@
         submitted: list[object] = []
         content = CallContent(method, "/guides", "", "text/plain", b"lot 1")
         call = UpstreamCall("r", 1, content, None, session, SETTINGS, submitted.append)
-        action = actions.OpenUpstream("r", 1, "service-1", self.address, 0, True)
+        action = actions.OpenUpstream("r", 1, "service-1", self.address, 0)
         target = rows.ServiceTarget("register", method, "/guides")
         await run_service_call(call, action, target, "key")
         return submitted[0]
