Move generations off engines that leave, in an order of the scheduler

What: the scheduler of the cell knows every generation of the engine, and orders one move at a time, the one first that loses most a second of the link; the entry that holds the stream copies the memory while the generation goes on, stops it, copies the rest and lets the target continue after the last event that the caller has.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -46,6 +46,8 @@
     blocks_by_upstream_id: dict[str, dict[str, None]]
     caches_by_upstream_id: dict[str, rows.CacheRow]
     settle_deadlines_by_cell_id: dict[str, float]
+    evacuations_by_upstream_id: dict[str, rows.EvacuationRow]
+    moves_by_request_id: dict[str, rows.MoveRow]
     crashes_by_fingerprint: dict[str, rows.CrashRow]
     deaths_by_upstream_id: dict[str, rows.DeathRow]
     claims_by_key: dict[str, rows.ClaimRow]
@@ -141,6 +143,8 @@
         blocks_by_upstream_id={},
         caches_by_upstream_id={},
         settle_deadlines_by_cell_id={},
+        evacuations_by_upstream_id={},
+        moves_by_request_id={},
         crashes_by_fingerprint={},
         deaths_by_upstream_id={},
         claims_by_key={},
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -9,7 +9,7 @@
 from functools import cache, singledispatch
 from hashlib import sha256
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, get_args
 
 import capnp
 
@@ -61,6 +61,8 @@
     "probe": messages.Probe,
     "probeAck": messages.ProbeAck,
     "indirectProbe": messages.IndirectProbe,
+    "moveOrder": messages.MoveOrder,
+    "moveReport": messages.MoveReport,
 }
 _names_by_type = {message_type: name for name, message_type in _types_by_name.items()}
 
@@ -140,7 +142,13 @@
     return _plain_fields(record)
 
 
+@wire_fields.register(messages.MoveReport)
+def _fields_of_move_report(message: messages.MoveReport, now: float) -> dict[str, Any]:
+    return _plain_fields(message) | {"outcome": _wire_name(message.outcome)}
+
+
 @wire_fields.register(messages.AdmissionGrant)
+@wire_fields.register(messages.MoveOrder)
 @wire_fields.register(rows.CrashRow)
 def _fields_with_deadline(record: Any, now: float) -> dict[str, Any]:
     return _plain_fields(record) | {"deadline": _remaining(record.deadline, now)}
@@ -483,6 +491,15 @@
     return str(value)
 
 
+def _decode_outcome(value: Any, now: float) -> str:
+    return _outcomes_by_wire_name[str(value)]
+
+
+_outcomes_by_wire_name = {
+    _wire_name(outcome): outcome for outcome in get_args(rows.MoveOutcome)
+}
+
+
 def _decoder_of_rows(record_type: Any) -> Callable[[Any, float], tuple[Any, ...]]:
     def decode_rows(value: Any, now: float) -> tuple[Any, ...]:
         return tuple(
@@ -501,6 +518,7 @@
     "retry_after": _decode_seconds,
     "code": _decode_code,
     "state": _decode_state,
+    "outcome": _decode_outcome,
     "running": _decoder_of_rows(messages.RunningRequest),
     "counts": _decoder_of_rows(messages.RunningCount),
     "members": _decoder_of_rows(rows.MemberRow),
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -26,6 +26,8 @@
     probe @11 :Probe;
     probeAck @12 :ProbeAck;
     indirectProbe @13 :IndirectProbe;
+    moveOrder @14 :MoveOrder;
+    moveReport @15 :MoveReport;
   }
 }
 
@@ -122,6 +124,31 @@
   upstreamRefused @6 :Bool;
 }
 
+struct MoveOrder {
+  requestId @0 :Data;
+  attempt @1 :UInt32;
+  cellId @2 :Text;
+  upstreamId @3 :Text;
+  targetId @4 :Text;
+  targetAddress @5 :Text;
+  deadline @6 :Float32;
+}
+
+enum MoveOutcome {
+  moved @0;
+  notStarted @1;
+  gone @2;
+  failed @3;
+}
+
+struct MoveReport {
+  requestId @0 :Data;
+  attempt @1 :UInt32;
+  cellId @2 :Text;
+  upstreamId @3 :Text;
+  outcome @4 :MoveOutcome;
+}
+
 enum MemberState {
   alive @0;
   suspect @1;
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -493,6 +493,23 @@
     )
 
 
+@decide.register(events.UpstreamLeaving)
+def _report_leaving(
+    event: events.UpstreamLeaving, board: Board, now: float, random: Random
+) -> Actions:
+    """Tell schedulers at once how far the generations of a leaving engine are."""
+    cells = {
+        row.cell_id
+        for row in board.requests_by_id.values()
+        if row.upstream_id == event.upstream_id and row.scheduler_id
+    }
+    return tuple(
+        actions.Send(scheduler_id, message)
+        for scheduler_id, message in progress_messages(board)
+        if message.cell_id in cells
+    )
+
+
 @decide.register(messages.ProgressAck)
 def _ask_again(
     event: messages.ProgressAck, board: Board, now: float, random: Random
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -8,6 +8,7 @@
 from carawayhitch.controllers._call_logs import retry_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._lengths import tokens_per_event
+from carawayhitch.controllers._moves import is_stopping
 from carawayhitch.controllers._placement import WAITING_PHASES, end_request
 from carawayhitch.controllers._targets import (
     can_continue,
@@ -314,7 +315,8 @@
     event: events.UpstreamCallFailed, board: Board, now: float, random: Random
 ) -> Actions:
     row = _row(board, event.request_id, event.attempt)
-    if row is None:
+    if row is None or is_stopping(board, row):
+        # The stream of a generation that moves ends before the target continues it.
         return ()
     if _may_resume(row, event.kind):
         return _resume(board, row, RESUME_CODES[event.kind], now)
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -80,6 +80,27 @@
     last_sequence: int
 
 
+class CopyMemory(NamedTuple):
+    """Copy the memory of a running generation to another engine.
+
+    Parameters
+    ----------
+    address : str
+        The engine that runs the generation.
+    is_final : bool
+        Stop the generation first, so that the copy is whole.
+    deadline : float
+        Time at which the engine is gone (seconds of the node clock).
+    """
+
+    request_id: str
+    attempt: int
+    address: str
+    target_address: str
+    is_final: bool
+    deadline: float
+
+
 class CloseUpstream(NamedTuple):
     """Close the upstream connection; cancel the generation if it still runs.
 
@@ -361,6 +382,7 @@
     | SendToAddress
     | OpenUpstream
     | ResumeUpstream
+    | CopyMemory
     | CloseUpstream
     | CancelGeneration
     | StartStream
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -701,6 +701,27 @@
     upstream_id: str
 
 
+class MemoryCopied(NamedTuple):
+    """Answer to ``CopyMemory``.
+
+    Parameters
+    ----------
+    is_final : bool
+        Whether the generation was to stop before the copy.
+    outcome : {"copied", "gone", "refused", "unknown"}
+        ``gone`` if the source runs no such generation, ``unknown`` if it did not
+        answer.
+    handle : str
+        Name of the memory at the source; empty if there is none.
+    """
+
+    request_id: str
+    attempt: int
+    is_final: bool
+    outcome: Literal["copied", "gone", "refused", "unknown"]
+    handle: str = ""
+
+
 class UpstreamDied(NamedTuple):
     """An upstream lost all its running requests at once."""
 
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from carawayhitch.core._result_codes import ResultCode
-from carawayhitch.core._rows import CrashRow, MemberRow
+from carawayhitch.core._rows import CrashRow, MemberRow, MoveOutcome
 
 
 class AdmissionAsk(NamedTuple):
@@ -184,6 +184,48 @@
     upstream_refused: bool = False
 
 
+class MoveOrder(NamedTuple):
+    """Move a running generation to another engine, because its own one leaves.
+
+    Parameters
+    ----------
+    upstream_id : str
+        The engine that leaves.
+    target_id, target_address : str
+        The engine that has room for the generation.
+    deadline : float
+        Time at which the leaving engine is gone (seconds of the node clock).
+    """
+
+    sender_id: str
+    request_id: str
+    attempt: int
+    cell_id: str
+    upstream_id: str
+    target_id: str
+    target_address: str
+    deadline: float
+
+
+class MoveReport(NamedTuple):
+    """Outcome of an ordered move.
+
+    Parameters
+    ----------
+    attempt : int
+        Number of the attempt that runs now.
+    outcome : {"moved", "not_started", "gone", "failed"}
+        ``not_started`` if the generation has no token yet and may be moved later.
+    """
+
+    sender_id: str
+    request_id: str
+    attempt: int
+    cell_id: str
+    upstream_id: str
+    outcome: MoveOutcome
+
+
 class Probe(NamedTuple):
     """Failure detection probe with piggybacked state."""
 
@@ -221,6 +263,8 @@
     | Progress
     | ProgressAck
     | Finished
+    | MoveOrder
+    | MoveReport
     | Probe
     | ProbeAck
     | IndirectProbe
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -173,6 +173,12 @@
 RETRY_CONTINUED = ResultCode(
     3011, "RETRY_CONTINUED", "yes", 0, "Stream broken; continued at another upstream."
 )
+RETRY_MOVED = ResultCode(
+    3012, "RETRY_MOVED", "yes", 0, "The engine leaves; the generation was moved."
+)
+MOVE_FAILED = ResultCode(
+    3013, "MOVE_FAILED", "yes", 0, "A generation could not be moved."
+)
 RETRY_BUDGET_EMPTY = ResultCode(
     3009, "RETRY_BUDGET_EMPTY", "no", 0, "A retry was not made: budget used up."
 )
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -10,6 +10,8 @@
 MemberState = Literal["joining", "alive", "suspect", "leaving", "left", "dead"]
 LifecycleState = Literal["starting", "ready", "draining", "refusing", "stopped"]
 RequestPhase = Literal["asking", "claiming", "opening", "relaying", "finished"]
+MovePhase = Literal["copying", "stopping", "opening"]
+MoveOutcome = Literal["moved", "not_started", "gone", "failed"]
 ClaimState = Literal[
     "writing", "granted", "running", "finished", "unknown", "abandoned"
 ]
@@ -459,6 +461,61 @@
     charged_tokens: int = 0
 
 
+class EvacuationRow(NamedTuple):
+    """Generations of a leaving engine that are moved one after another.
+
+    All copies leave over one link of the engine, so copies at the same time would all
+    end late.
+
+    Parameters
+    ----------
+    deadline : float
+        Time at which the engine is gone (seconds of the node clock).
+    moving_request_id : str
+        Generation that is being moved; empty if none is.
+    order_deadline : float
+        Time at which the order counts as lost.
+    tried_request_ids : tuple of str
+        Generations that are not tried again.
+    """
+
+    upstream_id: str
+    cell_id: str
+    deadline: float
+    moving_request_id: str = ""
+    order_deadline: float = 0.0
+    tried_request_ids: tuple[str, ...] = ()
+
+
+class MoveRow(NamedTuple):
+    """A generation of this entry that is being moved to another engine.
+
+    Parameters
+    ----------
+    scheduler_id : str
+        Who ordered the move.
+    phase : MovePhase
+        ``copying`` while the generation goes on, ``stopping`` while the rest is
+        copied, ``opening`` while the target has not sent an event.
+    handle : str
+        Name of the copied memory at the source.
+    deadline : float
+        Time at which the source is gone (seconds of the node clock).
+    """
+
+    request_id: str
+    attempt: int
+    scheduler_id: str
+    cell_id: str
+    source_id: str
+    source_address: str
+    target_id: str
+    target_address: str
+    deadline: float
+    phase: MovePhase = "copying"
+    handle: str = ""
+
+
 class UsageRow(NamedTuple):
     """Virtual token counter of one account in one rank of one cell.
 
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -192,6 +192,17 @@
         task.cancel()
 
 
+@perform.register(actions.CopyMemory)
+def _copy_memory(action: actions.CopyMemory, node: Node) -> None:
+    opened = node.calls_by_request_id.get(action.request_id)
+    if opened is None:
+        return
+    assert node.sessions is not None
+    node.spawn_answer(
+        platform.copy_memory(node.sessions.fresh, opened.content, action, node.now())
+    )
+
+
 @perform.register(actions.CloseUpstream)
 def _close_upstream(action: actions.CloseUpstream, node: Node) -> None:
     if action.linger_seconds:
--- a/src/carawayhitch/platform/_calls.py
+++ b/src/carawayhitch/platform/_calls.py
@@ -169,3 +169,9 @@
     return tuple(
         (name, value) for name, value in received if name.lower() not in dropped
     )
+
+
+def sent_request_id(headers: Headers) -> str:
+    """Return the id that a caller gave its call; empty for none."""
+    wanted = _names.REQUEST_ID.lower()
+    return next((value for name, value in headers if name.lower() == wanted), "")
--- a/src/carawayhitch/platform/_engines.py
+++ b/src/carawayhitch/platform/_engines.py
@@ -1,4 +1,4 @@
-"""Model engines of the platform: load reports."""
+"""Model engines of the platform: load reports and moves of generations."""
 
 from __future__ import annotations
 
@@ -7,8 +7,9 @@
 import aiohttp
 import msgspec
 
-from carawayhitch.core import events
-from carawayhitch.platform import _names
+from carawayhitch.backends import CallContent
+from carawayhitch.core import actions, events
+from carawayhitch.platform import _calls, _names
 
 REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 # Reports hold the values of some hundred milliseconds ago.
@@ -59,3 +60,62 @@
         incarnation=body.get("born", 0),
         leaves_at=now + leaves_ms / 1000.0 if leaves_ms is not None else 0.0,
     )
+
+
+class MovedBody(TypedDict):
+    """Answer to a move; ``created`` is the number of events made so far."""
+
+    handle: NotRequired[str]
+    created: NotRequired[int]
+
+
+_moved_decoder = msgspec.json.Decoder(MovedBody)
+# Statuses of a move other than success.
+NO_SUCH_RUN = 404
+
+
+async def copy_memory(
+    session: aiohttp.ClientSession,
+    content: CallContent,
+    action: actions.CopyMemory,
+    now: float,
+) -> events.MemoryCopied:
+    """Copy the memory of a running generation to another engine.
+
+    Parameters
+    ----------
+    content : CallContent
+        The call, whose id names the generation at the engine.
+    """
+
+    def answer(outcome: Any, handle: str = "") -> events.MemoryCopied:
+        return events.MemoryCopied(
+            action.request_id, action.attempt, action.is_final, outcome, handle
+        )
+
+    body = {
+        "id": _calls.sent_request_id(content.headers),
+        "target": action.target_address,
+        "last": action.is_final,
+    }
+    timeout = aiohttp.ClientTimeout(total=max(0.1, action.deadline - now))
+    try:
+        async with session.post(
+            f"http://{action.address}{_names.MOVE_PATH}",
+            data=msgspec.json.encode(body),
+            headers={"Content-Type": "application/json"},
+            timeout=timeout,
+        ) as response:
+            status = response.status
+            received = await response.read()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return answer("unknown")
+    if status == NO_SUCH_RUN:
+        return answer("gone")
+    try:
+        handle = _moved_decoder.decode(received).get("handle", "")
+    except msgspec.MsgspecError:
+        handle = ""
+    if status != 200:
+        return answer("refused", handle)
+    return answer("copied", handle) if handle else answer("unknown")
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -80,14 +80,7 @@
     Upstreams repeat the id of the call and prove with a signature that the answer is
     theirs; an answer with a content encoding is not the upstream's body.
     """
-    sent_id = next(
-        (
-            value
-            for name, value in call.content.headers
-            if name.lower() == _names.REQUEST_ID.lower()
-        ),
-        "",
-    )
+    sent_id = _calls.sent_request_id(call.content.headers)
     received_id = response.headers.get(_names.REQUEST_ID, "")
     is_signed = _names.SIGNATURE in response.headers
     if received_id != sent_id or "Content-Encoding" in response.headers:
