Take an answer without a length as broken when its connection is reset

The upstream's answer had no length and was reset; aiohttp takes any end of a connection for the end of such an answer, so the caller got a short body framed as complete. Ruled out: refusing every answer without a length, since whole ones end so as well. Before: tests.platform.test_routed_calls fails in 2 of 7 tests (whole answers and streams). After: both pass, on uvloop as entries run.

--- a/src/carawayhitch/backends/_sessions.py
+++ b/src/carawayhitch/backends/_sessions.py
@@ -2,15 +2,43 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 from carawayhitch.core import settings as settings_types
 
 READ_BUFFER_BYTES = 65536
 
 
+class StrictResponseHandler(ResponseHandler):
+    """aiohttp's connection that tells a reset from the end of an answer.
+
+    aiohttp 3.14 takes any end of a connection for the end of an answer without a
+    length, so that an answer cut by a reset would look complete.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the answer, as broken if the connection was not closed in order."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(f"connection lost in the answer: {exc!r}")
+            )
+        super().connection_lost(exc)
+
+
+class StrictConnector(aiohttp.TCPConnector):
+    """aiohttp's connector with connections that notice resets."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        factory: Any = partial(StrictResponseHandler, loop=self._loop)
+        self._factory = factory
+
+
 def open_session(
     settings: settings_types.Settings, fresh_connections: bool
 ) -> aiohttp.ClientSession:
@@ -19,7 +47,7 @@
     aiohttp allows 100 connections and 300 s a call unless told otherwise. Calls that
     must not be repeated use a session with fresh connections and `send_once`.
     """
-    connector = aiohttp.TCPConnector(
+    connector = StrictConnector(
         limit=0, limit_per_host=0, force_close=fresh_connections, ttl_dns_cache=None
     )
     timeout = aiohttp.ClientTimeout(
