Watch the store by reads that may be stale, the configuration also exactly

What: all entries watch with reads that may be stale, at a tenth of the price and outside the store's rate; one entry a zone watches the configuration exactly and pushes changes to the others, for the case that the stale reads fall behind. Ruled out: watches by few entries alone, since an entry that is cut off from its peers but not from the store would learn of changes only after membership has noticed; stale watches by all without an exact one, because they may be seconds behind while history is dropped.

--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -30,6 +30,8 @@
 # have it gives it to the others, which then make no list of their own.
 FIRST_LIST_SPREAD_SECONDS = 2.0
 STORE_RETRY_SECONDS = 0.5
+# Stale reads are seconds behind at most, so asking again at once would not help.
+STALE_PAUSE_SECONDS = 0.5
 # A list finds changes that a watch skipped. 240 KB in 300 s are 0.8 KB/s.
 LIST_SECONDS = 300.0
 # Registrations lapse after several heartbeats, so a shorter interruption of the store
@@ -73,9 +75,13 @@
     """Return the next store call of a scope, if this node has to make one."""
     known = board.store_scopes_by_name[scope]
     position = _position(board, known)
-    if position >= 0 and not is_watcher(board, now):
-        _update(board, scope, call="")
-        return ()
+    store = board.settings.store
+    may_be_stale = scope in store.stale_scopes
+    if position >= 0 and not may_be_stale and not is_watcher(board, now):
+        if not store.stale_watches:
+            _update(board, scope, call="")
+            return ()
+        may_be_stale = True
     if position >= 0 and not known.list_after:
         # A watch continues from the peer's revision; a list would add nothing.
         known = _update(
@@ -85,7 +91,7 @@
         _update(board, scope, call="list")
         return (actions.ListObjects(LIST_OPERATION, scope),)
     _update(board, scope, call="watch")
-    return (actions.WatchObjects(WATCH_OPERATION, position, scope),)
+    return (actions.WatchObjects(WATCH_OPERATION, position, scope, may_be_stale),)
 
 
 @decide.register(events.TimerFired)
@@ -176,6 +182,14 @@
     changes. Its objects are still merged by version, which never reverts one.
     """
     known = board.store_scopes_by_name[event.scope]
+    if event.revision < _position(board, known) and event.may_be_stale:
+        # Peers know more already; the next answer may have caught up.
+        kept = _without_early_removals(board, event.scope, objects, now)
+        return (
+            *_note_contact(board, known, now),
+            actions.Emit(events.ObjectsReceived(kept, -1, push_count)),
+            *_set_timer(board, event.scope, now + STALE_PAUSE_SECONDS),
+        )
     if event.revision < _position(board, known):
         received = events.ObjectsReceived(tuple(objects), -1, push_count)
         return (
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -293,11 +293,18 @@
 
 
 class WatchObjects(NamedTuple):
-    """Wait for changes of a scope after a revision."""
+    """Wait for changes of a scope after a revision.
+
+    Parameters
+    ----------
+    may_be_stale : bool
+        Whether an answer that is seconds old will do, which costs the store less.
+    """
 
     operation_id: str
     revision: int
     scope: str = ""
+    may_be_stale: bool = False
 
 
 class DecodeObjects(NamedTuple):
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -351,15 +351,23 @@
     objects: tuple[StoredObject, ...]
     scope: str = ""
     kinds: tuple[str, ...] = ()
+    may_be_stale: bool = False
 
 
 class ObjectsChanged(NamedTuple):
-    """Objects changed up to a revision, from a watch of the store."""
+    """Objects changed up to a revision, from a watch of the store.
+
+    Parameters
+    ----------
+    may_be_stale : bool
+        Whether the answer may be seconds old.
+    """
 
     source: str
     revision: int
     objects: tuple[StoredObject, ...]
     scope: str = ""
+    may_be_stale: bool = False
 
 
 class ObjectsReceived(NamedTuple):
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -65,6 +65,13 @@
     scopes : tuple of str
         Parts of the store that are listed and watched apart from each other; one
         without a name if a single list has all objects.
+    watchers_per_zone : int
+        Entries of a zone that watch the newest state of the store and tell the others.
+    stale_scopes : tuple of str
+        Scopes that all entries watch by reads that may be seconds old.
+    stale_watches : bool
+        Whether the other entries watch the other scopes as well, by reads that may be
+        stale; otherwise they learn of changes from their peers alone.
     watch_pause_seconds : float
         Pause between an answer and the next watch, so that a burst of changes is
         answered by few watches, each of which counts as a call.
@@ -81,6 +88,8 @@
     watch_timeout_seconds: PositiveSeconds = 30.0
     watchers_per_zone: Annotated[int, Meta(ge=1)] = 2
     scopes: tuple[str, ...] = ("",)
+    stale_scopes: tuple[str, ...] = ()
+    stale_watches: bool = False
     watch_pause_seconds: Annotated[float, Meta(ge=0)] = 0.2
     retry_limit_seconds: PositiveSeconds = 30.0
     lapse_grace_seconds: Annotated[float, Meta(ge=0)] = 0.0
--- a/src/carawayhitch/platform/_store.py
+++ b/src/carawayhitch/platform/_store.py
@@ -160,6 +160,9 @@
     kind = KINDS_BY_SCOPE[action.scope]
     wait_seconds = store.settings.store.watch_timeout_seconds
     params = {"watch": str(action.revision), "waitMs": str(int(wait_seconds * 1000))}
+    if action.may_be_stale:
+        # A tenth of the price and no part of the store's rate.
+        params["serializable"] = "1"
     total = wait_seconds + store.settings.store.timeout_seconds
     async with store.session.get(
         store.url(PLATFORM_KINDS[action.scope]),
@@ -175,7 +178,9 @@
         _stored(kind, change["object"], change["deleted"]) for change in body["events"]
     ]
     found = tuple(item for item in stored if item is not None)
-    return events.ObjectsChanged(STORE_SOURCE, body["at"], found, action.scope)
+    return events.ObjectsChanged(
+        STORE_SOURCE, body["at"], found, action.scope, action.may_be_stale
+    )
 
 
 @_answer.register
