--- /dev/null
+++ b/src/carawayhitch/cli/_commands.py
@@ -0,0 +1,50 @@
+"""Commands other than the one that serves."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from typing import Any
+
+from carawayhitch import __version__
+from carawayhitch.cli._declarations import add_declaration_commands
+from carawayhitch.node import replay_trace
+
+USAGE_STATUS = 2
+
+
+def add_commands(commands: Any) -> None:
+    """Add the commands to the parser of the command line."""
+    add_declaration_commands(commands)
+    replay_parser = commands.add_parser(
+        "replay", help="compare a recorded trace with the decision code"
+    )
+    replay_parser.add_argument("trace", help="file of JSON lines")
+    replay_parser.set_defaults(run=run_replay)
+    version_parser = commands.add_parser("version", help="print the version")
+    version_parser.set_defaults(run=run_version)
+
+
+def run_replay(options: argparse.Namespace) -> int:
+    """Replay a trace; the status is 1 if the actions differ from the stated ones."""
+    try:
+        with open(options.trace, "rb") as lines:
+            result = replay_trace(lines, options.trace)
+    except OSError as error:
+        print(f"carawayhitch: {options.trace}: {error.strerror}", file=sys.stderr)
+        return USAGE_STATUS
+    for difference in result.differences:
+        print(f"{options.trace}:{difference.line_number}: {difference.event}")
+        print(f"  stated:  {difference.stated}")
+        print(f"  decided: {difference.decided}")
+    print(
+        f"{result.event_count} events, {result.action_count} actions,"
+        f" {len(result.differences)} differences"
+    )
+    return 1 if result.differences else 0
+
+
+def run_version(options: argparse.Namespace) -> int:
+    """Print the version."""
+    print(__version__)
+    return 0
--- a/src/carawayhitch/frontend/_server.py
+++ b/src/carawayhitch/frontend/_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
@@ -22,13 +23,25 @@
 from carawayhitch.node import Node
 
 FLUSH_INTERVAL_SECONDS = 0.02
+# Callers give up after a third of their time, which is a second or less.
+READY_WAIT_SECONDS = 0.3
+READY_INTERVAL_SECONDS = 0.005
 
 
 async def serve(
-    settings: settings_types.Settings, log: Any, settings_path: str
+    settings: settings_types.Settings,
+    log: Any,
+    settings_path: str,
+    listening: socket.socket | None = None,
 ) -> None:
     """Run one entry process until it has drained.
 
+    Parameters
+    ----------
+    listening : socket, optional
+        Listens already where callers of HTTP routes connect; they are served once the
+        process is ready.
+
     The first SIGTERM or SIGINT drains; the second one stops at once. SIGHUP reads the
     settings file again.
     """
@@ -37,11 +50,15 @@
     node.close_idle_connections = lambda: _close_idle(servers)
     _handle_signals(node, settings_path)
     await node.start()
+    if settings.gateway.address:
+        await _wait_until_ready(node)
+        servers.append(await _open_server(_gateway(node, listening)))
     node.log.info(
         "serving",
         zone=settings.node.zone,
         port=settings.node.http_port,
         gateway=settings.gateway.address,
+        state=node.board.lifecycle.state,
     )
     await node.stopped.wait()
     for server in servers:
@@ -50,16 +67,28 @@
     await node.close()
 
 
+async def _wait_until_ready(node: Node) -> None:
+    """Let callers that came during the start wait a little instead of refusing them.
+
+    A store that does not answer must not hold them for long: they are then told to
+    come back.
+    """
+    deadline = node.now() + READY_WAIT_SECONDS
+    while node.board.lifecycle.state == "starting" and node.now() < deadline:
+        await asyncio.sleep(READY_INTERVAL_SECONDS)
+
+
 class Listener(NamedTuple):
     """An application and the address where it listens."""
 
     application: Sanic
     address: str
     port: int
+    listening: socket.socket | None = None
 
 
 def _listeners(node: Node) -> list[Listener]:
-    """Return the HTTP interfaces of an entry, that for callers last."""
+    """Return the HTTP interfaces of an entry but the one for callers of routes."""
     settings = node.settings
     own = Listener(
         new_application(node), settings.node.address, settings.node.http_port
@@ -68,24 +97,33 @@
     others = (
         (gateway.metrics_address, new_metrics_application),
         (gateway.readiness_address, new_readiness),
-        (gateway.address, new_gateway),
     )
     found = [own]
     for address, new in others:
         if address:
-            host, _, port = address.rpartition(":")
-            application = new(node)
-            # The library rewrites its connection classes at the start of the first
-            # application, for all of them; it cannot do so twice.
-            application.config.TOUCHUP = False
-            found.append(Listener(application, host, int(port)))
+            found.append(_further_listener(new(node), address))
     return found
 
 
+def _gateway(node: Node, listening: socket.socket | None) -> Listener:
+    further = _further_listener(new_gateway(node), node.settings.gateway.address)
+    return further._replace(listening=listening)
+
+
+def _further_listener(application: Sanic, address: str) -> Listener:
+    # The library rewrites its connection classes at the start of the first
+    # application, for all of them; it cannot do so twice.
+    application.config.TOUCHUP = False
+    host, _, port = address.rpartition(":")
+    return Listener(application, host, int(port))
+
+
 async def _open_server(listener: Listener) -> AsyncioServer:
+    where: dict[str, Any] = {"host": listener.address, "port": listener.port}
+    if listener.listening is not None:
+        where = {"sock": listener.listening}
     server = await listener.application.create_server(
-        host=listener.address,
-        port=listener.port,
+        **where,
         protocol=CallerProtocol,
         return_asyncio_server=True,
         access_log=False,
