Rank calls of routes by goal and place prompts one ahead; cancel at once

The rank is now priority and then goal. Cause 2: a new engine has no load, so 9 waiting prompts were placed there at once, 4 s of reading, and were lost when it was reclaimed a second later. A scheduler now places prompts until 0.4 s of reading lie ahead; entries tell it of first tokens. Cause 3: load reports lag by half a second, so the notice of a leaving engine was read too early and its end was taken 0.5 s too late; copies that nobody continues were not freed and filled engines; generations without a token were ordered to move again and again.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -46,6 +46,7 @@
     blocks_by_upstream_id: dict[str, dict[str, None]]
     caches_by_upstream_id: dict[str, rows.CacheRow]
     settle_deadlines_by_cell_id: dict[str, float]
+    prefill_checks_by_cell_id: dict[str, float]
     evacuations_by_upstream_id: dict[str, rows.EvacuationRow]
     moves_by_request_id: dict[str, rows.MoveRow]
     crashes_by_fingerprint: dict[str, rows.CrashRow]
@@ -143,6 +144,7 @@
         blocks_by_upstream_id={},
         caches_by_upstream_id={},
         settle_deadlines_by_cell_id={},
+        prefill_checks_by_cell_id={},
         evacuations_by_upstream_id={},
         moves_by_request_id={},
         crashes_by_fingerprint={},
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -158,7 +158,11 @@
 def _fields_of_ask(message: messages.AdmissionAsk, now: float) -> dict[str, Any]:
     blocks = message.prefix_blocks[:MAXIMUM_PREFIX_BLOCKS]
     fields = _plain_fields(message._replace(prefix_blocks=blocks))
-    return fields | {"deadline": _remaining(message.deadline, now)}
+    goal = _remaining(message.goal_deadline, now) if message.goal_deadline else 0.0
+    return fields | {
+        "deadline": _remaining(message.deadline, now),
+        "goalDeadline": goal,
+    }
 
 
 @wire_fields.register(messages.AdmissionRefusal)
@@ -477,6 +481,10 @@
     return now + _decode_seconds(value, now)
 
 
+def _decode_optional_deadline(value: float, now: float) -> float:
+    return _decode_deadline(value, now) if value else 0.0
+
+
 def _decode_seconds(value: float, now: float) -> float:
     if not math.isfinite(value):
         raise ValueError(f"a duration is {value}, expected finite seconds")
@@ -515,6 +523,7 @@
     "excluded_upstream_ids": _decode_texts,
     "upstream_ids": _decode_texts,
     "deadline": _decode_deadline,
+    "goal_deadline": _decode_optional_deadline,
     "retry_after": _decode_seconds,
     "code": _decode_code,
     "state": _decode_state,
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -57,6 +57,8 @@
   excludedUpstreamIds @11 :List(Text);
   deadline @12 :Float32;
   # Deadlines are sent as remaining seconds.
+  goalDeadline @13 :Float32;
+  # Zero for no such time.
 }
 
 struct AdmissionGrant {
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -37,6 +37,7 @@
 from carawayhitch.controllers._admission import find_refusal
 from carawayhitch.controllers._chain import run_chain
 from carawayhitch.controllers._configuration import (
+    build_configuration,
     digest_text,
     is_watcher,
 )
@@ -46,6 +47,7 @@
     kind_of,
 )
 from carawayhitch.controllers._controller import Actions, combine
+from carawayhitch.controllers._routes import find_route
 from carawayhitch.controllers._selectors import matches
 from carawayhitch.controllers._settings import peer_key_ids
 from carawayhitch.controllers._suspects import merge_crashes
@@ -54,12 +56,14 @@
 __all__ = [
     "CONTROLLERS",
     "Actions",
+    "build_configuration",
     "decide",
     "decide_chain",
     "describe",
     "digest_text",
     "find_problems",
     "find_refusal",
+    "find_route",
     "is_watcher",
     "kind_of",
     "matches",
--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -14,7 +14,7 @@
     issued_key_hash,
     route_issued_key,
 )
-from carawayhitch.controllers._routes import choose_group, find_route
+from carawayhitch.controllers._routes import choose_group, find_route, rank_name
 from carawayhitch.controllers._selectors import find_binding
 from carawayhitch.controllers._targets import (
     apply_declaration,
@@ -41,6 +41,8 @@
         Longest time until the call starts at an upstream.
     answer_seconds : float
         Longest time until the answer begins; 0 if the declarations set none.
+    goal_seconds : float
+        Time within which the answer should begin; 0 if the declarations set none.
     attempt_limit : int
         Upstreams on which the call may run; 0 for the limit of the settings.
     """
@@ -52,6 +54,7 @@
     target: rows.Target
     wait_seconds: float
     answer_seconds: float = 0.0
+    goal_seconds: float = 0.0
     attempt_limit: int = 0
 
 
@@ -112,12 +115,14 @@
     account = configuration.accounts_by_token_sha256.get(event.token_sha256)
     if account is None and not route.public:
         return result_codes.UNKNOWN_ACCOUNT
-    rank_name = account.rank if account and account.rank else route.rank
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
     return Admitted(
         account=account.name if account else "",
         binding=route.name,
         group=choose_group(route, random),
-        rank=configuration.rank_classes_by_name[rank_name],
+        rank=configuration.rank_classes_by_name[rank_name(priority, route)],
         target=target._replace(
             streamed=route.work == "stream",
             repeatable=route.work == "repeatable",
@@ -125,6 +130,7 @@
         ),
         wait_seconds=route.timeout_seconds,
         answer_seconds=route.timeout_seconds,
+        goal_seconds=route.goal_seconds,
         attempt_limit=route.attempt_limit,
     )
 
@@ -192,6 +198,7 @@
         # The wait for an answer ends with the caller's patience as well.
         row = row._replace(
             answer_deadline=row.deadline,
+            goal_deadline=now + admitted.goal_seconds,
             caller_deadline=now + event.wait_seconds if event.wait_seconds else 0.0,
             last_sequence=first_sequence(row.target),
         )
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -16,7 +16,7 @@
 from carawayhitch.controllers._configuration_checks import check_value, problems_of
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._declaration_sets import items_of, version_of
-from carawayhitch.controllers._routes import routes_by_host
+from carawayhitch.controllers._routes import route_ranks, routes_by_host
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
 DECODE_OPERATION = "configuration_decode"
@@ -57,10 +57,14 @@
     limits = by_type.get(declarations.CallerLimits, {}).values()
     accounts = by_type.get(declarations.ClientAccount, {})
     bindings = by_type.get(declarations.Binding, {}).values()
+    routes = by_type.get(declarations.HttpRoute, {}).values()
     return declarations.Configuration(
         revision=revision,
         serving_groups_by_name=by_type.get(declarations.ServingGroup, {}),
-        rank_classes_by_name=by_type.get(declarations.RankClass, {}),
+        rank_classes_by_name={
+            **route_ranks(routes, accounts.values()),
+            **by_type.get(declarations.RankClass, {}),
+        },
         accounts_by_name=accounts,
         accounts_by_token_sha256={
             token: account
@@ -76,7 +80,7 @@
             for upstream in by_type.get(declarations.UpstreamLabels, {}).values()
         },
         orders_by_name=by_type.get(declarations.EngineOrder, {}),
-        routes_by_host=routes_by_host(by_type.get(declarations.HttpRoute, {}).values()),
+        routes_by_host=routes_by_host(routes),
         caller_limits=next(iter(limits), declarations.CallerLimits("default")),
         version=version,
     )
--- a/src/carawayhitch/controllers/_configuration_checks.py
+++ b/src/carawayhitch/controllers/_configuration_checks.py
@@ -235,7 +235,6 @@
 def _route_reference_problems(
     route: declarations.HttpRoute, declared: DeclaredSet
 ) -> Iterator[Found]:
-    yield from _reference("rank", route.rank, "rank_class", declared)
     for index, share in enumerate(route.shares):
         key = f"shares[{index}].group"
         yield from _reference(key, share.group, "serving_group", declared)
--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -23,6 +23,9 @@
 from carawayhitch.core import actions, declarations, events, messages, rows
 
 EVACUATION_TIMER = "evacuation"
+REPORT_TIMER = "evacuation_report"
+# Reports hold the state of half a second ago; an earlier one would not know the notice.
+REPORT_LAG_SECONDS = 0.6
 # Engines are reclaimed with 1.5 to 2.1 s of notice; used until a report tells the time.
 DEFAULT_NOTICE_SECONDS = 1.5
 # Generations that had no token yet are looked at again at this interval.
@@ -117,7 +120,10 @@
     fields = {"upstream": event.upstream_id, "running": running}
     return (
         actions.Log("info", "evacuation begins", fields),
-        actions.PollLoad(event.upstream_id, upstream.address),
+        actions.SetTimer(
+            now + REPORT_LAG_SECONDS,
+            events.TimerFired(REPORT_TIMER, event.upstream_id),
+        ),
         *_order_next(board, event.upstream_id, now),
         _check_later(event.upstream_id, now),
     )
@@ -145,6 +151,9 @@
 def _check(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
+    if event.name == REPORT_TIMER:
+        upstream = board.upstreams_by_id.get(event.subject)
+        return (actions.PollLoad(event.subject, upstream.address),) if upstream else ()
     if event.name != EVACUATION_TIMER:
         return ()
     evacuation = board.evacuations_by_upstream_id.get(event.subject)
@@ -223,7 +232,8 @@
     found: list[Candidate] = []
     for request_id in board.grant_ids_by_upstream_id.get(source.upstream_id, ()):
         grant = board.grants_by_request_id[request_id]
-        if request_id in evacuation.tried_request_ids:
+        if request_id in evacuation.tried_request_ids or not grant.token_count:
+            # Without a token there is no memory to move yet.
             continue
         target = _choose_target(board, cell, grant, source, now)
         if target is None:
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -101,11 +101,14 @@
     move = board.moves_by_request_id.get(event.request_id)
     row = board.requests_by_id.get(event.request_id)
     if move is None or row is None or move.attempt != event.attempt:
-        return ()
+        # The request has ended meanwhile; its copy must not take up the target.
+        return _release(event.addresses, event.handle)
     if not event.is_final:
         if event.outcome != "copied":
             return _end_move(board, row, move, event.outcome, now)
-        board.moves_by_request_id[row.request_id] = move._replace(phase="stopping")
+        board.moves_by_request_id[row.request_id] = move._replace(
+            phase="stopping", handle=event.handle
+        )
         return (_copy(move, is_final=True),)
     if event.outcome == "gone":
         # It has ended by itself; its last events are on the way.
@@ -121,11 +124,16 @@
     return _continue(board, row, move, event, now)
 
 
+def _release(addresses: tuple[str, ...], handle: str) -> Actions:
+    return (actions.ReleaseMemory(addresses, handle),) if handle else ()
+
+
 def _end_move(
     board: Board, row: rows.RequestRow, move: rows.MoveRow, outcome: str, now: float
 ) -> Actions:
     del board.moves_by_request_id[row.request_id]
     return (
+        *_release((move.source_address, move.target_address), move.handle),
         actions.Count(result_codes.MOVE_FAILED, row.rank),
         _logged(row, move, outcome, now),
         _report(board, move, row.attempt, "gone" if outcome == "gone" else "failed"),
@@ -194,4 +202,7 @@
     move = board.moves_by_request_id.pop(event.request_id, None)
     if move is None or move.phase == "opening":
         return ()
-    return (_report(board, move, move.attempt, "gone"),)
+    return (
+        *_release((move.source_address, move.target_address), move.handle),
+        _report(board, move, move.attempt, "gone"),
+    )
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -173,6 +173,7 @@
         prefix_blocks=size.prefix_blocks,
         excluded_upstream_ids=row.excluded_upstream_ids,
         deadline=row.deadline,
+        goal_deadline=row.goal_deadline,
     )
     timeout = board.settings.scheduling.ask_timeout_seconds
     asked = row._replace(ask_deadline=now + timeout, queued=False)
@@ -493,6 +494,21 @@
     )
 
 
+@decide.register(events.StreamStarted)
+def _report_start(
+    event: events.StreamStarted, board: Board, now: float, random: Random
+) -> Actions:
+    """Tell the scheduler that the engine has read a prompt and can read the next."""
+    row = board.requests_by_id.get(event.request_id)
+    if row is None or not row.scheduler_id or row.known_by_id != row.scheduler_id:
+        return ()
+    if not board.settings.scheduling.prefill_tokens_per_second:
+        return ()
+    count = messages.RunningCount(row.request_id, row.attempt, row.token_count)
+    progress = messages.Progress(board.node_id, row.cell_id, (), (), (count,))
+    return (actions.Send(row.scheduler_id, progress),)
+
+
 @decide.register(events.UpstreamLeaving)
 def _report_leaving(
     event: events.UpstreamLeaving, board: Board, now: float, random: Random
--- a/src/carawayhitch/controllers/_rebuild.py
+++ b/src/carawayhitch/controllers/_rebuild.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _fairness, _lengths, _memory, _queue
+from carawayhitch.controllers import _fairness, _lengths, _memory, _prefill, _queue
 from carawayhitch.core import messages, rows
 
 # Identical requests may spread over upstreams this long after one of them finished.
@@ -44,6 +44,8 @@
     """Charge tokens produced since the last report and renew a grant."""
     produced = max(0, token_count - grant.token_count)
     renewed = grant._replace(renewed_at=now)
+    if produced and not grant.token_count:
+        _prefill.note_start(board, grant, now)
     if produced:
         _fairness.charge(board, grant, produced, now)
         renewed = renewed._replace(
--- a/src/carawayhitch/controllers/_routes.py
+++ b/src/carawayhitch/controllers/_routes.py
@@ -1,4 +1,4 @@
-"""HTTP routes: which declared route a call takes and which group serves it."""
+"""HTTP routes: which declared route a call takes, its group and its rank."""
 
 from __future__ import annotations
 
@@ -7,6 +7,11 @@
 
 from carawayhitch.core import declarations
 
+# Engines tell ten priorities apart.
+LOWEST_ENGINE_PRIORITY = 9
+# Calls of routes wait at most until their own deadlines, which are shorter.
+MAXIMUM_WAIT_SECONDS = 600.0
+
 
 def routes_by_host(
     routes: Iterable[declarations.HttpRoute],
@@ -21,6 +26,39 @@
     }
 
 
+def rank_name(priority: int, route: declarations.HttpRoute) -> str:
+    """Return the name of the rank of a route's calls with a priority."""
+    return f"priority-{priority}/goal-{route.goal_seconds:g}"
+
+
+def route_ranks(
+    routes: Iterable[declarations.HttpRoute],
+    accounts: Iterable[declarations.ClientAccount],
+) -> dict[str, declarations.RankClass]:
+    """Return the ranks of calls on routes, by name.
+
+    An account's priority goes before that of the route, so that calls to write a
+    document and short questions of one account have the same; the shorter goal then
+    tells which of them cannot wait.
+    """
+    own = {account.priority for account in accounts if account.priority is not None}
+    keys = {
+        (priority, route.goal_seconds, rank_name(priority, route))
+        for route in routes
+        for priority in (route.priority, *own)
+    }
+    return {
+        name: declarations.RankClass(
+            name,
+            priority=index,
+            first_token_target_seconds=goal_seconds,
+            maximum_wait_seconds=MAXIMUM_WAIT_SECONDS,
+            engine_priority=min(index, LOWEST_ENGINE_PRIORITY),
+        )
+        for index, (_, goal_seconds, name) in enumerate(sorted(keys))
+    }
+
+
 def find_route(
     configuration: declarations.Configuration, host: str, path: str
 ) -> declarations.HttpRoute | None:
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -9,17 +9,19 @@
     _affinity,
     _fairness,
     _memory,
+    _prefill,
     _queue,
     _rebuild,
     _suspects,
 )
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._queue import SCHEDULING_TIMER
-from carawayhitch.controllers._ranks import rank_class, waiting_ranks
-from carawayhitch.controllers._upstream_choice import choose_upstream
+from carawayhitch.controllers._ranks import engine_priority, rank_class, waiting_ranks
+from carawayhitch.controllers._upstream_choice import choose_upstream, is_usable
 from carawayhitch.core import actions, events, messages, result_codes, rows
 
 SWEEP_SECONDS = 0.5
+PREFILL_TIMER = "prefill"
 # Asks that constraints of their own hold back are passed; the bound keeps one call
 # short when many of them wait.
 SKIP_LIMIT = 16
@@ -38,6 +40,8 @@
 def _sweep(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
+    if event.name == PREFILL_TIMER:
+        return _schedule(board, event.subject, now)
     if event.name != SCHEDULING_TIMER:
         return ()
     decided = _queue.expire_asks(board, now)
@@ -68,6 +72,7 @@
         queued_at=now,
         deadline=event.deadline,
         renewed_at=now,
+        goal_deadline=event.goal_deadline,
     )
 
 
@@ -169,7 +174,7 @@
         cell_id=grant.cell_id,
         upstream_id=grant.upstream_id,
         address=upstream.address,
-        priority=rank_class(board, grant.rank).priority,
+        priority=engine_priority(board, grant.rank),
         deadline=grant.deadline,
         takes_short_progress=True,
         load_percent=_queue.load_percent(board, grant.cell_id),
@@ -212,10 +217,31 @@
             skipped.add(ask.request_id)
         else:
             board.blocked_rank_by_cell_id[cell_id] = ask.rank
+            decided.extend(_check_prefill(board, cell, now))
             break
     return decided
 
 
+def _check_prefill(board: Board, cell: rows.CellRow, now: float) -> Actions:
+    """Look again when an engine has read enough of its prompts, if they are the limit.
+
+    Finishes, first tokens and reports lead to another look as well.
+    """
+    usable = [
+        upstream_id
+        for upstream_id in cell.upstream_ids
+        if upstream_id in board.upstreams_by_id
+        and is_usable(board, board.upstreams_by_id[upstream_id], now)
+    ]
+    room_at = _prefill.room_at(board, usable, now)
+    known = board.prefill_checks_by_cell_id.get(cell.cell_id, 0.0)
+    if room_at <= now or now < known <= room_at:
+        return ()
+    board.prefill_checks_by_cell_id[cell.cell_id] = room_at
+    timer = events.TimerFired(PREFILL_TIMER, cell.cell_id)
+    return (actions.SetTimer(room_at, timer),)
+
+
 def _next_ask(
     board: Board, cell_id: str, skipped: set[str], now: float
 ) -> rows.AskRow | None:
@@ -330,6 +356,9 @@
         tuple(unknown_running),
         _queue.load_percent(board, event.cell_id),
     )
+    if event.counts and event.cell_id in board.blocked_rank_by_cell_id:
+        # A first token tells that an engine can read the next prompt.
+        decided.extend(_schedule(board, event.cell_id, now))
     return (*decided, actions.Send(event.sender_id, ack))
 
 
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -17,6 +17,7 @@
     first_byte_timeout,
     is_streamed,
     may_repeat_answer,
+    names_stream,
     needs_claim,
 )
 from carawayhitch.core import actions, events, result_codes, rows
@@ -155,7 +156,8 @@
         return (forwarded,)
     # The caller's headers name the generation, so they are sent with its first token:
     # until then another generation may still take its place.
-    return (_start_stream(row), forwarded)
+    started = events.StreamStarted(row.request_id)
+    return (_start_stream(row), forwarded, actions.Emit(started))
 
 
 def _start_stream(row: rows.RequestRow) -> actions.StartStream:
@@ -325,7 +327,7 @@
 
 def _close(row: rows.RequestRow) -> actions.CloseUpstream:
     unnamed = row.phase == "opening" and not row.generation_id
-    linger = CANCEL_LINGER_SECONDS if unnamed and is_streamed(row.target) else 0.0
+    linger = CANCEL_LINGER_SECONDS if unnamed and names_stream(row.target) else 0.0
     return actions.CloseUpstream(row.request_id, True, linger)
 
 
--- a/src/carawayhitch/controllers/_targets.py
+++ b/src/carawayhitch/controllers/_targets.py
@@ -164,6 +164,20 @@
     return target.streamed
 
 
+@singledispatch
+def names_stream(target: Any) -> bool:
+    """Return whether the upstream names its stream, by which it is cancelled.
+
+    Other calls are cancelled by closing their connection.
+    """
+    return is_streamed(target)
+
+
+@names_stream.register
+def _routed_names_stream(target: rows.RoutedTarget) -> bool:
+    return False
+
+
 @singledispatch
 def can_continue(target: Any) -> bool:
     """Return whether another upstream can continue a stream that has begun."""
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Literal, NamedTuple
+from typing import Any, Literal, NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _affinity, _memory, _suspects
+from carawayhitch.controllers import _affinity, _memory, _prefill, _suspects
+from carawayhitch.controllers._cells import rendezvous_score
 from carawayhitch.controllers._ranks import (
     first_rank_is_active,
     floor_deficit,
@@ -124,6 +125,8 @@
         return True
     if need.settling and (not upstream.reported_at or upstream.waiting_count):
         return False
+    if not _prefill.has_prefill_room(board, upstream.upstream_id, now):
+        return False
     # A request larger than the limit runs alone, or it would never run.
     if not _occupied(board, upstream):
         return True
@@ -160,7 +163,7 @@
     # Most choices find the cell full, so that is found out before loads are compared.
     if any(has_slot(board, upstream, share) for upstream in allowed):
         need = _need(board, ask, share, now)
-        for upstream in _by_preference(board, allowed, ask, suspects):
+        for upstream in _by_preference(board, allowed, ask, suspects, now):
             if has_room(board, upstream, need, now):
                 return Choice(upstream.upstream_id, "")
     return Choice(blocked="cell" if len(allowed) == len(usable) else "ask")
@@ -191,19 +194,28 @@
     allowed: list[rows.UpstreamRow],
     ask: rows.AskRow,
     suspects: dict[str, set[str]],
+    now: float,
 ) -> list[rows.UpstreamRow]:
+    goal = rank_class(board, ask.rank).first_token_target_seconds
     loads = {
         upstream.upstream_id: upstream_load(board, upstream)
         + SUSPECT_PENALTY * (upstream.upstream_id in suspects)
+        + _prefill.backlog_seconds(board, upstream.upstream_id, now) / goal
         for upstream in allowed
     }
+    own_zone = board.settings.node.zone
     bound = min(loads.values(), default=0.0) + board.settings.scheduling.affinity_bound
 
-    def order(upstream: rows.UpstreamRow) -> tuple[int, float, str]:
-        load = loads[upstream.upstream_id]
+    def order(upstream: rows.UpstreamRow) -> tuple[int, float, bool, Any]:
+        upstream_id = upstream.upstream_id
+        load = loads[upstream_id]
         held = 0
         if load <= bound and ask.prefix_blocks:
-            held = _affinity.held_prefix(board, upstream.upstream_id, ask.prefix_blocks)
-        return (-held, load, upstream.upstream_id)
+            held = _affinity.held_prefix(board, upstream_id, ask.prefix_blocks)
+        if upstream.kind != "engine":
+            # Entries that choose for themselves must not all take the same one.
+            far = upstream.zone != own_zone
+            return (-held, load, far, rendezvous_score(ask.request_id, upstream_id))
+        return (-held, load, False, upstream_id)
 
     return sorted(allowed, key=order)
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -101,6 +101,19 @@
     deadline: float
 
 
+class ReleaseMemory(NamedTuple):
+    """Free the copy of a generation's memory that nobody continues.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        The engines that hold it.
+    """
+
+    addresses: tuple[str, ...]
+    handle: str
+
+
 class CloseUpstream(NamedTuple):
     """Close the upstream connection; cancel the generation if it still runs.
 
@@ -390,6 +403,7 @@
     | OpenUpstream
     | ResumeUpstream
     | CopyMemory
+    | ReleaseMemory
     | CloseUpstream
     | CancelGeneration
     | StartStream
--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -88,6 +88,8 @@
         Longest time in the queue before the request is refused.
     queue_limit : int
         Requests that may wait in one cell.
+    engine_priority : int or None
+        What engines are told instead of ``priority``.
     """
 
     name: str
@@ -97,6 +99,7 @@
     between_tokens_target_seconds: Annotated[float, Meta(gt=0)] = 0.035
     maximum_wait_seconds: Annotated[float, Meta(gt=0)] = 60.0
     queue_limit: Annotated[int, Meta(ge=1)] = 1000
+    engine_priority: int | None = None
 
 
 class ClientAccount(NamedTuple):
@@ -104,9 +107,8 @@
 
     Parameters
     ----------
-    rank : str
-        Rank class of all its calls on HTTP routes, instead of that of the route;
-        empty for the route's.
+    priority : int or None
+        Priority of its calls on HTTP routes instead of that of the route.
     """
 
     name: str
@@ -114,7 +116,7 @@
     labels: Labels = {}
     quota_weight: Annotated[float, Meta(gt=0)] = 1.0
     queue_limit: Annotated[int, Meta(ge=1)] = 500
-    rank: str = ""
+    priority: int | None = None
 
 
 class Binding(NamedTuple):
@@ -201,6 +203,9 @@
         stream of events and runs at most once unless it is resumable.
     resumable : bool
         Whether another upstream can continue a broken stream after its last event.
+    priority : int
+        Lower is served first. Of calls with the same priority, those with the shorter
+        goal are.
     timeout_seconds : float
         Longest time until the answer begins.
     goal_seconds : float
@@ -218,7 +223,7 @@
     host: str
     path_prefix: str
     shares: tuple[GroupShare, ...]
-    rank: str
+    priority: int = 0
     work: Literal["repeatable", "once", "stream"] = "once"
     resumable: bool = False
     timeout_seconds: Annotated[float, Meta(gt=0)] = 60.0
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -180,6 +180,12 @@
     attempt: int
 
 
+class StreamStarted(NamedTuple):
+    """The caller was sent the first event of a stream."""
+
+    request_id: str
+
+
 class AnswerReceived(NamedTuple):
     """A whole answer, complete and checked against its declared length."""
 
@@ -721,6 +727,8 @@
         answer.
     handle : str
         Name of the memory at the source; empty if there is none.
+    addresses : tuple of str
+        Source and target of the copy.
     """
 
     request_id: str
@@ -728,6 +736,7 @@
     is_final: bool
     outcome: Literal["copied", "gone", "refused", "unknown"]
     handle: str = ""
+    addresses: tuple[str, ...] = ()
 
 
 class UpstreamDied(NamedTuple):
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -18,6 +18,8 @@
     deadline : float
         Time at which the entry gives up (seconds of the local node clock). The codec
         sends the seconds that remain, because the clocks of VMs differ.
+    goal_deadline : float
+        Time by which the answer should begin; 0 for no such time.
     """
 
     sender_id: str
@@ -34,6 +36,7 @@
     prefix_blocks: tuple[str, ...]
     excluded_upstream_ids: tuple[str, ...]
     deadline: float
+    goal_deadline: float = 0.0
 
 
 class AdmissionGrant(NamedTuple):
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -142,6 +142,8 @@
         Scheduler that has the row of the running request; progress to it is short.
     answer_deadline : float
         Time by which the answer has to begin; 0 for no such time.
+    goal_deadline : float
+        Time by which the answer should begin; 0 for no such time.
     caller_deadline : float
         Time until which the caller waits; 0 if it did not tell.
     attempt_limit : int
@@ -190,6 +192,7 @@
     may_have_run: bool = False
     known_by_id: str = ""
     answer_deadline: float = 0.0
+    goal_deadline: float = 0.0
     caller_deadline: float = 0.0
     attempt_limit: int = 0
     run_count: int = 0
@@ -376,7 +379,14 @@
 
 
 class AskRow(NamedTuple):
-    """A request that waits at the scheduler of its cell."""
+    """A request that waits at the scheduler of its cell.
+
+    Parameters
+    ----------
+    goal_deadline : float
+        Time by which the answer should begin (seconds of the node clock); 0 for no
+        such time.
+    """
 
     request_id: str
     attempt: int
@@ -394,6 +404,7 @@
     queued_at: float
     deadline: float
     renewed_at: float = 0.0
+    goal_deadline: float = 0.0
 
 
 class MemoryRow(NamedTuple):
@@ -585,6 +596,8 @@
         Memory and requests of unknown origin, as of the last report.
     backoff : float
         Share of the memory target in use; below 1 after preemptions.
+    started_at : float
+        Time at which a request there last had its first token.
     """
 
     foreign_tokens: int = 0
@@ -593,6 +606,7 @@
     backoff: float = 1.0
     backoff_at: float = 0.0
     finishes: tuple[FinishRow, ...] = ()
+    started_at: float = 0.0
 
 
 class CacheRow(NamedTuple):
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -118,6 +118,13 @@
     first_rank_reserve : float
         Share of slots and memory that only the first rank may use while it is
         active, so that it need not wait for a patient request to finish.
+    prefill_tokens_per_second : float
+        Rate at which an engine reads prompts beside the decoding of other requests;
+        0 if it is not known, so that only slots and memory limit placements.
+    prefill_limit_seconds : float
+        Work on prompts that a scheduler places on an engine ahead. What it places
+        beyond the next prompt could wait for another engine instead, and is lost if
+        the engine leaves.
     cache_events : bool
         Whether the engines' cache events are read beside what was granted.
     affinity_bound : float
@@ -136,6 +143,8 @@
     charge_window_seconds: PositiveSeconds = 10.0
     memory_margin_deviations: Annotated[float, Meta(ge=0)] = 1.0
     first_rank_reserve: Share = 0.06
+    prefill_tokens_per_second: Annotated[float, Meta(ge=0)] = 0.0
+    prefill_limit_seconds: PositiveSeconds = 0.4
     cache_events: bool = True
     affinity_bound: Share = 0.1
 
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -203,6 +203,12 @@
     )
 
 
+@perform.register(actions.ReleaseMemory)
+def _release_memory(action: actions.ReleaseMemory, node: Node) -> None:
+    assert node.sessions is not None
+    node.spawn(platform.release_memory(node.sessions.fresh, action))
+
+
 @perform.register(actions.CloseUpstream)
 def _close_upstream(action: actions.CloseUpstream, node: Node) -> None:
     if action.linger_seconds:
--- a/src/carawayhitch/platform/__init__.py
+++ b/src/carawayhitch/platform/__init__.py
@@ -8,7 +8,7 @@
 
 from carawayhitch.platform._calls import CallHead, decode_call
 from carawayhitch.platform._declarations import decode_object
-from carawayhitch.platform._engines import copy_memory, read_report
+from carawayhitch.platform._engines import copy_memory, read_report, release_memory
 from carawayhitch.platform._names import READINESS_PATH
 from carawayhitch.platform._store import PlatformStore, call_platform_store
 from carawayhitch.platform._upstreams import run_routed_call
@@ -22,5 +22,6 @@
     "decode_call",
     "decode_object",
     "read_report",
+    "release_memory",
     "run_routed_call",
 ]
--- a/src/carawayhitch/platform/_declarations.py
+++ b/src/carawayhitch/platform/_declarations.py
@@ -15,7 +15,6 @@
 READY = "ready"
 DRAINING = "draining"
 STATES = frozenset({READY, DRAINING})
-RANK_NAME = "priority-{}"
 WORK_BY_KIND = {"safe": "repeatable", "unsafe": "once", "streaming": "stream"}
 DEFAULT_PRIORITY = 5
 HIGHEST_PORT = 65535
@@ -154,14 +153,11 @@
     # Without any tenants, calls need no key at all.
     routes = [_route(route, tenants is None) for route in body["routes"]]
     accounts = [_account(tenant) for tenant in tenants or () if tenant.get("apiKeys")]
-    priorities = {route.rank for route in routes}
-    priorities |= {account.rank for account in accounts if account.rank}
     return declarations.DeclarationSet(
         name,
         body["version"],
         (
             *routes,
-            *(_rank(rank) for rank in sorted(priorities)),
             *(_group(service) for service in body["services"]),
             *accounts,
             _limits(body.get("limits") or {}),
@@ -188,7 +184,7 @@
         host=body["host"],
         path_prefix=body["pathPrefix"],
         shares=tuple(shares),
-        rank=_rank_name(body.get("priority", DEFAULT_PRIORITY)),
+        priority=body.get("priority", DEFAULT_PRIORITY),
         work=work,
         resumable=work == "stream" and body.get("resumable", False),
         timeout_seconds=timeout_seconds,
@@ -199,17 +195,6 @@
     )
 
 
-def _rank_name(priority: int) -> str:
-    return RANK_NAME.format(priority)
-
-
-def _rank(name: str) -> declarations.RankClass:
-    # Calls end by their own deadlines, which are shorter than this wait.
-    return declarations.RankClass(
-        name, priority=int(name.rpartition("-")[2]), maximum_wait_seconds=600.0
-    )
-
-
 def _group(body: ServiceBody) -> declarations.ServingGroup:
     engine = body.get("engine")
     capacity = None
@@ -231,7 +216,6 @@
 
 
 def _account(body: TenantBody) -> declarations.ClientAccount:
-    priority = body.get("priority")
     return declarations.ClientAccount(
         name=body["name"],
         token_sha256s=tuple(
@@ -240,7 +224,7 @@
             )
         ),
         queue_limit=1_000_000,
-        rank="" if priority is None else _rank_name(priority),
+        priority=body.get("priority"),
     )
 
 
--- a/src/carawayhitch/platform/_engines.py
+++ b/src/carawayhitch/platform/_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import Any, NotRequired, TypedDict
 
 import aiohttp
@@ -45,7 +46,6 @@
             body = _report_decoder.decode(await response.read())
     except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
         return events.LoadUnavailable(upstream_id, repr(error)[:200])
-    leaves_ms = body.get("leaves_ms")
     return events.LoadReported(
         upstream_id=upstream_id,
         reported_at=now - REPORT_LAG_SECONDS,
@@ -58,10 +58,18 @@
         leaving=body.get("state") == DRAINING,
         polled_at=now,
         incarnation=body.get("born", 0),
-        leaves_at=now + leaves_ms / 1000.0 if leaves_ms is not None else 0.0,
+        leaves_at=_leaves_at(body, now),
     )
 
 
+def _leaves_at(body: ReportBody, now: float) -> float:
+    leaves_ms = body.get("leaves_ms")
+    if leaves_ms is None:
+        return 0.0
+    # The time that was left when the values were taken.
+    return now - REPORT_LAG_SECONDS + leaves_ms / 1000.0
+
+
 class MovedBody(TypedDict):
     """Answer to a move; ``created`` is the number of events made so far."""
 
@@ -74,6 +82,17 @@
 NO_SUCH_RUN = 404
 
 
+async def release_memory(
+    session: aiohttp.ClientSession, action: actions.ReleaseMemory
+) -> None:
+    """Free a copy of a generation's memory; engines free it later by themselves."""
+    for address in action.addresses:
+        url = f"http://{address}{_names.HANDLE_PATH}/{action.handle}"
+        with suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with session.delete(url, timeout=REPORT_TIMEOUT) as response:
+                await response.read()
+
+
 async def copy_memory(
     session: aiohttp.ClientSession,
     content: CallContent,
@@ -90,7 +109,12 @@
 
     def answer(outcome: Any, handle: str = "") -> events.MemoryCopied:
         return events.MemoryCopied(
-            action.request_id, action.attempt, action.is_final, outcome, handle
+            action.request_id,
+            action.attempt,
+            action.is_final,
+            outcome,
+            handle,
+            (action.address, action.target_address),
         )
 
     body = {
