Serve calls that can be in time before late ones, and refuse before callers leave

What: of the waiting asks those that can still meet their goal go first; calls of streams wait 0.6 of their caller's patience and are then refused with a time to come back.

--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -25,6 +25,8 @@
 
 OVERLOAD_RETRY_AFTER_SECONDS = 1.0
 FORWARD_SECONDS = 5.0
+# Part of a caller's patience that a call may wait for an upstream.
+WAIT_SHARE = 0.6
 SERIAL_BITS = 96
 
 decide = new_controller()
@@ -118,6 +120,10 @@
     priority = route.priority
     if account is not None and account.priority is not None:
         priority = account.priority
+    wait_seconds = route.timeout_seconds
+    if route.patience_seconds:
+        # A caller that is refused in time may come back; one that leaves is lost.
+        wait_seconds = min(wait_seconds, route.patience_seconds * WAIT_SHARE)
     return Admitted(
         account=account.name if account else "",
         binding=route.name,
@@ -128,7 +134,7 @@
             repeatable=route.work == "repeatable",
             resumable=route.resumable,
         ),
-        wait_seconds=route.timeout_seconds,
+        wait_seconds=wait_seconds,
         answer_seconds=route.timeout_seconds,
         goal_seconds=route.goal_seconds,
         attempt_limit=route.attempt_limit,
@@ -175,8 +181,10 @@
     if isinstance(admitted, result_codes.ResultCode):
         return refuse(event, board, admitted)
     wait_seconds = admitted.wait_seconds
+    answer_seconds = admitted.answer_seconds
     if event.wait_seconds:
         wait_seconds = min(wait_seconds, event.wait_seconds)
+        answer_seconds = min(answer_seconds, event.wait_seconds)
     row = rows.RequestRow(
         request_id=event.request_id,
         account=admitted.account,
@@ -194,15 +202,15 @@
         attempt_limit=admitted.attempt_limit,
     )
     timers = [actions.SetTimer(row.deadline, events.WaitExpired(event.request_id))]
-    if admitted.answer_seconds:
-        # The wait for an answer ends with the caller's patience as well.
+    if answer_seconds:
         row = row._replace(
-            answer_deadline=row.deadline,
+            answer_deadline=now + answer_seconds,
             goal_deadline=now + admitted.goal_seconds,
             caller_deadline=now + event.wait_seconds if event.wait_seconds else 0.0,
             last_sequence=first_sequence(row.target),
         )
-        timers = [actions.SetTimer(row.deadline, events.AnswerOverdue(row.request_id))]
+        overdue = events.AnswerOverdue(row.request_id)
+        timers.append(actions.SetTimer(row.answer_deadline, overdue))
     board.requests_by_id[event.request_id] = row
     return (*timers, *begin(row.target, row, board))
 
--- a/src/carawayhitch/controllers/_prefill.py
+++ b/src/carawayhitch/controllers/_prefill.py
@@ -9,6 +9,12 @@
 from carawayhitch.core import rows
 
 
+def read_seconds(board: Board, prompt_tokens: int) -> float:
+    """Return how long an engine reads a prompt; 0 if its rate is not known."""
+    rate = board.settings.scheduling.prefill_tokens_per_second
+    return prompt_tokens / rate if rate else 0.0
+
+
 def backlog_seconds(board: Board, upstream_id: str, now: float) -> float:
     """Return how long an engine still reads the prompts that were placed there.
 
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -245,6 +245,12 @@
 def _next_ask(
     board: Board, cell_id: str, skipped: set[str], now: float
 ) -> rows.AskRow | None:
+    """Return the ask that is served next.
+
+    In an overload every ask would wait beyond its goal if they were served in order of
+    arrival. So those that can still be served in time go first.
+    """
+    late: rows.AskRow | None = None
     for rank in waiting_ranks(board, cell_id, now):
         passed: set[str] = set()
         while True:
@@ -252,10 +258,21 @@
             if account is None:
                 break
             for request_id in _queue.account_queue(board, cell_id, rank, account):
-                if request_id not in skipped:
-                    return board.asks_by_request_id[request_id]
+                if request_id in skipped:
+                    continue
+                ask = board.asks_by_request_id[request_id]
+                if not _is_late(board, ask, now):
+                    return ask
+                late = late or ask
             passed.add(account)
-    return None
+    return late
+
+
+def _is_late(board: Board, ask: rows.AskRow, now: float) -> bool:
+    """Return whether the first token cannot come by the goal any more."""
+    if not ask.goal_deadline:
+        return False
+    return now + _prefill.read_seconds(board, ask.prompt_tokens) > ask.goal_deadline
 
 
 def _grant(
--- a/src/carawayhitch/platform/_declarations.py
+++ b/src/carawayhitch/platform/_declarations.py
@@ -178,6 +178,8 @@
     if not shares and body.get("service"):
         shares = [declarations.GroupShare(body["service"])]
     timeout_seconds = _seconds(body.get("timeoutMs", 0.0), 60.0)
+    goal_seconds = _seconds(body.get("goalMs", 0.0), timeout_seconds)
+    pause_goal_seconds = max(0.0, body.get("gapGoalMs", 0.0)) / 1000.0
     work: Any = WORK_BY_KIND.get(body["kind"], "once")
     return declarations.HttpRoute(
         name=body["name"],
@@ -188,13 +190,23 @@
         work=work,
         resumable=work == "stream" and body.get("resumable", False),
         timeout_seconds=timeout_seconds,
-        goal_seconds=_seconds(body.get("goalMs", 0.0), timeout_seconds),
-        pause_goal_seconds=max(0.0, body.get("gapGoalMs", 0.0)) / 1000.0,
+        goal_seconds=goal_seconds,
+        patience_seconds=_patience_seconds(work, goal_seconds, pause_goal_seconds),
+        pause_goal_seconds=pause_goal_seconds,
         attempt_limit=max(1, body.get("maxAttempts", 1)),
         public=is_open or body.get("public", False),
     )
 
 
+def _patience_seconds(
+    work: str, goal_seconds: float, pause_goal_seconds: float
+) -> float:
+    """Return when callers leave a stream that has not begun; 0 for other calls."""
+    if work != "stream":
+        return 0.0
+    return max(2.0, 4 * goal_seconds, 8 * pause_goal_seconds)
+
+
 def _group(body: ServiceBody) -> declarations.ServingGroup:
     engine = body.get("engine")
     capacity = None
