--- /dev/null
+++ b/fakes/platform_fleet.py
@@ -0,0 +1,233 @@
+"""Starts entries on the stand-ins of the users' platform, as processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from fakes.processes import START_TIMEOUT_SECONDS, Fleet, call, free_port
+
+HOST = "shop.example"
+KEY = "key-of-hotel"
+MODEL_SERVICE, PLAIN_SERVICE = "model", "orders"
+OBJECTS = "/carawayhitch/objects"
+
+
+def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of the configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 5000,
+        "goalMs": 1000,
+        "priority": 1,
+        "maxAttempts": 2 if kind == "safe" else 1,
+        "public": False,
+        **fields,
+    }
+
+
+DEFAULT_ROUTES = (
+    route("look", "safe", PLAIN_SERVICE),
+    route("order", "unsafe", PLAIN_SERVICE),
+    route("draft", "streaming", MODEL_SERVICE, timeoutMs=30000, goalMs=4000),
+    route(
+        "ask", "streaming", MODEL_SERVICE, timeoutMs=6000, resumable=True, maxAttempts=2
+    ),
+)
+
+
+class PlatformFleet(Fleet):
+    """Processes of one test on the users' platform; `stop` ends exactly these."""
+
+    def __init__(self, settings_text: str = "") -> None:
+        super().__init__(settings_text)
+        self.gateways_by_name: dict[str, dict[str, int]] = {}
+        self.version = 0
+
+    def start_store(self) -> None:
+        """Start the store."""
+        self.start_module("store", "fakes.platform_store")
+
+    def store_call(
+        self, method: str, path: str, body: Any = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Return status and body of a call to the store."""
+        status, answer, _ = call(method, self.url("store") + path, body)
+        return status, json.loads(answer)
+
+    def configure(
+        self,
+        routes: tuple[dict[str, Any], ...] = DEFAULT_ROUTES,
+        keys: tuple[str, ...] = (KEY,),
+    ) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        spec = {
+            "version": self.version,
+            "routes": list(routes),
+            "services": [
+                {"name": PLAIN_SERVICE, "healthPath": "/health", "maxConns": 100},
+                {
+                    "name": MODEL_SERVICE,
+                    "healthPath": "/health",
+                    "maxConns": 100,
+                    "engine": {
+                        "slots": 8,
+                        "kvCapacityTokens": 100_000,
+                        "kvTokenBytes": 1000,
+                        "linkMbps": 10_000.0,
+                        "moves": True,
+                        "stride": 1,
+                    },
+                },
+            ],
+            "limits": {"bodyBytes": 100_000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "hotel", "apiKeys": list(keys)}],
+        }
+        body = {"metadata": {"name": "main"}, "spec": spec}
+        status, _ = self.store_call("POST", f"{OBJECTS}/config", body)
+        if status == 409:
+            self.store_call("PUT", f"{OBJECTS}/config/main", body)
+
+    def start_server(
+        self, name: str, service: str, zone: str = "a", event_seconds: float = 0.02
+    ) -> None:
+        """Start a server and register it."""
+        self.start_module(
+            name,
+            "fakes.platform_server",
+            "--name",
+            name,
+            "--event-seconds",
+            str(event_seconds),
+        )
+        self.register(name, service, zone)
+
+    def register(
+        self,
+        name: str,
+        service: str,
+        zone: str = "a",
+        state: str = "ready",
+        born: int = 1000,
+    ) -> None:
+        """Write the registration of a server."""
+        spec: dict[str, Any] = {
+            "service": service,
+            "address": f"127.0.0.1:{self.ports_by_name[name]}",
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "sequence": 1,
+            "coldLeftMs": 0,
+            "born": born,
+        }
+        if service == MODEL_SERVICE:
+            spec["models"] = [{"name": "m", "version": 1}]
+        body = {"metadata": {"name": name}, "spec": spec}
+        status, _ = self.store_call("POST", f"{OBJECTS}/servers", body)
+        if status == 409:
+            self.store_call("PUT", f"{OBJECTS}/servers/{name}", body)
+
+    def server_faults(self, name: str, **faults: Any) -> None:
+        """Set faults of a server."""
+        call("POST", self.url(name) + "/fake/faults", faults)
+
+    def seen_by(self, name: str) -> dict[str, Any]:
+        """Return what a server ran."""
+        return json.loads(call("GET", self.url(name) + "/fake/seen")[1])
+
+    def start_gateway(self, name: str, zone: str = "a", wait: bool = True) -> None:
+        """Start an entry and wait until it is ready."""
+        ports = self.gateways_by_name.setdefault(
+            name,
+            {part: free_port() for part in ("callers", "readiness", "metrics", "own")},
+        )
+        self.ports_by_name[name] = ports["callers"]
+        text = f"""
+[node]
+id = "{name}"
+zone = "{zone}"
+region = "r1"
+http_port = {ports["own"]}
+peer_port = {ports["own"]}
+[gateway]
+address = "127.0.0.1:{ports["callers"]}"
+readiness_address = "127.0.0.1:{ports["readiness"]}"
+metrics_address = "127.0.0.1:{ports["metrics"]}"
+[gateway.regions_by_zone]
+a = "r1"
+b = "r1"
+[peers]
+[platform]
+[store]
+url = "{self.url("store")}"
+scopes = ["configuration", "upstreams", "entries"]
+watch_timeout_seconds = 1.0
+timeout_seconds = 0.5
+watch_pause_seconds = 0.0
+watchers_per_zone = 100
+retry_limit_seconds = 0.5
+lapse_grace_seconds = 1.0
+[scheduling]
+cache_events = false
+[retries]
+backoff_base_seconds = 0.005
+[drain]
+readiness_grace_seconds = 0.3
+limit_seconds = 20.0
+{self.settings_text}
+"""
+        path = Path(self.folder.name) / f"{name}.toml"
+        path.write_text(text)
+        self._spawn(
+            name,
+            [sys.executable, "-m", "carawayhitch", "serve", "--settings", str(path)],
+        )
+        if wait:
+            self.wait_gateway(name)
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether an entry takes new connections."""
+        port = self.gateways_by_name[name]["readiness"]
+        url = f"http://127.0.0.1:{port}/carawayhitch/readiness"
+        try:
+            return call("GET", url, timeout=2.0)[0] == 200
+        except OSError:
+            return False
+
+    def wait_gateway(self, name: str) -> None:
+        """Wait until an entry is ready."""
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            if self.is_ready(name):
+                return
+            time.sleep(0.05)
+        raise RuntimeError(f"{name} is not ready:\n{self.log_text(name)}")
+
+    def ask(
+        self,
+        entry: str,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"body",
+        key: str = KEY,
+        **headers: str,
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Return status, body and headers of a call on a route."""
+        sent = {
+            "Host": HOST,
+            "Authorization": f"Bearer {key}",
+            "Carawayhitch-Deadline-Ms": "30000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        url = self.url(entry) + path
+        return call(method, url, body if method != "GET" else None, sent)
--- /dev/null
+++ b/fakes/platform_server.py
@@ -0,0 +1,239 @@
+"""HTTP stand-in for a server of the users' platform: a plain one or a model engine.
+
+An engine streams ``events`` events, one each ``--event-seconds``, and moves running
+generations to other engines. Paths below ``/fake/`` inject faults and show what ran.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from collections import Counter
+from typing import Any
+from uuid import uuid4
+
+from aiohttp import web
+
+HANDLE_HEADER = "Kv-From"
+
+
+class Run:
+    """One generation."""
+
+    def __init__(self, made: int, total: int) -> None:
+        self.made = made
+        self.total = total
+        self.stopped = asyncio.Event()
+
+
+class FakePlatformServer:
+    """One server process.
+
+    Parameters
+    ----------
+    name : str
+        Id under which the server is registered.
+    event_seconds : float
+        Time between events of a stream, and of a whole answer.
+    born : int
+        Start in milliseconds of Unix time, as registered.
+    """
+
+    def __init__(self, name: str, event_seconds: float, born: int) -> None:
+        self.name = name
+        self.born = born
+        self.event_seconds = event_seconds
+        self.runs_by_id: dict[str, Run] = {}
+        self.copies_by_handle: dict[str, tuple[str, int, int]] = {}
+        self.counts: Counter[str] = Counter()
+        self.seen: list[dict[str, Any]] = []
+        self.failures = 0
+        self.cut_after = 0
+        self.refusals = 0
+        self.move_status = 0
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.get("/carawayhitch/report", self.report),
+                web.post("/carawayhitch/kv-move", self.move),
+                web.delete("/carawayhitch/kv-handle/{handle}", self.free),
+                web.post("/fake/copies", self.take_copy),
+                web.post("/fake/faults", self.inject),
+                web.get("/fake/seen", self.show),
+                web.route("*", "/{path:.*}", self.serve),
+            ]
+        )
+        return application
+
+    def _headers(self, request: web.Request) -> dict[str, str]:
+        request_id = request.headers.get("Carawayhitch-Request-Id", "")
+        return {
+            "Carawayhitch-Request-Id": request_id,
+            "Carawayhitch-Server-Seal": f"seal-of-{self.name}",
+        }
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Run a call."""
+        body = await request.read()
+        expected = request.headers.get("Carawayhitch-Expect-Instance", self.name)
+        if expected != self.name:
+            return web.Response(status=421)
+        if self.refusals:
+            self.refusals -= 1
+            return web.Response(status=503, headers={"Carawayhitch-Not-Executed": "1"})
+        self.seen.append(
+            {
+                "method": request.method,
+                "path": request.path_qs,
+                "headers": {k.lower(): v for k, v in request.headers.items()},
+                "length": len(body),
+            }
+        )
+        self.counts["runs"] += 1
+        if self.failures:
+            self.failures -= 1
+            return web.Response(status=500, headers=self._headers(request))
+        events = int(request.query.get("events", "0"))
+        if not events:
+            await asyncio.sleep(self.event_seconds)
+            return web.Response(body=body or b"answer", headers=self._headers(request))
+        return await self._stream(request, events)
+
+    async def _stream(self, request: web.Request, total: int) -> web.StreamResponse:
+        request_id = request.headers.get("Carawayhitch-Request-Id", "")
+        made = int(request.headers.get("Last-Event-Id", "0"))
+        source = request.headers.get(HANDLE_HEADER, "")
+        if source:
+            copied = self.copies_by_handle.pop(source.rpartition("/")[2], None)
+            if copied is None:
+                return web.Response(
+                    status=503, headers={"Carawayhitch-Not-Executed": "1"}
+                )
+            total = copied[2]
+            self.counts["continued"] += 1
+        run = self.runs_by_id[request_id] = Run(made, total)
+        response = web.StreamResponse(
+            headers={**self._headers(request), "Content-Type": "text/event-stream"}
+        )
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        try:
+            while run.made < run.total:
+                try:
+                    await asyncio.wait_for(run.stopped.wait(), self.event_seconds)
+                    break
+                except TimeoutError:
+                    run.made += 1
+                data = f"id: {run.made}\ndata: {self.name}\n\n"
+                await response.write(data.encode())
+                if self.cut_after and run.made >= self.cut_after:
+                    self.cut_after = 0
+                    run.stopped.set()
+            if run.made < run.total:
+                # A stream that is stopped ends without its last chunk.
+                assert request.transport is not None
+                request.transport.close()
+                return response
+            await response.write_eof()
+            return response
+        finally:
+            self.runs_by_id.pop(request_id, None)
+
+    async def move(self, request: web.Request) -> web.Response:
+        """Copy a run to another engine; with ``last`` it stops first."""
+        body = await request.json()
+        self.counts["moves"] += 1
+        if self.move_status:
+            return web.json_response({}, status=self.move_status)
+        run = self.runs_by_id.get(body["id"])
+        if run is None:
+            return web.json_response({}, status=404)
+        if body.get("last"):
+            run.stopped.set()
+        handle = uuid4().hex[:8] if not body.get("last") else f"last-{uuid4().hex[:8]}"
+        copied = {"handle": handle, "id": body["id"], "made": run.made}
+        async with request.app["session"].post(
+            f"http://{body['target']}/fake/copies", json={**copied, "total": run.total}
+        ) as answer:
+            await answer.read()
+        return web.json_response({"handle": handle, "created": run.made})
+
+    async def take_copy(self, request: web.Request) -> web.Response:
+        """Take the copy of a run from another engine."""
+        body = await request.json()
+        kept = (body["id"], body["made"], body["total"])
+        self.copies_by_handle[body["handle"]] = kept
+        return web.json_response({})
+
+    async def free(self, request: web.Request) -> web.Response:
+        """Free a copy."""
+        self.copies_by_handle.pop(request.match_info["handle"], None)
+        self.counts["freed"] += 1
+        return web.json_response({})
+
+    async def report(self, request: web.Request) -> web.Response:
+        """Return the load."""
+        return web.json_response(
+            {
+                "queued": 0,
+                "active": len(self.runs_by_id),
+                "kvUsed": 10 * len(self.runs_by_id),
+                "kvTotal": 100_000,
+                "state": "ready",
+                "born": self.born,
+                "runs": [],
+            }
+        )
+
+    async def inject(self, request: web.Request) -> web.Response:
+        """Set faults.
+
+        ``failures``: calls answered 500; ``refusals``: calls that are not executed;
+        ``cut_after``: event after which the next stream is cut; ``move_status``:
+        answer of moves.
+        """
+        faults = await request.json()
+        self.failures = faults.get("failures", 0)
+        self.refusals = faults.get("refusals", 0)
+        self.cut_after = faults.get("cut_after", 0)
+        self.move_status = faults.get("move_status", 0)
+        return web.json_response({})
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Return what ran and the counts."""
+        return web.json_response({"seen": self.seen, "counts": dict(self.counts)})
+
+
+async def _open_session(application: web.Application) -> Any:
+    import aiohttp
+
+    async with aiohttp.ClientSession() as session:
+        application["session"] = session
+        yield
+
+
+def main() -> None:
+    """Serve one server."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--event-seconds", type=float, default=0.02)
+    parser.add_argument("--born", type=int, default=1000)
+    arguments = parser.parse_args()
+    server = FakePlatformServer(arguments.name, arguments.event_seconds, arguments.born)
+    application = server.application()
+    application.cleanup_ctx.append(_open_session)
+    web.run_app(
+        application,
+        host="127.0.0.1",
+        port=arguments.port,
+        print=lambda *_: None,
+        handler_cancellation=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fakes/platform_store.py
@@ -0,0 +1,220 @@
+"""HTTP stand-in for the store of the users' platform.
+
+Objects by kind and name with one revision counter, lists with pages, watches and
+conditional writes. Paths below ``/fake/`` inject faults.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+
+PAGE_ITEMS = 50
+HISTORY_LIMIT = 10_000
+LONGEST_WAIT_MILLISECONDS = 30_000
+
+
+class FakePlatformStore:
+    """One store process."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.objects_by_key: dict[tuple[str, str], dict[str, Any]] = {}
+        self.history: list[tuple[int, str, dict[str, Any]]] = []
+        self.forgotten = 0
+        self.status = 0
+        self.silent = False
+        self.refused_zones: set[str] = set()
+        self.lost_answers = 0
+        self.calls: Counter[str] = Counter()
+        self._changed = asyncio.Event()
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(middlewares=[self._faults])
+        base = "/carawayhitch/objects/{kind}"
+        application.add_routes(
+            [
+                web.get(base, self.list_or_watch),
+                web.post(base, self.create),
+                web.get(base + "/{name}", self.read),
+                web.put(base + "/{name}", self.replace),
+                web.delete(base + "/{name}", self.delete),
+                web.post("/fake/faults", self.inject),
+                web.get("/fake/calls", self.count_calls),
+            ]
+        )
+        return application
+
+    @web.middleware
+    async def _faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        if request.path.startswith("/fake/"):
+            return await handler(request)
+        is_watch = "watch" in request.query
+        self.calls["watch" if is_watch else request.method] += 1
+        if self.silent:
+            await asyncio.sleep(3600)
+        if self.status:
+            return web.json_response({}, status=self.status)
+        response = await handler(request)
+        if request.method in ("POST", "PUT", "DELETE") and self.lost_answers:
+            self.lost_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    def _write(self, kind: str, name: str, spec: Any, deleted: bool = False) -> Any:
+        self.revision += 1
+        known = self.objects_by_key.get((kind, name))
+        created = known["metadata"]["created"] if known else self.revision
+        stored = {
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created": created,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        if deleted:
+            del self.objects_by_key[kind, name]
+        else:
+            self.objects_by_key[kind, name] = stored
+        self.history.append(
+            (self.revision, kind, {"object": stored, "deleted": deleted})
+        )
+        while len(self.history) > HISTORY_LIMIT:
+            self.forgotten = self.history.pop(0)[0]
+        self._wake()
+        return stored
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def list_or_watch(self, request: web.Request) -> web.Response:
+        """Return a page of a kind, or its changes after a revision."""
+        kind = request.match_info["kind"]
+        if "watch" in request.query:
+            return await self._watch(kind, request)
+        after = request.query.get("after", "")
+        names = sorted(
+            name
+            for other, name in self.objects_by_key
+            if other == kind and name > after
+        )
+        page = names[:PAGE_ITEMS]
+        items = [self.objects_by_key[kind, name] for name in page]
+        return web.json_response(
+            {"items": items, "hasMore": len(names) > len(page), "at": self.revision}
+        )
+
+    async def _watch(self, kind: str, request: web.Request) -> web.Response:
+        since = int(request.query["watch"])
+        wait_ms = min(int(request.query["waitMs"]), LONGEST_WAIT_MILLISECONDS)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_ms / 1000
+        while True:
+            if since < self.forgotten:
+                return web.json_response({}, status=410)
+            changed = self._changed
+            found = [
+                change
+                for revision, other, change in self.history
+                if other == kind and revision > since
+            ]
+            left = deadline - loop.time()
+            if found or left <= 0:
+                break
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                continue
+        return web.json_response({"events": found, "at": self.revision})
+
+    async def create(self, request: web.Request) -> web.Response:
+        """Create an object; 409 with the object if there is one."""
+        body = await request.json()
+        kind, name = request.match_info["kind"], body["metadata"]["name"]
+        known = self.objects_by_key.get((kind, name))
+        if known is not None:
+            return web.json_response(known, status=409)
+        return web.json_response(self._write(kind, name, body.get("spec")))
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Return one object."""
+        known = self.objects_by_key.get(self._key(request))
+        if known is None:
+            return web.json_response({}, status=404)
+        return web.json_response(known)
+
+    async def replace(self, request: web.Request) -> web.Response:
+        """Replace an object if its revision is the one that is named, if any is."""
+        key = self._key(request)
+        known = self.objects_by_key.get(key)
+        if known is None:
+            return web.json_response({}, status=404)
+        body = await request.json()
+        expected = body.get("metadata", {}).get("revision")
+        if expected is not None and expected != known["metadata"]["revision"]:
+            return web.json_response(known, status=409)
+        if body.get("spec") == known["spec"]:
+            return web.json_response(known)
+        return web.json_response(self._write(*key, body.get("spec")))
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Remove an object."""
+        key = self._key(request)
+        known = self.objects_by_key.get(key)
+        if known is None:
+            return web.json_response({}, status=404)
+        return web.json_response(self._write(*key, known["spec"], deleted=True))
+
+    def _key(self, request: web.Request) -> tuple[str, str]:
+        return request.match_info["kind"], request.match_info["name"]
+
+    async def inject(self, request: web.Request) -> web.Response:
+        """Set faults.
+
+        ``status``: answer of every call, 0 for none; ``silent``: calls are not
+        answered; ``forget``: the history is dropped; ``lost_answers``: writes that
+        take effect and are not answered.
+        """
+        faults = await request.json()
+        self.status = faults.get("status", self.status)
+        self.silent = faults.get("silent", self.silent)
+        self.lost_answers = faults.get("lost_answers", 0)
+        if faults.get("forget"):
+            self.revision += 1
+            self.forgotten = self.revision
+            self.history.clear()
+        self._wake()
+        return web.json_response({})
+
+    async def count_calls(self, request: web.Request) -> web.Response:
+        """Return the calls counted so far."""
+        return web.json_response(dict(self.calls))
+
+
+def main() -> None:
+    """Serve one store."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    web.run_app(
+        FakePlatformStore().application(),
+        host="127.0.0.1",
+        port=arguments.port,
+        print=lambda *_: None,
+        handler_cancellation=True,
+    )
+
+
+if __name__ == "__main__":
+    main()
