Keep the goal of an ask that passes just now, and check asks with goals

Cause: a goal at exactly the sender's present time was encoded as zero seconds, which means that there is no goal. What: such a goal travels as 2**-20 s; the test builds both kinds of field. Ruled out: an optional field on the wire, which costs 8 bytes an ask. Before: tests.codecs.test_peer_messages could not be imported. After: 22 tests pass.

--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -89,6 +89,10 @@
     return head + "".join(part.capitalize() for part in tail)
 
 
+# Seconds that stand for a goal at this very moment, where zero means no goal.
+SMALLEST_REMAINDER = 2**-20
+
+
 def _remaining(deadline: float, now: float) -> float:
     limit = MAXIMUM_REMAINING_SECONDS
     return min(max(deadline - now, -limit), limit)
@@ -158,7 +162,10 @@
 def _fields_of_ask(message: messages.AdmissionAsk, now: float) -> dict[str, Any]:
     blocks = message.prefix_blocks[:MAXIMUM_PREFIX_BLOCKS]
     fields = _plain_fields(message._replace(prefix_blocks=blocks))
-    goal = _remaining(message.goal_deadline, now) if message.goal_deadline else 0.0
+    goal = 0.0
+    if message.goal_deadline:
+        # Zero on the wire means that there is no goal.
+        goal = _remaining(message.goal_deadline, now) or SMALLEST_REMAINDER
     return fields | {
         "deadline": _remaining(message.deadline, now),
         "goalDeadline": goal,
--- a/tests/codecs/test_peer_messages.py
+++ b/tests/codecs/test_peer_messages.py
@@ -4,7 +4,7 @@
 
 import unittest
 from itertools import count
-from typing import get_args, get_type_hints
+from typing import Literal, get_args, get_origin, get_type_hints
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -31,6 +31,10 @@
     "request_id": identifiers,
     "fingerprint": identifiers,
     "deadline": seconds.map(lambda value: NOW + value),
+    # Zero stands for no goal; a goal at this very moment has a test of its own.
+    "goal_deadline": st.one_of(
+        st.just(0.0), seconds.filter(bool).map(lambda value: NOW + value)
+    ),
     "retry_after": seconds,
     "state_deadline": st.just(0.0),
     "priority": st.integers(-(2**31), 2**31 - 1),
@@ -50,12 +54,19 @@
     for name, annotation in hints.items():
         if name in strategies_by_field:
             fields[name] = strategies_by_field[name]
+        elif get_origin(annotation) is Literal:
+            fields[name] = st.sampled_from(get_args(annotation))
         elif hasattr(annotation, "__args__"):
             item = get_args(annotation)[0]
             items = identifiers if item is str else records(item)
             fields[name] = st.lists(items, max_size=4).map(tuple)
         else:
-            fields[name] = {str: texts, int: counts, bool: st.booleans()}[annotation]
+            fields[name] = {
+                str: texts,
+                int: counts,
+                float: st.floats(min_value=0, allow_infinity=False),
+                bool: st.booleans(),
+            }[annotation]
     return st.builds(record_type, **fields)
 
 
@@ -109,6 +120,14 @@
         received = codecs.decode_message(datagram, HERE, (OLD_KEY,), 50.0)
         self.assertEqual(received.message.deadline, 52.0)
 
+    def test_goal_at_this_moment_is_still_a_goal(self):
+        """Guards against asks that lose their goal, and their rank, as it passes."""
+        ask = messages.AdmissionAsk(
+            "n", "r", 1, "c", "g", "a", "urgent", "b", "", 1, 1, (), (), NOW + 1.0, NOW
+        )
+        received = decode(encode(ask))
+        self.assertAlmostEqual(received.message.goal_deadline, NOW, places=5)
+
 
 class SizeTest(unittest.TestCase):
     def datagrams(self, message):
