--- /dev/null
+++ b/tests/controllers/test_moves.py
@@ -0,0 +1,161 @@
+"""Moves of generations at the entry that holds their streams, event by event."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from carawayhitch import controllers
+from carawayhitch.core import actions, events, messages, rows
+from tests.boards import ready_board
+
+ORDER = messages.MoveOrder(
+    "scheduler", "r1", 1, "cell", "engine-1", "engine-2", "engine-2:1", 12.0
+)
+TARGET = rows.RoutedTarget("POST", "h", "/draft/1", 100, 200, streamed=True)
+
+
+def world(started=True):
+    """Return the board of an entry that relays one stream."""
+    board = ready_board()
+    for name in ("engine-1", "engine-2"):
+        board.upstreams_by_id[name] = rows.UpstreamRow(
+            name, f"{name}:1", "a", "r1", "engine", {}
+        )
+    board.requests_by_id["r1"] = rows.RequestRow(
+        "r1", "hotel", "g", "rank", "b", TARGET, "f", "", "", 0.0, 99.0
+    )._replace(
+        phase="relaying",
+        upstream_id="engine-1",
+        address="engine-1:1",
+        scheduler_id="scheduler",
+        cell_id="cell",
+        last_sequence=7 if started else 0,
+        response_started=started,
+        caller_deadline=50.0,
+    )
+    return board
+
+
+def feed(board, event, now=10.0):
+    return list(controllers.decide_chain(event, board, now, Random(1)))
+
+
+def of_type(decided, action_type):
+    return [action for action in decided if isinstance(action, action_type)]
+
+
+def reports(decided):
+    return [
+        action.message.outcome
+        for action in of_type(decided, actions.Send)
+        if isinstance(action.message, messages.MoveReport)
+    ]
+
+
+def copied(is_final, outcome="copied", handle="h", attempt=1):
+    addresses = ("engine-1:1", "engine-2:1")
+    return events.MemoryCopied("r1", attempt, is_final, outcome, handle, addresses)
+
+
+class MoveTest(unittest.TestCase):
+    def test_stream_goes_on_at_the_target_after_its_last_event(self):
+        """Guards against a stop before the first copy, and events lost between."""
+        board = world()
+        first = of_type(feed(board, ORDER), actions.CopyMemory)
+        self.assertEqual([copy.is_final for copy in first], [False])
+        last = of_type(feed(board, copied(False)), actions.CopyMemory)
+        self.assertEqual([copy.is_final for copy in last], [True])
+        feed(board, events.ChunkReceived("r1", 1, 8, 8, b"x"))
+        # The stream at the source ends without its end; nothing is given up.
+        cut = events.UpstreamCallFailed("r1", 1, "truncated", True)
+        self.assertEqual(feed(board, cut), [])
+        decided = feed(board, copied(True, handle="h2"))
+        opened = of_type(decided, actions.OpenUpstream)[0]
+        self.assertEqual(
+            (opened.upstream_id, opened.last_sequence, opened.source, opened.attempt),
+            ("engine-2", 8, "engine-1:1/h2", 2),
+        )
+        self.assertEqual(reports(decided), ["moved"])
+        late = events.ChunkReceived("r1", 1, 9, 9, b"late")
+        self.assertFalse(of_type(feed(board, late), actions.ForwardChunk))
+        goes_on = events.ChunkReceived("r1", 2, 9, 9, b"next")
+        self.assertTrue(of_type(feed(board, goes_on), actions.ForwardChunk))
+        self.assertFalse(board.moves_by_request_id)
+
+    def test_orders_that_cannot_be_followed(self):
+        """Guards against moves of other attempts, or before the first event."""
+        cases = (
+            (world(), ORDER._replace(attempt=2), "gone"),
+            (world(), ORDER._replace(upstream_id="engine-2"), "gone"),
+            (world(), ORDER._replace(request_id="r2"), "gone"),
+            (world(started=False), ORDER, "not_started"),
+        )
+        for board, order, outcome in cases:
+            with self.subTest(order=order, outcome=outcome):
+                decided = feed(board, order)
+                self.assertFalse(of_type(decided, actions.CopyMemory))
+                self.assertEqual(reports(decided), [outcome])
+
+    def test_repeated_order_is_one_move(self):
+        board = world()
+        feed(board, ORDER)
+        self.assertEqual(feed(board, ORDER), [])
+
+    def test_failed_first_copy_leaves_the_stream_alone(self):
+        """Guards against a stream that is stopped for a copy that never was."""
+        for outcome, told in (("refused", "failed"), ("gone", "gone")):
+            with self.subTest(outcome):
+                board = world()
+                feed(board, ORDER)
+                decided = feed(board, copied(False, outcome, handle=""))
+                self.assertEqual(reports(decided), [told])
+                self.assertFalse(of_type(decided, actions.CloseUpstream))
+                self.assertEqual(board.requests_by_id["r1"].upstream_id, "engine-1")
+
+    def test_refused_last_copy_goes_on_at_the_source(self):
+        """Guards against a stopped generation that nobody continues."""
+        board = world()
+        feed(board, ORDER)
+        feed(board, copied(False))
+        decided = feed(board, copied(True, "refused", handle="h2"))
+        opened = of_type(decided, actions.OpenUpstream)[0]
+        self.assertEqual(opened.upstream_id, "engine-1")
+        self.assertEqual(opened.source, "engine-1:1/h2")
+        self.assertEqual(reports(decided), ["failed"])
+
+    def test_last_copy_without_an_answer_ends_the_stream(self):
+        """Guards against a caller who waits for a stream that stopped."""
+        board = world()
+        feed(board, ORDER)
+        feed(board, copied(False))
+        decided = feed(board, copied(True, "unknown", handle=""))
+        codes = [action.code.name for action in of_type(decided, actions.RefuseCall)]
+        self.assertEqual(codes, ["STREAM_LOST"])
+
+    def test_copies_that_nobody_continues_are_freed(self):
+        """Guards against engines that are filled by copies."""
+        board = world()
+        feed(board, ORDER)
+        feed(board, copied(False))
+        decided = feed(board, events.StreamEnded("r1", 1))
+        freed = of_type(decided, actions.ReleaseMemory)
+        self.assertEqual([action.handle for action in freed], ["h"])
+        # A copy that ends after the request is freed as well.
+        board = world()
+        feed(board, ORDER)
+        feed(board, events.StreamEnded("r1", 1))
+        decided = feed(board, copied(False))
+        freed = of_type(decided, actions.ReleaseMemory)
+        self.assertEqual(freed[0].addresses, ("engine-1:1", "engine-2:1"))
+
+    def test_caller_that_leaves_ends_the_move(self):
+        board = world()
+        feed(board, ORDER)
+        decided = feed(board, events.CallerGone("r1"))
+        self.assertEqual(reports(decided), ["gone"])
+        self.assertFalse(board.moves_by_request_id)
+
+
+if __name__ == "__main__":
+    unittest.main()
