Log each decision to standard output, bounded and without waiting

Cause: log lines went to standard error, without bound, and a reader that stopped reading stopped the entry. Admission, grants, refusals by the scheduler, failed attempts and avoided upstreams had no line; two collectors were declared and never used. What: LogOutput writes only while the output is ready (poll, parts of PIPE_BUF), keeps a bounded backlog, drops above a rate and counts what it dropped in a gauge and in the next line. Lines carry the inputs with their age or version. A histogram by stage, kind and rank, gauges of the ages of configuration and store contact. Command 'explain'. A list whose page holds only unreadable objects no longer ends early. Ruled out: a thread with a queue (a switch per line on machines with a third of a core); a non-blocking descriptor (it is shared with other processes).

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -145,8 +145,20 @@
         """Return what a server ran."""
         return json.loads(call("GET", self.url(name) + "/fake/seen")[1])
 
-    def start_gateway(self, name: str, zone: str = "a", wait: bool = True) -> None:
-        """Start an entry and wait until it is ready."""
+    def start_gateway(
+        self,
+        name: str,
+        zone: str = "a",
+        wait: bool = True,
+        output: int | None = None,
+    ) -> None:
+        """Start an entry and wait until it is ready.
+
+        Parameters
+        ----------
+        output : int, optional
+            File descriptor for its standard output instead of its log file.
+        """
         ports = self.gateways_by_name.setdefault(
             name,
             {part: free_port() for part in ("callers", "readiness", "metrics", "own")},
@@ -191,6 +203,7 @@
         self._spawn(
             name,
             [sys.executable, "-m", "carawayhitch", "serve", "--settings", str(path)],
+            output,
         )
         if wait:
             self.wait_gateway(name)
--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -99,7 +99,7 @@
         return f"http://127.0.0.1:{self.ports_by_name[name]}"
 
     def log_text(self, name: str) -> str:
-        """Return what a process wrote to its standard error."""
+        """Return what a process wrote to standard output and standard error."""
         return (Path(self.folder.name) / f"{name}.log").read_text()
 
     def start_module(self, name: str, module: str, *arguments: str) -> None:
@@ -111,11 +111,11 @@
         )
         self._wait_for_port(name, port)
 
-    def _spawn(self, name: str, command: list[str]) -> None:
+    def _spawn(self, name: str, command: list[str], output: int | None = None) -> None:
         root = Path(__file__).parent.parent
         with (Path(self.folder.name) / f"{name}.log").open("ab") as log:
             self.processes_by_name[name] = subprocess.Popen(
-                command, cwd=root, stdout=log, stderr=log
+                command, cwd=root, stdout=output or log, stderr=log
             )
 
     def _wait_for_port(self, name: str, port: int) -> None:
--- a/src/carawayhitch/backends/_peers.py
+++ b/src/carawayhitch/backends/_peers.py
@@ -23,6 +23,10 @@
     def settings(self) -> settings_types.Settings:
         """The settings in force; keys change in a rotation."""
 
+    @property
+    def log(self) -> Any:
+        """The logger of the node."""
+
     def submit(self, event: Any) -> None:
         """Feed a received message to the controllers."""
 
@@ -122,6 +126,12 @@
             )
         except errors.MalformedMessageError as error:
             self.node.count(error.code, "")
+            self.node.log.info(
+                "datagram rejected",
+                sender=address[0],
+                code=error.code.name,
+                detail=error.message,
+            )
             return
         if not self._is_new(received, now):
             self.node.count(result_codes.PEER_MESSAGE_REPLAYED, "")
--- a/src/carawayhitch/cli/_commands.py
+++ b/src/carawayhitch/cli/_commands.py
@@ -8,6 +8,7 @@
 
 from carawayhitch import __version__
 from carawayhitch.cli._declarations import add_declaration_commands
+from carawayhitch.cli._explain import add_explain_command
 from carawayhitch.node import replay_trace
 
 USAGE_STATUS = 2
@@ -16,6 +17,7 @@
 def add_commands(commands: Any) -> None:
     """Add the commands to the parser of the command line."""
     add_declaration_commands(commands)
+    add_explain_command(commands)
     replay_parser = commands.add_parser(
         "replay", help="compare a recorded trace with the decision code"
     )
--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._call_logs import refusal_logged
+from carawayhitch.controllers._call_logs import admission_logged, refusal_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._issued_keys import (
     is_issuer,
@@ -212,7 +212,8 @@
         overdue = events.AnswerOverdue(row.request_id)
         timers.append(actions.SetTimer(row.answer_deadline, overdue))
     board.requests_by_id[event.request_id] = row
-    return (*timers, *begin(row.target, row, board))
+    logged = admission_logged(board, row, now)
+    return (logged, *timers, *begin(row.target, row, board))
 
 
 @singledispatch
@@ -302,15 +303,22 @@
         "account": row.account,
         "rank": row.rank,
         "upstream": row.upstream_id,
+        "attempt": row.attempt,
+        "may_have_run": row.may_have_run,
         "tokens": row.token_count,
         "complete": event.complete,
+        "status": row.answer_status,
         "code": event.code.name if event.code else "",
         "seconds": round(now - row.received_at, 4),
     }
-    logged = actions.Log("info", "request ended", fields)
+    seconds = now - row.received_at
+    decided = (
+        actions.Log("info", "request ended", fields),
+        actions.Observe("whole", row.binding, row.rank, seconds),
+    )
     if event.code is None:
-        return (logged,)
-    return (logged, actions.Count(event.code, row.rank))
+        return decided
+    return (*decided, actions.Count(event.code, row.rank))
 
 
 @decide.register(events.KeysRequested)
--- a/src/carawayhitch/controllers/_call_logs.py
+++ b/src/carawayhitch/controllers/_call_logs.py
@@ -1,10 +1,11 @@
-"""Log lines of refusals and retries; the end of an admitted call has its own line."""
+"""Log lines of what is decided about one call, found by its request id."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from carawayhitch.core import actions, result_codes, rows
+from carawayhitch.board import Board
+from carawayhitch.core import actions, events, result_codes, rows
 
 
 def refusal_logged(
@@ -21,6 +22,85 @@
     return actions.Log("info", "call refused", fields)
 
 
+def admission_logged(board: Board, row: rows.RequestRow, now: float) -> actions.Log:
+    """Return the log line of an admitted call, with the configuration that decided."""
+    known = board.configuration
+    fields: dict[str, Any] = {
+        "request_id": row.request_id,
+        "account": row.account,
+        "rank": row.rank,
+        "binding": row.binding,
+        "group": row.group,
+        "revision": known.revision if known else 0,
+        "version": known.version if known else "",
+        "revision_age": round(now - board.object_set.in_force_since, 3),
+        "wait_seconds": round(row.deadline - now, 3),
+    }
+    return actions.Log("info", "call admitted", fields)
+
+
+def ask_logged(
+    board: Board,
+    ask: rows.AskRow,
+    upstream_id: str,
+    code: result_codes.ResultCode | None,
+    now: float,
+) -> actions.Log:
+    """Return the log line of a scheduler's decision on an ask."""
+    upstream = board.upstreams_by_id.get(upstream_id)
+    fields: dict[str, Any] = {
+        "request_id": ask.request_id,
+        "entry": ask.entry_id,
+        "attempt": ask.attempt,
+        "cell": ask.cell_id,
+        "account": ask.account,
+        "rank": ask.rank,
+        "prompt_tokens": ask.prompt_tokens,
+        "waited": round(now - ask.queued_at, 4),
+        "waiting": len(board.asks_by_request_id),
+        "upstream": upstream_id,
+        "code": code.name if code else "",
+    }
+    if upstream is not None:
+        running = board.grant_ids_by_upstream_id.get(upstream_id, ())
+        fields["running"] = len(running)
+        if upstream.reported_at:
+            fields["report_age"] = round(now - upstream.reported_at, 3)
+    return actions.Log("info", "ask refused" if code else "ask granted", fields)
+
+
+def grant_logged(row: rows.RequestRow, now: float) -> actions.Log:
+    """Return the log line of a call that is sent to an upstream."""
+    fields: dict[str, Any] = {
+        "request_id": row.request_id,
+        "attempt": row.attempt,
+        "upstream": row.upstream_id,
+        "address": row.address,
+        "scheduler": row.scheduler_id,
+        "asks": row.ask_count + 1,
+        "waited": round(now - row.received_at, 4),
+    }
+    return actions.Log("info", "upstream granted", fields)
+
+
+def failure_logged(
+    row: rows.RequestRow, event: events.UpstreamCallFailed, now: float
+) -> actions.Log:
+    """Return the log line of an attempt that failed at its upstream."""
+    fields: dict[str, Any] = {
+        "request_id": row.request_id,
+        "attempt": row.attempt,
+        "upstream": row.upstream_id,
+        "address": row.address,
+        "kind": event.kind,
+        "sent": event.sent,
+        "detail": event.detail[:200],
+        "last_sequence": row.last_sequence,
+        "seconds": round(now - row.received_at, 4),
+    }
+    return actions.Log("info", "upstream call failed", fields)
+
+
 def retry_logged(row: rows.RequestRow, code: result_codes.ResultCode) -> actions.Log:
     """Return the log line of a retry; the upstream is that of the failed attempt."""
     fields: dict[str, Any] = {
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._call_logs import retry_logged
+from carawayhitch.controllers._call_logs import grant_logged, retry_logged
 from carawayhitch.controllers._cells import derive_schedulers, groups_scheduled_here
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._targets import admission_size
@@ -285,7 +285,7 @@
             retry_logged(row, result_codes.RETRY_GRANT_EXPIRED),
             actions.Emit(events.RequestAdmitted(row.request_id)),
         )
-    board.requests_by_id[row.request_id] = row._replace(
+    granted = row._replace(
         phase="claiming",
         scheduler_id=event.sender_id,
         upstream_id=event.upstream_id,
@@ -294,7 +294,13 @@
         grant_deadline=event.deadline,
         known_by_id=event.sender_id if event.takes_short_progress else "",
     )
-    return (actions.Emit(events.UpstreamGranted(row.request_id)),)
+    board.requests_by_id[row.request_id] = granted
+    waited = now - row.received_at
+    return (
+        grant_logged(granted, now),
+        actions.Observe("queue", row.binding, row.rank, waited),
+        actions.Emit(events.UpstreamGranted(row.request_id)),
+    )
 
 
 def _return_grant(event: messages.AdmissionGrant, board: Board) -> Actions:
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -6,6 +6,7 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _fairness
+from carawayhitch.controllers._call_logs import ask_logged
 from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.core import actions, messages, result_codes, rows
 
@@ -185,7 +186,7 @@
         return []
     retry_after = _retry_after(board, displaced, length, now)
     remove_ask(board, displaced.request_id)
-    return [refusal(board, displaced, result_codes.QUEUE_FULL, retry_after)]
+    return refuse_ask(board, displaced, result_codes.QUEUE_FULL, retry_after, now)
 
 
 def _retry_after(board: Board, ask: rows.AskRow, length: int, now: float) -> float:
@@ -197,14 +198,21 @@
     )
 
 
-def refusal(
-    board: Board, ask: rows.AskRow, code: result_codes.ResultCode, retry_after: float
-) -> actions.Send:
-    """Return the message that refuses an ask."""
+def refuse_ask(
+    board: Board,
+    ask: rows.AskRow,
+    code: result_codes.ResultCode,
+    retry_after: float,
+    now: float,
+) -> list[actions.Action]:
+    """Return the message that refuses an ask, and its log line."""
     message = messages.AdmissionRefusal(
         board.node_id, ask.request_id, ask.attempt, ask.cell_id, code, retry_after
     )
-    return actions.Send(ask.entry_id, message)
+    return [
+        ask_logged(board, ask, "", code, now),
+        actions.Send(ask.entry_id, message),
+    ]
 
 
 def expire_asks(board: Board, now: float) -> list[actions.Action]:
@@ -215,7 +223,9 @@
         if now >= ask.deadline:
             remove_ask(board, ask.request_id)
             code = result_codes.WAIT_EXPIRED
-            decided.append(refusal(board, ask, code, RETRY_AFTER_MINIMUM_SECONDS))
+            decided.extend(
+                refuse_ask(board, ask, code, RETRY_AFTER_MINIMUM_SECONDS, now)
+            )
         elif now >= ask.renewed_at + lifetime:
             remove_ask(board, ask.request_id)
     return decided
--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -81,12 +81,12 @@
     budget = _budget(board, row.group, now)
     board.retry_budget_by_group[row.group] = budget
     if _is_last_attempt(board, row) or now >= row.deadline:
-        return _end(row, event)
+        return _end(board, row, event)
     if budget.retries < 1.0:
         return (
             actions.Count(result_codes.RETRY_BUDGET_EMPTY, row.rank),
             retry_logged(row, result_codes.RETRY_BUDGET_EMPTY),
-            *_end(row, event),
+            *_end(board, row, event),
         )
     board.retry_budget_by_group[row.group] = budget._replace(
         retries=budget.retries - 1.0
@@ -125,11 +125,12 @@
     return row.attempt >= board.settings.streams.attempt_limit
 
 
-def _end(row: rows.RequestRow, event: events.RetryRequested) -> Actions:
+def _end(board: Board, row: rows.RequestRow, event: events.RetryRequested) -> Actions:
     """End a call without another attempt; an upstream's own answer is passed on."""
     answer = event.answer
     if answer is None:
         return end_request(row, event.final_code, retry_after=1.0)
+    board.requests_by_id[row.request_id] = row._replace(answer_status=answer.status)
     return (
         actions.SendAnswer(
             row.request_id,
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -14,6 +14,7 @@
     _rebuild,
     _suspects,
 )
+from carawayhitch.controllers._call_logs import ask_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._queue import SCHEDULING_TIMER
 from carawayhitch.controllers._ranks import engine_priority, rank_class, waiting_ranks
@@ -98,12 +99,12 @@
             return (_queued(board, ask),)
         _queue.remove_ask(board, event.request_id)
     if event.cell_id not in board.cells_by_id:
-        return (_queue.refusal(board, ask, result_codes.NO_UPSTREAM, 1.0),)
+        return _queue.refuse_ask(board, ask, result_codes.NO_UPSTREAM, 1.0, now)
     if _suspects.is_convicted(board, event.fingerprint, now):
-        return (_queue.refusal(board, ask, result_codes.SUSPECT_REFUSED, 0.0),)
+        return _queue.refuse_ask(board, ask, result_codes.SUSPECT_REFUSED, 0.0, now)
     refused = _queue.find_refusal(board, ask, now)
     if refused is not None:
-        return (_queue.refusal(board, ask, *refused),)
+        return _queue.refuse_ask(board, ask, *refused, now)
     decided = _queue.displace_ask(board, ask, now)
     decided.extend(_begin_settling(board, event.cell_id, now))
     _queue.add_ask(board, ask)
@@ -208,7 +209,7 @@
         if _suspects.is_convicted(board, ask.fingerprint, now):
             _queue.remove_ask(board, ask.request_id)
             code = result_codes.SUSPECT_REFUSED
-            decided.append(_queue.refusal(board, ask, code, 0.0))
+            decided.extend(_queue.refuse_ask(board, ask, code, 0.0, now))
             continue
         choice = choose_upstream(board, cell, ask, now)
         if choice.upstream_id:
@@ -300,6 +301,7 @@
             board, ask.binding, ask.prompt_tokens, 0, ask.maximum_tokens
         ),
     )
+    logged = ask_logged(board, ask, upstream_id, None, now)
     previous = board.grants_by_request_id.get(ask.request_id)
     if previous is not None:
         if not previous.token_count:
@@ -309,7 +311,7 @@
     _queue.remove_ask(board, ask.request_id)
     _fairness.charge(board, grant, grant.prompt_tokens, now, grants=1)
     _affinity.note_blocks(board, upstream_id, ask.prefix_blocks)
-    return _grant_messages(board, grant)
+    return [logged, *_grant_messages(board, grant)]
 
 
 @decide.register(messages.Finished)
--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -226,7 +226,7 @@
             "seconds": round(now - known.failing_since, 3),
         }
         decided = (actions.Log("info", "dependency regained", fields),)
-    _update(board, known.scope, failure_count=0, failing_since=0.0)
+    _update(board, known.scope, failure_count=0, failing_since=0.0, contacted_at=now)
     return decided
 
 
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._call_logs import retry_logged
+from carawayhitch.controllers._call_logs import failure_logged, retry_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._lengths import tokens_per_event
 from carawayhitch.controllers._moves import is_stopping
@@ -157,7 +157,13 @@
     # The caller's headers name the generation, so they are sent with its first token:
     # until then another generation may still take its place.
     started = events.StreamStarted(row.request_id)
-    return (_start_stream(row), forwarded, actions.Emit(started))
+    seconds = now - row.received_at
+    return (
+        _start_stream(row),
+        forwarded,
+        actions.Observe("first", row.binding, row.rank, seconds),
+        actions.Emit(started),
+    )
 
 
 def _start_stream(row: rows.RequestRow) -> actions.StartStream:
@@ -225,8 +231,11 @@
         failed = result_codes.UPSTREAM_FAILED
         retry = events.RetryRequested(row.request_id, code, failed, event)
         return (_close(row), actions.Emit(retry))
-    board.requests_by_id[row.request_id] = row._replace(token_count=event.token_count)
+    board.requests_by_id[row.request_id] = row._replace(
+        token_count=event.token_count, answer_status=event.status
+    )
     return (
+        actions.Observe("first", row.binding, row.rank, now - row.received_at),
         actions.SendAnswer(
             row.request_id,
             event.status,
@@ -320,9 +329,10 @@
     if row is None or is_stopping(board, row):
         # The stream of a generation that moves ends before the target continues it.
         return ()
+    logged = failure_logged(row, event, now)
     if _may_resume(row, event.kind):
-        return _resume(board, row, RESUME_CODES[event.kind], now)
-    return _give_up(board, row, event.kind, event.sent)
+        return (logged, *_resume(board, row, RESUME_CODES[event.kind], now))
+    return (logged, *_give_up(board, row, event.kind, event.sent))
 
 
 def _close(row: rows.RequestRow) -> actions.CloseUpstream:
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -312,6 +312,9 @@
         board.upstreams_by_id[event.upstream_id] = known._replace(
             unreachable_until=until
         )
+        if now >= known.unreachable_until:
+            reason = f"no load report: {event.detail[:200]}"
+            return (_avoidance_logged(known, reason, UNREACHABLE_SECONDS),)
     return ()
 
 
@@ -326,4 +329,18 @@
     if known is not None:
         until = now + REFUSED_SECONDS
         board.upstreams_by_id[grant.upstream_id] = known._replace(refused_until=until)
+        if now >= known.refused_until:
+            return (_avoidance_logged(known, "refused a call", REFUSED_SECONDS),)
     return ()
+
+
+def _avoidance_logged(
+    upstream: rows.UpstreamRow, reason: str, seconds: float
+) -> actions.Log:
+    fields = {
+        "upstream": upstream.upstream_id,
+        "address": upstream.address,
+        "reason": reason,
+        "seconds": seconds,
+    }
+    return actions.Log("info", "upstream avoided", fields)
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -375,6 +375,24 @@
     rank: str = ""
 
 
+class Observe(NamedTuple):
+    """Add the seconds that a stage of a request took to its histogram.
+
+    Parameters
+    ----------
+    stage : {"queue", "first", "whole"}
+        From the call to the upstream's grant, to the first part of the answer that the
+        caller got, and to its end.
+    kind : str
+        Binding or route of the request.
+    """
+
+    stage: str
+    kind: str
+    rank: str
+    seconds: float
+
+
 class Log(NamedTuple):
     """Write one structured log line."""
 
@@ -432,6 +450,7 @@
     | AnswerExchange
     | AnswerChange
     | Count
+    | Observe
     | Log
     | OpenLog
     | CloseIdleConnections
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -152,6 +152,8 @@
         Upstreams on which it may have run.
     answer_headers : tuple of (str, str)
         Headers of the upstream's answer, until the caller has them.
+    answer_status : int
+        HTTP status of a whole answer that was passed on; 0 for none.
     """
 
     request_id: str
@@ -197,6 +199,7 @@
     attempt_limit: int = 0
     run_count: int = 0
     answer_headers: tuple[tuple[str, str], ...] = ()
+    answer_status: int = 0
 
 
 class UpstreamRow(NamedTuple):
@@ -820,6 +823,8 @@
     removals_after : float
         Time from which removals are believed; entries that lapsed in an outage of the
         store come back shortly after it.
+    contacted_at : float
+        Time of the store's last answer.
     """
 
     scope: str
@@ -829,6 +834,7 @@
     failure_count: int = 0
     failing_since: float = 0.0
     removals_after: float = 0.0
+    contacted_at: float = 0.0
 
 
 class ChangeRow(NamedTuple):
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -249,10 +249,21 @@
 
 
 class LogSettings(NamedTuple):
-    """Structured logs, and a file for recorded events; empty for none."""
+    """Structured logs, and a file for recorded events; empty for none.
+
+    Parameters
+    ----------
+    lines_per_second : float
+        Lines above it are dropped and counted, after a burst of 5 s. An entry writes 4
+        lines a request and takes 9 requests/s at the size that docs/CAPACITY.md names.
+    backlog_bytes : int
+        Lines kept in memory while standard output is not read; 0.1% of an entry's.
+    """
 
     format: Literal["json", "console"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
+    lines_per_second: float = 200.0
+    backlog_bytes: int = 131_072
     trace_file: str = ""
 
 
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -298,7 +298,7 @@
 
 def _metrics_handler(node: Node) -> Any:
     async def handle_metrics(request: Request) -> HTTPResponse:
-        body = render_metrics(node.metrics, node.board)
+        body = render_metrics(node.metrics, node.board, node.now())
         return raw(body, content_type=METRICS_CONTENT_TYPE)
 
     return handle_metrics
--- a/src/carawayhitch/frontend/_server.py
+++ b/src/carawayhitch/frontend/_server.py
@@ -11,7 +11,7 @@
 from sanic import Sanic
 from sanic.server import AsyncioServer
 
-from carawayhitch import codecs
+from carawayhitch import __version__, codecs
 from carawayhitch.core import errors, events
 from carawayhitch.core import settings as settings_types
 from carawayhitch.frontend._application import (
@@ -46,6 +46,7 @@
     settings file again.
     """
     node = Node(settings, log)
+    node.log.info("starting", version=__version__, incarnation=node.incarnation)
     servers = [await _open_server(listener) for listener in _listeners(node)]
     node.close_idle_connections = lambda: _close_idle(servers)
     _handle_signals(node, settings_path)
--- a/src/carawayhitch/node/_logs.py
+++ b/src/carawayhitch/node/_logs.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import logging
-import sys
+from functools import cache
 from typing import Any
 
 import structlog
 
 from carawayhitch.core import settings as settings_types
+from carawayhitch.node._log_output import LogOutput
+
+
+@cache
+def process_output() -> LogOutput:
+    """Return the output that all log lines of this process share."""
+    return LogOutput(settings_types.LogSettings())
 
 
 def configure_logs(settings: settings_types.Settings) -> Any:
@@ -19,14 +26,17 @@
         else structlog.dev.ConsoleRenderer()
     )
     level = logging.getLevelName(settings.logs.level.upper())
+    output = process_output()
+    output.use(settings.logs)
     structlog.configure(
         processors=[
+            output.limit,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=lambda *_: output,
         cache_logger_on_first_use=True,
     )
     return structlog.get_logger().bind(node=settings.node.id)
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.exposition import generate_latest
 
 from carawayhitch.board import Board
+from carawayhitch.node._logs import process_output
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0, 300.0)
 
@@ -17,12 +18,15 @@
 
     registry: CollectorRegistry
     outcomes: Counter
-    requests: Counter
-    first_token_seconds: Histogram
+    stage_seconds: Histogram
+    dropped_log_lines: Gauge
     exchange_bytes: Counter
     open_requests: Gauge
     waiting_asks: Gauge
     revision: Gauge
+    configuration_age: Gauge
+    store_contact_age: Gauge
+    upstreams: Gauge
     members: Gauge
     peer_messages: Counter
     peer_bytes: Counter
@@ -39,17 +43,18 @@
             ["code", "name", "rank"],
             registry=registry,
         ),
-        requests=Counter(
-            "carawayhitch_requests",
-            "Requests that ended, by rank and whether the answer was complete.",
-            ["rank", "complete"],
+        stage_seconds=Histogram(
+            "carawayhitch_request_stage_seconds",
+            "Time from the call to its grant (queue), to the first part of its answer"
+            " (first) and to its end (whole), in seconds.",
+            ["stage", "kind", "rank"],
+            buckets=SECONDS_BUCKETS,
             registry=registry,
         ),
-        first_token_seconds=Histogram(
-            "carawayhitch_first_token_seconds",
-            "Time from the call to its first token, in seconds.",
-            ["rank"],
-            buckets=SECONDS_BUCKETS,
+        dropped_log_lines=Gauge(
+            "carawayhitch_dropped_log_lines",
+            "Log lines dropped since the start, by reason.",
+            ["reason"],
             registry=registry,
         ),
         exchange_bytes=Counter(
@@ -71,6 +76,23 @@
             "Store revision of the configuration in force.",
             registry=registry,
         ),
+        configuration_age=Gauge(
+            "carawayhitch_configuration_age_seconds",
+            "Time since the configuration in force was put in force, in seconds.",
+            registry=registry,
+        ),
+        store_contact_age=Gauge(
+            "carawayhitch_store_contact_age_seconds",
+            "Time since the store last answered about a scope, in seconds.",
+            ["scope"],
+            registry=registry,
+        ),
+        upstreams=Gauge(
+            "carawayhitch_upstreams",
+            "Upstreams known, by whether they may get new work.",
+            ["state"],
+            registry=registry,
+        ),
         members=Gauge(
             "carawayhitch_members",
             "Entries by membership state.",
@@ -92,12 +114,23 @@
     )
 
 
-def render_metrics(metrics: Metrics, board: Board) -> bytes:
+def render_metrics(metrics: Metrics, board: Board, now: float) -> bytes:
     """Return the exposition text with gauges taken from the board."""
     metrics.open_requests.set(len(board.requests_by_id))
     metrics.waiting_asks.set(len(board.asks_by_request_id))
     configuration = board.configuration
     metrics.revision.set(configuration.revision if configuration else 0)
+    if configuration:
+        metrics.configuration_age.set(now - board.object_set.in_force_since)
+    for scope in board.store_scopes_by_name.values():
+        age = now - scope.contacted_at if scope.contacted_at else float("nan")
+        metrics.store_contact_age.labels(scope.scope).set(age)
+    metrics.upstreams.clear()
+    for upstream in board.upstreams_by_id.values():
+        state = "usable" if upstream.takes_work(now) else "unusable"
+        metrics.upstreams.labels(state).inc()
+    for reason, count in process_output().dropped_by_reason.items():
+        metrics.dropped_log_lines.labels(reason).set(count)
     metrics.members.clear()
     for member in board.members_by_id.values():
         metrics.members.labels(member.state).inc()
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -416,6 +416,12 @@
     node.count(action.code, action.rank)
 
 
+@perform.register(actions.Observe)
+def _observe(action: actions.Observe, node: Node) -> None:
+    stage = node.metrics.stage_seconds.labels(action.stage, action.kind, action.rank)
+    stage.observe(action.seconds)
+
+
 @perform.register(actions.Log)
 def _log(action: actions.Log, node: Node) -> None:
     getattr(node.log, action.level)(action.event, **action.fields)
--- a/src/carawayhitch/platform/_store.py
+++ b/src/carawayhitch/platform/_store.py
@@ -40,6 +40,18 @@
     revision: int
 
 
+class NameBody(TypedDict):
+    """The part of an object's metadata by which pages of a list continue."""
+
+    name: str
+
+
+class NamedBody(TypedDict):
+    """An object of which only the name is needed."""
+
+    metadata: NameBody
+
+
 class ObjectBody(TypedDict):
     """An object; ``spec`` is its value."""
 
@@ -117,6 +129,14 @@
     raise TypeError(f"not a store action: {action!r}")
 
 
+def _name_of(value: Any) -> str:
+    """Return the name of an object that may lack all else; empty for none."""
+    try:
+        return msgspec.convert(value, NamedBody)["metadata"]["name"]
+    except msgspec.ValidationError:
+        return ""
+
+
 def _stored(kind: str, value: Any, deleted: bool) -> events.StoredObject | None:
     """Return an object of the store, or None if it has not the shape of one."""
     try:
@@ -149,9 +169,10 @@
         revision = page["at"] if revision < 0 else revision
         stored = [_stored(kind, item, False) for item in page["items"]]
         found += [item for item in stored if item is not None]
-        if not page["hasMore"] or not found or found[-1].name == after:
+        last = _name_of(page["items"][-1]) if page["items"] else ""
+        if not page["hasMore"] or last in ("", after):
             break
-        after = found[-1].name
+        after = last
     return events.ObjectsListed(revision, tuple(found), action.scope, (kind,))
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import http.client
 import json
+import os
 import signal
 import threading
 import time
@@ -275,13 +277,67 @@
         port = self.fleet.gateways_by_name["entry-0"]["metrics"]
         _, text, _ = call("GET", f"http://127.0.0.1:{port}/metrics")
         self.assertIn(b'name="NO_ROUTE"', text)
+        (refused,) = self.lines_of("entry-0", "id-of-none")
+        self.assertEqual(refused["code"], "NO_ROUTE")
+
+    def lines_of(self, entry, request_id):
         lines = [
             json.loads(line)
-            for line in self.fleet.log_text("entry-0").splitlines()
+            for line in self.fleet.log_text(entry).splitlines()
             if line.startswith("{")
         ]
-        refused = [line for line in lines if line.get("request_id") == "id-of-none"]
-        self.assertEqual(refused[0]["code"], "NO_ROUTE")
+        return [line for line in lines if line.get("request_id") == request_id]
+
+    def test_log_leads_from_a_request_to_its_cause(self):
+        """Guards against decisions without a line, or without what decided them."""
+        self.start(services=2)
+        for name in ("plain-0", "plain-1"):
+            self.fleet.server_faults(name, failures=5)
+        status, *_ = self.fleet.ask(
+            "entry-0", "/look/1", "GET", b"", Carawayhitch_Request_Id="id-1"
+        )
+        self.assertEqual(status, 500)
+        lines = self.lines_of("entry-0", "id-1")
+        names = [line["event"] for line in lines]
+        attempt = ["ask granted", "upstream granted"]
+        self.assertEqual(
+            names,
+            ["call admitted", *attempt, "call retried", *attempt, "request ended"],
+        )
+        self.assertEqual(lines[0]["version"], self.fleet.version)
+        self.assertGreaterEqual(lines[0]["revision_age"], 0.0)
+        self.assertNotEqual(lines[2]["upstream"], lines[5]["upstream"])
+        self.assertEqual(lines[3]["code"], "RETRY_FAILED_ANSWER")
+        self.assertEqual((lines[6]["status"], lines[6]["attempt"]), (500, 2))
+        for name in ("plain-0", "plain-1"):
+            self.fleet.server_faults(name)
+        self.assertEqual(self.fleet.ask("entry-0", "/order/1")[0], 200)
+        port = self.fleet.gateways_by_name["entry-0"]["metrics"]
+        _, body, _ = call("GET", f"http://127.0.0.1:{port}/metrics")
+        text = body.decode()
+        for stage in ("queue", "first", "whole"):
+            wanted = 'stage_seconds_count{kind="order",rank="priority-1/goal-1",'
+            self.assertIn(f'{wanted}stage="{stage}"}}', text)
+        self.assertIn("carawayhitch_configuration_age_seconds", text)
+        self.assertIn('store_contact_age_seconds{scope="upstreams"}', text)
+
+    def test_output_that_nobody_reads_stops_no_call(self):
+        """Guards against entries that wait for the reader of their log."""
+        self.start(entries=0)
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+        self.fleet.start_gateway("entry-0", output=writer)
+        started = time.monotonic()
+        for _ in range(300):
+            self.assertEqual(self.fleet.ask("entry-0", "/order/1")[0], 200)
+        self.assertLess(time.monotonic() - started, 15.0)
+        port = self.fleet.gateways_by_name["entry-0"]["metrics"]
+        _, text, _ = call("GET", f"http://127.0.0.1:{port}/metrics")
+        self.assertIn(b'carawayhitch_dropped_log_lines{reason="backlog"}', text)
+        self.fleet.send_signal("entry-0", signal.SIGTERM)
+        self.fleet.wait_exit("entry-0")
 
 
 if __name__ == "__main__":
