Evacuate engines also by a scheduler that took over meanwhile

Cause: an evacuation began only with the notice, at the scheduler of that moment. If it was dead, frozen or cut off, the next scheduler learned of the generations after the notice and ordered nothing. What: a scheduler that is told of a generation on a leaving engine begins the evacuation; its row stays until the engine is gone, so that failed moves are not ordered again. Ruled out: moves ordered by each entry for itself (they would share one link and take each other's room at the target). Before: test_new_scheduler_evacuates_what_it_learns_of failed (no order).

--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -3,7 +3,9 @@
 Copies leave an engine over one link, one after another. If each entry moved its own
 generations, every copy would wait for the others, and a generation that is stopped for
 its last copy would wait as well. The scheduler of the cell knows all generations and
-orders one move at a time, the one first that loses most if it is not moved.
+orders one move at a time, the one first that loses most if it is not moved. An
+evacuation begins with the notice, or when a scheduler that took over is told of a
+generation on an engine that leaves.
 """
 
 from __future__ import annotations
@@ -97,38 +99,74 @@
     event: events.UpstreamLeaving, board: Board, now: float, random: Random
 ) -> Actions:
     upstream = board.upstreams_by_id.get(event.upstream_id)
-    if upstream is None or upstream.kind != "engine":
-        return ()
+    return _evacuate(board, upstream, now) if upstream is not None else ()
+
+
+@decide.register(messages.Progress)
+def _begin_late(
+    event: messages.Progress, board: Board, now: float, random: Random
+) -> Actions:
+    """Begin an evacuation that the scheduler before did not begin or end."""
+    decided: list[actions.Action] = []
+    for upstream_id in dict.fromkeys(row.upstream_id for row in event.running):
+        upstream = board.upstreams_by_id.get(upstream_id)
+        if upstream is None or not upstream.leaving:
+            continue
+        if upstream_id not in board.evacuations_by_upstream_id:
+            decided.extend(_evacuate(board, upstream, now))
+    return decided
+
+
+def _evacuate(board: Board, upstream: rows.UpstreamRow, now: float) -> Actions:
+    upstream_id = upstream.upstream_id
     cell = next(
         (
             cell
             for cell in board.cells_by_id.values()
-            if event.upstream_id in cell.upstream_ids
+            if upstream_id in cell.upstream_ids
         ),
         None,
     )
-    if cell is None or event.upstream_id not in board.grant_ids_by_upstream_id:
+    if cell is None or upstream_id not in board.grant_ids_by_upstream_id:
         return ()
     capacity = _capacity(board, cell.group)
     if capacity is None or not capacity.can_move:
         return ()
-    deadline = upstream.leaves_at or now + DEFAULT_NOTICE_SECONDS
-    board.evacuations_by_upstream_id[event.upstream_id] = rows.EvacuationRow(
-        event.upstream_id, cell.cell_id, deadline
+    since = upstream.leaving_since or now
+    deadline = upstream.leaves_at or since + DEFAULT_NOTICE_SECONDS
+    if now >= deadline:
+        return ()
+    board.evacuations_by_upstream_id[upstream_id] = rows.EvacuationRow(
+        upstream_id, cell.cell_id, deadline
     )
-    running = len(board.grant_ids_by_upstream_id[event.upstream_id])
-    fields = {"upstream": event.upstream_id, "running": running}
+    running = len(board.grant_ids_by_upstream_id[upstream_id])
+    fields = {
+        "upstream": upstream_id,
+        "running": running,
+        "seconds_left": round(deadline - now, 3),
+    }
     return (
         actions.Log("info", "evacuation begins", fields),
         actions.SetTimer(
-            now + REPORT_LAG_SECONDS,
-            events.TimerFired(REPORT_TIMER, event.upstream_id),
+            now + REPORT_LAG_SECONDS, events.TimerFired(REPORT_TIMER, upstream_id)
         ),
-        *_order_next(board, event.upstream_id, now),
-        _check_later(event.upstream_id, now),
+        *_order_next(board, upstream_id, now),
+        _check_later(upstream_id, now),
     )
 
 
+@decide.register(events.UpstreamsChanged)
+def _forget(
+    event: events.UpstreamsChanged, board: Board, now: float, random: Random
+) -> Actions:
+    """Forget evacuations of engines that are gone or came back as another process."""
+    for upstream_id in list(board.evacuations_by_upstream_id):
+        upstream = board.upstreams_by_id.get(upstream_id)
+        if upstream is None or not upstream.leaving:
+            del board.evacuations_by_upstream_id[upstream_id]
+    return ()
+
+
 def _check_later(upstream_id: str, now: float) -> actions.SetTimer:
     timer = events.TimerFired(EVACUATION_TIMER, upstream_id)
     return actions.SetTimer(now + CHECK_SECONDS, timer)
@@ -160,7 +198,10 @@
     if evacuation is None:
         return ()
     if now >= evacuation.deadline:
-        del board.evacuations_by_upstream_id[event.subject]
+        # The row stays while the engine does, so that nothing is ordered again.
+        board.evacuations_by_upstream_id[event.subject] = evacuation._replace(
+            moving_request_id=""
+        )
         left = len(board.grant_ids_by_upstream_id.get(event.subject, ()))
         fields = {"upstream": event.subject, "running": left}
         return (actions.Log("info", "evacuation ends", fields),)
--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -70,6 +70,24 @@
     ]
 
 
+def running_on(upstream_id, request_id, attempt=1):
+    """Return the progress by which an entry tells a new scheduler of a generation."""
+    running = messages.RunningRequest(
+        request_id,
+        attempt,
+        "quotes",
+        "hotel",
+        "patient",
+        "b",
+        f"print of {request_id}",
+        upstream_id,
+        1000,
+        4000,
+        100,
+    )
+    return messages.Progress("entry-2", CELL, (running,), ())
+
+
 def report(request_id, upstream_id, outcome, attempt=2):
     return messages.MoveReport(
         "entry-2", request_id, attempt, CELL, upstream_id, outcome
@@ -181,6 +199,34 @@
         row = board.evacuations_by_upstream_id[source]
         self.assertEqual(row.deadline, NOW + 2.1)
 
+    def test_new_scheduler_evacuates_what_it_learns_of(self):
+        """Guards against generations lost because their scheduler was lost as well."""
+        board = world(engine_count=2)
+        source, other = sorted(board.upstreams_by_id)[:2]
+        self.assertEqual(orders(leave(board, source)), [])
+        self.assertEqual(
+            orders(feed(board, running_on(source, "first"), NOW + 0.6)),
+            [("first", other)],
+        )
+        # The same rows come with each further progress.
+        self.assertEqual(
+            orders(feed(board, running_on(source, "first"), NOW + 0.7)), []
+        )
+
+    def test_evacuation_that_ended_does_not_begin_again(self):
+        """Guards against moves that failed and are ordered without end."""
+        board = world(engine_count=2)
+        source = start(board, "first")
+        ((moved, _),) = orders(leave(board, source))
+        feed(board, report(moved, source, "failed"), NOW + 0.1)
+        timer = events.TimerFired(_evacuation.EVACUATION_TIMER, source)
+        feed(board, timer, NOW + 5.0)
+        progress = running_on(source, "first", attempt=2)
+        self.assertEqual(orders(feed(board, progress, NOW + 5.1)), [])
+        del board.upstreams_by_id[source]
+        feed(board, events.UpstreamsChanged(), NOW + 6.0)
+        self.assertNotIn(source, board.evacuations_by_upstream_id)
+
 
 if __name__ == "__main__":
     unittest.main()
