Answer refused suspects with 503 on routes, and never promise 'not run' falsely

Cause: on routes a 4xx of our own says that the call is wrong; a resent call that is suspected of crashes was answered 422. The status of a code whose outcome is unknown could have been one that promises 'not run' (none that routes reach, but nothing kept it so). Before: 422; test_call_that_may_have_run_has_no_promise failed for CHANGE_UNKNOWN (503).

--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -58,6 +58,14 @@
         )
 
 
+# On routes, some statuses promise that the call did not run and never will, and any
+# other 4xx says that the call itself is wrong. A resent call that is
+# suspected of crashes may be innocent and was not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+UNKNOWN_STATUS = 502
+STATUSES_BY_CODE = {result_codes.SUSPECT_REFUSED: 503}
+
+
 class RelayedResponse(HTTPResponse):
     """An upstream's answer; the library adds no content type of its own."""
 
@@ -76,9 +84,12 @@
     headers = {}
     if action.retry_after and action.code.ran == "no":
         headers["Retry-After"] = f"{action.retry_after:.3f}"
+    status = STATUSES_BY_CODE.get(action.code, action.code.http_status)
+    if action.code.ran != "no" and status in NOT_RUN_STATUSES:
+        status = UNKNOWN_STATUS
     return HTTPResponse(
         f"{action.code.name}\n",
-        action.code.http_status or 502,
+        status or UNKNOWN_STATUS,
         headers=headers,
         content_type="text/plain",
     )
--- /dev/null
+++ b/tests/frontend/test_gateway.py
@@ -0,0 +1,31 @@
+"""Answers of the front end for HTTP routes."""
+
+from __future__ import annotations
+
+import unittest
+
+from carawayhitch.core import actions, result_codes
+from carawayhitch.frontend import _gateway
+
+
+class RefusalTest(unittest.TestCase):
+    def test_refused_suspect_is_not_told_that_its_call_is_wrong(self):
+        """Guards against innocent calls that are denied for good."""
+        code = result_codes.SUSPECT_REFUSED
+        refused = _gateway.refusal_response(actions.RefuseCall("r", code, ""))
+        self.assertEqual(refused.status, 503)
+
+    def test_call_that_may_have_run_has_no_promise(self):
+        """Guards against statuses and headers by which callers would send it again."""
+        for code in result_codes.codes_by_number.values():
+            if code.ran == "no":
+                continue
+            action = actions.RefuseCall("r", code, "", 1.0)
+            refused = _gateway.refusal_response(action)
+            with self.subTest(code.name):
+                self.assertNotIn(refused.status, (408, 421, 429, 503))
+                self.assertNotIn("Retry-After", refused.headers)
+
+
+if __name__ == "__main__":
+    unittest.main()
