Divide the fleet's retries by registered entries, not by those in sight

Cause: an entry's part of the retries that the fleet may make was taken over the live members that it sees. Halves of a split fleet, and entries that know no other yet after a restart of all, each took a larger part, so that the sum exceeded the limit. What: the number of entries is the larger one of live members and registrations. Ruled out: keeping dead members for longer, which helps neither at a start nor when they are removed. Conclusion: entries that left for good and are still registered make the parts smaller, which costs retries and breaks nothing.

--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -8,7 +8,7 @@
 from carawayhitch.controllers._call_logs import retry_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._placement import end_request, finished_message
-from carawayhitch.core import actions, events, result_codes, rows
+from carawayhitch.core import actions, declarations, events, result_codes, rows
 
 BUDGET_LIMIT = 20.0
 LIVE_STATES = frozenset({"joining", "alive", "suspect"})
@@ -38,9 +38,17 @@
 
 
 def _own_part(board: Board) -> float:
-    """Return this entry's part of the retries that the fleet may make."""
-    present = [row for row in board.members_by_id.values() if row.state in LIVE_STATES]
-    return board.settings.retries.fleet_limit / max(1, len(present))
+    """Return this entry's part of the retries that the fleet may make.
+
+    An entry that lost sight of others, or does not know them yet, still finds their
+    registrations in the store; those others may retry as well.
+    """
+    present = sum(row.state in LIVE_STATES for row in board.members_by_id.values())
+    registered = sum(
+        key[0] == declarations.ENTRY_REGISTRATION and not row.deleted
+        for key, row in board.objects_by_key.items()
+    )
+    return board.settings.retries.fleet_limit / max(1, present, registered)
 
 
 def refill(
