Look again at a blocked prompt when its timer fires early

Cause: the event loop rounds timers to a millisecond, so the check after a prompt could come before the engine had room for the next one.

--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -42,6 +42,7 @@
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
     if event.name == PREFILL_TIMER:
+        board.prefill_checks_by_cell_id.pop(event.subject, None)
         return _schedule(board, event.subject, now)
     if event.name != SCHEDULING_TIMER:
         return ()
