Order moves so that the fewest answers are lost, to the least loaded engines

The order counted tokens, but a caller loses an answer, however long it was. What: the move with the most saved answers for its time on the link goes first; targets are the least loaded engines, and nearer ones only if the notice is too short for all. Ruled out: copies before any notice (at these loads the targets have no memory for a second copy of 3,000 tokens a generation); room kept free (measured before, no gain).

--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -3,7 +3,7 @@
 Copies leave an engine over one link, one after another. If each entry moved its own
 generations, every copy would wait for the others, and a generation that is stopped for
 its last copy would wait as well. The scheduler of the cell knows all generations and
-orders one move at a time, the one first that loses most if it is not moved. An
+orders one move at a time, in an order that loses the fewest answers. An
 evacuation begins with the notice, or when a scheduler that took over is told of a
 generation on an engine that leaves.
 """
@@ -50,7 +50,8 @@
     Parameters
     ----------
     loss : float
-        Expected loss without the move, in tokens.
+        Probability that the answer is lost without the move. Callers lose an answer,
+        however much of it there was.
     seconds : float
         Time of the copy.
     """
@@ -271,20 +272,22 @@
     if source is None or cell is None or capacity is None:
         return None
     found: list[Candidate] = []
-    for request_id in board.grant_ids_by_upstream_id.get(source.upstream_id, ()):
-        grant = board.grants_by_request_id[request_id]
-        if request_id in evacuation.tried_request_ids or not grant.token_count:
-            # Without a token there is no memory to move yet.
-            continue
-        target = _choose_target(board, cell, grant, source, now)
+    left = evacuation.deadline - now
+    movable = _movable(board, evacuation)
+    needed = sum(
+        copy_seconds(capacity, held_tokens(grant), same_zone=False)
+        + MOVE_OVERHEAD_SECONDS
+        for grant in movable
+    )
+    for grant in movable:
+        target = _choose_target(board, cell, grant, source, needed > left, now)
         if target is None:
             continue
-        held = grant.prompt_tokens + grant.token_count
-        seconds = copy_seconds(capacity, held, target.zone == source.zone)
-        left = evacuation.deadline - now
+        same_zone = target.zone == source.zone
+        seconds = copy_seconds(capacity, held_tokens(grant), same_zone)
         if seconds + MOVE_OVERHEAD_SECONDS > left:
             continue
-        loss = held * _share_unfinished(board, grant, left, now)
+        loss = _share_unfinished(board, grant, left, now)
         found.append(Candidate(grant, target, loss, seconds))
     return max(
         found,
@@ -295,14 +298,37 @@
     )
 
 
+def held_tokens(grant: rows.GrantRow) -> int:
+    """Return the tokens that a generation holds in the memory of its engine."""
+    return grant.prompt_tokens + grant.token_count
+
+
+def _movable(board: Board, evacuation: rows.EvacuationRow) -> list[rows.GrantRow]:
+    """Return the generations that no move was tried for.
+
+    Without a token there is no memory to move yet.
+    """
+    return [
+        grant
+        for request_id in board.grant_ids_by_upstream_id.get(evacuation.upstream_id, ())
+        if request_id not in evacuation.tried_request_ids
+        and (grant := board.grants_by_request_id[request_id]).token_count
+    ]
+
+
 def _choose_target(
     board: Board,
     cell: rows.CellRow,
     grant: rows.GrantRow,
     source: rows.UpstreamRow,
+    hurried: bool,
     now: float,
 ) -> rows.UpstreamRow | None:
-    """Return an engine with room for a generation, in the source's zone if possible."""
+    """Return an engine with room for a generation.
+
+    The least loaded one, because it may leave as well and then has to be emptied in as
+    little time; in a hurry one of the source's zone, to which copies are faster.
+    """
     memory = _memory.predict(
         board,
         grant.binding,
@@ -324,8 +350,9 @@
     return min(
         able,
         key=lambda upstream: (
-            upstream.zone != source.zone,
+            hurried and upstream.zone != source.zone,
             upstream_load(board, upstream),
+            upstream.zone != source.zone,
             upstream.upstream_id,
         ),
         default=None,
--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -122,6 +122,33 @@
         board.cells_by_id[CELL] = cell._replace(upstream_ids=(source, "engine-9"))
         self.assertEqual(orders(leave(board, source))[0][0], "long")
 
+    def test_more_generations_are_saved_by_small_copies(self):
+        """Guards against one large copy that takes the time of several others."""
+        board = world(engine_count=1)
+        source = start(board, "large", prompt=4000)
+        start(board, "small", prompt=1000)
+        other = board.upstreams_by_id[source]._replace(upstream_id="engine-9")
+        board.upstreams_by_id["engine-9"] = other
+        cell = board.cells_by_id[CELL]
+        board.cells_by_id[CELL] = cell._replace(upstream_ids=(source, "engine-9"))
+        self.assertEqual(orders(leave(board, source))[0][0], "small")
+
+    def test_nearer_engine_is_used_only_if_time_is_short(self):
+        """Guards against one engine that gets all, and loses them when it leaves."""
+        for notice, taken in ((1.5, "far"), (0.2, "near")):
+            with self.subTest(taken):
+                board = world(engine_count=3)
+                source = start(board, "first")
+                far, near = sorted(set(board.upstreams_by_id) - {source})
+                loaded = start(board, "second")
+                (idle,) = {far, near} - {loaded}
+                names = {loaded: "near", idle: "far"}
+                known = board.upstreams_by_id
+                known[idle] = known[idle]._replace(zone="zone-2")
+                known[source] = known[source]._replace(leaves_at=NOW + notice)
+                ((_, target),) = orders(leave(board, source))
+                self.assertEqual(names[target], taken)
+
     def test_generation_without_a_token_is_left(self):
         """Guards against orders that engines cannot follow, again and again."""
         board = world(engine_count=2)
