--- /dev/null
+++ b/src/carawayhitch/core/_call_events.py
@@ -0,0 +1,195 @@
+"""Events of calls: what callers and upstreams did."""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+from carawayhitch.core._declarations import Labels
+from carawayhitch.core._rows import (
+    GenerationTarget,
+    IssuedKey,
+    RoutedTarget,
+    ServiceTarget,
+)
+
+FailureKind = Literal[
+    "connect",
+    "refused",
+    "link_lost",
+    "stalled",
+    "truncated",
+    "generation_gone",
+    "foreign",
+]
+
+
+class CallReceived(NamedTuple):
+    """A call of a caller, decoded but not yet authenticated.
+
+    Parameters
+    ----------
+    token_sha256 : str
+        SHA-256 of the bearer token in hexadecimal.
+    labels : dict of str to str
+        Request labels, including ``model`` and ``path``.
+    fingerprint : str
+        SHA-256 of path and canonical body; equal for resent requests.
+    body_sha256 : str
+        SHA-256 of method, path, query and body; a key is bound to it.
+    wait_seconds : float
+        Longest wait that the caller accepts; 0 for the configured limit.
+    issued_key : IssuedKey or None
+        Verified content of the key if an entry issued it.
+    key_created_at : float or None
+        Time in a UUIDv7 key, in seconds of the node clock.
+    forwarded : bool
+        Another entry sent this call here because of its issued key.
+    """
+
+    request_id: str
+    token_sha256: str
+    labels: Labels
+    target: GenerationTarget | ServiceTarget | RoutedTarget
+    fingerprint: str
+    body_sha256: str
+    idempotency_key: str = ""
+    wait_seconds: float = 0.0
+    issued_key: IssuedKey | None = None
+    key_created_at: float | None = None
+    forwarded: bool = False
+
+
+class KeysRequested(NamedTuple):
+    """A caller asks for signed single-use keys."""
+
+    request_id: str
+    token_sha256: str
+    key_count: int
+
+
+class ResumeReceived(NamedTuple):
+    """A caller presents a verified resume token."""
+
+    request_id: str
+    token_sha256: str
+    account: str
+    group: str
+    upstream_id: str
+    address: str
+    generation_id: str
+    last_sequence: int
+
+
+class CallerGone(NamedTuple):
+    """The caller closed its connection before the answer ended."""
+
+    request_id: str
+
+
+class UpstreamOpened(NamedTuple):
+    """An upstream answered with a success status and a stream follows.
+
+    Parameters
+    ----------
+    headers : tuple of (str, str)
+        Headers that the caller gets with the stream.
+    """
+
+    request_id: str
+    attempt: int
+    generation_id: str
+    content_type: str
+    address: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class ChunkReceived(NamedTuple):
+    """Whole server-sent events of a stream.
+
+    Parameters
+    ----------
+    first_sequence, last_sequence : int
+        Sequence numbers of the first and last event in ``data``.
+    data : bytes
+        The events as received, complete with their blank lines.
+    is_final : bool
+        Whether the last event is the end mark, which carries no token.
+    """
+
+    request_id: str
+    attempt: int
+    first_sequence: int
+    last_sequence: int
+    data: bytes
+    is_final: bool = False
+
+
+class CallerPaused(NamedTuple):
+    """The caller takes bytes more slowly than they arrive; reading has stopped."""
+
+    request_id: str
+
+
+class CallerResumed(NamedTuple):
+    """The caller has taken what was written; reading goes on."""
+
+    request_id: str
+
+
+class StreamEnded(NamedTuple):
+    """The stream closed after its final event."""
+
+    request_id: str
+    attempt: int
+
+
+class AnswerReceived(NamedTuple):
+    """A whole answer, complete and checked against its declared length."""
+
+    request_id: str
+    attempt: int
+    status: int
+    content_type: str
+    body: bytes
+    token_count: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class UpstreamCallFailed(NamedTuple):
+    """A call to an upstream failed.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether any byte of the request may have reached the upstream.
+    """
+
+    request_id: str
+    attempt: int
+    kind: FailureKind
+    sent: bool
+    detail: str = ""
+
+
+class MemoryCopied(NamedTuple):
+    """Answer to ``CopyMemory``.
+
+    Parameters
+    ----------
+    is_final : bool
+        Whether the generation was to stop before the copy.
+    outcome : {"copied", "gone", "refused", "unknown"}
+        ``gone`` if the source runs no such generation, ``unknown`` if it did not
+        answer.
+    handle : str
+        Name of the memory at the source; empty if there is none.
+    addresses : tuple of str
+        Source and target of the copy.
+    """
+
+    request_id: str
+    attempt: int
+    is_final: bool
+    outcome: Literal["copied", "gone", "refused", "unknown"]
+    handle: str = ""
+    addresses: tuple[str, ...] = ()
--- /dev/null
+++ b/src/carawayhitch/core/_request_rows.py
@@ -0,0 +1,230 @@
+"""Rows of requests at the entry that serves them: targets, attempts, moves."""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+RequestPhase = Literal["asking", "claiming", "opening", "relaying", "finished"]
+MovePhase = Literal["copying", "stopping", "opening"]
+MoveOutcome = Literal["moved", "not_started", "gone", "failed"]
+
+
+class GenerationTarget(NamedTuple):
+    """A call to a model engine."""
+
+    path: str
+    model: str
+    stream: bool
+    prompt_tokens: int
+    maximum_tokens: int
+    prefix_blocks: tuple[str, ...] = ()
+
+
+class ServiceTarget(NamedTuple):
+    """A call to a plain service.
+
+    Parameters
+    ----------
+    idempotent : bool
+        Set in admission from the declared routes; False until then.
+    """
+
+    service: str
+    method: str
+    path: str
+    idempotent: bool = False
+
+
+class ForwardTarget(NamedTuple):
+    """A call with an issued key that runs at the entry which issued the key."""
+
+    service: str
+    method: str
+    path: str
+    node_id: str
+    incarnation: int
+
+
+class ResumeTarget(NamedTuple):
+    """A stream that continues at this entry after another entry was lost."""
+
+    upstream_id: str
+    generation_id: str
+    last_sequence: int
+
+
+class RoutedTarget(NamedTuple):
+    """A call on an HTTP route, passed on with its method, path and body unchanged.
+
+    Parameters
+    ----------
+    path : str
+        Path as the caller sent it, without the query.
+    streamed, repeatable, resumable : bool
+        Set in admission from the declared route; False until then.
+    last_sequence : int
+        Last event that the caller has of an earlier answer; 0 for a new one.
+    expected_tokens : int
+        The caller's estimate of the output; right in the median and often far off.
+    """
+
+    method: str
+    host: str
+    path: str
+    prompt_tokens: int = 0
+    maximum_tokens: int = 0
+    expected_tokens: int = 0
+    prefix_blocks: tuple[str, ...] = ()
+    last_sequence: int = 0
+    streamed: bool = False
+    repeatable: bool = False
+    resumable: bool = False
+
+
+Target = GenerationTarget | ServiceTarget | ForwardTarget | ResumeTarget | RoutedTarget
+
+
+class IssuedKey(NamedTuple):
+    """Content of a signed single-use key.
+
+    Parameters
+    ----------
+    node_id, incarnation : str, int
+        The one process that may run a call with this key.
+    address : str
+        Host and port of that process's HTTP interface.
+    deadline : float
+        End of the key in seconds of that process's clock, which no other process
+        compares with its own.
+    """
+
+    node_id: str
+    incarnation: int
+    address: str
+    account: str
+    serial: str
+    deadline: float
+
+
+class RequestRow(NamedTuple):
+    """One call of a caller that this entry serves.
+
+    Parameters
+    ----------
+    deadline : float
+        Time after which the request must not start (seconds of the node clock).
+    key_created_at : float or None
+        Time in a UUIDv7 key, in seconds of the node clock.
+    grant_deadline : float
+        Time after which the granted upstream must not be used any more.
+    caller_gone : bool
+        The caller left while a call ran that must not be repeated; its answer is
+        still kept for duplicates.
+    attempt : int
+        Number of the current ask; answers to older ones are ignored.
+    last_sequence : int
+        Highest event sequence delivered to the caller; 0 before the first.
+    last_chunk_at : float
+        Time of the last bytes of this attempt, or of its start before the first.
+    paused_at : float
+        Time since which the caller takes no bytes; 0 while it does.
+    may_have_run : bool
+        Whether any attempt was sent, so that no refusal may say ``no`` any more.
+    known_by_id : str
+        Scheduler that has the row of the running request; progress to it is short.
+    answer_deadline : float
+        Time by which the answer has to begin; 0 for no such time.
+    goal_deadline : float
+        Time by which the answer should begin; 0 for no such time.
+    caller_deadline : float
+        Time until which the caller waits; 0 if it did not tell.
+    attempt_limit : int
+        Upstreams on which the call may run; 0 for the limit of the settings.
+    run_count : int
+        Upstreams on which it may have run.
+    answer_headers : tuple of (str, str)
+        Headers of the upstream's answer, until the caller has them.
+    answer_status : int
+        HTTP status of a whole answer that was passed on; 0 for none.
+    """
+
+    request_id: str
+    account: str
+    group: str
+    rank: str
+    binding: str
+    target: Target
+    fingerprint: str
+    body_sha256: str
+    idempotency_key: str
+    received_at: float
+    deadline: float
+    issued_key: IssuedKey | None = None
+    key_created_at: float | None = None
+    grant_deadline: float = 0.0
+    caller_gone: bool = False
+    phase: RequestPhase = "asking"
+    attempt: int = 1
+    cell_id: str = ""
+    scheduler_id: str = ""
+    ask_deadline: float = 0.0
+    ask_count: int = 0
+    queued: bool = False
+    upstream_id: str = ""
+    address: str = ""
+    priority: int = 0
+    excluded_upstream_ids: tuple[str, ...] = ()
+    generation_id: str = ""
+    last_sequence: int = 0
+    token_count: int = 0
+    reported_token_count: int = 0
+    first_token_at: float = 0.0
+    last_chunk_at: float = 0.0
+    resume_count: int = 0
+    response_started: bool = False
+    paused_at: float = 0.0
+    may_have_run: bool = False
+    known_by_id: str = ""
+    answer_deadline: float = 0.0
+    goal_deadline: float = 0.0
+    caller_deadline: float = 0.0
+    attempt_limit: int = 0
+    run_count: int = 0
+    answer_headers: tuple[tuple[str, str], ...] = ()
+    answer_status: int = 0
+
+
+class MoveRow(NamedTuple):
+    """A generation of this entry that is being moved to another engine.
+
+    Parameters
+    ----------
+    scheduler_id : str
+        Who ordered the move.
+    phase : MovePhase
+        ``copying`` while the generation goes on, ``stopping`` while the rest is
+        copied, ``opening`` while the target has not sent an event.
+    handle : str
+        Name of the copied memory at the source.
+    deadline : float
+        Time at which the source is gone (seconds of the node clock).
+    """
+
+    request_id: str
+    attempt: int
+    scheduler_id: str
+    cell_id: str
+    source_id: str
+    source_address: str
+    target_id: str
+    target_address: str
+    deadline: float
+    phase: MovePhase = "copying"
+    handle: str = ""
+
+
+class BudgetRow(NamedTuple):
+    """Retry budget as a token bucket."""
+
+    retries: float
+    updated_at: float
