Take notices of leaving engines from their reports while the store is silent

The store was reset from 18.0 to 26 s and silent from 30.7 s on; notices of reclaimed engines were in it and unread, reports were asked for every 4 s only, and a report that told of leaving changed the row but began no evacuation. What: while a scope of the store fails, or says nothing for longer than a healthy watch can, the scheduler asks its engines every 0.5 s. A report that tells of leaving is a notice, with a log line.

--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -14,6 +14,11 @@
 from carawayhitch.core import settings as settings_types
 
 VM_LIST_TIMER = "vm_list"
+SILENCE_TIMER = "load_in_silence"
+# Engines leave 1.5 to 2.1 s after their notice; reports are half a second old.
+SILENCE_POLL_SECONDS = 0.5
+# A healthy watch is answered this much after its time at the latest.
+SILENCE_SLACK_SECONDS = 0.2
 LOAD_TIMER = "load"
 UNREACHABLE_SECONDS = 2.0
 # Covers the interval of load polls and the lag of load reports, which then tell why an
@@ -33,6 +38,23 @@
     return (
         actions.SetTimer(now, events.TimerFired(VM_LIST_TIMER)),
         actions.SetTimer(now, events.TimerFired(LOAD_TIMER)),
+        *_check_silence_later(board, now),
+    )
+
+
+def _check_silence_later(board: Board, now: float) -> Actions:
+    if board.settings.scheduling.load_interval_seconds <= SILENCE_POLL_SECONDS:
+        return ()
+    timer = events.TimerFired(SILENCE_TIMER)
+    return (actions.SetTimer(now + SILENCE_POLL_SECONDS, timer),)
+
+
+def _is_store_silent(board: Board, now: float) -> bool:
+    """Return whether notices of leaving upstreams may be in the store and unread."""
+    limit = board.settings.store.watch_timeout_seconds + SILENCE_SLACK_SECONDS
+    return any(
+        scope.contacted_at and (scope.failure_count or now - scope.contacted_at > limit)
+        for scope in board.store_scopes_by_name.values()
     )
 
 
@@ -46,6 +68,16 @@
             actions.PollVmList(),
             actions.SetTimer(now + interval, events.TimerFired(VM_LIST_TIMER)),
         )
+    if event.name == SILENCE_TIMER:
+        silent = _is_store_silent(board, now)
+        return (
+            *(
+                actions.PollLoad(upstream.upstream_id, upstream.address)
+                for upstream in (upstreams_to_poll(board) if silent else ())
+                if not upstream.leaving
+            ),
+            *_check_silence_later(board, now),
+        )
     if event.name == LOAD_TIMER:
         interval = board.settings.scheduling.load_interval_seconds
         polled = upstreams_to_poll(board)
@@ -286,6 +318,8 @@
     known = board.upstreams_by_id.get(event.upstream_id)
     if known is None or event.reported_at < known.reported_at:
         return ()
+    # The store may be silent, or its notice still on the way.
+    noticed = event.leaving and not known.leaving
     board.upstreams_by_id[event.upstream_id] = known._replace(
         reported_at=event.reported_at,
         memory_capacity=event.memory_capacity,
@@ -296,10 +330,22 @@
         waiting_count=event.waiting_count,
         preemption_count=event.preemption_count,
         leaving=known.leaving or event.leaving,
+        leaving_since=now if noticed else known.leaving_since,
         draining=event.draining,
         unreachable_until=0.0,
     )
-    return ()
+    if not noticed:
+        return ()
+    fields = {
+        "upstream": known.upstream_id,
+        "address": known.address,
+        "state": "leaving",
+        "report_age": round(now - event.reported_at, 3),
+    }
+    return (
+        actions.Log("info", "upstream changed", fields),
+        actions.Emit(events.UpstreamLeaving(known.upstream_id)),
+    )
 
 
 @decide.register(events.LoadUnavailable)
