Record calls of routes: hand on header names as plain text

Cause: the client library gives header names of a type of its own, which a trace cannot hold. With a trace file set, each routed call ended as link_lost (found while traces of the platform's stand-ins were recorded, from the line 'task failed'); its own line had no detail, because the error of a failed task was dropped. Fields and constants that nothing read are removed (PREFIX, DEFAULT_PRIORITY of calls, HttpRoute.pause_goal_seconds).

--- a/experiments/record_traces.py
+++ b/experiments/record_traces.py
@@ -13,8 +13,10 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import contextmanager
 from typing import Any
+from uuid import uuid4
 
 from fakes.link import FakeLink
+from fakes.platform_fleet import MODEL_SERVICE, PLAIN_SERVICE, PlatformFleet
 from fakes.processes import ACCOUNT_TOKENS, Fleet, call
 from fakes.stream_caller import StreamCaller
 
@@ -229,6 +231,85 @@
     scene.generate("length=4").result()
 
 
+class PlatformScene(Scene):
+    """Entries on the stand-ins of the users' platform, of which one is recorded."""
+
+    fleet: PlatformFleet
+
+    def start(self, engine_count: int = 2) -> None:
+        """Start engines, services and the recorded entry."""
+        self.fleet.start_store()
+        self.fleet.configure()
+        for number in range(1, engine_count + 1):
+            self.fleet.start_server(f"plain-{number}", PLAIN_SERVICE)
+            name = f"engine-{number}"
+            self.fleet.start_server(name, MODEL_SERVICE, event_seconds=0.05)
+        trace_file = f"{TRACE_FOLDER}/{self.name}.jsonl"
+        # Reports as seldom as on the platform, where they are priced.
+        self.fleet.settings_text = (
+            f'load_interval_seconds = 4.0\n[logs]\ntrace_file = "{trace_file}"\n'
+        )
+        self.fleet.start_gateway(self.recorded)
+
+    def ask(self, path: str, method: str = "POST") -> Future[Any]:
+        """Start a call on a route."""
+        headers = {
+            "Carawayhitch_Request_Id": uuid4().hex,
+            "Carawayhitch_Token_Count": "100,2000",
+        }
+        return self.pool.submit(
+            self.fleet.ask, self.recorded, path, method, b"", **headers
+        )
+
+    def engine_in_use(self) -> str:
+        """Return the engine that runs the first stream."""
+        deadline = time.monotonic() + 5.0
+        while time.monotonic() < deadline:
+            for number in (1, 2):
+                if self.fleet.seen_by(f"engine-{number}")["seen"]:
+                    return f"engine-{number}"
+            time.sleep(0.02)
+        raise RuntimeError("no engine runs a stream")
+
+
+def engine_reclaimed(scene: PlatformScene) -> None:
+    """Reclaim an engine whose notice is in the store while it runs a stream."""
+    scene.start()
+    stream = scene.ask("/draft/1?events=40")
+    used = scene.engine_in_use()
+    time.sleep(0.5)
+    scene.fleet.register(used, MODEL_SERVICE, state="draining")
+    time.sleep(1.0)
+    scene.fleet.kill(used)
+    stream.result()
+
+
+def notice_in_report(scene: PlatformScene) -> None:
+    """Reclaim an engine while the store is silent; only its report tells."""
+    scene.start()
+    stream = scene.ask("/draft/1?events=90")
+    used = scene.engine_in_use()
+    scene.fault("store", "faults", silent=True)
+    time.sleep(1.8)
+    scene.fleet.server_faults(used, state="draining")
+    time.sleep(1.5)
+    scene.fleet.kill(used)
+    stream.result()
+
+
+def failing_upstreams(scene: PlatformScene) -> None:
+    """Have both upstreams of a service fail a call that may run twice."""
+    scene.start()
+    for number in (1, 2):
+        scene.fleet.server_faults(f"plain-{number}", failures=1)
+    scene.ask("/look/1", "GET").result()
+    scene.ask("/order/1").result()
+
+
+PLATFORM_INCIDENTS: dict[str, Callable[[PlatformScene], None]] = {
+    incident.__name__: incident
+    for incident in (engine_reclaimed, notice_in_report, failing_upstreams)
+}
 INCIDENTS: dict[str, Callable[[Scene], None]] = {
     incident.__name__: incident
     for incident in (
@@ -254,16 +335,33 @@
         yield Scene(name, fleet, pool)
 
 
-def main() -> None:
-    """Record the named incidents, or all of them."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("names", nargs="*", help=", ".join(INCIDENTS))
-    names = parser.parse_args().names or list(INCIDENTS)
-    for name in names:
+@contextmanager
+def new_platform_scene(name: str) -> Iterator[PlatformScene]:
+    """Prepare a scene, and end every process afterwards."""
+    with PlatformFleet() as fleet, ThreadPoolExecutor(8) as pool:
+        yield PlatformScene(name, fleet, pool)
+
+
+def record(name: str) -> None:
+    """Record one incident."""
+    if name in INCIDENTS:
         with new_scene(name) as scene:
             INCIDENTS[name](scene)
             if scene.fleet.processes_by_name[scene.recorded].poll() is None:
                 scene.stop()
+        return
+    with new_platform_scene(name) as platform_scene:
+        PLATFORM_INCIDENTS[name](platform_scene)
+        platform_scene.stop()
+
+
+def main() -> None:
+    """Record the named incidents, or all of them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    known = [*INCIDENTS, *PLATFORM_INCIDENTS]
+    parser.add_argument("names", nargs="*", help=", ".join(known))
+    for name in parser.parse_args().names or known:
+        record(name)
         print(f"{TRACE_FOLDER}/{name}.jsonl", flush=True)
 
 
--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -189,13 +189,13 @@
 watchers_per_zone = 100
 retry_limit_seconds = 0.5
 lapse_grace_seconds = 1.0
-[scheduling]
-cache_events = false
 [retries]
 backoff_base_seconds = 0.005
 [drain]
 readiness_grace_seconds = 0.3
 limit_seconds = 20.0
+[scheduling]
+cache_events = false
 {self.settings_text}
 """
         path = Path(self.folder.name) / f"{name}.toml"
--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -50,6 +50,7 @@
         self.failures = 0
         self.cut_after = 0
         self.refusals = 0
+        self.state = "ready"
         self.move_status = 0
 
     def application(self) -> web.Application:
@@ -182,7 +183,7 @@
                 "active": len(self.runs_by_id),
                 "kvUsed": 10 * len(self.runs_by_id),
                 "kvTotal": 100_000,
-                "state": "ready",
+                "state": self.state,
                 "born": self.born,
                 "runs": [],
             }
@@ -193,13 +194,14 @@
 
         ``failures``: calls answered 500; ``refusals``: calls that are not executed;
         ``cut_after``: event after which the next stream is cut; ``move_status``:
-        answer of moves.
+        answer of moves; ``state``: what reports tell of this server.
         """
         faults = await request.json()
         self.failures = faults.get("failures", 0)
         self.refusals = faults.get("refusals", 0)
         self.cut_after = faults.get("cut_after", 0)
         self.move_status = faults.get("move_status", 0)
+        self.state = faults.get("state", "ready")
         return web.json_response({})
 
     async def show(self, request: web.Request) -> web.Response:
--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -214,8 +214,6 @@
     patience_seconds : float
         Time after which callers leave if the answer has not begun; 0 for the whole
         time-out.
-    pause_goal_seconds : float
-        Longest pause between the events of a stream that is on time; 0 for none.
     attempt_limit : int
         Upstreams on which one call may run.
     public : bool
@@ -232,7 +230,6 @@
     timeout_seconds: Annotated[float, Meta(gt=0)] = 60.0
     goal_seconds: Annotated[float, Meta(gt=0)] = 60.0
     patience_seconds: Annotated[float, Meta(ge=0)] = 0.0
-    pause_goal_seconds: Annotated[float, Meta(ge=0)] = 0.0
     attempt_limit: Annotated[int, Meta(ge=1)] = 1
     public: bool = False
 
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -175,11 +175,11 @@
     def forget(done: asyncio.Task[None]) -> None:
         if tasks.get(call.request_id) is done:
             del tasks[call.request_id]
-        if not done.cancelled() and done.exception() is not None:
+        if not done.cancelled() and (error := done.exception()) is not None:
             # A fault in a backend must not leave the caller without an answer.
             node.submit(
                 events.UpstreamCallFailed(
-                    call.request_id, call.attempt, "link_lost", True
+                    call.request_id, call.attempt, "link_lost", True, repr(error)
                 )
             )
 
--- a/src/carawayhitch/platform/_calls.py
+++ b/src/carawayhitch/platform/_calls.py
@@ -16,8 +16,6 @@
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 NUMBER = re.compile(r"[0-9]{1,12}(?:\.[0-9]{1,6})?", re.ASCII)
 MAXIMUM_PRIORITY = 9
-# Priority that an engine assumes for calls without one.
-DEFAULT_PRIORITY = 5
 
 
 class CallHead(NamedTuple):
@@ -164,7 +162,8 @@
 
 def answer_headers(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return the headers of an upstream's answer that its caller gets."""
-    received = tuple(headers)
+    # The client library gives names of a type of its own, which traces cannot hold.
+    received = tuple((str(name), value) for name, value in headers)
     dropped = _connection_headers(received)
     return tuple(
         (name, value) for name, value in received if name.lower() not in dropped
--- a/src/carawayhitch/platform/_declarations.py
+++ b/src/carawayhitch/platform/_declarations.py
@@ -192,7 +192,6 @@
         timeout_seconds=timeout_seconds,
         goal_seconds=goal_seconds,
         patience_seconds=_patience_seconds(work, goal_seconds, pause_goal_seconds),
-        pause_goal_seconds=pause_goal_seconds,
         attempt_limit=max(1, body.get("maxAttempts", 1)),
         public=is_open or body.get("public", False),
     )
--- a/src/carawayhitch/platform/_names.py
+++ b/src/carawayhitch/platform/_names.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-PREFIX = "Carawayhitch-"
-
 REQUEST_ID = "Carawayhitch-Request-Id"
 # Time that is left to the sender, in milliseconds; not a point in time.
 DEADLINE = "Carawayhitch-Deadline-Ms"
--- a/tests/platform/test_routed_calls.py
+++ b/tests/platform/test_routed_calls.py
@@ -9,7 +9,7 @@
 
 import uvloop
 
-from carawayhitch import platform
+from carawayhitch import codecs, platform
 from carawayhitch.backends import CallContent, UpstreamCall, open_session
 from carawayhitch.core import actions, events
 from tests.boards import new_settings
@@ -180,6 +180,15 @@
         self.assertEqual((found.status, found.body), (500, b"no"))
         self.assertIn(("Carawayhitch-Server-Seal", "seal"), found.headers)
 
+    async def test_events_of_an_answer_can_be_recorded(self):
+        """Guards against calls that fail because traces are being recorded."""
+        whole = b"HTTP/1.1 200 OK\r\n" + SIGNED + b"Content-Length: 2\r\n\r\nok"
+        stream = CHUNKED + chunk(event(1)) + b"0\r\n\r\n"
+        for answer in (whole, stream):
+            for found in await Upstream(answer).call():
+                line = codecs.encode_step(1.0, found, ())
+                self.assertTrue(line.endswith(b"\n"))
+
     async def test_stream_is_relayed_in_whole_events(self):
         answer = CHUNKED + chunk(event(1) + event(2)[:5]) + chunk(event(2)[5:])
         found = await Upstream(answer + b"0\r\n\r\n").call()
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -119,6 +119,19 @@
         frozenset({"CONFIGURATION_REJECTED"}),
         frozenset({"configuration rejected"}),
     ),
+    # On the users' platform; the stream goes on at the other engine.
+    "engine_reclaimed": Incident(
+        (Outcome("finished", opened=2),), frozenset({"RETRY_MOVED"})
+    ),
+    "notice_in_report": Incident(
+        (Outcome("finished", opened=2),),
+        frozenset({"RETRY_MOVED", "STORE_CALL_FAILED"}),
+        frozenset({"dependency lost"}),
+    ),
+    "failing_upstreams": Incident(
+        (Outcome("500", opened=2), Outcome("200", opened=1)),
+        frozenset({"RETRY_FAILED_ANSWER"}),
+    ),
 }
 
 
