--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -7,17 +7,6 @@
 from msgspec import Meta
 
 Labels = dict[str, str]
-Kind = Literal[
-    "serving_group",
-    "rank_class",
-    "client_account",
-    "binding",
-    "plain_service",
-    "upstream",
-    "engine_order",
-    "http_route",
-    "caller_limits",
-]
 
 
 class ObjectKey(NamedTuple):
