Show what a running entry believes without an operators' token

Cause: on the users' platform no operators' token is set, so 'status' had no answer there, and it told neither schedulers nor queues.

--- a/src/carawayhitch/cli/_declarations.py
+++ b/src/carawayhitch/cli/_declarations.py
@@ -14,6 +14,7 @@
 from carawayhitch.cli._operator_client import (
     Entry,
     read_objects,
+    read_own_status,
     read_status,
     read_token,
     write_change,
@@ -216,6 +217,8 @@
 
 def run_status(options: argparse.Namespace) -> int:
     """Print the state of the entry and of those that it knows."""
+    if options.metrics:
+        return _print_own_status(read_own_status(options.metrics), options.output)
     entry = _entry(options)
     first = _observe(entry)
     status = first.status
@@ -246,6 +249,29 @@
     return 0
 
 
+def _print_own_status(status: codecs.StatusBody, output: str) -> int:
+    if output == "json":
+        print(codecs.encode_json(status).decode())
+        return 0
+    print(_entry_line(status))
+    for problem in status["problems"]:
+        print(f"  not in force: {problem}")
+    print(
+        f"configuration: version {status.get('configuration_version', 0)}, in force "
+        f"for {status['in_force_age_seconds']:.1f} s"
+    )
+    for scope, age in status.get("store_contact_age_seconds_by_scope", {}).items():
+        print(f"store {scope or 'objects'}: answered {age:.1f} s ago")
+    for cell_id, scheduler_id in status.get("schedulers_by_cell_id", {}).items():
+        print(f"cell {cell_id}: scheduled by {scheduler_id}")
+    print(f"open requests: {status.get('open_request_count', 0)}")
+    for rank, count in status.get("waiting_by_rank", {}).items():
+        print(f"waiting here as {rank}: {count}")
+    for upstream in status["upstreams"]:
+        print(_upstream_line(upstream))
+    return 0
+
+
 def _observe(entry: Entry) -> Observation:
     status = read_status(entry)
     return Observation(status, time.monotonic())
@@ -336,6 +362,10 @@
     get.set_defaults(run=run_get)
     status = commands.add_parser("status", help="print the state of the entries")
     status.add_argument("-o", "--output", choices=("text", "json"), default="text")
+    status.add_argument(
+        "--metrics",
+        help="URL of an entry's metrics address, for this entry alone; needs no token",
+    )
     _add_entry_options(status)
     status.set_defaults(run=run_status)
 
--- a/src/carawayhitch/cli/_operator_client.py
+++ b/src/carawayhitch/cli/_operator_client.py
@@ -141,6 +141,11 @@
     return call_entry(entry, "GET", "/admin/v1/status", None, codecs.StatusBody)
 
 
+def read_own_status(url: str) -> codecs.StatusBody:
+    """Return what the metrics address of an entry tells of it, without a token."""
+    return call_entry(Entry(url, ""), "GET", "/status", None, codecs.StatusBody)
+
+
 def write_change(
     entry: Entry, key: declarations.ObjectKey, change: codecs.ChangeBody
 ) -> int:
--- a/src/carawayhitch/codecs/_operators.py
+++ b/src/carawayhitch/codecs/_operators.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any, TypedDict, TypeVar
+from typing import Any, NotRequired, TypedDict, TypeVar
 
 import msgspec
 
@@ -73,7 +73,8 @@
 class StatusBody(TypedDict):
     """State of one entry.
 
-    Ages are seconds before the answer, because the clocks of entries differ.
+    Ages are seconds before the answer, because the clocks of entries differ. Entries of
+    an earlier version leave out what is not required.
     """
 
     node: str
@@ -92,6 +93,11 @@
     in_force_age_seconds: float
     change_revision: int
     change_age_seconds: float
+    configuration_version: NotRequired[int]
+    store_contact_age_seconds_by_scope: NotRequired[dict[str, float]]
+    schedulers_by_cell_id: NotRequired[dict[str, str]]
+    waiting_by_rank: NotRequired[dict[str, int]]
+    open_request_count: NotRequired[int]
     members: list[MemberStatusBody]
     upstreams: list[UpstreamStatusBody]
 
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -24,7 +24,7 @@
     refuse_early,
 )
 from carawayhitch.frontend._refusals import code_of, error_response
-from carawayhitch.node import Node, OpenCall, render_metrics
+from carawayhitch.node import Node, OpenCall, describe_status, render_metrics
 
 GENERATION_PATHS = ("/v1/chat/completions", "/v1/completions")
 LABELS_HEADER = "Carawayhitch-Labels"
@@ -91,6 +91,7 @@
     add_operator_routes(application, node)
     application.add_route(_health_handler(node), "/healthz", name="healthz")
     application.add_route(_metrics_handler(node), "/metrics", name="metrics")
+    application.add_route(_status_handler(node), "/status", name="status")
     return application
 
 
@@ -302,3 +303,11 @@
         return raw(body, content_type=METRICS_CONTENT_TYPE)
 
     return handle_metrics
+
+
+def _status_handler(node: Node) -> Any:
+    async def handle_status(request: Request) -> HTTPResponse:
+        body = codecs.encode_json(describe_status(node.board, node.now()))
+        return raw(body, content_type="application/json")
+
+    return handle_status
--- a/src/carawayhitch/node/_status.py
+++ b/src/carawayhitch/node/_status.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from carawayhitch import codecs, controllers
 from carawayhitch.board import Board
 from carawayhitch.core import rows
@@ -29,6 +31,21 @@
         "in_force_age_seconds": round(now - known.in_force_since, 3),
         "change_revision": known.change_revision,
         "change_age_seconds": round(now - known.change_accepted_at, 3),
+        "configuration_version": configuration.version if configuration else 0,
+        "store_contact_age_seconds_by_scope": {
+            scope.scope: round(now - scope.contacted_at, 3)
+            for scope in scopes
+            if scope.contacted_at
+        },
+        "schedulers_by_cell_id": {
+            cell_id: scheduler_ids[0]
+            for cell_id, scheduler_ids in board.schedulers_by_cell_id.items()
+            if scheduler_ids
+        },
+        "waiting_by_rank": dict(
+            Counter(ask.rank for ask in board.asks_by_request_id.values())
+        ),
+        "open_request_count": len(board.requests_by_id),
         "members": _members(board),
         "upstreams": [
             _upstream(upstream, board) for upstream in board.upstreams_by_id.values()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -7,6 +7,8 @@
 import json
 import os
 import signal
+import subprocess
+import sys
 import threading
 import time
 import unittest
@@ -288,6 +290,30 @@
         ]
         return [line for line in lines if line.get("request_id") == request_id]
 
+    def test_status_of_a_running_entry(self):
+        """Guards against an operator who cannot see what an entry believes."""
+        self.start()
+        port = self.fleet.gateways_by_name["entry-0"]["metrics"]
+        command = [sys.executable, "-m", "carawayhitch", "status", "--metrics"]
+        finished = subprocess.run(
+            [*command, f"http://127.0.0.1:{port}"], capture_output=True, text=True
+        )
+        self.assertEqual(finished.returncode, 0, finished.stderr)
+        for expected in (
+            "entry entry-0: ready",
+            f"configuration: version {self.fleet.version}, in force for",
+            "store upstreams: answered",
+            "scheduled by entry-0",
+            "open requests: 0",
+            "upstream plain-0 (service)",
+        ):
+            self.assertIn(expected, finished.stdout)
+        refused = subprocess.run(
+            [*command, "not a URL"], capture_output=True, text=True
+        )
+        self.assertEqual(refused.returncode, 2)
+        self.assertEqual(len(refused.stderr.splitlines()), 1)
+
     def test_log_leads_from_a_request_to_its_cause(self):
         """Guards against decisions without a line, or without what decided them."""
         self.start(services=2)
