--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from carawayhitch.backends._calls import (
+    CONNECTION_HEADERS,
     CallContent,
     Caller,
     Submit,
     UpstreamCall,
     UpstreamSessions,
     failure,
+    failures_submitted,
 )
 from carawayhitch.backends._engine_orders import read_engine_state, send_order
 from carawayhitch.backends._engines import (
@@ -35,6 +37,7 @@
 from carawayhitch.backends._sessions import open_session, send_once
 
 __all__ = [
+    "CONNECTION_HEADERS",
     "FORWARD_PATH",
     "PROOF_HEADER",
     "CallContent",
@@ -49,6 +52,7 @@
     "cancel_generation",
     "exchange_objects",
     "failure",
+    "failures_submitted",
     "forward_call",
     "load_peer_keys",
     "open_session",
--- a/src/carawayhitch/backends/_calls.py
+++ b/src/carawayhitch/backends/_calls.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, NamedTuple, Protocol
 
 import aiohttp
@@ -55,6 +56,21 @@
     submit: Submit
 
 
+# Headers that concern one connection only.
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
 def failure(
     call: UpstreamCall, kind: events.FailureKind, sent: bool, detail: object = ""
 ) -> events.UpstreamCallFailed:
@@ -64,6 +80,21 @@
     )
 
 
+@contextmanager
+def failures_submitted(call: UpstreamCall) -> Iterator[None]:
+    """Submit what ends an attempt before its answer is whole, by what it says of it."""
+    try:
+        yield
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        call.submit(failure(call, "connect", False, error))
+    except (errors.MalformedMessageError, aiohttp.ClientPayloadError) as error:
+        call.submit(failure(call, "truncated", True, error))
+    except TimeoutError as error:
+        call.submit(failure(call, "stalled", True, error))
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        call.submit(failure(call, "link_lost", True, error))
+
+
 async def read_body(call: UpstreamCall, response: aiohttp.ClientResponse) -> bytes:
     """Return the whole body of an answer.
 
--- a/src/carawayhitch/backends/_engines.py
+++ b/src/carawayhitch/backends/_engines.py
@@ -6,7 +6,12 @@
 
 import aiohttp
 
-from carawayhitch.backends._calls import UpstreamCall, failure, read_body
+from carawayhitch.backends._calls import (
+    UpstreamCall,
+    failure,
+    failures_submitted,
+    read_body,
+)
 from carawayhitch.codecs import answer_token_count, engine_body, split_events
 from carawayhitch.core import actions, errors, events, result_codes
 
@@ -20,7 +25,7 @@
     url = f"http://{action.address}{call.content.path}"
     body = engine_body(call.content.body, action.priority)
     headers = {"Content-Type": "application/json"}
-    try:
+    with failures_submitted(call):
         async with call.session.post(url, data=body, headers=headers) as response:
             if response.status in REFUSED_STATUSES:
                 call.submit(failure(call, "refused", False, response.status))
@@ -30,16 +35,6 @@
                 await _relay(call, response, action.address)
             else:
                 await _read_whole(call, response)
-    except aiohttp.ClientConnectorError as error:
-        call.submit(failure(call, "connect", False, error))
-    except aiohttp.ConnectionTimeoutError as error:
-        call.submit(failure(call, "connect", False, error))
-    except aiohttp.ClientPayloadError as error:
-        call.submit(failure(call, "truncated", True, error))
-    except TimeoutError as error:
-        call.submit(failure(call, "stalled", True, error))
-    except (aiohttp.ClientError, OSError) as error:
-        call.submit(failure(call, "link_lost", True, error))
 
 
 async def resume_generation(call: UpstreamCall, action: actions.ResumeUpstream) -> None:
--- a/src/carawayhitch/backends/_forwards.py
+++ b/src/carawayhitch/backends/_forwards.py
@@ -9,7 +9,7 @@
 from yarl import URL
 
 from carawayhitch import codecs
-from carawayhitch.backends._calls import UpstreamCall
+from carawayhitch.backends._calls import CONNECTION_HEADERS, UpstreamCall
 from carawayhitch.backends._engines import failure
 from carawayhitch.backends._sessions import send_once
 from carawayhitch.core import actions, events, rows
@@ -17,20 +17,7 @@
 FORWARD_PATH = "/peer/v1/forwarded"
 PROOF_HEADER = "Carawayhitch-Forward"
 # Headers of one connection; the client library writes its own.
-CONNECTION_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        PROOF_HEADER.lower(),
-    }
-)
+DROPPED_HEADERS = CONNECTION_HEADERS | {"host", PROOF_HEADER.lower()}
 ANSWER_HEADERS = ("Carawayhitch-Ran", "Retry-After")
 
 
@@ -42,7 +29,7 @@
     headers = CIMultiDict(
         (name, value)
         for name, value in content.headers
-        if name.lower() not in CONNECTION_HEADERS
+        if name.lower() not in DROPPED_HEADERS
     )
     proof = codecs.forward_proof(
         target.method,
--- a/src/carawayhitch/backends/_plain_services.py
+++ b/src/carawayhitch/backends/_plain_services.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import aiohttp
 from yarl import URL
 
-from carawayhitch.backends._calls import UpstreamCall, failure, read_body
+from carawayhitch.backends._calls import UpstreamCall, failures_submitted, read_body
 from carawayhitch.backends._sessions import send_once
-from carawayhitch.core import actions, errors, events, rows
+from carawayhitch.core import actions, events, rows
 
 
 async def run_service_call(
@@ -24,7 +23,7 @@
     headers = {"Content-Type": call.content.content_type}
     if idempotency_key:
         headers["Idempotency-Key"] = idempotency_key
-    try:
+    with failures_submitted(call):
         async with call.session.request(
             target.method,
             url,
@@ -43,13 +42,3 @@
                     body,
                 )
             )
-    except aiohttp.ClientConnectorError as error:
-        call.submit(failure(call, "connect", False, error))
-    except aiohttp.ConnectionTimeoutError as error:
-        call.submit(failure(call, "connect", False, error))
-    except (errors.MalformedMessageError, aiohttp.ClientPayloadError) as error:
-        call.submit(failure(call, "truncated", True, error))
-    except TimeoutError as error:
-        call.submit(failure(call, "stalled", True, error))
-    except (aiohttp.ClientError, OSError) as error:
-        call.submit(failure(call, "link_lost", True, error))
--- a/src/carawayhitch/cli/_commands.py
+++ b/src/carawayhitch/cli/_commands.py
@@ -9,10 +9,9 @@
 from carawayhitch import __version__
 from carawayhitch.cli._declarations import add_declaration_commands
 from carawayhitch.cli._explain import add_explain_command
+from carawayhitch.cli._statuses import USAGE_STATUS
 from carawayhitch.node import replay_trace
 
-USAGE_STATUS = 2
-
 
 def add_commands(commands: Any) -> None:
     """Add the commands to the parser of the command line."""
--- a/src/carawayhitch/cli/_declarations.py
+++ b/src/carawayhitch/cli/_declarations.py
@@ -19,9 +19,9 @@
     read_token,
     write_change,
 )
+from carawayhitch.cli._statuses import FAILURE_STATUS
 from carawayhitch.core import declarations, errors, result_codes
 
-FAILURE_STATUS = 1
 CHANGED_STATUS = 1
 ANSWERING_STATES = ("joining", "alive", "suspect", "leaving")
 STATUS_CALLS_AT_ONCE = 16
@@ -234,9 +234,7 @@
         print(codecs.encode_json([item.status for item in found]).decode())
         return 0
     for item in found:
-        print(_entry_line(item.status))
-        for problem in item.status["problems"]:
-            print(f"  not in force: {problem}")
+        _print_entry(item.status)
     for member, answered in zip(others, observed, strict=True):
         if answered is None:
             print(
@@ -253,9 +251,7 @@
     if output == "json":
         print(codecs.encode_json(status).decode())
         return 0
-    print(_entry_line(status))
-    for problem in status["problems"]:
-        print(f"  not in force: {problem}")
+    _print_entry(status)
     print(
         f"configuration: version {status.get('configuration_version', 0)}, in force "
         f"for {status['in_force_age_seconds']:.1f} s"
@@ -272,6 +268,12 @@
     return 0
 
 
+def _print_entry(status: codecs.StatusBody) -> None:
+    print(_entry_line(status))
+    for problem in status["problems"]:
+        print(f"  not in force: {problem}")
+
+
 def _observe(entry: Entry) -> Observation:
     status = read_status(entry)
     return Observation(status, time.monotonic())
--- a/src/carawayhitch/cli/_explain.py
+++ b/src/carawayhitch/cli/_explain.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
-NOT_FOUND_STATUS = 1
+from carawayhitch.cli._statuses import FAILURE_STATUS
+
 # Shown first, or known from the command.
 LEADING_FIELDS = ("timestamp", "node", "event", "request_id", "level")
 
@@ -36,7 +37,7 @@
     lines = find_lines(sys.stdin, options.request_id)
     if not lines:
         print(f"carawayhitch: no line names {options.request_id!r}", file=sys.stderr)
-        return NOT_FOUND_STATUS
+        return FAILURE_STATUS
     for line in lines:
         shown = " ".join(f"{key}={_text(value)}" for key, value in line.fields.items())
         print(f"{line.timestamp} {line.node} {line.event}: {shown}")
--- a/src/carawayhitch/cli/_main.py
+++ b/src/carawayhitch/cli/_main.py
@@ -12,9 +12,7 @@
 from collections.abc import Sequence
 
 from carawayhitch.cli._serve import add_serve_options
-
-USAGE_STATUS = 2
-FAILURE_STATUS = 1
+from carawayhitch.cli._statuses import FAILURE_STATUS, USAGE_STATUS
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/src/carawayhitch/cli/_serve.py
+++ b/src/carawayhitch/cli/_serve.py
@@ -9,8 +9,9 @@
 import sys
 import tomllib
 
+from carawayhitch.cli._statuses import USAGE_STATUS
+
 SETTINGS_VARIABLE = "CARAWAYHITCH_SETTINGS"
-USAGE_STATUS = 2
 # Callers that may wait while the process starts.
 BACKLOG = 1024
 
--- /dev/null
+++ b/src/carawayhitch/cli/_statuses.py
@@ -0,0 +1,6 @@
+"""Exit statuses of the command line."""
+
+from __future__ import annotations
+
+FAILURE_STATUS = 1
+USAGE_STATUS = 2
--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -7,7 +7,11 @@
 from typing import Any, NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._call_logs import admission_logged, refusal_logged
+from carawayhitch.controllers._call_logs import (
+    admission_logged,
+    refusal_logged,
+    stage_observed,
+)
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._issued_keys import (
     is_issuer,
@@ -212,7 +216,8 @@
         overdue = events.AnswerOverdue(row.request_id)
         timers.append(actions.SetTimer(row.answer_deadline, overdue))
     board.requests_by_id[event.request_id] = row
-    logged = admission_logged(board, row, now)
+    in_force_since = board.object_set.in_force_since
+    logged = admission_logged(row, configuration, in_force_since, now)
     return (logged, *timers, *begin(row.target, row, board))
 
 
@@ -311,10 +316,9 @@
         "code": event.code.name if event.code else "",
         "seconds": round(now - row.received_at, 4),
     }
-    seconds = now - row.received_at
     decided = (
         actions.Log("info", "request ended", fields),
-        actions.Observe("whole", row.binding, row.rank, seconds),
+        stage_observed(row, "whole", now),
     )
     if event.code is None:
         return decided
--- a/src/carawayhitch/controllers/_call_logs.py
+++ b/src/carawayhitch/controllers/_call_logs.py
@@ -1,11 +1,11 @@
-"""Log lines of what is decided about one call, found by its request id."""
+"""Log lines and times of what is decided about one call, by its request id."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from carawayhitch.board import Board
-from carawayhitch.core import actions, events, result_codes, rows
+from carawayhitch.core import actions, declarations, events, result_codes, rows
 
 
 def refusal_logged(
@@ -22,18 +22,27 @@
     return actions.Log("info", "call refused", fields)
 
 
-def admission_logged(board: Board, row: rows.RequestRow, now: float) -> actions.Log:
+def stage_observed(row: rows.RequestRow, stage: str, now: float) -> actions.Observe:
+    """Return the action that adds the time since the call to a stage's histogram."""
+    return actions.Observe(stage, row.binding, row.rank, now - row.received_at)
+
+
+def admission_logged(
+    row: rows.RequestRow,
+    configuration: declarations.Configuration,
+    in_force_since: float,
+    now: float,
+) -> actions.Log:
     """Return the log line of an admitted call, with the configuration that decided."""
-    known = board.configuration
     fields: dict[str, Any] = {
         "request_id": row.request_id,
         "account": row.account,
         "rank": row.rank,
         "binding": row.binding,
         "group": row.group,
-        "revision": known.revision if known else 0,
-        "version": known.version if known else "",
-        "revision_age": round(now - board.object_set.in_force_since, 3),
+        "revision": configuration.revision,
+        "version": configuration.version,
+        "revision_age": round(now - in_force_since, 3),
         "wait_seconds": round(row.deadline - now, 3),
     }
     return actions.Log("info", "call admitted", fields)
--- a/src/carawayhitch/controllers/_cells.py
+++ b/src/carawayhitch/controllers/_cells.py
@@ -7,7 +7,7 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._selectors import matches
-from carawayhitch.core import rows
+from carawayhitch.core import declarations, rows
 
 SCHEDULER_CANDIDATES = 3
 SCHEDULING_STATES = frozenset({"alive", "suspect"})
@@ -67,6 +67,13 @@
     return cells
 
 
+def engine_capacity(board: Board, group: str) -> declarations.EngineCapacity | None:
+    """Return what operators declare of the engines of a serving group, or None."""
+    configuration = board.configuration
+    known = configuration.serving_groups_by_name.get(group) if configuration else None
+    return known.engine if known else None
+
+
 def groups_scheduled_here(board: Board) -> frozenset[str]:
     """Return the serving groups whose upstreams each entry chooses for itself."""
     configuration = board.configuration
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -163,6 +163,7 @@
 
 
 def note_outdated(board: Board, source: str, revision: int) -> Actions:
+    """Count and log an answer that is older than what is known here."""
     known = board.object_set
     _update(board, outdated_count=known.outdated_count + 1)
     fields = {
--- a/src/carawayhitch/controllers/_configuration_checks.py
+++ b/src/carawayhitch/controllers/_configuration_checks.py
@@ -16,7 +16,6 @@
 TOKEN_PATTERN = re.compile(r"[0-9a-f]{64}")
 ROUTE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 ACCOUNT_LABEL = "account"
-SERVICE_LABEL = "service"
 # Floors are sums of decimal fractions, which binary numbers hold with an error.
 FLOOR_TOLERANCE = 1e-9
 
@@ -199,9 +198,9 @@
         elif (label, value) not in declared.account_labels:
             expected = "a label that at least one client_account carries"
             yield f"account_selector.{label}", value, expected
-    service = binding.request_selector.get(SERVICE_LABEL)
+    service = binding.request_selector.get(declarations.SERVICE_LABEL)
     if service is not None:
-        key = f"request_selector.{SERVICE_LABEL}"
+        key = f"request_selector.{declarations.SERVICE_LABEL}"
         yield from _reference(key, service, "plain_service", declared)
 
 
--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -16,6 +16,7 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _lengths, _memory, _rebuild
+from carawayhitch.controllers._cells import engine_capacity
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._upstream_choice import (
     has_slot,
@@ -62,10 +63,9 @@
     seconds: float
 
 
-def _capacity(board: Board, group: str) -> declarations.EngineCapacity | None:
-    configuration = board.configuration
-    known = configuration.serving_groups_by_name.get(group) if configuration else None
-    return known.engine if known else None
+def held_tokens(grant: rows.GrantRow) -> int:
+    """Return the tokens that a generation holds in the memory of its engine."""
+    return grant.prompt_tokens + grant.token_count
 
 
 def copy_seconds(
@@ -130,7 +130,7 @@
     )
     if cell is None or upstream_id not in board.grant_ids_by_upstream_id:
         return ()
-    capacity = _capacity(board, cell.group)
+    capacity = engine_capacity(board, cell.group)
     if capacity is None or not capacity.can_move:
         return ()
     since = upstream.leaving_since or now
@@ -243,7 +243,7 @@
         "request_id": grant.request_id,
         "upstream": upstream_id,
         "target": target.upstream_id,
-        "tokens": grant.prompt_tokens + grant.token_count,
+        "tokens": held_tokens(grant),
         "seconds": round(chosen.seconds, 3),
         "seconds_left": round(evacuation.deadline - now, 3),
     }
@@ -268,7 +268,7 @@
     """Return the move that saves most for its time on the link, or None."""
     source = board.upstreams_by_id.get(evacuation.upstream_id)
     cell = board.cells_by_id.get(evacuation.cell_id)
-    capacity = _capacity(board, cell.group) if cell else None
+    capacity = engine_capacity(board, cell.group) if cell else None
     if source is None or cell is None or capacity is None:
         return None
     found: list[Candidate] = []
@@ -298,11 +298,6 @@
     )
 
 
-def held_tokens(grant: rows.GrantRow) -> int:
-    """Return the tokens that a generation holds in the memory of its engine."""
-    return grant.prompt_tokens + grant.token_count
-
-
 def _movable(board: Board, evacuation: rows.EvacuationRow) -> list[rows.GrantRow]:
     """Return the generations that no move was tried for.
 
@@ -332,7 +327,7 @@
     memory = _memory.predict(
         board,
         grant.binding,
-        grant.prompt_tokens + grant.token_count,
+        held_tokens(grant),
         grant.token_count,
         grant.maximum_tokens,
     )
--- a/src/carawayhitch/controllers/_lengths.py
+++ b/src/carawayhitch/controllers/_lengths.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._cells import engine_capacity
 from carawayhitch.core import rows
 
 BUCKET_EDGES = (0, *sorted({round(4 * 2 ** (step / 2)) for step in range(31)}))
@@ -95,9 +96,8 @@
 
 def tokens_per_event(board: Board, group: str) -> int:
     """Return the tokens that one event of a stream of a serving group holds."""
-    configuration = board.configuration
-    known = configuration.serving_groups_by_name.get(group) if configuration else None
-    return known.engine.tokens_per_event if known and known.engine else 1
+    capacity = engine_capacity(board, group)
+    return capacity.tokens_per_event if capacity else 1
 
 
 def note_length(board: Board, binding: str, length: int) -> None:
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -22,6 +22,29 @@
     return move is not None and move.phase == "stopping" and move.attempt == row.attempt
 
 
+def open_upstream(
+    row: rows.RequestRow, answer_deadline: float, source: str = ""
+) -> actions.OpenUpstream:
+    """Return the action that sends a call to its upstream.
+
+    Parameters
+    ----------
+    source : str
+        Where the memory of a moved generation comes from; empty for a new one.
+    """
+    return actions.OpenUpstream(
+        request_id=row.request_id,
+        attempt=row.attempt,
+        upstream_id=row.upstream_id,
+        address=row.address,
+        priority=row.priority,
+        account=row.account,
+        answer_deadline=answer_deadline,
+        last_sequence=row.last_sequence,
+        source=source,
+    )
+
+
 def _report(
     board: Board, move: rows.MoveRow, attempt: int, outcome: rows.MoveOutcome
 ) -> actions.Send:
@@ -164,16 +187,8 @@
         actions.CloseUpstream(row.request_id, cancel_generation=False),
         actions.Count(code, row.rank),
         _logged(row, move, event.outcome, now),
-        actions.OpenUpstream(
-            request_id=moved.request_id,
-            attempt=moved.attempt,
-            upstream_id=moved.upstream_id,
-            address=moved.address,
-            priority=moved.priority,
-            account=moved.account,
-            answer_deadline=moved.caller_deadline,
-            last_sequence=moved.last_sequence,
-            source=f"{move.source_address}/{event.handle}",
+        open_upstream(
+            moved, moved.caller_deadline, f"{move.source_address}/{event.handle}"
         ),
         _report(board, move, moved.attempt, "moved" if copied else "failed"),
     )
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -5,7 +5,11 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._call_logs import grant_logged, retry_logged
+from carawayhitch.controllers._call_logs import (
+    grant_logged,
+    retry_logged,
+    stage_observed,
+)
 from carawayhitch.controllers._cells import derive_schedulers, groups_scheduled_here
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._targets import admission_size
@@ -160,6 +164,23 @@
     )
 
 
+def pass_on_answer(
+    board: Board, row: rows.RequestRow, answer: events.AnswerReceived
+) -> Actions:
+    """Return the actions that give a caller the whole answer of its upstream."""
+    board.requests_by_id[row.request_id] = row._replace(answer_status=answer.status)
+    return (
+        actions.SendAnswer(
+            row.request_id,
+            answer.status,
+            answer.content_type,
+            answer.body,
+            answer.headers,
+        ),
+        actions.Emit(events.RequestEnded(row.request_id, True, None)),
+    )
+
+
 def _ask(board: Board, row: rows.RequestRow, now: float) -> Actions:
     size = admission_size(row.target)
     message = messages.AdmissionAsk(
@@ -335,10 +356,9 @@
         known_by_id=event.sender_id if event.takes_short_progress else "",
     )
     board.requests_by_id[row.request_id] = granted
-    waited = now - row.received_at
     return (
         grant_logged(granted, now),
-        actions.Observe("queue", row.binding, row.rank, waited),
+        stage_observed(row, "queue", now),
         actions.Emit(events.UpstreamGranted(row.request_id)),
     )
 
--- a/src/carawayhitch/controllers/_ranks.py
+++ b/src/carawayhitch/controllers/_ranks.py
@@ -18,13 +18,6 @@
     return declared or declarations.RankClass(rank, priority=1_000_000)
 
 
-def engine_priority(board: Board, rank: str) -> int:
-    """Return the priority that engines are told for a rank."""
-    declared = rank_class(board, rank)
-    told = declared.engine_priority
-    return declared.priority if told is None else told
-
-
 def highest_priority(board: Board) -> int:
     """Return the priority of the rank that is served first."""
     configuration = board.configuration
--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from random import Random
+from typing import NamedTuple
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._call_logs import retry_logged
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.controllers._placement import end_request, finished_message
-from carawayhitch.core import actions, declarations, events, result_codes, rows
+from carawayhitch.controllers._placement import (
+    end_request,
+    finished_message,
+    pass_on_answer,
+)
+from carawayhitch.core import actions, events, result_codes, rows
 
 BUDGET_LIMIT = 20.0
 LIVE_STATES = frozenset({"joining", "alive", "suspect"})
@@ -20,49 +25,46 @@
 decide = new_controller()
 
 
-def _rate(board: Board) -> float:
-    """Return the retries a second that a group earns here without any calls."""
-    retries = board.settings.retries
-    if not retries.fleet_limit:
-        return retries.budget_minimum_per_second
-    # Half of the limit of the fleet refills over its window and half is saved up, so
-    # that no window of that length has more than the limit.
-    return _own_part(board) / 2 / retries.fleet_window_seconds
+class Allowance(NamedTuple):
+    """Retries that a group may make here without any calls.
 
+    Parameters
+    ----------
+    rate : float
+        Retries earned a second.
+    limit : float
+        Most retries that can be saved up.
+    """
 
-def _limit(board: Board) -> float:
-    """Return the most retries that a group can save up here."""
-    if not board.settings.retries.fleet_limit:
-        return BUDGET_LIMIT
-    return max(1.0, _own_part(board) / 2)
+    rate: float
+    limit: float
 
 
-def _own_part(board: Board) -> float:
-    """Return this entry's part of the retries that the fleet may make.
+def _allowance(board: Board) -> Allowance:
+    """Return this entry's allowance, which may be a part of one of the fleet.
 
     An entry that lost sight of others, or does not know them yet, still finds their
     registrations in the store; those others may retry as well.
     """
+    retries = board.settings.retries
+    if not retries.fleet_limit:
+        return Allowance(retries.budget_minimum_per_second, BUDGET_LIMIT)
     present = sum(row.state in LIVE_STATES for row in board.members_by_id.values())
-    registered = sum(
-        key[0] == declarations.ENTRY_REGISTRATION and not row.deleted
-        for key, row in board.objects_by_key.items()
-    )
-    return board.settings.retries.fleet_limit / max(1, present, registered)
+    listed = len(board.listed_entries_by_vm_id)
+    # Half of the limit of the fleet refills over its window and half is saved up, so
+    # that no window of that length has more than the limit.
+    half = retries.fleet_limit / max(1, present, listed) / 2
+    return Allowance(half / retries.fleet_window_seconds, max(1.0, half))
 
 
-def refill(
-    budget: rows.BudgetRow, rate: float, limit: float, now: float
+def _budget(
+    board: Board, group: str, now: float, earned: float = 0.0
 ) -> rows.BudgetRow:
     """Return the budget with what it gained since it was last updated."""
-    gained = (now - budget.updated_at) * rate
-    return rows.BudgetRow(min(limit, budget.retries + gained), now)
-
-
-def _budget(board: Board, group: str, now: float) -> rows.BudgetRow:
-    limit = _limit(board)
+    rate, limit = _allowance(board)
     known = board.retry_budget_by_group.get(group, rows.BudgetRow(limit, now))
-    return refill(known, _rate(board), limit, now)
+    gained = (now - known.updated_at) * rate + earned
+    return rows.BudgetRow(min(limit, known.retries + gained), now)
 
 
 @decide.register(events.RequestAdmitted)
@@ -72,10 +74,8 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None or row.attempt > 1:
         return ()
-    budget = _budget(board, row.group, now)
     share = board.settings.retries.budget_share
-    earned = min(_limit(board), budget.retries + share)
-    board.retry_budget_by_group[row.group] = rows.BudgetRow(earned, now)
+    board.retry_budget_by_group[row.group] = _budget(board, row.group, now, share)
     return ()
 
 
@@ -135,20 +135,9 @@
 
 def _end(board: Board, row: rows.RequestRow, event: events.RetryRequested) -> Actions:
     """End a call without another attempt; an upstream's own answer is passed on."""
-    answer = event.answer
-    if answer is None:
+    if event.answer is None:
         return end_request(row, event.final_code, retry_after=1.0)
-    board.requests_by_id[row.request_id] = row._replace(answer_status=answer.status)
-    return (
-        actions.SendAnswer(
-            row.request_id,
-            answer.status,
-            answer.content_type,
-            answer.body,
-            answer.headers,
-        ),
-        actions.Emit(events.RequestEnded(row.request_id, True, None)),
-    )
+    return pass_on_answer(board, row, event.answer)
 
 
 def backoff_seconds(board: Board, attempt: int, random: Random) -> float:
--- a/src/carawayhitch/controllers/_routes.py
+++ b/src/carawayhitch/controllers/_routes.py
@@ -7,8 +7,6 @@
 
 from carawayhitch.core import declarations
 
-# Engines tell ten priorities apart.
-LOWEST_ENGINE_PRIORITY = 9
 # Calls of routes wait at most until their own deadlines, which are shorter.
 MAXIMUM_WAIT_SECONDS = 600.0
 
@@ -53,7 +51,6 @@
             priority=index,
             first_token_target_seconds=goal_seconds,
             maximum_wait_seconds=MAXIMUM_WAIT_SECONDS,
-            engine_priority=min(index, LOWEST_ENGINE_PRIORITY),
         )
         for index, (_, goal_seconds, name) in enumerate(sorted(keys))
     }
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -17,7 +17,7 @@
 from carawayhitch.controllers._call_logs import ask_logged
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._queue import SCHEDULING_TIMER
-from carawayhitch.controllers._ranks import engine_priority, rank_class, waiting_ranks
+from carawayhitch.controllers._ranks import rank_class, waiting_ranks
 from carawayhitch.controllers._upstream_choice import choose_upstream, is_usable
 from carawayhitch.core import actions, events, messages, result_codes, rows
 
@@ -176,7 +176,7 @@
         cell_id=grant.cell_id,
         upstream_id=grant.upstream_id,
         address=upstream.address,
-        priority=engine_priority(board, grant.rank),
+        priority=rank_class(board, grant.rank).priority,
         deadline=grant.deadline,
         takes_short_progress=True,
         load_percent=_queue.load_percent(board, grant.cell_id),
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -5,11 +5,19 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._call_logs import failure_logged, retry_logged
+from carawayhitch.controllers._call_logs import (
+    failure_logged,
+    retry_logged,
+    stage_observed,
+)
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._lengths import tokens_per_event
-from carawayhitch.controllers._moves import is_stopping
-from carawayhitch.controllers._placement import WAITING_PHASES, end_request
+from carawayhitch.controllers._moves import is_stopping, open_upstream
+from carawayhitch.controllers._placement import (
+    WAITING_PHASES,
+    end_request,
+    pass_on_answer,
+)
 from carawayhitch.controllers._targets import (
     can_continue,
     ends_on_silence,
@@ -66,16 +74,7 @@
     )
     deadline = now + first_byte_timeout(row.target, board.settings)
     return (
-        actions.OpenUpstream(
-            request_id=row.request_id,
-            attempt=row.attempt,
-            upstream_id=row.upstream_id,
-            address=row.address,
-            priority=row.priority,
-            account=row.account,
-            answer_deadline=work_deadline(row),
-            last_sequence=row.last_sequence,
-        ),
+        open_upstream(row, work_deadline(row)),
         actions.SetTimer(deadline, events.StallCheck(row.request_id, row.attempt)),
     )
 
@@ -141,8 +140,8 @@
         return ()
     if event.first_sequence != row.last_sequence + 1:
         return _resume(board, row, result_codes.RESUME_LINK_LOST, now)
-    row = row._replace(phase="relaying")
     board.requests_by_id[row.request_id] = row._replace(
+        phase="relaying",
         last_sequence=event.last_sequence,
         token_count=(event.last_sequence - event.is_final)
         * tokens_per_event(board, row.group),
@@ -156,13 +155,11 @@
         return (forwarded,)
     # The caller's headers name the generation, so they are sent with its first token:
     # until then another generation may still take its place.
-    started = events.StreamStarted(row.request_id)
-    seconds = now - row.received_at
     return (
         _start_stream(row),
         forwarded,
-        actions.Observe("first", row.binding, row.rank, seconds),
-        actions.Emit(started),
+        stage_observed(row, "first", now),
+        actions.Emit(events.StreamStarted(row.request_id)),
     )
 
 
@@ -231,20 +228,8 @@
         failed = result_codes.UPSTREAM_FAILED
         retry = events.RetryRequested(row.request_id, code, failed, event)
         return (_close(row), actions.Emit(retry))
-    board.requests_by_id[row.request_id] = row._replace(
-        token_count=event.token_count, answer_status=event.status
-    )
-    return (
-        actions.Observe("first", row.binding, row.rank, now - row.received_at),
-        actions.SendAnswer(
-            row.request_id,
-            event.status,
-            event.content_type,
-            event.body,
-            event.headers,
-        ),
-        actions.Emit(events.RequestEnded(row.request_id, True, None)),
-    )
+    row = row._replace(token_count=event.token_count)
+    return (stage_observed(row, "first", now), *pass_on_answer(board, row, event))
 
 
 def _silence_limit(board: Board, row: rows.RequestRow) -> float:
--- a/src/carawayhitch/controllers/_targets.py
+++ b/src/carawayhitch/controllers/_targets.py
@@ -20,7 +20,6 @@
     prompt_tokens: int = 0
     maximum_tokens: int = 0
     prefix_blocks: tuple[str, ...] = ()
-    expected_tokens: int = 0
 
 
 @singledispatch
@@ -105,10 +104,7 @@
 @admission_size.register
 def _routed_size(target: rows.RoutedTarget) -> AdmissionSize:
     return AdmissionSize(
-        target.prompt_tokens,
-        target.maximum_tokens,
-        target.prefix_blocks,
-        target.expected_tokens,
+        target.prompt_tokens, target.maximum_tokens, target.prefix_blocks
     )
 
 
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
 
 from carawayhitch.board import Board
@@ -24,7 +24,8 @@
 # Covers the interval of load polls and the lag of load reports, which then tell why an
 # engine refused.
 REFUSED_SECONDS = 1.0
-SERVICE_LABEL = "service"
+# Of a service that nothing is declared of and that does not tell.
+DEFAULT_RUNNING_LIMIT = 64
 # An upstream that is no longer listed serves on for its notice, at times many seconds.
 REMOVAL_SECONDS = 15.0
 
@@ -70,42 +71,37 @@
         )
     if event.name == SILENCE_TIMER:
         silent = _is_store_silent(board, now)
+        asked = upstreams_to_poll(board) if silent else []
         return (
-            *(
-                actions.PollLoad(upstream.upstream_id, upstream.address)
-                for upstream in (upstreams_to_poll(board) if silent else ())
-                if not upstream.leaving
-            ),
+            *_load_polls(row for row in asked if not row.leaving),
             *_check_silence_later(board, now),
         )
     if event.name == LOAD_TIMER:
         interval = board.settings.scheduling.load_interval_seconds
         polled = upstreams_to_poll(board)
+        # Where cache events are priced and few parts of prompts are shared, what was
+        # granted says enough about the caches.
+        reads_cache_events = board.settings.scheduling.cache_events
         return (
-            *(
-                actions.PollLoad(upstream.upstream_id, upstream.address)
-                for upstream in polled
-            ),
+            *_load_polls(polled),
             *(
                 actions.PollCacheEvents(
                     upstream.upstream_id,
                     upstream.address,
                     cache_sequence(board, upstream.upstream_id),
                 )
-                for upstream in (polled if reads_cache_events(board) else ())
+                for upstream in (polled if reads_cache_events else ())
             ),
             actions.SetTimer(now + interval, events.TimerFired(LOAD_TIMER)),
         )
     return ()
 
 
-def reads_cache_events(board: Board) -> bool:
-    """Return whether prefix caches are followed by the engines' own events.
-
-    Where they are priced and few parts of prompts are shared, what was granted says
-    enough about the caches.
-    """
-    return board.settings.scheduling.cache_events
+def _load_polls(upstreams: Iterable[rows.UpstreamRow]) -> Actions:
+    return [
+        actions.PollLoad(upstream.upstream_id, upstream.address)
+        for upstream in upstreams
+    ]
 
 
 def upstreams_to_poll(board: Board) -> list[rows.UpstreamRow]:
@@ -129,35 +125,34 @@
     return {**vm.labels, **declared.get(vm.vm_id, {})}
 
 
-def _capacity(vm: events.VmListed, board: Board) -> declarations.EngineCapacity | None:
-    """Return what operators declared of the engines of the VM's serving group."""
+def _capacity(
+    labels: declarations.Labels, board: Board
+) -> declarations.EngineCapacity | None:
+    """Return what operators declared of the engines of an upstream's serving group."""
     configuration = board.configuration
     if configuration is None:
         return None
-    labels = _labels_of(vm, board)
     for group in configuration.serving_groups_by_name.values():
         if group.engine is not None and matches(group.selector, labels):
             return group.engine
     return None
 
 
-def _running_limit(vm: events.VmListed, board: Board) -> int:
-    capacity = _capacity(vm, board)
-    if capacity is not None:
-        return capacity.slots
+def _service_limit(labels: declarations.Labels, board: Board, known_limit: int) -> int:
     configuration = board.configuration
     service = (
-        configuration.services_by_name.get(_labels_of(vm, board).get(SERVICE_LABEL, ""))
+        configuration.services_by_name.get(labels.get(declarations.SERVICE_LABEL, ""))
         if configuration
         else None
     )
-    return service.concurrency if service else vm.running_limit or 64
+    return service.concurrency if service else known_limit or DEFAULT_RUNNING_LIMIT
 
 
 def _merge(vm: events.VmListed, board: Board, now: float) -> rows.UpstreamRow:
     known = board.upstreams_by_id.get(vm.vm_id)
-    capacity = _capacity(vm, board)
+    labels = _labels_of(vm, board)
     if known is None or _is_another(known, vm):
+        capacity = _capacity(labels, board)
         known = rows.UpstreamRow(
             upstream_id=vm.vm_id,
             address=vm.address,
@@ -166,15 +161,16 @@
             kind=vm.kind,
             labels={},
             started_at=vm.started_at,
-            warm_at=now + vm.warm_after_seconds,
             memory_capacity=capacity.memory_tokens if capacity else 0,
-            running_limit=_running_limit(vm, board),
+            running_limit=capacity.slots
+            if capacity
+            else _service_limit(labels, board, vm.running_limit),
         )
     # One that is listed again had only lost its registration.
     leaving = vm.leaving or (known.leaving and known.is_listed)
     if leaving and not known.leaving:
         known = known._replace(leaving_since=now)
-    return known._replace(labels=_labels_of(vm, board), leaving=leaving, is_listed=True)
+    return known._replace(labels=labels, leaving=leaving, is_listed=True)
 
 
 def _is_another(known: rows.UpstreamRow, vm: events.VmListed) -> bool:
@@ -296,10 +292,7 @@
 
 def _apply_declarations(row: rows.UpstreamRow, board: Board) -> rows.UpstreamRow:
     """Return an upstream with the limits that operators declare now."""
-    listed = events.VmListed(
-        row.upstream_id, row.address, row.zone, row.region, row.kind, row.labels, False
-    )
-    capacity = _capacity(listed, board)
+    capacity = _capacity(row.labels, board)
     if capacity is not None:
         return row._replace(
             running_limit=capacity.slots,
@@ -307,7 +300,7 @@
         )
     if row.kind != "service":
         return row
-    limit = _running_limit(listed._replace(running_limit=row.running_limit), board)
+    limit = _service_limit(row.labels, board, row.running_limit)
     return row._replace(running_limit=limit)
 
 
--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -7,6 +7,8 @@
 from msgspec import Meta
 
 Labels = dict[str, str]
+# Label of an upstream, and of a call, that names a service.
+SERVICE_LABEL = "service"
 
 
 class ObjectKey(NamedTuple):
@@ -77,8 +79,6 @@
         Longest time in the queue before the request is refused.
     queue_limit : int
         Requests that may wait in one cell.
-    engine_priority : int or None
-        What engines are told instead of ``priority``.
     """
 
     name: str
@@ -88,7 +88,6 @@
     between_tokens_target_seconds: Annotated[float, Meta(gt=0)] = 0.035
     maximum_wait_seconds: Annotated[float, Meta(gt=0)] = 60.0
     queue_limit: Annotated[int, Meta(ge=1)] = 1000
-    engine_priority: int | None = None
 
 
 class ClientAccount(NamedTuple):
--- a/src/carawayhitch/core/_upstream_events.py
+++ b/src/carawayhitch/core/_upstream_events.py
@@ -20,8 +20,6 @@
     started_at : int
         Start of the upstream in milliseconds of Unix time; it tells two upstreams
         apart that had the same id. 0 if the list does not tell.
-    warm_after_seconds : float
-        How long the upstream stays slow after its start, from when it was listed.
     http_port : int
         Port of an entry's HTTP interface; 0 for upstreams.
     """
@@ -35,7 +33,6 @@
     leaving: bool
     running_limit: int = 0
     started_at: int = 0
-    warm_after_seconds: float = 0.0
     http_port: int = 0
 
 
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -23,8 +23,6 @@
         Time at which the upstream is gone; 0 if not known.
     started_at : int
         Start of the upstream in milliseconds of Unix time; 0 if not known.
-    warm_at : float
-        Time until which the upstream is slow after its start.
     reported_at : float
         Time at which the engine took the load figures; they lag.
     memory_capacity, memory_used : int
@@ -42,7 +40,6 @@
     leaving_since: float = 0.0
     leaves_at: float = 0.0
     started_at: int = 0
-    warm_at: float = 0.0
     draining: bool = False
     unreachable_until: float = 0.0
     refused_until: float = 0.0
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -24,6 +24,7 @@
     refuse_early,
 )
 from carawayhitch.frontend._refusals import code_of, error_response
+from carawayhitch.frontend._sanic import close_after, new_sanic
 from carawayhitch.node import Node, OpenCall, describe_status, render_metrics
 
 GENERATION_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -39,10 +40,7 @@
 
 def new_application(node: Node) -> Sanic:
     """Return the HTTP application of a node."""
-    application = Sanic(f"carawayhitch-{uuid4().hex}", configure_logging=False)
-    application.ctx.node = node
-    application.ctx.receiving_count = 0
-    application.ctx.refused_read_at = 0.0
+    application = new_sanic(node)
     _configure(application, node)
     for path in GENERATION_PATHS:
         application.add_route(
@@ -85,9 +83,7 @@
 
 def new_metrics_application(node: Node) -> Sanic:
     """Return the application for metrics and the state of an entry alone."""
-    application = Sanic(f"carawayhitch-{uuid4().hex}", configure_logging=False)
-    application.ctx.node = node
-    application.config.ACCESS_LOG = False
+    application = new_sanic(node)
     add_operator_routes(application, node)
     application.add_route(_health_handler(node), "/healthz", name="healthz")
     application.add_route(_metrics_handler(node), "/metrics", name="metrics")
@@ -109,20 +105,18 @@
     application.config.REQUEST_TIMEOUT = settings.limits.receive_timeout_seconds
     application.config.REQUEST_MAX_SIZE = settings.limits.body_bytes
     application.config.FALLBACK_ERROR_FORMAT = "json"
-    application.config.ACCESS_LOG = False
 
 
 def _error_handler(node: Node) -> Any:
     async def handle_error(request: Request, error: Exception) -> HTTPResponse:
         _close_when_draining(node, request)
-        stream: Any = request.stream
         code = code_of(error, request)
         protocol: Any = request.protocol
         if code is result_codes.ENTRY_OVERLOADED and protocol is not None:
             protocol.defer_reading()
         if code is result_codes.MALFORMED_REQUEST:
             # What follows could be part of the request that was not understood.
-            stream.keep_alive = False
+            close_after(request)
         return error_response(node, request, error)
 
     return handle_error
@@ -130,9 +124,8 @@
 
 def _close_when_draining(node: Node, request: Request) -> None:
     """Have the caller open its next connection at another entry."""
-    stream: Any = request.stream
-    if node.board.lifecycle.state != "ready" and stream is not None:
-        stream.keep_alive = False
+    if node.board.lifecycle.state != "ready":
+        close_after(request)
 
 
 async def _serve(
--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -15,13 +15,14 @@
 from carawayhitch.core import actions, errors, events, result_codes
 from carawayhitch.frontend._caller import SanicCaller
 from carawayhitch.frontend._receiving import check_head, receive_body
-from carawayhitch.frontend._refusals import code_of, log_refused
+from carawayhitch.frontend._refusals import refuse_error
+from carawayhitch.frontend._sanic import close_after, new_sanic
 from carawayhitch.node import Node, OpenCall
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 UNUSED_LIMIT_SECONDS = 86400
-# The limits that operators declare are checked for each call; these only bound what
-# the library reads before that.
+# The limits of bodies and times that operators declare hold for each call; headers are
+# bounded by this alone.
 HEADER_BYTES_LIMIT = 65536
 
 
@@ -59,8 +60,8 @@
 
 
 # On routes, some statuses promise that the call did not run and never will, and any
-# other 4xx says that the call itself is wrong. A resent call that is
-# suspected of crashes may be innocent and was not run.
+# other 4xx says that the call itself is wrong. A resent call that is suspected of
+# crashes may be innocent and was not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 UNKNOWN_STATUS = 502
 STATUSES_BY_CODE = {result_codes.SUSPECT_REFUSED: 503}
@@ -97,17 +98,13 @@
 
 def new_gateway(node: Node) -> Sanic:
     """Return the HTTP application for calls on routes."""
-    application = Sanic(f"carawayhitch-{uuid4().hex}", configure_logging=False)
-    application.ctx.node = node
-    application.ctx.receiving_count = 0
-    application.ctx.refused_read_at = 0.0
+    application = new_sanic(node)
     config = application.config
     # Calls end by the deadlines of routes and callers.
     config.RESPONSE_TIMEOUT = UNUSED_LIMIT_SECONDS
     config.REQUEST_MAX_HEADER_SIZE = HEADER_BYTES_LIMIT
     config.REQUEST_MAX_SIZE = node.settings.limits.body_bytes
     config.GRACEFUL_SHUTDOWN_TIMEOUT = node.settings.drain.limit_seconds
-    config.ACCESS_LOG = False
     config.KEEP_ALIVE = True
     apply_caller_limits(application, node)
     for path in ("/", "/<path:path>"):
@@ -135,13 +132,10 @@
 
 def _error_handler(node: Node) -> Any:
     async def handle_error(request: Request, error: Exception) -> HTTPResponse:
-        code = code_of(error, request)
-        stream: Any = request.stream
-        if code is result_codes.MALFORMED_REQUEST and stream is not None:
-            stream.keep_alive = False
-        log_refused(node, request, error, code)
-        retry_after = 1.0 if code.http_status == 503 else 0.0
-        return refusal_response(actions.RefuseCall("", code, "", retry_after))
+        refused = refuse_error(node, request, error)
+        if refused.code is result_codes.MALFORMED_REQUEST:
+            close_after(request)
+        return refusal_response(refused)
 
     return handle_error
 
@@ -204,16 +198,13 @@
 
 def _close_when_draining(node: Node, request: Request) -> None:
     """Have the caller open its next connection at another entry."""
-    stream: Any = request.stream
-    if node.board.lifecycle.state in ("draining", "refusing") and stream is not None:
-        stream.keep_alive = False
+    if node.board.lifecycle.state in ("draining", "refusing"):
+        close_after(request)
 
 
 def new_readiness(node: Node) -> Sanic:
     """Return the application that the balancer asks."""
-    application = Sanic(f"carawayhitch-{uuid4().hex}", configure_logging=False)
-    application.ctx.node = node
-    application.config.ACCESS_LOG = False
+    application = new_sanic(node)
 
     async def handle_readiness(request: Request) -> HTTPResponse:
         return empty(200 if node.board.lifecycle.state == "ready" else 503)
--- a/src/carawayhitch/frontend/_refusals.py
+++ b/src/carawayhitch/frontend/_refusals.py
@@ -91,24 +91,22 @@
 
 def error_response(node: Node, request: Request, error: Exception) -> HTTPResponse:
     """Count an error and return its answer, which shows no internal details."""
-    code = code_of(error, request)
-    message = code.meaning
-    if isinstance(error, errors.CarawayhitchError):
-        message = error.message
-    log_refused(node, request, error, code)
-    retry_after = 1.0 if code.http_status == 503 else 0.0
-    return refusal_response(actions.RefuseCall("", code, message, retry_after))
+    return refusal_response(refuse_error(node, request, error))
 
 
-def log_refused(
-    node: Node, request: Request, error: Exception, code: result_codes.ResultCode
-) -> None:
-    """Count and log a call that ended by an error of its handler."""
+def refuse_error(node: Node, request: Request, error: Exception) -> actions.RefuseCall:
+    """Count and log a call that ended by an error of its handler; refuse it."""
+    code = code_of(error, request)
     node.count(code, "")
     if code is result_codes.INTERNAL_ERROR:
         node.log.error("call failed", **_log_fields(request, code), **_fault(error))
     else:
         node.log.info("call refused", **_log_fields(request, code))
+    message = code.meaning
+    if isinstance(error, errors.CarawayhitchError):
+        message = error.message
+    retry_after = 1.0 if code.http_status == 503 else 0.0
+    return actions.RefuseCall("", code, message, retry_after)
 
 
 def _log_fields(request: Request, code: result_codes.ResultCode) -> dict[str, str]:
--- /dev/null
+++ b/src/carawayhitch/frontend/_sanic.py
@@ -0,0 +1,28 @@
+"""What all HTTP applications of an entry have in common."""
+
+from __future__ import annotations
+
+from typing import Any
+from uuid import uuid4
+
+from sanic import Request, Sanic
+
+from carawayhitch.node import Node
+
+
+def new_sanic(node: Node) -> Sanic:
+    """Return an application without routes; sanic wants a name for each."""
+    application = Sanic(f"carawayhitch-{uuid4().hex}", configure_logging=False)
+    application.ctx.node = node
+    application.ctx.receiving_count = 0
+    application.ctx.refused_read_at = 0.0
+    application.config.ACCESS_LOG = False
+    return application
+
+
+def close_after(request: Request) -> None:
+    """Have the connection of a request close after its answer."""
+    # sanic types the stream as its base class, which lacks what HTTP/1.1 adds.
+    stream: Any = request.stream
+    if stream is not None:
+        stream.keep_alive = False
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -19,7 +19,6 @@
     load_peer_keys,
     read_cache_events,
     read_engine_state,
-    read_load,
     read_vm_list,
     resume_generation,
     run_generation,
@@ -35,7 +34,7 @@
     rows,
 )
 from carawayhitch.node._logs import configure_logs
-from carawayhitch.node._stores import ask_store, decode_stored
+from carawayhitch.node._stores import ask_load, ask_store, decode_stored
 
 if TYPE_CHECKING:
     from carawayhitch.node._node import Node
@@ -280,9 +279,15 @@
 @perform.register(actions.PollLoad)
 def _poll_load(action: actions.PollLoad, node: Node) -> None:
     assert node.platform_session is not None
-    read = platform.read_report if node.settings.gateway.address else read_load
+    assert node.store is not None
     node.spawn_answer(
-        read(node.platform_session, action.upstream_id, action.address, node.now())
+        ask_load(
+            node.store,
+            node.platform_session,
+            action.upstream_id,
+            action.address,
+            node.now(),
+        )
     )
 
 
--- a/src/carawayhitch/node/_stores.py
+++ b/src/carawayhitch/node/_stores.py
@@ -1,4 +1,4 @@
-"""Which store a process uses: the project's own interface or the users' platform."""
+"""Which platform a process runs on: one with our own interface, or the users'."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import aiohttp
 
 from carawayhitch import codecs, platform
-from carawayhitch.backends import StoreClient, call_store
+from carawayhitch.backends import StoreClient, call_store, read_load
 from carawayhitch.core import events
 from carawayhitch.core import settings as settings_types
 
@@ -58,3 +58,37 @@
     store: platform.PlatformStore, stored: events.StoredObject
 ) -> events.DecodedObject:
     return platform.decode_object(stored, store.settings.gateway.regions_by_zone)
+
+
+@singledispatch
+async def ask_load(
+    store: Any,
+    session: aiohttp.ClientSession,
+    upstream_id: str,
+    address: str,
+    now: float,
+) -> Any:
+    """Return the load of an engine, by the interface of its platform."""
+    raise TypeError(f"unknown store {store!r}")
+
+
+@ask_load.register
+async def _ask_own_load(
+    store: StoreClient,
+    session: aiohttp.ClientSession,
+    upstream_id: str,
+    address: str,
+    now: float,
+) -> Any:
+    return await read_load(session, upstream_id, address, now)
+
+
+@ask_load.register
+async def _ask_platform_load(
+    store: platform.PlatformStore,
+    session: aiohttp.ClientSession,
+    upstream_id: str,
+    address: str,
+    now: float,
+) -> Any:
+    return await platform.read_report(session, upstream_id, address, now)
--- a/src/carawayhitch/platform/_calls.py
+++ b/src/carawayhitch/platform/_calls.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from carawayhitch import codecs
+from carawayhitch.backends import CONNECTION_HEADERS
 from carawayhitch.core import actions, errors, events, result_codes, rows
 from carawayhitch.platform import _names
 
@@ -15,6 +16,7 @@
 
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 NUMBER = re.compile(r"[0-9]{1,12}(?:\.[0-9]{1,6})?", re.ASCII)
+# Engines tell ten priorities apart.
 MAXIMUM_PRIORITY = 9
 
 
@@ -157,7 +159,7 @@
         if name.lower() == "connection"
         for token in value.split(",")
     }
-    return _names.CONNECTION_HEADERS | named
+    return CONNECTION_HEADERS | named | {"proxy-connection"}
 
 
 def answer_headers(headers: Iterable[tuple[str, str]]) -> Headers:
--- a/src/carawayhitch/platform/_declarations.py
+++ b/src/carawayhitch/platform/_declarations.py
@@ -10,14 +10,18 @@
 
 from carawayhitch import codecs
 from carawayhitch.core import declarations, errors, events, result_codes
+from carawayhitch.platform import _names
 
-SERVICE_LABEL = "service"
-READY = "ready"
-DRAINING = "draining"
-STATES = frozenset({READY, DRAINING})
 WORK_BY_KIND = {"safe": "repeatable", "unsafe": "once", "streaming": "stream"}
 DEFAULT_PRIORITY = 5
 HIGHEST_PORT = 65535
+# The protocol says when callers leave a stream: after a gap of two seconds, four times
+# the objective or eight times the longest pause, whichever is longest.
+LEAST_PATIENCE_SECONDS = 2.0
+PATIENCE_GOALS = 4
+PATIENCE_PAUSES = 8
+# Tenants have no limit of their own here; a rank's queue limit holds for all of them.
+ACCOUNT_QUEUE_LIMIT = 1_000_000
 
 
 class SplitBody(TypedDict):
@@ -203,7 +207,11 @@
     """Return when callers leave a stream that has not begun; 0 for other calls."""
     if work != "stream":
         return 0.0
-    return max(2.0, 4 * goal_seconds, 8 * pause_goal_seconds)
+    return max(
+        LEAST_PATIENCE_SECONDS,
+        PATIENCE_GOALS * goal_seconds,
+        PATIENCE_PAUSES * pause_goal_seconds,
+    )
 
 
 def _group(body: ServiceBody) -> declarations.ServingGroup:
@@ -220,7 +228,7 @@
         )
     return declarations.ServingGroup(
         name=body["name"],
-        selector={SERVICE_LABEL: body["name"]},
+        selector={declarations.SERVICE_LABEL: body["name"]},
         engine=capacity,
         scheduler="cell" if capacity else "entry",
     )
@@ -234,7 +242,7 @@
                 sha256(key.encode()).hexdigest() for key in body.get("apiKeys", ())
             )
         ),
-        queue_limit=1_000_000,
+        queue_limit=ACCOUNT_QUEUE_LIMIT,
         priority=body.get("priority"),
     )
 
@@ -263,8 +271,10 @@
         If a field is missing, has another type or a value that is not known.
     """
     body = _registration_decoder.decode(value)
-    if body["state"] not in STATES:
-        raise _invalid(f"state is {body['state']!r}, expected one of {sorted(STATES)}")
+    if body["state"] not in _names.STATES:
+        raise _invalid(
+            f"state is {body['state']!r}, expected one of {sorted(_names.STATES)}"
+        )
     _check_address(body["address"])
     zone = body["zone"]
     return events.VmListed(
@@ -273,11 +283,10 @@
         zone=zone,
         region=regions_by_zone.get(zone, ""),
         kind="engine" if body.get("models") else "service",
-        labels={SERVICE_LABEL: body["service"]},
-        leaving=body["state"] == DRAINING,
+        labels={declarations.SERVICE_LABEL: body["service"]},
+        leaving=body["state"] == _names.DRAINING,
         running_limit=max(0, body.get("slots", 0)),
         started_at=body.get("born", 0),
-        warm_after_seconds=max(0.0, body.get("coldLeftMs", 0.0)) / 1000.0,
     )
 
 
--- a/src/carawayhitch/platform/_engines.py
+++ b/src/carawayhitch/platform/_engines.py
@@ -15,7 +15,6 @@
 REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 # Reports hold the values of some hundred milliseconds ago.
 REPORT_LAG_SECONDS = 0.5
-DRAINING = "draining"
 
 
 class ReportBody(TypedDict):
@@ -55,7 +54,7 @@
         running_limit=0,
         waiting_count=body["queued"],
         preemption_count=0,
-        leaving=body.get("state") == DRAINING,
+        leaving=body.get("state") == _names.DRAINING,
         polled_at=now,
         incarnation=body.get("born", 0),
         leaves_at=_leaves_at(body, now),
--- a/src/carawayhitch/platform/_names.py
+++ b/src/carawayhitch/platform/_names.py
@@ -39,20 +39,6 @@
         "Authorization",
     )
 )
-# Headers that concern one connection only; the client library writes its own.
-CONNECTION_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 # Headers whose repetition would let two readers of a request disagree about it.
 SINGLE_HEADERS = (
     "host",
@@ -66,6 +52,11 @@
     "carawayhitch-model",
 )
 
+# States of an upstream, in its registration and in its reports.
+READY = "ready"
+DRAINING = "draining"
+STATES = frozenset({READY, DRAINING})
+
 READINESS_PATH = "/carawayhitch/readiness"
 OBJECTS_PATH = "/carawayhitch/objects"
 REPORT_PATH = "/carawayhitch/report"
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -9,7 +9,7 @@
 from yarl import URL
 
 from carawayhitch import codecs
-from carawayhitch.backends import UpstreamCall, failure, send_once
+from carawayhitch.backends import UpstreamCall, failure, failures_submitted, send_once
 from carawayhitch.core import actions, errors, events, result_codes
 from carawayhitch.platform import _calls, _names
 
@@ -27,7 +27,7 @@
     # Sent as received: a normalized path could be another call.
     url = URL(f"http://{action.address}{content.path}{query}", encoded=True)
     headers = _calls.upstream_headers(content.headers, action, now())
-    try:
+    with failures_submitted(call):
         async with call.session.request(
             content.method,
             url,
@@ -38,14 +38,6 @@
             middlewares=(send_once(),),
         ) as response:
             await _take_answer(call, response, action.address)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-        call.submit(failure(call, "connect", False, error))
-    except (errors.MalformedMessageError, aiohttp.ClientPayloadError) as error:
-        call.submit(failure(call, "truncated", True, error))
-    except TimeoutError as error:
-        call.submit(failure(call, "stalled", True, error))
-    except (aiohttp.ClientError, OSError, ValueError) as error:
-        call.submit(failure(call, "link_lost", True, error))
 
 
 async def _take_answer(
--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -56,6 +56,14 @@
     return upstream_id
 
 
+def add_engine(board, source):
+    """Add an idle engine beside one that has all generations."""
+    other = board.upstreams_by_id[source]._replace(upstream_id="engine-9")
+    board.upstreams_by_id["engine-9"] = other
+    cell = board.cells_by_id[CELL]
+    board.cells_by_id[CELL] = cell._replace(upstream_ids=(source, "engine-9"))
+
+
 def leave(board, upstream_id, now=NOW):
     """Mark an engine as leaving and return the actions."""
     known = board.upstreams_by_id[upstream_id]
@@ -116,10 +124,7 @@
         board = world(engine_count=1)
         source = start(board, "short", maximum=101)
         start(board, "long", maximum=4000)
-        other = board.upstreams_by_id[source]._replace(upstream_id="engine-9")
-        board.upstreams_by_id["engine-9"] = other
-        cell = board.cells_by_id[CELL]
-        board.cells_by_id[CELL] = cell._replace(upstream_ids=(source, "engine-9"))
+        add_engine(board, source)
         self.assertEqual(orders(leave(board, source))[0][0], "long")
 
     def test_more_generations_are_saved_by_small_copies(self):
@@ -127,10 +132,7 @@
         board = world(engine_count=1)
         source = start(board, "large", prompt=4000)
         start(board, "small", prompt=1000)
-        other = board.upstreams_by_id[source]._replace(upstream_id="engine-9")
-        board.upstreams_by_id["engine-9"] = other
-        cell = board.cells_by_id[CELL]
-        board.cells_by_id[CELL] = cell._replace(upstream_ids=(source, "engine-9"))
+        add_engine(board, source)
         self.assertEqual(orders(leave(board, source))[0][0], "small")
 
     def test_nearer_engine_is_used_only_if_time_is_short(self):
--- a/tests/controllers/test_retry_budget.py
+++ b/tests/controllers/test_retry_budget.py
@@ -7,7 +7,7 @@
 
 from carawayhitch import controllers
 from carawayhitch.controllers import _retries
-from carawayhitch.core import declarations, events, result_codes, rows
+from carawayhitch.core import events, result_codes, rows
 from carawayhitch.core import settings as settings_types
 from tests.boards import ready_board
 
@@ -27,8 +27,8 @@
         member = rows.MemberRow(f"n{index}", 1, state, "10.0.0.1", 1, 1, "a", "r1")
         board.members_by_id[member.node_id] = member
     for index in range(registered):
-        key = (declarations.ENTRY_REGISTRATION, f"n{index}")
-        board.objects_by_key[key] = rows.ObjectRow(key, 1, b"{}")
+        seed = settings_types.SeedPeer("10.0.0.1", 1)
+        board.listed_entries_by_vm_id[f"n{index}"] = seed
     return board
 
 
