--- a/experiments/record_traces.py
+++ b/experiments/record_traces.py
@@ -261,22 +261,16 @@
             self.fleet.ask, self.recorded, path, method, b"", **headers
         )
 
-    def engine_in_use(self) -> str:
-        """Return the engine that runs the first stream."""
-        deadline = time.monotonic() + 5.0
-        while time.monotonic() < deadline:
-            for number in (1, 2):
-                if self.fleet.seen_by(f"engine-{number}")["seen"]:
-                    return f"engine-{number}"
-            time.sleep(0.02)
-        raise RuntimeError("no engine runs a stream")
+    def has_started(self, engine: str) -> bool:
+        """Return whether a generation started at an engine."""
+        return bool(self.fleet.seen_by(engine)["seen"])
 
 
 def engine_reclaimed(scene: PlatformScene) -> None:
     """Reclaim an engine whose notice is in the store while it runs a stream."""
     scene.start()
     stream = scene.ask("/draft/1?events=40")
-    used = scene.engine_in_use()
+    used = scene.engine_running()
     time.sleep(0.5)
     scene.fleet.register(used, MODEL_SERVICE, state="draining")
     time.sleep(1.0)
@@ -288,7 +282,7 @@
     """Reclaim an engine while the store is silent; only its report tells."""
     scene.start()
     stream = scene.ask("/draft/1?events=90")
-    used = scene.engine_in_use()
+    used = scene.engine_running()
     scene.fault("store", "faults", silent=True)
     time.sleep(1.8)
     scene.fleet.server_faults(used, state="draining")
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import json
 import re
@@ -19,6 +18,7 @@
 
 from fakes import engine_model
 from fakes.engine_model import EngineLimits
+from fakes.serving import new_parser, serve
 
 LENGTH_HINT = re.compile(r"length=(\d+)")
 PADDING_HINT = re.compile(r"padding=(\d+)")
@@ -424,8 +424,7 @@
 
 def main() -> None:
     """Serve one engine."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
+    parser = new_parser(__doc__)
     parser.add_argument("--memory-tokens", type=int, default=60_000)
     parser.add_argument("--running-limit", type=int, default=64)
     parser.add_argument("--step-seconds", type=float, default=0.012)
@@ -437,13 +436,7 @@
         step_seconds=arguments.step_seconds,
     )
     engine = FakeEngine(limits, arguments.load_lag_seconds)
-    web.run_app(
-        engine.application(),
-        host="127.0.0.1",
-        port=arguments.port,
-        print=lambda *_: None,
-        handler_cancellation=True,
-    )
+    serve(engine.application(), arguments.port)
 
 
 if __name__ == "__main__":
--- a/fakes/least_loaded_entry.py
+++ b/fakes/least_loaded_entry.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import json
 from typing import Any
@@ -15,6 +14,8 @@
 import aiohttp
 from aiohttp import web
 
+from fakes.serving import new_parser, serve
+
 POLL_SECONDS = 0.5
 PRIORITIES_BY_LABELS = {"work=lookup": 0}
 DEFAULT_PRIORITY = 10
@@ -71,17 +72,10 @@
 
 def main() -> None:
     """Serve one entry."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
+    parser = new_parser(__doc__)
     parser.add_argument("--upstream-ports", type=int, nargs="+", required=True)
     arguments = parser.parse_args()
-    web.run_app(
-        LeastLoadedEntry(arguments.upstream_ports).application(),
-        host="127.0.0.1",
-        port=arguments.port,
-        print=lambda *_: None,
-        handler_cancellation=True,
-    )
+    serve(LeastLoadedEntry(arguments.upstream_ports).application(), arguments.port)
 
 
 if __name__ == "__main__":
--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import base64
 from collections import Counter
@@ -15,6 +14,8 @@
 
 from aiohttp import web
 
+from fakes.serving import new_parser, serve
+
 VALUE_LIMIT = 1_000_000
 HISTORY_LIMIT = 10_000
 
@@ -241,17 +242,10 @@
 
 def main() -> None:
     """Serve one store."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
+    parser = new_parser(__doc__)
     arguments = parser.parse_args()
     store = FakeObjectStore()
-    web.run_app(
-        store.application(),
-        host="127.0.0.1",
-        port=arguments.port,
-        print=lambda *_: None,
-        handler_cancellation=True,
-    )
+    serve(store.application(), arguments.port)
 
 
 if __name__ == "__main__":
--- a/fakes/plain_service.py
+++ b/fakes/plain_service.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 from collections import Counter
 
 from aiohttp import web
 
+from fakes.serving import new_parser, serve
+
 
 class FakePlainService:
     """One service process.
@@ -70,15 +71,9 @@
 
 def main() -> None:
     """Serve one plain service."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
+    parser = new_parser(__doc__)
     arguments = parser.parse_args()
-    web.run_app(
-        FakePlainService().application(),
-        host="127.0.0.1",
-        port=arguments.port,
-        print=lambda *_: None,
-    )
+    serve(FakePlainService().application(), arguments.port, handler_cancellation=False)
 
 
 if __name__ == "__main__":
--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 from collections import Counter
 from typing import Any
@@ -14,6 +13,8 @@
 
 from aiohttp import web
 
+from fakes.serving import new_parser, serve
+
 HANDLE_HEADER = "Kv-From"
 
 
@@ -219,8 +220,7 @@
 
 def main() -> None:
     """Serve one server."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
+    parser = new_parser(__doc__)
     parser.add_argument("--name", required=True)
     parser.add_argument("--event-seconds", type=float, default=0.02)
     parser.add_argument("--born", type=int, default=1000)
@@ -228,13 +228,7 @@
     server = FakePlatformServer(arguments.name, arguments.event_seconds, arguments.born)
     application = server.application()
     application.cleanup_ctx.append(_open_session)
-    web.run_app(
-        application,
-        host="127.0.0.1",
-        port=arguments.port,
-        print=lambda *_: None,
-        handler_cancellation=True,
-    )
+    serve(application, arguments.port)
 
 
 if __name__ == "__main__":
--- a/fakes/platform_store.py
+++ b/fakes/platform_store.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 from collections import Counter
 from typing import Any
 
 from aiohttp import web
 
+from fakes.serving import new_parser, serve
+
 PAGE_ITEMS = 50
 HISTORY_LIMIT = 10_000
 LONGEST_WAIT_MILLISECONDS = 30_000
@@ -204,16 +205,9 @@
 
 def main() -> None:
     """Serve one store."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
+    parser = new_parser(__doc__)
     arguments = parser.parse_args()
-    web.run_app(
-        FakePlatformStore().application(),
-        host="127.0.0.1",
-        port=arguments.port,
-        print=lambda *_: None,
-        handler_cancellation=True,
-    )
+    serve(FakePlatformStore().application(), arguments.port)
 
 
 if __name__ == "__main__":
--- a/fakes/vm_list.py
+++ b/fakes/vm_list.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import argparse
 import time
 from typing import Any
 
 from aiohttp import web
 
+from fakes.serving import new_parser, serve
+
 
 class FakeVmList:
     """The list as it was ``lag_seconds`` ago."""
@@ -40,15 +41,13 @@
 
 def main() -> None:
     """Serve one list."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--port", type=int, required=True)
+    parser = new_parser(__doc__)
     parser.add_argument("--lag-seconds", type=float, default=0.5)
     arguments = parser.parse_args()
-    web.run_app(
+    serve(
         FakeVmList(arguments.lag_seconds).application(),
-        host="127.0.0.1",
-        port=arguments.port,
-        print=lambda *_: None,
+        arguments.port,
+        handler_cancellation=False,
     )
 
 
