Go on with a drain when SIGTERM is repeated

Cause: a second SIGTERM counted as an operator's order to end at once. Planned stops of one machine may overlap, and the second one then cut the calls that the first one had let go on. Ruled out: the drain limit (7.6 s; the second signal came 1.1 s after the first).

--- a/src/carawayhitch/core/_process_events.py
+++ b/src/carawayhitch/core/_process_events.py
@@ -14,7 +14,7 @@
 
 
 class StopRequested(NamedTuple):
-    """The process was asked to stop; ``immediate`` after a second signal."""
+    """The process was asked to stop; ``immediate`` by an operator."""
 
     immediate: bool
 
--- a/src/carawayhitch/frontend/_server.py
+++ b/src/carawayhitch/frontend/_server.py
@@ -42,8 +42,8 @@
         Listens already where callers of HTTP routes connect; they are served once the
         process is ready.
 
-    The first SIGTERM or SIGINT drains; the second one stops at once. SIGHUP reads the
-    settings file again.
+    SIGTERM and SIGINT drain, also when they are repeated: planned stops may overlap.
+    SIGINT after either stops at once. SIGHUP reads the settings file again.
     """
     node = Node(settings, log)
     node.log.info("starting", version=__version__, incarnation=node.incarnation)
@@ -158,8 +158,9 @@
     received: list[int] = []
 
     def stop(number: int) -> None:
+        interrupted = number == signal.SIGINT and bool(received)
         received.append(number)
-        node.submit(events.StopRequested(immediate=len(received) > 1))
+        node.submit(events.StopRequested(immediate=interrupted))
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop, number)
