Add a soak of real processes with faults from outside

Three entries, two engines, two plain services and a store run as processes, with a link in front of the store (for each entry) and of each server. A seed draws faults that overlap and come in series: processes paused, killed, stopped and reloaded; links reset, silenced, stalled, cut one way and slowed; the store down, silent, without history or with lost answers; servers killed, emptied, replaced and failing; configurations changed. Callers keep their connections until the process is gone.

--- a/fakes/link.py
+++ b/fakes/link.py
@@ -1,7 +1,7 @@
-"""TCP relay whose link can be cut, stalled or limited, as a stand-in for a network.
+"""TCP relay whose link can be cut, stalled, slowed or limited, in place of a network.
 
-It stands between an entry and an upstream, so that a test fails the link and not the
-upstream. A stalled link keeps its connections open and passes no byte.
+It stands between a process and one that it calls, so that a test fails the link and
+not the process. A stalled link keeps its connections open and passes no byte.
 """
 
 from __future__ import annotations
@@ -28,7 +28,10 @@
         self.answer_bytes = 0
         self.cut_after_bytes = 0
         self.cut_limit = 0
-        self._flowing = asyncio.Event()
+        self.delay_seconds = 0.0
+        self._answers_flowing = asyncio.Event()
+        self._calls_flowing = asyncio.Event()
+        self._silenced = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._loop = asyncio.new_event_loop()
         self._started = threading.Event()
@@ -38,7 +41,8 @@
 
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
-        self._flowing.set()
+        self._answers_flowing.set()
+        self._calls_flowing.set()
         server = self._loop.run_until_complete(
             asyncio.start_server(self._serve, "127.0.0.1", 0)
         )
@@ -70,11 +74,25 @@
 
     def stall(self) -> None:
         """Pass no byte from the target until `flow`; connections stay open."""
-        self._loop.call_soon_threadsafe(self._flowing.clear)
+        self._loop.call_soon_threadsafe(self._answers_flowing.clear)
+
+    def stall_calls(self) -> None:
+        """Pass no byte to the target until `flow`; connections stay open."""
+        self._loop.call_soon_threadsafe(self._calls_flowing.clear)
 
     def flow(self) -> None:
-        """Pass bytes again."""
-        self._loop.call_soon_threadsafe(self._flowing.set)
+        """Pass bytes again, without delay."""
+        self.delay_seconds = 0.0
+        self._loop.call_soon_threadsafe(self._answers_flowing.set)
+        self._loop.call_soon_threadsafe(self._calls_flowing.set)
+
+    def silence(self) -> None:
+        """Pass no byte of the open connections any more; new ones work."""
+        self._loop.call_soon_threadsafe(self._silence_all)
+
+    def _silence_all(self) -> None:
+        self._silenced.set()
+        self._silenced = asyncio.Event()
 
     def cut_answers(self, after_bytes: int, count: int) -> None:
         """Abort the next connections after so many bytes of their answers."""
@@ -89,8 +107,10 @@
             writer.transport.abort()
             return
         self._writers |= {writer, target[1]}
+        silenced = self._silenced
         passing = asyncio.gather(
-            self._pass(reader, target[1], False), self._pass(target[0], writer, True)
+            self._pass(reader, target[1], False, silenced),
+            self._pass(target[0], writer, True, silenced),
         )
         with suppress(asyncio.CancelledError):
             await passing
@@ -101,13 +121,20 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         is_answer: bool,
+        silenced: asyncio.Event,
     ) -> None:
         passed = 0
+        flowing = self._answers_flowing if is_answer else self._calls_flowing
         with suppress(OSError):
             while data := await reader.read(BLOCK_BYTES):
+                if self.delay_seconds:
+                    await asyncio.sleep(self.delay_seconds)
+                await flowing.wait()
+                if silenced.is_set():
+                    # Whoever waits for these bytes has to notice by a timeout.
+                    await asyncio.Event().wait()
                 if is_answer:
                     self.answer_bytes += len(data)
-                    await self._flowing.wait()
                     if self.cut_limit and passed + len(data) > self.cut_after_bytes:
                         self.cut_limit -= 1
                         writer.write(data[: max(0, self.cut_after_bytes - passed)])
--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -66,8 +66,8 @@
         self,
         routes: tuple[dict[str, Any], ...] = DEFAULT_ROUTES,
         keys: tuple[str, ...] = (KEY,),
-    ) -> None:
-        """Write the next version of the configuration."""
+    ) -> bool:
+        """Write the next version of the configuration; tell whether it is taken."""
         self.version += 1
         spec = {
             "version": self.version,
@@ -94,7 +94,8 @@
         body = {"metadata": {"name": "main"}, "spec": spec}
         status, _ = self.store_call("POST", f"{OBJECTS}/config", body)
         if status == 409:
-            self.store_call("PUT", f"{OBJECTS}/config/main", body)
+            status, _ = self.store_call("PUT", f"{OBJECTS}/config/main", body)
+        return status in (200, 201)
 
     def start_server(
         self, name: str, service: str, zone: str = "a", event_seconds: float = 0.02
@@ -107,9 +108,22 @@
             name,
             "--event-seconds",
             str(event_seconds),
+            *self.server_arguments(name),
         )
         self.register(name, service, zone)
 
+    def server_arguments(self, name: str) -> tuple[str, ...]:
+        """Return further arguments of a server."""
+        return ()
+
+    def server_port(self, name: str) -> int:
+        """Return the port at which entries reach a server."""
+        return self.ports_by_name[name]
+
+    def store_url(self, entry: str) -> str:
+        """Return the address at which an entry reaches the store."""
+        return self.url("store")
+
     def register(
         self,
         name: str,
@@ -121,7 +135,7 @@
         """Write the registration of a server."""
         spec: dict[str, Any] = {
             "service": service,
-            "address": f"127.0.0.1:{self.ports_by_name[name]}",
+            "address": f"127.0.0.1:{self.server_port(name)}",
             "zone": zone,
             "version": "v1",
             "slots": 8,
@@ -181,7 +195,7 @@
 [peers]
 [platform]
 [store]
-url = "{self.url("store")}"
+url = "{self.store_url(name)}"
 scopes = ["configuration", "upstreams", "entries"]
 watch_timeout_seconds = 1.0
 timeout_seconds = 0.5
--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
-from typing import Any
+from typing import Any, TextIO
 from uuid import uuid4
 
 from aiohttp import web
@@ -38,10 +39,19 @@
         Time between events of a stream, and of a whole answer.
     born : int
         Start in milliseconds of Unix time, as registered.
+    run_file : TextIO, optional
+        Where each start and end of a run is written, so that it outlives the process.
     """
 
-    def __init__(self, name: str, event_seconds: float, born: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        event_seconds: float,
+        born: int,
+        run_file: TextIO | None = None,
+    ) -> None:
         self.name = name
+        self.run_file = run_file
         self.born = born
         self.event_seconds = event_seconds
         self.runs_by_id: dict[str, Run] = {}
@@ -95,6 +105,19 @@
             }
         )
         self.counts["runs"] += 1
+        self._record("continue" if HANDLE_HEADER in request.headers else "run", request)
+        try:
+            return await self._run(request, body)
+        finally:
+            self._record("end", request)
+
+    def _record(self, what: str, request: web.Request) -> None:
+        if self.run_file is None:
+            return
+        request_id = request.headers.get("Carawayhitch-Request-Id", "")
+        self.run_file.write(f"{time.time():.4f} {what} {request_id}\n")
+
+    async def _run(self, request: web.Request, body: bytes) -> web.StreamResponse:
         if self.failures:
             self.failures -= 1
             return web.Response(status=500, headers=self._headers(request))
@@ -129,7 +152,7 @@
                     break
                 except TimeoutError:
                     run.made += 1
-                data = f"id: {run.made}\ndata: {self.name}\n\n"
+                data = f"id: {run.made}\ndata: {request_id}\n\n"
                 await response.write(data.encode())
                 if self.cut_after and run.made >= self.cut_after:
                     self.cut_after = 0
@@ -224,8 +247,14 @@
     parser.add_argument("--name", required=True)
     parser.add_argument("--event-seconds", type=float, default=0.02)
     parser.add_argument("--born", type=int, default=1000)
+    parser.add_argument("--run-file", default="")
     arguments = parser.parse_args()
-    server = FakePlatformServer(arguments.name, arguments.event_seconds, arguments.born)
+    run_file = (
+        open(arguments.run_file, "a", buffering=1) if arguments.run_file else None
+    )
+    server = FakePlatformServer(
+        arguments.name, arguments.event_seconds, arguments.born, run_file
+    )
     application = server.application()
     application.cleanup_ctx.append(_open_session)
     serve(application, arguments.port)
--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import signal
@@ -12,6 +13,7 @@
 import time
 import urllib.error
 import urllib.request
+from contextlib import suppress
 from hashlib import sha256
 from pathlib import Path
 from typing import Any
@@ -20,13 +22,28 @@
 ACCOUNT_TOKENS = {"hotel": "hotel-token", "inspection": "inspection-token"}
 ADMIN_TOKEN = "admin-token"
 START_TIMEOUT_SECONDS = 20.0
+# Below the range from which Linux takes the ports of outgoing connections.
+FIRST_PORT, PORT_COUNT = 20_000, 12_000
+# Ports that one test or soak takes.
+PORT_BLOCK = 64
+_listening_ports = (
+    FIRST_PORT + (os.getpid() * PORT_BLOCK + index) % PORT_COUNT
+    for index in itertools.count()
+)
 
 
 def free_port() -> int:
-    """Return a TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that was free a moment ago.
+
+    It is not one that the system gives to outgoing connections, which would keep a
+    process from listening there again after a restart. Processes that ask at the same
+    time get ports of different blocks.
+    """
+    for port in _listening_ports:
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise RuntimeError("the ports never end")
 
 
 def token_hash(token: str) -> str:
--- /dev/null
+++ b/soak/_checks.py
@@ -0,0 +1,243 @@
+"""The promises, each a function that reads the board and returns what broke them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from soak._board import (
+    CONFIGURATION_SECONDS,
+    CONTACT_SECONDS,
+    DRAIN_SECONDS,
+    EVERYTHING,
+    STORE,
+    CallRow,
+    RunRow,
+    SoakBoard,
+)
+
+# Statuses which promise that a request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+REPEATABLE_ROUTES = frozenset({"look", "ask"})
+# Times of callers and servers are read before and after what they describe.
+CLOCK_SLACK_SECONDS = 0.1
+ANSWER_SLACK_SECONDS = 0.5
+LEAVE_SECONDS = 0.5
+LOSS_SLACK_SECONDS = 0.2
+# The users' rules count a few cases as chance.
+FEW = 3
+ATTEMPT_LIMIT = 2
+
+
+class Violation(NamedTuple):
+    """A promise that was broken."""
+
+    promise: str
+    request_id: str
+    detail: str
+
+
+Check = Callable[[SoakBoard], Iterator[Violation]]
+checks: list[Check] = []
+
+
+def _runs(board: SoakBoard, call: CallRow) -> list[RunRow]:
+    """Return the runs of a call; a moved generation counts as the same run."""
+    runs = board.runs_by_request_id.get(call.request_id, ())
+    return [run for run in runs if not run.continued]
+
+
+def _is_repeatable(call: CallRow) -> bool:
+    return call.route in REPEATABLE_ROUTES or call.route.startswith("extra-")
+
+
+def _server_failed(board: SoakBoard, call: CallRow) -> bool:
+    """Return whether something happened to a server while it ran a call."""
+    end = call.ended_at + CLOCK_SLACK_SECONDS
+    return any(
+        run.ended_at == math.inf or board.is_disturbed({run.server}, run.began_at, end)
+        for run in board.runs_by_request_id.get(call.request_id, ())
+    )
+
+
+@checks.append
+def answers_are_whole(board: SoakBoard) -> Iterator[Violation]:
+    """Find answers with missing, foreign or joined bytes."""
+    for call in board.calls_by_id.values():
+        if call.fault:
+            yield Violation("whole answers", call.request_id, call.fault)
+
+
+@checks.append
+def unsafe_calls_run_once(board: SoakBoard) -> Iterator[Violation]:
+    """Find calls that may run once and ran more often."""
+    for call in board.calls_by_id.values():
+        runs = _runs(board, call)
+        if len(runs) > 1 and not _is_repeatable(call):
+            servers = [run.server for run in runs]
+            yield Violation("at most once", call.request_id, f"ran at {servers}")
+
+
+@checks.append
+def refused_calls_never_run(board: SoakBoard) -> Iterator[Violation]:
+    """Find calls that were answered "not run" and ran."""
+    for call in board.calls_by_id.values():
+        runs = _runs(board, call)
+        if call.status in PROMISES and runs and not _is_repeatable(call):
+            detail = f"status {call.status}, ran at {runs[0].server}"
+            yield Violation("true refusals", call.request_id, detail)
+
+
+@checks.append
+def only_asked_calls_run(board: SoakBoard) -> Iterator[Violation]:
+    """Find runs of requests that no client sent."""
+    for request_id in board.runs_by_request_id.keys() - board.calls_by_id.keys():
+        yield Violation("asked calls", request_id, "no client sent it")
+
+
+@checks.append
+def attempts_are_bounded(board: SoakBoard) -> Iterator[Violation]:
+    """Find calls that ran at more servers than their route allows."""
+    found = [
+        call
+        for call in board.calls_by_id.values()
+        if len({run.server for run in _runs(board, call)}) > ATTEMPT_LIMIT
+        and not _server_failed(board, call)
+    ]
+    if len(found) > FEW:
+        for call in found:
+            yield Violation("attempts", call.request_id, "ran at too many servers")
+
+
+@checks.append
+def drained_servers_get_nothing(board: SoakBoard) -> Iterator[Violation]:
+    """Find runs that began at a server long after it was said to leave."""
+    for runs in board.runs_by_request_id.values():
+        for run in runs:
+            drained_at = board.drained_at_by_server.get(run.server, math.inf)
+            call = board.calls_by_id.get(run.request_id)
+            late = run.began_at - drained_at - DRAIN_SECONDS
+            if call is None or late <= CLOCK_SLACK_SECONDS:
+                continue
+            if board.is_in_touch(call.entry, drained_at, run.began_at):
+                detail = f"{late:.2f} s too late at {run.server} by {call.entry}"
+                yield Violation("drained servers", run.request_id, detail)
+
+
+@checks.append
+def configuration_is_in_force(board: SoakBoard) -> Iterator[Violation]:
+    """Find answers by routes and keys that are not in force any more, or not yet."""
+    for call in board.calls_by_id.values():
+        route = board.routes_by_name.get(call.route)
+        key = board.keys_by_text.get(call.key)
+        known = [row for row in (route, key) if row is not None]
+        if not call.status or not board.is_in_touch(
+            call.entry, call.sent_at, call.sent_at
+        ):
+            continue
+        asked_at = call.sent_at - CONFIGURATION_SECONDS
+        refused = call.status in (401, 404)
+        if any(row.removed_at < asked_at for row in known) and not refused:
+            detail = f"status {call.status} on {call.route}, which was removed"
+            yield Violation("configuration", call.request_id, detail)
+        lasting = all(
+            row.added_at < asked_at and row.removed_at > call.ended_at for row in known
+        )
+        if lasting and refused:
+            detail = f"status {call.status} on {call.route}, which is in force"
+            yield Violation("configuration", call.request_id, detail)
+
+
+@checks.append
+def calls_end_in_time(board: SoakBoard) -> Iterator[Violation]:
+    """Find calls without a first byte long after what their route allows."""
+    found = []
+    for call in board.calls_by_id.values():
+        due_at = call.sent_at + call.timeout_seconds + ANSWER_SLACK_SECONDS
+        began_at = call.first_byte_at or call.ended_at
+        if began_at > due_at + CLOCK_SLACK_SECONDS and board.is_in_touch(
+            call.entry, call.sent_at, call.ended_at
+        ):
+            found.append(call)
+    if len(found) > FEW:
+        for call in found:
+            detail = f"{call.ended_at - call.sent_at:.2f} s at {call.entry}"
+            yield Violation("answers in time", call.request_id, detail)
+
+
+@checks.append
+def calls_are_not_lost(board: SoakBoard) -> Iterator[Violation]:
+    """Find calls whose connection ended without an answer and without a fault.
+
+    Planned work excuses nothing.
+    """
+    for call in board.calls_by_id.values():
+        if call.outcome != "broken":
+            continue
+        subjects = {call.entry, STORE, EVERYTHING}
+        begin = call.sent_at - CONTACT_SECONDS
+        if board.is_disturbed(subjects, begin, call.ended_at, unplanned=True):
+            continue
+        lasted = call.ended_at - call.sent_at
+        passed_on = call.request_id in board.runs_by_request_id
+        if not passed_on and board.was_starting(
+            call.entry, call.sent_at, call.ended_at
+        ):
+            # It waited to be accepted by a process that was ended before it read it.
+            continue
+        if (passed_on or lasted > LOSS_SLACK_SECONDS) and not _server_failed(
+            board, call
+        ):
+            detail = f"after {lasted:.2f} s at {call.entry}, passed on: {passed_on}"
+            yield Violation("no lost calls", call.request_id, detail)
+
+
+@checks.append
+def left_calls_end(board: SoakBoard) -> Iterator[Violation]:
+    """Find servers that go on with calls whose clients have left."""
+    left = [
+        call
+        for call in board.calls_by_id.values()
+        if call.outcome == "left"
+        and board.is_in_touch(call.entry, call.sent_at, call.ended_at + LEAVE_SECONDS)
+        and not _server_failed(board, call)
+    ]
+    found = [
+        call
+        for call in left
+        for run in board.runs_by_request_id.get(call.request_id, ())
+        if run.ended_at > call.ended_at + LEAVE_SECONDS + CLOCK_SLACK_SECONDS
+    ]
+    if len(found) > max(FEW, len(left) / 4):
+        for call in found:
+            yield Violation("left calls", call.request_id, f"still runs, {call.entry}")
+
+
+@checks.append
+def service_recovers(board: SoakBoard) -> Iterator[Violation]:
+    """Find that calls fail long after the last fault."""
+    late = [
+        call
+        for call in board.calls_by_id.values()
+        if call.sent_at > board.recovery_begins_at
+        and call.outcome not in ("left", "open")
+        and call.key not in board.keys_by_text
+        and call.route not in board.routes_by_name
+    ]
+    served = [call for call in late if call.status == 200 and call.is_whole]
+    if not late or len(served) * 4 < len(late):
+        detail = f"{len(served)} of {len(late)} calls served"
+        yield Violation("recovery", "", detail)
+
+
+@checks.append
+def processes_hold(board: SoakBoard) -> Iterator[Violation]:
+    """Find processes that ended by themselves or failed inside."""
+    for problem in board.problems:
+        yield Violation("processes", "", f"{problem.entry}: {problem.detail}")
+
+
+def find_violations(board: SoakBoard) -> list[Violation]:
+    """Return every broken promise."""
+    return [violation for check in checks for violation in check(board)]
--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,140 @@
+"""One run: callers in a thread of their own, faults in this one."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import json
+import math
+import shutil
+import threading
+import time
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+from soak._board import RECOVERY_SECONDS, ProblemRow, SoakBoard
+from soak._callers import call_until
+from soak._checks import Violation, find_violations
+from soak._faults import PlannedFault, draw_plan
+from soak._steps import Step, perform
+from soak._world import SoakFleet
+
+# Calls in this span show whether service has recovered.
+LAST_SECONDS = 3.0
+TICK_SECONDS = 0.05
+
+
+class RunOptions(NamedTuple):
+    """What a run consists of.
+
+    Parameters
+    ----------
+    fault_seconds : float
+        Span in which faults begin.
+    keep : str
+        Folder for the logs of a run that broke a promise; empty for none.
+    """
+
+    seed: int
+    entries: int = 3
+    engines: int = 2
+    services: int = 2
+    fault_seconds: float = 16.0
+    keep: str = ""
+
+
+class RunResult(NamedTuple):
+    """What a run showed."""
+
+    seed: int
+    calls: int
+    runs: int
+    faults: int
+    violations: list[Violation]
+
+
+def run_seed(options: RunOptions) -> RunResult:
+    """Play one seed and return what broke."""
+    board = SoakBoard()
+    fleet = SoakFleet(board)
+    try:
+        fleet.start_all(options.entries, options.engines, options.services)
+        plan = draw_plan(
+            options.seed,
+            options.fault_seconds,
+            list(fleet.gateways_by_name),
+            list(fleet.services_by_server),
+        )
+        _play(fleet, plan, options)
+        fleet.read_runs()
+        _find_problems(fleet)
+        violations = find_violations(board)
+        if violations and options.keep:
+            _keep(fleet, plan, violations, options)
+    finally:
+        fleet.stop()
+    runs = sum(map(len, board.runs_by_request_id.values()))
+    return RunResult(options.seed, len(board.calls_by_id), runs, len(plan), violations)
+
+
+def _play(
+    fleet: SoakFleet, plan: tuple[PlannedFault, ...], options: RunOptions
+) -> None:
+    begun_at = time.time()
+    steps = [
+        (begun_at + planned.at, index, Step(begun_at + planned.at, planned.fault))
+        for index, planned in enumerate(plan)
+    ]
+    heapq.heapify(steps)
+    number = len(steps)
+    calm_at = begun_at + options.fault_seconds
+    until = calm_at + RECOVERY_SECONDS + LAST_SECONDS
+    random = Random(options.seed)
+    calling = threading.Thread(
+        target=lambda: asyncio.run(call_until(fleet, fleet.board, random, until))
+    )
+    calling.start()
+    while calling.is_alive():
+        now = time.time()
+        while steps and steps[0][0] <= now:
+            _, _, step = heapq.heappop(steps)
+            for following in perform(step.act, fleet, now):
+                number += 1
+                heapq.heappush(steps, (following.at, number, following))
+        calling.join(TICK_SECONDS)
+    ends = [row.ended_at for row in fleet.board.disturbances if row.ended_at < math.inf]
+    last = max([calm_at, *ends])
+    fleet.board.recovery_begins_at = min(last + RECOVERY_SECONDS, until - LAST_SECONDS)
+
+
+def _find_problems(fleet: SoakFleet) -> None:
+    for entry in fleet.gateways_by_name:
+        if "Traceback" in fleet.log_text(entry):
+            row = ProblemRow(entry, "an exception in its log")
+            fleet.board.problems.append(row)
+        if not fleet.is_running(entry):
+            status = fleet.wait_ended(entry)
+            row = ProblemRow(entry, f"ended by itself, exit status {status}")
+            fleet.board.problems.append(row)
+
+
+def _keep(
+    fleet: SoakFleet,
+    plan: tuple[PlannedFault, ...],
+    violations: list[Violation],
+    options: RunOptions,
+) -> None:
+    folder = Path(options.keep) / f"seed-{options.seed}"
+    shutil.rmtree(folder, ignore_errors=True)
+    shutil.copytree(fleet.folder.name, folder)
+    board = fleet.board
+    seen = {
+        "plan": [(planned.at, repr(planned.fault)) for planned in plan],
+        "violations": violations,
+        "disturbances": board.disturbances,
+        "drained": board.drained_at_by_server,
+        "routes": list(board.routes_by_name.values()),
+        "calls": list(board.calls_by_id.values()),
+    }
+    (folder / "board.json").write_text(json.dumps(seen, indent=1))
--- /dev/null
+++ b/soak/_steps.py
@@ -0,0 +1,292 @@
+"""What each fault does to the processes, in steps that do not wait."""
+
+from __future__ import annotations
+
+import math
+import signal
+import time
+from functools import singledispatch
+from typing import Any, NamedTuple
+
+from fakes.platform_fleet import OBJECTS, call
+from soak import _faults as faults
+from soak._board import (
+    CONTACT_SECONDS,
+    DRAIN_SECONDS,
+    EVERYTHING,
+    GRACE_SECONDS,
+    STARTING,
+    STORE,
+    ProblemRow,
+)
+from soak._world import SoakFleet
+
+POLL_SECONDS = 0.2
+# The platform starts a process again after about half a second (PLATFORM-NOTES).
+RESTART_SECONDS = 0.5
+# A server that is emptied serves a little longer than it has to.
+LINGER_SECONDS = 1.0
+SLOW_LINK_SECONDS = 0.3
+START_SECONDS = 2.0
+STORE_FAULTS: dict[faults.StoreMode, dict[str, Any]] = {
+    "down": {"status": 503},
+    "silent": {"silent": True},
+    "forget": {"forget": True},
+    "lost answers": {"lost_answers": 2},
+}
+
+
+class WakeEntry(NamedTuple):
+    """Lets a frozen process go on."""
+
+    entry: str
+
+
+class StartEntry(NamedTuple):
+    """Starts a process that ended."""
+
+    entry: str
+
+
+class AwaitExit(NamedTuple):
+    """Waits for the end of a process that was asked to stop."""
+
+    entry: str
+    kill_at: float
+
+
+class RestoreLink(NamedTuple):
+    """Ends the fault of a link."""
+
+    subject: str
+
+
+class RestoreStore(NamedTuple):
+    """Ends the fault of the store."""
+
+
+class StartServer(NamedTuple):
+    """Starts a server that was killed."""
+
+    server: str
+
+
+class EndServer(NamedTuple):
+    """Ends a server that was emptied."""
+
+    server: str
+
+
+class Step(NamedTuple):
+    """Something to do at a time, in seconds of Unix time."""
+
+    at: float
+    act: Any
+
+
+Steps = tuple[Step, ...]
+
+
+@singledispatch
+def perform(act: Any, fleet: SoakFleet, now: float) -> Steps:
+    """Do one step and return those that follow from it."""
+    raise TypeError(f"unknown step {act!r}")
+
+
+@perform.register
+def _pause(act: faults.PauseEntry, fleet: SoakFleet, now: float) -> Steps:
+    if not fleet.is_running(act.entry):
+        return ()
+    fleet.board.disturb(act.entry, "paused", now, act.seconds + POLL_SECONDS)
+    fleet.send_signal(act.entry, signal.SIGSTOP)
+    return (Step(now + act.seconds, WakeEntry(act.entry)),)
+
+
+@perform.register
+def _wake(act: WakeEntry, fleet: SoakFleet, now: float) -> Steps:
+    if fleet.is_running(act.entry):
+        fleet.send_signal(act.entry, signal.SIGCONT)
+    return ()
+
+
+@perform.register
+def _kill(act: faults.KillEntry, fleet: SoakFleet, now: float) -> Steps:
+    if not fleet.is_running(act.entry):
+        return ()
+    fleet.board.disturb(act.entry, "killed", now, act.seconds + START_SECONDS)
+    fleet.kill(act.entry)
+    return (Step(now + act.seconds, StartEntry(act.entry)),)
+
+
+@perform.register
+def _kill_all(act: faults.KillAllEntries, fleet: SoakFleet, now: float) -> Steps:
+    fleet.board.disturb(EVERYTHING, "killed", now, act.seconds + START_SECONDS)
+    steps: list[Step] = []
+    for entry in fleet.gateways_by_name:
+        steps += perform(faults.KillEntry(entry, act.seconds), fleet, now)
+    return tuple(steps)
+
+
+@perform.register
+def _start(act: StartEntry, fleet: SoakFleet, now: float) -> Steps:
+    if not fleet.is_running(act.entry):
+        fleet.board.disturb(act.entry, STARTING, now, START_SECONDS, planned=True)
+        fleet.start_gateway(act.entry, wait=False)
+    return ()
+
+
+@perform.register
+def _stop(act: faults.StopEntry, fleet: SoakFleet, now: float) -> Steps:
+    if not fleet.is_running(act.entry):
+        return ()
+    seconds = GRACE_SECONDS + RESTART_SECONDS + START_SECONDS
+    fleet.board.disturb(act.entry, "stopped", now, seconds, planned=True)
+    fleet.send_signal(act.entry, signal.SIGTERM)
+    awaited = AwaitExit(act.entry, now + GRACE_SECONDS)
+    return (Step(now + POLL_SECONDS, awaited),)
+
+
+@perform.register
+def _await_exit(act: AwaitExit, fleet: SoakFleet, now: float) -> Steps:
+    status = fleet.wait_ended(act.entry)
+    if status is None and now < act.kill_at:
+        return (Step(now + POLL_SECONDS, act),)
+    if status is None:
+        fleet.kill(act.entry)
+    elif status not in (0, -signal.SIGKILL) and not _was_starting(act, fleet):
+        row = ProblemRow(act.entry, f"exit status {status} after SIGTERM")
+        fleet.board.problems.append(row)
+    return (Step(now + RESTART_SECONDS, StartEntry(act.entry)),)
+
+
+def _was_starting(act: AwaitExit, fleet: SoakFleet) -> bool:
+    """Return whether a process was asked to stop before it had read any call.
+
+    It is then ended by the signal itself.
+    """
+    asked_at = act.kill_at - GRACE_SECONDS
+    return fleet.board.was_starting(act.entry, asked_at, asked_at)
+
+
+@perform.register
+def _reload(act: faults.ReloadEntry, fleet: SoakFleet, now: float) -> Steps:
+    if fleet.is_running(act.entry) and fleet.is_ready(act.entry):
+        fleet.board.disturb(act.entry, "reloaded", now, 0.0, planned=True)
+        fleet.send_signal(act.entry, signal.SIGHUP)
+    return ()
+
+
+@perform.register
+def _fail_link(act: faults.FailLink, fleet: SoakFleet, now: float) -> Steps:
+    link = fleet.links_by_subject[act.subject]
+    # Connections that went silent count for a while after new ones work again.
+    seconds = max(act.seconds, CONTACT_SECONDS) if act.mode == "silent" else act.seconds
+    fleet.board.disturb(act.subject, f"link {act.mode}", now, seconds)
+    if act.mode == "reset":
+        link.cut()
+        return ()
+    if act.mode == "silent":
+        link.silence()
+        return ()
+    if act.mode == "stalled":
+        link.stall()
+    elif act.mode == "one way":
+        link.stall_calls()
+    else:
+        link.delay_seconds = SLOW_LINK_SECONDS
+    return (Step(now + act.seconds, RestoreLink(act.subject)),)
+
+
+@perform.register
+def _restore_link(act: RestoreLink, fleet: SoakFleet, now: float) -> Steps:
+    fleet.links_by_subject[act.subject].flow()
+    return ()
+
+
+@perform.register
+def _fail_store(act: faults.FailStore, fleet: SoakFleet, now: float) -> Steps:
+    fleet.board.disturb(STORE, act.mode, now, act.seconds)
+    _inject(fleet, STORE_FAULTS[act.mode])
+    return (Step(now + act.seconds, RestoreStore()),)
+
+
+def _inject(fleet: SoakFleet, body: dict[str, Any]) -> None:
+    call("POST", fleet.url("store") + "/fake/faults", body)
+
+
+@perform.register
+def _restore_store(act: RestoreStore, fleet: SoakFleet, now: float) -> Steps:
+    _inject(fleet, {"status": 0, "silent": False})
+    return ()
+
+
+def _store_answers(fleet: SoakFleet, now: float) -> bool:
+    return not any(
+        row.subject == STORE and row.began_at <= now <= row.ended_at + POLL_SECONDS
+        for row in fleet.board.disturbances
+    )
+
+
+@perform.register
+def _change(act: faults.ChangeConfiguration, fleet: SoakFleet, now: float) -> Steps:
+    if not _store_answers(fleet, now) or not fleet.change_configuration():
+        return (Step(now + POLL_SECONDS, act),)
+    return ()
+
+
+@perform.register
+def _kill_server(act: faults.KillServer, fleet: SoakFleet, now: float) -> Steps:
+    if (
+        not fleet.is_running(act.server)
+        or act.server in fleet.board.drained_at_by_server
+    ):
+        return ()
+    fleet.board.disturb(act.server, "killed", now, act.seconds + START_SECONDS)
+    fleet.kill(act.server)
+    return (Step(now + act.seconds, StartServer(act.server)),)
+
+
+@perform.register
+def _start_server(act: StartServer, fleet: SoakFleet, now: float) -> Steps:
+    if not _store_answers(fleet, now):
+        return (Step(now + POLL_SECONDS, act),)
+    if not fleet.is_running(act.server):
+        fleet.start_again(act.server)
+    return ()
+
+
+@perform.register
+def _replace(act: faults.ReplaceServer, fleet: SoakFleet, now: float) -> Steps:
+    if (
+        not fleet.is_running(act.server)
+        or act.server in fleet.board.drained_at_by_server
+    ):
+        return ()
+    if not _store_answers(fleet, now):
+        return (Step(now + POLL_SECONDS, act),)
+    fleet.start_next_server(fleet.services_by_server[act.server])
+    fleet.board.disturb(act.server, "emptied", now, math.inf, planned=True)
+    if not fleet.drain_server(act.server):
+        return (Step(now + POLL_SECONDS, act),)
+    acknowledged_at = time.time()
+    fleet.board.drained_at_by_server[act.server] = acknowledged_at
+    ends_at = acknowledged_at + DRAIN_SECONDS + LINGER_SECONDS
+    return (Step(ends_at, EndServer(act.server)),)
+
+
+@perform.register
+def _end_server(act: EndServer, fleet: SoakFleet, now: float) -> Steps:
+    if not _store_answers(fleet, now):
+        return (Step(now + POLL_SECONDS, act),)
+    fleet.store_call("DELETE", f"{OBJECTS}/servers/{act.server}")
+    if fleet.is_running(act.server):
+        fleet.kill(act.server)
+    return ()
+
+
+@perform.register
+def _fail_server(act: faults.FailServer, fleet: SoakFleet, now: float) -> Steps:
+    if fleet.is_running(act.server):
+        fleet.board.disturb(act.server, "fails", now, CONTACT_SECONDS)
+        fleet.server_faults(act.server, failures=act.failures)
+    return ()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,154 @@
+"""The soak: its checks find what they are for, and a short run with one verdict."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from soak._board import STORE, CallRow, RouteRow, RunRow, SoakBoard
+from soak._callers import find_stream_fault
+from soak._checks import find_violations
+from soak._faults import draw_plan
+from soak._run import RunOptions, run_seed
+
+# Seeds that broke a promise, with the cause.
+REGRESSION_SEEDS = {
+    1: "a second SIGTERM cut the calls that a drain had let go on",
+}
+
+
+def new_board(*calls: CallRow, runs: tuple[RunRow, ...] = ()) -> SoakBoard:
+    """Return a board with one served call, so that service has recovered."""
+    board = SoakBoard()
+    board.recovery_begins_at = 90.0
+    served = new_call("served", sent_at=100.0)
+    for call in (*calls, served):
+        board.calls_by_id[call.request_id] = call
+    for run in runs:
+        board.runs_by_request_id.setdefault(run.request_id, []).append(run)
+    return board
+
+
+def new_call(request_id, route="order", sent_at=20.0, **fields) -> CallRow:
+    row = CallRow(
+        request_id,
+        "entry-0",
+        route,
+        "key",
+        sent_at,
+        timeout_seconds=2.0,
+        ended_at=sent_at + 0.1,
+        status=200,
+        outcome="answered",
+        is_whole=True,
+    )
+    return row._replace(**fields)
+
+
+def run_of(request_id, server="orders-1", began_at=20.0, ended_at=20.05) -> RunRow:
+    return RunRow(request_id, server, began_at, ended_at)
+
+
+class ChecksTest(unittest.TestCase):
+    def promises(self, board):
+        return {violation.promise for violation in find_violations(board)}
+
+    def test_calm_run_breaks_nothing(self):
+        """Guards against checks that call a fault what is none."""
+        board = new_board(new_call("a"), runs=(run_of("a"),))
+        self.assertEqual(find_violations(board), [])
+
+    def test_wrong_bytes(self):
+        board = new_board(new_call("a", fault="expected event 2", is_whole=False))
+        self.assertEqual(self.promises(board), {"whole answers"})
+
+    def test_unsafe_call_that_ran_twice(self):
+        runs = (run_of("a"), run_of("a", "orders-2"))
+        self.assertEqual(
+            self.promises(new_board(new_call("a"), runs=runs)), {"at most once"}
+        )
+        safe = new_board(new_call("a", "look"), runs=runs)
+        self.assertEqual(self.promises(safe), set())
+
+    def test_refused_call_that_ran(self):
+        board = new_board(new_call("a", status=503), runs=(run_of("a"),))
+        self.assertEqual(self.promises(board), {"true refusals"})
+
+    def test_run_that_nobody_asked_for(self):
+        board = new_board(runs=(run_of("b"),))
+        self.assertEqual(self.promises(board), {"asked calls"})
+
+    def test_run_at_a_drained_server(self):
+        runs = (run_of("a", began_at=22.5, ended_at=22.6),)
+        board = new_board(new_call("a", sent_at=22.4), runs=runs)
+        board.drained_at_by_server["orders-1"] = 20.0
+        self.assertEqual(self.promises(board), {"drained servers"})
+        board.disturb("entry-0", "paused", 21.0, 0.5)
+        self.assertEqual(self.promises(board), set())
+
+    def test_old_configuration(self):
+        """Guards against removed routes that are served, and new ones that are not."""
+        served = new_call("a", "extra-1", sent_at=13.0)
+        refused = new_call("b", "extra-2", sent_at=13.0, status=404)
+        board = new_board(served, refused)
+        board.routes_by_name["extra-1"] = RouteRow("extra-1", 5.0, removed_at=10.0)
+        board.routes_by_name["extra-2"] = RouteRow("extra-2", 10.0)
+        found = [violation.request_id for violation in find_violations(board)]
+        self.assertEqual(found, ["a", "b"])
+        board.disturb(STORE, "down", 9.0, 2.0)
+        self.assertEqual(self.promises(board), set())
+
+    def test_call_that_is_lost_beside_planned_work(self):
+        call = new_call("a", "draft", status=200, outcome="broken", is_whole=False)
+        board = new_board(call, runs=(run_of("a"),))
+        board.disturb("entry-0", "stopped", 19.0, 5.0, planned=True)
+        self.assertEqual(self.promises(board), {"no lost calls"})
+        board.disturb("entry-0", "paused", 19.0, 5.0)
+        self.assertEqual(self.promises(board), set())
+
+    def test_calls_that_end_late(self):
+        calls = [new_call(f"a{index}", ended_at=25.0) for index in range(4)]
+        self.assertEqual(self.promises(new_board(*calls)), {"answers in time"})
+
+    def test_server_that_goes_on_after_the_client_left(self):
+        calls = [new_call(f"a{index}", outcome="left") for index in range(4)]
+        runs = tuple(run_of(call.request_id, ended_at=22.0) for call in calls)
+        self.assertEqual(self.promises(new_board(*calls, runs=runs)), {"left calls"})
+
+    def test_service_that_does_not_recover(self):
+        board = new_board(
+            *(new_call(f"a{n}", sent_at=95.0, status=503) for n in "1234")
+        )
+        self.assertEqual(self.promises(board), {"recovery"})
+
+    def test_stream_faults(self):
+        """Guards against gaps, repeated events and false ends that go unnoticed."""
+        event = "id: {}\ndata: a\n\n".format
+        whole = (event(1) + event(2)).encode()
+        self.assertEqual(find_stream_fault("a", whole, 2), "")
+        self.assertEqual(find_stream_fault("a", whole + b"id: 3\nda", 0), "")
+        self.assertNotEqual(find_stream_fault("a", whole, 3), "")
+        self.assertNotEqual(find_stream_fault("b", whole, 2), "")
+        self.assertNotEqual(
+            find_stream_fault("a", (event(1) + event(1)).encode(), 2), ""
+        )
+
+
+class PlanTest(unittest.TestCase):
+    def test_plan_depends_on_the_seed_alone(self):
+        """Guards against seeds that cannot be played again."""
+        names = ["entry-0", "entry-1"], ["model-1", "orders-2"]
+        first = draw_plan(7, 16.0, *names)
+        random.random()
+        self.assertEqual(draw_plan(7, 16.0, *names), first)
+        self.assertNotEqual(draw_plan(8, 16.0, *names), first)
+
+
+class SoakTest(unittest.TestCase):
+    def test_seeds_that_once_failed(self):
+        """Guards against the return of the faults that the soak has found."""
+        for seed in REGRESSION_SEEDS:
+            with self.subTest(seed=seed):
+                result = run_seed(RunOptions(seed))
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.runs, 100)
