Watch the registrations of entries slowly, and start with stale lists

Change: scopes named in store.slow_scopes wait 20 s and pause 1 s between answers, so that a start of all is one or two answers; they hold up neither the complete revision nor the check for a silent store. The first list of a stale scope may be stale.

--- a/src/carawayhitch/backends/_object_store.py
+++ b/src/carawayhitch/backends/_object_store.py
@@ -89,13 +89,12 @@
 
 @_answer.register
 async def _watch(action: actions.WatchObjects, client: StoreClient) -> Any:
-    wait_seconds = client.settings.store.watch_timeout_seconds
     params = {
         "kinds": DECLARED_KINDS,
         "since": str(action.revision),
-        "timeout": str(wait_seconds),
+        "timeout": str(action.wait_seconds),
     }
-    total = wait_seconds + client.settings.store.timeout_seconds
+    total = action.wait_seconds + client.settings.store.timeout_seconds
     timeout = aiohttp.ClientTimeout(total=total)
     async with client.session.get(
         f"{client.url}/watch", params=params, timeout=timeout
--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -21,6 +21,7 @@
 )
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.core import actions, events, result_codes, rows
+from carawayhitch.core import settings as settings_types
 
 LIST_OPERATION = "configuration_list"
 WATCH_OPERATION = "configuration_watch"
@@ -89,9 +90,26 @@
         )
     if now >= known.list_after:
         _update(board, scope, call="list")
-        return (actions.ListObjects(LIST_OPERATION, scope),)
+        # Later lists have to show what a watch missed, so only the first may be stale.
+        first = position < 0 and scope in store.stale_scopes
+        return (actions.ListObjects(LIST_OPERATION, scope, first),)
     _update(board, scope, call="watch")
-    return (actions.WatchObjects(WATCH_OPERATION, position, scope, may_be_stale),)
+    wait = longest_watch_seconds(store, scope)
+    watch = actions.WatchObjects(WATCH_OPERATION, position, wait, scope, may_be_stale)
+    return (watch,)
+
+
+def longest_watch_seconds(store: settings_types.StoreSettings, scope: str) -> float:
+    """Return how long a watch of a scope waits for a change, in seconds."""
+    if scope in store.slow_scopes:
+        return store.slow_watch_seconds
+    return store.watch_timeout_seconds
+
+
+def _pause_seconds(store: settings_types.StoreSettings, scope: str) -> float:
+    if scope in store.slow_scopes:
+        return store.slow_pause_seconds
+    return store.watch_pause_seconds
 
 
 @decide.register(events.TimerFired)
@@ -118,9 +136,9 @@
     idle = [row.scope for row in board.store_scopes_by_name.values() if not row.call]
     if not idle or not is_watcher(board, now):
         return ()
-    pause = board.settings.store.watch_pause_seconds
     decided: list[actions.Action] = []
     for scope in idle:
+        pause = _pause_seconds(board.settings.store, scope)
         decided += _set_timer(board, scope, now + random.uniform(0, pause))
     return decided
 
@@ -200,8 +218,8 @@
     decided = _note_contact(board, known, now)
     kept = _without_early_removals(board, event.scope, objects, now)
     _update(board, event.scope, position=event.revision)
-    complete = min(row.position for row in board.store_scopes_by_name.values())
-    pause = board.settings.store.watch_pause_seconds
+    complete = _complete_revision(board)
+    pause = _pause_seconds(board.settings.store, event.scope)
     return (
         *decided,
         actions.Emit(events.ObjectsReceived(kept, complete, push_count)),
@@ -209,6 +227,19 @@
     )
 
 
+def _complete_revision(board: Board) -> int:
+    """Return the revision up to which every exchanged object is known, -1 for none.
+
+    Scopes that are watched slowly hold none of these once they were listed.
+    """
+    slow = board.settings.store.slow_scopes
+    return min(
+        row.position
+        for row in board.store_scopes_by_name.values()
+        if row.scope not in slow or row.position < 0
+    )
+
+
 def _note_contact(board: Board, known: rows.StoreScopeRow, now: float) -> Actions:
     """Note that the store answers again after an outage.
 
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -10,6 +10,7 @@
 from carawayhitch.controllers._cells import derive_cells
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._selectors import matches
+from carawayhitch.controllers._store_watch import longest_watch_seconds
 from carawayhitch.core import actions, declarations, events, messages, rows
 from carawayhitch.core import settings as settings_types
 
@@ -52,9 +53,14 @@
 
 def _is_store_silent(board: Board, now: float) -> bool:
     """Return whether notices of leaving upstreams may be in the store and unread."""
-    limit = board.settings.store.watch_timeout_seconds + SILENCE_SLACK_SECONDS
     return any(
-        scope.contacted_at and (scope.failure_count or now - scope.contacted_at > limit)
+        scope.contacted_at
+        and (
+            scope.failure_count
+            or now - scope.contacted_at
+            > longest_watch_seconds(board.settings.store, scope.scope)
+            + SILENCE_SLACK_SECONDS
+        )
         for scope in board.store_scopes_by_name.values()
     )
 
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -299,10 +299,17 @@
 
 
 class ListObjects(NamedTuple):
-    """Read all objects of a scope of the store."""
+    """Read all objects of a scope of the store.
+
+    Parameters
+    ----------
+    may_be_stale : bool
+        Whether an answer that is seconds old will do, which costs the store less.
+    """
 
     operation_id: str
     scope: str = ""
+    may_be_stale: bool = False
 
 
 class WatchObjects(NamedTuple):
@@ -312,10 +319,13 @@
     ----------
     may_be_stale : bool
         Whether an answer that is seconds old will do, which costs the store less.
+    wait_seconds : float
+        Time after which the store answers without a change.
     """
 
     operation_id: str
     revision: int
+    wait_seconds: float
     scope: str = ""
     may_be_stale: bool = False
 
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -68,7 +68,15 @@
     watchers_per_zone : int
         Entries of a zone that watch the newest state of the store and tell the others.
     stale_scopes : tuple of str
-        Scopes that all entries watch by reads that may be seconds old.
+        Scopes that all entries watch by reads that may be seconds old. Their first list
+        at a start may be, too.
+    slow_scopes : tuple of str
+        Scopes whose changes reach the entries in another way as well.
+    slow_watch_seconds : float
+        Longest wait of a watch of a slow scope.
+    slow_pause_seconds : float
+        Pause between an answer and the next watch of a slow scope, so that a start of
+        all entries is answered by one or two watches of each.
     stale_watches : bool
         Whether the other entries watch the other scopes as well, by reads that may be
         stale; otherwise they learn of changes from their peers alone.
@@ -89,6 +97,9 @@
     watchers_per_zone: Annotated[int, Meta(ge=1)] = 2
     scopes: tuple[str, ...] = ("",)
     stale_scopes: tuple[str, ...] = ()
+    slow_scopes: tuple[str, ...] = ()
+    slow_watch_seconds: PositiveSeconds = 20.0
+    slow_pause_seconds: Annotated[float, Meta(ge=0)] = 1.0
     stale_watches: bool = False
     watch_pause_seconds: Annotated[float, Meta(ge=0)] = 0.2
     retry_limit_seconds: PositiveSeconds = 30.0
--- a/src/carawayhitch/platform/_store.py
+++ b/src/carawayhitch/platform/_store.py
@@ -150,6 +150,11 @@
     )
 
 
+def _staleness(action: actions.ListObjects | actions.WatchObjects) -> dict[str, str]:
+    """Return what makes a read cost a tenth and no part of the store's rate."""
+    return {"serializable": "1"} if action.may_be_stale else {}
+
+
 @_answer.register
 async def _list(action: actions.ListObjects, store: PlatformStore) -> Any:
     kind = KINDS_BY_SCOPE[action.scope]
@@ -158,7 +163,7 @@
     revision = -1
     after = ""
     for _ in range(PAGE_LIMIT):
-        params = {"after": after} if after else {}
+        params = _staleness(action) | ({"after": after} if after else {})
         async with store.session.get(
             url, params=params, timeout=store.timeout
         ) as response:
@@ -173,18 +178,21 @@
         if not page["hasMore"] or last in ("", after):
             break
         after = last
-    return events.ObjectsListed(revision, tuple(found), action.scope, (kind,))
+    return events.ObjectsListed(
+        revision, tuple(found), action.scope, (kind,), action.may_be_stale
+    )
 
 
 @_answer.register
 async def _watch(action: actions.WatchObjects, store: PlatformStore) -> Any:
     kind = KINDS_BY_SCOPE[action.scope]
-    wait_seconds = store.settings.store.watch_timeout_seconds
-    params = {"watch": str(action.revision), "waitMs": str(int(wait_seconds * 1000))}
-    if action.may_be_stale:
-        # A tenth of the price and no part of the store's rate.
-        params["serializable"] = "1"
-    total = wait_seconds + store.settings.store.timeout_seconds
+    wait_milliseconds = int(action.wait_seconds * 1000)
+    params = {
+        "watch": str(action.revision),
+        "waitMs": str(wait_milliseconds),
+        **_staleness(action),
+    }
+    total = action.wait_seconds + store.settings.store.timeout_seconds
     async with store.session.get(
         store.url(PLATFORM_KINDS[action.scope]),
         params=params,
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -401,7 +401,7 @@
         entry.now += 10
         performed = entry.feed(events.TimerFired(_store_watch.STORE_TIMER))
         self.assertEqual(
-            performed, [actions.WatchObjects(_store_watch.WATCH_OPERATION, 4)]
+            performed, [actions.WatchObjects(_store_watch.WATCH_OPERATION, 4, 30.0)]
         )
 
 
--- a/tests/controllers/test_load_polls.py
+++ b/tests/controllers/test_load_polls.py
@@ -19,12 +19,14 @@
         settings = self.board.settings
         self.board.settings_by_name["in_force"] = settings._replace(
             scheduling=settings.scheduling._replace(load_interval_seconds=4.0),
-            store=settings.store._replace(watch_timeout_seconds=1.5),
+            store=settings.store._replace(
+                watch_timeout_seconds=1.5, slow_scopes=("entries",)
+            ),
         )
 
-    def contact(self, at, failures=0):
-        self.board.store_scopes_by_name["upstreams"] = rows.StoreScopeRow(
-            "upstreams", failure_count=failures, contacted_at=at
+    def contact(self, at, failures=0, scope="upstreams"):
+        self.board.store_scopes_by_name[scope] = rows.StoreScopeRow(
+            scope, failure_count=failures, contacted_at=at
         )
 
     def polled(self):
@@ -51,6 +53,12 @@
                 self.contact(at, failures)
                 self.assertEqual(len(self.polled()), count)
 
+    def test_slow_watch_is_no_silence(self):
+        """Guards against polls because of a scope that is watched slowly."""
+        self.contact(NOW - 0.1)
+        self.contact(NOW - 15.0, scope="entries")
+        self.assertEqual(self.polled(), [])
+
     def test_engine_that_is_known_to_leave_is_not_asked(self):
         """Guards against calls that say nothing new."""
         self.contact(NOW - 0.1, failures=2)
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -12,7 +12,7 @@
 from tests.boards import ready_board
 
 KIND = declarations.UPSTREAM_REGISTRATION
-SCOPES = ("configuration", "upstreams")
+SCOPES = ("configuration", "upstreams", "entries")
 GRACE_SECONDS = 2.0
 
 
@@ -25,7 +25,8 @@
         store = settings_types.StoreSettings(
             "http://127.0.0.1:1",
             scopes=SCOPES,
-            stale_scopes=("upstreams",),
+            stale_scopes=("upstreams", "entries"),
+            slow_scopes=("entries",),
             lapse_grace_seconds=GRACE_SECONDS,
             retry_limit_seconds=0.5,
             watch_pause_seconds=0.0,
@@ -78,6 +79,31 @@
         event = events.StoreCallFailed(_store_watch.WATCH_OPERATION, "x", "upstreams")
         return self.feed(event)
 
+    def test_first_list_of_a_scope_may_be_stale_and_later_ones_not(self):
+        """Guards against full prices at a start, and lists that skip changes."""
+        self.now += 1.0
+        started = self.feed(events.ProcessStarted(1))
+        lists = [a for a in started if isinstance(a, actions.ListObjects)]
+        self.assertEqual([a.may_be_stale for a in lists], [False, True, True])
+        self.listed()
+        self.feed(events.WatchExpired(_store_watch.WATCH_OPERATION, "upstreams"))
+        again = self.next_call()
+        self.assertIsInstance(again, actions.ListObjects)
+        self.assertFalse(again.may_be_stale)
+
+    def test_slow_scope_is_watched_slowly_and_holds_nothing_up(self):
+        """Guards against calls to the store that tell nothing new."""
+        for scope in SCOPES:
+            listed = events.ObjectsListed(10, (), scope)
+            decided = self.feed(listed)
+        self.assertEqual(self.timers(decided), [1.0])
+        self.assertEqual(self.next_call("entries").wait_seconds, 20.0)
+        self.assertEqual(self.next_call("upstreams").wait_seconds, 30.0)
+        for scope in SCOPES[:2]:
+            decided = self.feed(events.ObjectsChanged("store", 15, (), scope))
+        (received,) = [a.event for a in decided if isinstance(a, actions.Emit)]
+        self.assertEqual(received.complete_revision, 15)
+
     def test_what_a_list_lacks_is_gone(self):
         """Guards against upstreams that stay known after a skipped removal."""
         self.keep(upstream("u1", 3), upstream("u2", 4))
