Ask with one scope whether the store is back

Change: the first failing scope goes on asking; the others ask every 5 s, and at once when the store has answered the first one.

--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -31,6 +31,9 @@
 # have it gives it to the others, which then make no list of their own.
 FIRST_LIST_SPREAD_SECONDS = 2.0
 STORE_RETRY_SECONDS = 0.5
+# While one scope asks whether the store is back, the others only make sure that they
+# are not forgotten; refused calls have their full price.
+PROBED_RETRY_SECONDS = 5.0
 # Stale reads are seconds behind at most, so asking again at once would not help.
 STALE_PAUSE_SECONDS = 0.5
 # A list finds changes that a watch skipped. 240 KB in 300 s are 0.8 KB/s.
@@ -256,11 +259,23 @@
             "failures": known.failure_count,
             "seconds": round(now - known.failing_since, 3),
         }
-        decided = (actions.Log("info", "dependency regained", fields),)
+        decided = (
+            actions.Log("info", "dependency regained", fields),
+            *_call_failing_scopes(board, known.scope, now),
+        )
     _update(board, known.scope, failure_count=0, failing_since=0.0, contacted_at=now)
     return decided
 
 
+def _call_failing_scopes(board: Board, answered: str, now: float) -> Actions:
+    """Have the other scopes call a store that answers again."""
+    decided: list[actions.Action] = []
+    for row in list(board.store_scopes_by_name.values()):
+        if row.scope != answered and row.failure_count and row.call == "timer":
+            decided += _set_timer(board, row.scope, now)
+    return decided
+
+
 def _without_early_removals(
     board: Board, scope: str, objects: Iterable[events.StoredObject], now: float
 ) -> tuple[events.StoredObject, ...]:
@@ -279,9 +294,21 @@
     _update(board, scope, failure_count=count + 1)
     limit = board.settings.store.retry_limit_seconds
     delay = min(limit, STORE_RETRY_SECONDS * 2 ** min(count, 10))
+    if _is_probed(board, scope):
+        delay = max(delay, PROBED_RETRY_SECONDS)
     return _set_timer(board, scope, now + delay * random.uniform(0.5, 1.5))
 
 
+def _is_probed(board: Board, scope: str) -> bool:
+    """Return whether a scope before this one fails as well, and asks more often."""
+    for row in board.store_scopes_by_name.values():
+        if row.scope == scope:
+            return False
+        if row.failure_count:
+            return True
+    return False
+
+
 @decide.register(events.StoreCallFailed)
 def _note_failure(
     event: events.StoreCallFailed, board: Board, now: float, random: Random
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -150,6 +150,17 @@
         self.assertLessEqual(max(delays), 0.75)
         self.assertGreater(min(delays), 0.2)
 
+    def test_one_scope_asks_whether_the_store_is_back(self):
+        """Guards against refused calls of each scope, which are priced in full."""
+        for scope in SCOPES:
+            failed = events.StoreCallFailed("configuration_watch", "refused", scope)
+            (delay,) = self.timers(self.feed(failed))
+            self.assertLess(delay, 1.0) if scope == SCOPES[0] else self.assertGreater(
+                delay, 2.0
+            )
+        regained = self.feed(events.ObjectsChanged("store", 20, (), SCOPES[0]))
+        self.assertEqual(self.timers(regained), [0.0, 0.0, 0.0])
+
     def test_lost_dependency_is_logged_once_and_its_return(self):
         """Guards against a log line for each failed call of a long outage."""
         self.listed(upstream("u1", 3))
