Rest upstreams that fail more than others

Cause: a server that answers 500 or cuts its answers while its health check is good looks idle and draws calls. Change: entries tell each other of failed answers, cut answers and calls without an answer, by a datagram at once and then every 0.1 s. An upstream rests for 2 s when its recent failures exceed 2.8 and three times the mean of its siblings, and for 4 and 8 s when it goes on failing; never where most of a cell would rest. Ruled out: ratios of failures to calls, which would need every entry to tell its successes as well; a rest by the entry's own calls alone, which takes seconds.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -20,6 +20,9 @@
     requests_by_id: dict[str, rows.RequestRow]
     upstreams_by_id: dict[str, rows.UpstreamRow]
     listed_entries_by_vm_id: dict[str, settings_types.SeedPeer]
+    health_by_upstream_id: dict[str, rows.HealthRow]
+    untold_failures_by_upstream_id: dict[str, int]
+    failures_told_at_by_node_id: dict[str, float]
     cells_by_id: dict[str, rows.CellRow]
     members_by_id: dict[str, rows.MemberRow]
     member_updates_by_id: dict[str, rows.MemberUpdateRow]
@@ -119,6 +122,9 @@
         requests_by_id={},
         upstreams_by_id={},
         listed_entries_by_vm_id={},
+        health_by_upstream_id={},
+        untold_failures_by_upstream_id={},
+        failures_told_at_by_node_id={},
         cells_by_id={},
         members_by_id={},
         member_updates_by_id={},
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -63,6 +63,7 @@
     "indirectProbe": messages.IndirectProbe,
     "moveOrder": messages.MoveOrder,
     "moveReport": messages.MoveReport,
+    "failuresSeen": messages.FailuresSeen,
 }
 _names_by_type = {message_type: name for name, message_type in _types_by_name.items()}
 
@@ -142,6 +143,7 @@
 @wire_fields.register(messages.RunningCount)
 @wire_fields.register(messages.ProgressAck)
 @wire_fields.register(messages.Finished)
+@wire_fields.register(messages.UpstreamFailures)
 def _fields_of_plain(record: Any, now: float) -> dict[str, Any]:
     return _plain_fields(record)
 
@@ -187,6 +189,11 @@
     }
 
 
+@wire_fields.register(messages.FailuresSeen)
+def _fields_of_failures(message: messages.FailuresSeen, now: float) -> dict[str, Any]:
+    return {"failures": [wire_fields(seen, now) for seen in message.failures]}
+
+
 @wire_fields.register(rows.MemberRow)
 def _fields_of_member(row: rows.MemberRow, now: float) -> dict[str, Any]:
     fields = _plain_fields(row)
@@ -537,6 +544,7 @@
     "outcome": _decode_outcome,
     "running": _decoder_of_rows(messages.RunningRequest),
     "counts": _decoder_of_rows(messages.RunningCount),
+    "failures": _decoder_of_rows(messages.UpstreamFailures),
     "members": _decoder_of_rows(rows.MemberRow),
     "crashes": _decoder_of_rows(rows.CrashRow),
 }
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -28,6 +28,7 @@
     indirectProbe @13 :IndirectProbe;
     moveOrder @14 :MoveOrder;
     moveReport @15 :MoveReport;
+    failuresSeen @16 :FailuresSeen;
   }
 }
 
@@ -151,6 +152,15 @@
   outcome @4 :MoveOutcome;
 }
 
+struct UpstreamFailures {
+  upstreamId @0 :Text;
+  failureCount @1 :UInt32;
+}
+
+struct FailuresSeen {
+  failures @0 :List(UpstreamFailures);
+}
+
 enum MemberState {
   alive @0;
   suspect @1;
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -16,6 +16,7 @@
     _changes,
     _configuration,
     _evacuation,
+    _health,
     _idempotency,
     _journal_layout,
     _journal_sync,
@@ -71,6 +72,7 @@
     "peer_key_ids",
 ]
 
+# Health reads the rows of calls before retries and streams move them elsewhere.
 # Suspects read the grants of a failed upstream before scheduling removes them.
 # Admission removes the row of an ended request, so it runs after every controller
 # that still reads the row; the lifecycle then counts the rows that are left.
@@ -81,6 +83,7 @@
     _configuration.decide,
     _changes.decide,
     _upstreams.decide,
+    _health.decide,
     _leases.decide,
     _orders.decide,
     _suspects.decide,
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -11,6 +11,7 @@
     stage_observed,
 )
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._health import FAILURE_STATUS
 from carawayhitch.controllers._lengths import tokens_per_event
 from carawayhitch.controllers._moves import is_stopping, open_upstream
 from carawayhitch.controllers._placement import (
@@ -46,9 +47,6 @@
     "foreign": result_codes.ANSWER_FOREIGN,
     "stalled": result_codes.STALLED,
 }
-
-# An answer with this status or a higher one says that the upstream failed.
-FAILURE_STATUS = 500
 # An engine that is alive names a new generation within this time.
 CANCEL_LINGER_SECONDS = 5.0
 
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -229,6 +229,20 @@
     outcome: MoveOutcome
 
 
+class UpstreamFailures(NamedTuple):
+    """How often an upstream failed since the sender last told."""
+
+    upstream_id: str
+    failure_count: int
+
+
+class FailuresSeen(NamedTuple):
+    """Failures of upstreams that the sender saw."""
+
+    sender_id: str
+    failures: tuple[UpstreamFailures, ...]
+
+
 class Probe(NamedTuple):
     """Failure detection probe with piggybacked state."""
 
@@ -268,6 +282,7 @@
     | Finished
     | MoveOrder
     | MoveReport
+    | FailuresSeen
     | Probe
     | ProbeAck
     | IndirectProbe
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -57,6 +57,26 @@
         return not (self.leaving or self.draining) and now >= back_at
 
 
+class HealthRow(NamedTuple):
+    """Failures of an upstream that any entry saw, and its rests.
+
+    Parameters
+    ----------
+    failures : float
+        Recent failures, faded, as of ``updated_at``.
+    rests_until : float
+        End of the last rest, in seconds of the node clock; 0 for none.
+    rest_seconds : float
+        Length of the last rest.
+    """
+
+    upstream_id: str
+    failures: float = 0.0
+    updated_at: float = 0.0
+    rests_until: float = 0.0
+    rest_seconds: float = 0.0
+
+
 class CellRow(NamedTuple):
     """Upstreams of one serving group in one region that share a scheduler."""
 
--- /dev/null
+++ b/tests/controllers/test_health.py
@@ -0,0 +1,169 @@
+"""Health of upstreams by their results."""
+
+from __future__ import annotations
+
+import unittest
+
+from carawayhitch.controllers import _health
+from carawayhitch.core import actions, events, messages, rows
+from tests.controllers.scheduling_world import ask, feed, load, scheduling_board
+
+NOW = 100.0
+
+
+def of_type(decided, action_type):
+    return [action for action in decided if isinstance(action, action_type)]
+
+
+class RestTest(unittest.TestCase):
+    def setUp(self):
+        self.board = scheduling_board(3)
+        self.now = NOW
+        for name in self.board.upstreams_by_id:
+            feed(self.board, load(name, NOW), NOW)
+
+    def see(self, upstream_id, count=1):
+        seen = messages.UpstreamFailures(upstream_id, count)
+        message = messages.FailuresSeen("entry-2", (seen,))
+        return feed(self.board, message, self.now)
+
+    def resting(self):
+        return {
+            name
+            for name in self.board.upstreams_by_id
+            if _health.is_resting(self.board, name, self.now)
+        }
+
+    def granted(self, count=6):
+        """Return where so many asks are granted."""
+        names = set()
+        for index in range(count):
+            decided = feed(self.board, ask(f"{self.now}-{index}"), self.now)
+            for sent in of_type(decided, actions.Send):
+                if isinstance(sent.message, messages.AdmissionGrant):
+                    names.add(sent.message.upstream_id)
+        return names
+
+    def test_upstream_that_fails_more_than_others_gets_no_work(self):
+        """Guards against a failing upstream that looks idle and draws all calls."""
+        self.see("engine-0", 2)
+        self.assertEqual(self.resting(), set())
+        (logged,) = of_type(self.see("engine-0"), actions.Log)
+        self.assertEqual(logged.fields["upstream"], "engine-0")
+        self.assertEqual(self.granted(), {"engine-1", "engine-2"})
+        self.now += _health.REST_SECONDS
+        self.assertIn("engine-0", self.granted())
+
+    def test_calls_that_fail_everywhere_speak_against_no_upstream(self):
+        """Guards against healthy upstreams that rest because of faulty calls."""
+        for _ in range(20):
+            for name in self.board.upstreams_by_id:
+                self.see(name)
+        self.assertEqual(self.resting(), set())
+
+    def test_rare_failures_do_not_add_up(self):
+        for _ in range(20):
+            self.see("engine-0")
+            self.now += 2 * _health.FADE_SECONDS
+        self.assertEqual(self.resting(), set())
+
+    def test_rests_grow_while_the_upstream_goes_on_failing(self):
+        """Guards against calls lost at each trial of a faulty upstream."""
+        self.see("engine-0", 3)
+        for seconds in (4.0, 8.0, 8.0):
+            known = self.board.health_by_upstream_id["engine-0"]
+            self.now = known.rests_until + 0.1
+            self.see("engine-0")
+            known = self.board.health_by_upstream_id["engine-0"]
+            self.assertAlmostEqual(known.rests_until - self.now, seconds)
+        self.now = known.rests_until + _health.TRIAL_SECONDS
+        self.see("engine-0")
+        self.assertEqual(self.resting(), set())
+
+    def test_resting_majority_is_used(self):
+        """Guards against a flood of the few upstreams that have not failed yet."""
+        for name in ("engine-0", "engine-1"):
+            health = rows.HealthRow(name, rests_until=NOW + 2.0)
+            self.board.health_by_upstream_id[name] = health
+        self.assertEqual(self.granted(), set(self.board.upstreams_by_id))
+
+    def test_failures_of_leaving_and_unknown_upstreams_are_ignored(self):
+        known = self.board.upstreams_by_id["engine-0"]
+        self.board.upstreams_by_id["engine-0"] = known._replace(leaving=True)
+        self.see("engine-0", 9)
+        self.see("engine-9", 9)
+        self.assertEqual(self.board.health_by_upstream_id, {})
+
+
+class OwnFailuresTest(unittest.TestCase):
+    def setUp(self):
+        self.board = scheduling_board(3)
+        for node_id, state in (("entry-2", "alive"), ("entry-3", "left")):
+            self.board.members_by_id[node_id] = rows.MemberRow(
+                node_id, 1, state, "127.0.0.1", 1, 2, "zone-1", "region-1"
+            )
+        self.board.requests_by_id["call"] = rows.RequestRow(
+            request_id="call",
+            target=rows.RoutedTarget("POST", "shop", "/order/1"),
+            account="hotel",
+            group="quotes",
+            binding="order",
+            rank="urgent",
+            fingerprint="f",
+            body_sha256="",
+            idempotency_key="",
+            received_at=NOW,
+            deadline=NOW + 9.0,
+            phase="opening",
+            upstream_id="engine-0",
+        )
+
+    def told(self, decided, now):
+        """Return what is told to others when the timer of the decision fires."""
+        timers = [
+            timer
+            for timer in of_type(decided, actions.SetTimer)
+            if timer.event == events.TimerFired(_health.TELL_TIMER)
+        ]
+        if not timers:
+            return None
+        fired = feed(self.board, timers[0].event, timers[0].deadline)
+        return timers[0].deadline - now, [
+            (sent.node_id, sent.message.failures)
+            for sent in of_type(fired, actions.Send)
+            if isinstance(sent.message, messages.FailuresSeen)
+        ]
+
+    def failure(self, **fields):
+        failed = events.UpstreamCallFailed("call", 1, "truncated", True)
+        return failed._replace(**fields)
+
+    def test_failure_is_told_at_once_and_then_bundled(self):
+        """Guards against entries that each have to lose calls at a faulty upstream."""
+        decided = _health.decide(self.failure(), self.board, NOW, None)
+        failures = (messages.UpstreamFailures("engine-0", 1),)
+        self.assertEqual(self.told(decided, NOW), (0.0, [("entry-2", failures)]))
+        first = _health.decide(self.failure(), self.board, NOW, None)
+        second = _health.decide(self.failure(), self.board, NOW, None)
+        self.assertIsNone(self.told(second, NOW))
+        failures = (messages.UpstreamFailures("engine-0", 2),)
+        delay, told = self.told(first, NOW)
+        self.assertAlmostEqual(delay, _health.TELL_SECONDS)
+        self.assertEqual(told, [("entry-2", failures)])
+
+    def test_what_counts_as_a_failure(self):
+        answer = events.AnswerReceived("call", 1, 500, "", b"", 0)
+        for event, counts in (
+            (answer, True),
+            (answer._replace(status=404), False),
+            (self.failure(kind="stalled"), True),
+            (self.failure(kind="refused"), False),
+            (self.failure(sent=False), False),
+            (self.failure(attempt=2), False),
+            (events.AnswerOverdue("call"), True),
+        ):
+            with self.subTest(event):
+                self.board.health_by_upstream_id.clear()
+                self.board.untold_failures_by_upstream_id.clear()
+                _health.decide(event, self.board, NOW, None)
+                self.assertEqual(bool(self.board.health_by_upstream_id), counts)
