Count the resumes of one call as one failure

Cause: test_traces showed a rest in killed_after_first_token, because the five resumes of one stream counted as five failures.

--- a/src/carawayhitch/controllers/_health.py
+++ b/src/carawayhitch/controllers/_health.py
@@ -159,8 +159,9 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None or row.attempt != event.attempt or not tells_of_failure(event):
         return ()
-    if is_stopping(board, row):
-        # The stream of a generation that moves ends as ordered.
+    if row.resume_count or is_stopping(board, row):
+        # Resumes of one call are one failure, and the stream of a generation that
+        # moves ends as ordered.
         return ()
     return _note_own(board, row, now)
 
