--- a/src/carawayhitch/controllers/_health.py
+++ b/src/carawayhitch/controllers/_health.py
@@ -21,9 +21,10 @@
 # Failures fade with this time constant: shorter than the faults of the users' sheets
 # (4 to 7 s), long enough for entries that see a call a second.
 FADE_SECONDS = 1.5
-# An upstream rests when its recent failures exceed this many and this multiple of the
-# mean of its siblings, which fail as often if the calls are to blame.
-FAILURE_MINIMUM = 3.0
+# An upstream rests when its recent failures exceed this many, which three in a fifth of
+# a second do, and this multiple of the mean of its siblings, which fail as often if the
+# calls are to blame.
+FAILURE_MINIMUM = 2.8
 SIBLING_FACTOR = 3.0
 # The first rest; each further one that begins at once lasts twice as long.
 REST_SECONDS = 2.0
