--- a/src/carawayhitch/controllers/_health.py
+++ b/src/carawayhitch/controllers/_health.py
@@ -29,7 +29,8 @@
 # The first rest; each further one that begins at once lasts twice as long.
 REST_SECONDS = 2.0
 LONGEST_REST_SECONDS = 8.0
-# After a rest one failure is enough for the next one, unless this time has passed.
+# After a rest one failure beyond the mean of the siblings is enough for the next one,
+# unless this time has passed.
 TRIAL_SECONDS = 2.0
 # Failures are told at once, and then at most this often, to at most so many entries.
 TELL_SECONDS = 0.1
@@ -82,8 +83,10 @@
         return ()
     usual = sum(_failures(board, other, now) for other in siblings) / len(siblings)
     on_trial = known.rests_until and now < known.rests_until + TRIAL_SECONDS
-    minimum = 1.0 if on_trial else FAILURE_MINIMUM
-    if failures < minimum + SIBLING_FACTOR * usual:
+    limit = FAILURE_MINIMUM + SIBLING_FACTOR * usual
+    if on_trial:
+        limit = 1.0 + usual
+    if failures < limit:
         return ()
     seconds = REST_SECONDS
     if on_trial:
--- a/tests/controllers/test_health.py
+++ b/tests/controllers/test_health.py
@@ -80,6 +80,17 @@
         self.see("engine-0")
         self.assertEqual(self.resting(), set())
 
+    def test_trial_ends_with_one_failure_beyond_the_usual_ones(self):
+        """Guards against a second series of lost calls at each trial."""
+        self.see("engine-0", 3)
+        self.now += _health.REST_SECONDS + 0.1
+        for name in ("engine-1", "engine-2"):
+            self.see(name, 2)
+        self.see("engine-0", 2)
+        self.assertEqual(self.resting(), set())
+        self.see("engine-0")
+        self.assertEqual(self.resting(), {"engine-0"})
+
     def test_resting_majority_is_used(self):
         """Guards against a flood of the few upstreams that have not failed yet."""
         for name in ("engine-0", "engine-1"):
