Leave silent connections to the store within 3 s, however many there are

Cause: when all connections to the store fall silent at once, a call that timed out was repeated after 0.25 to 0.75 s on an idle connection of the pool, which was silent as well, and timed out again. A notice of a leaving server was not read for more than 3 s, after which an entry counts as in touch. Found while checking that the scopes which wait for each other in an outage do not make this worse; a test with a link that silences all open connections failed in each of three runs (5 to 7 of 10 calls reached the server). Ruled out: the stand-in; the log shows a timeout of all scopes after 1.5 s and no later answer. Change: the store has a client session of its own, whose connections are not used after 0.5 s without a call; a failing scope watches for 0.05 s, so that a store that is back says so; the time that a call took counts as part of the pause before it is repeated.

--- a/src/carawayhitch/backends/_sessions.py
+++ b/src/carawayhitch/backends/_sessions.py
@@ -11,6 +11,8 @@
 from carawayhitch.core import settings as settings_types
 
 READ_BUFFER_BYTES = 65536
+# The library's default.
+IDLE_SECONDS = 15.0
 
 
 class StrictResponseHandler(ResponseHandler):
@@ -40,15 +42,30 @@
 
 
 def open_session(
-    settings: settings_types.Settings, fresh_connections: bool
+    settings: settings_types.Settings,
+    fresh_connections: bool,
+    idle_seconds: float = IDLE_SECONDS,
 ) -> aiohttp.ClientSession:
     """Return a client session.
 
+    Parameters
+    ----------
+    fresh_connections : bool
+        Whether each call has a connection of its own.
+    idle_seconds : float
+        Time after which an idle connection is not used again.
+
     aiohttp allows 100 connections and 300 s a call unless told otherwise. Calls that
     must not be repeated use a session with fresh connections and `send_once`.
     """
+    # The library refuses a time for connections that are not kept.
+    kept = {} if fresh_connections else {"keepalive_timeout": idle_seconds}
     connector = StrictConnector(
-        limit=0, limit_per_host=0, force_close=fresh_connections, ttl_dns_cache=None
+        limit=0,
+        limit_per_host=0,
+        force_close=fresh_connections,
+        ttl_dns_cache=None,
+        **kept,
     )
     timeout = aiohttp.ClientTimeout(
         total=None, sock_connect=settings.streams.connect_timeout_seconds
--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -31,9 +31,16 @@
 # have it gives it to the others, which then make no list of their own.
 FIRST_LIST_SPREAD_SECONDS = 2.0
 STORE_RETRY_SECONDS = 0.5
+# A call that has failed by its timeout is repeated after this time. With the timeouts
+# on the users' platform (2.5 s), silent connections are then left within the 3 s after
+# which an entry counts as in touch again.
+SHORTEST_RETRY_SECONDS = 0.05
 # While one scope asks whether the store is back, the others only make sure that they
 # are not forgotten; refused calls have their full price.
 PROBED_RETRY_SECONDS = 5.0
+# A store that is back says so at once, also if nothing has changed; the other scopes
+# wait for that.
+PROBE_WATCH_SECONDS = 0.05
 # Stale reads are seconds behind at most, so asking again at once would not help.
 STALE_PAUSE_SECONDS = 0.5
 # A list finds changes that a watch skipped. 240 KB in 300 s are 0.8 KB/s.
@@ -92,12 +99,14 @@
             board, scope, list_after=now + LIST_SECONDS * random.uniform(0.5, 1.5)
         )
     if now >= known.list_after:
-        _update(board, scope, call="list")
+        _update(board, scope, call="list", called_at=now)
         # Later lists have to show what a watch missed, so only the first may be stale.
         first = position < 0 and scope in store.stale_scopes
         return (actions.ListObjects(LIST_OPERATION, scope, first),)
-    _update(board, scope, call="watch")
+    _update(board, scope, call="watch", called_at=now)
     wait = longest_watch_seconds(store, scope)
+    if known.failure_count:
+        wait = min(wait, PROBE_WATCH_SECONDS)
     watch = actions.WatchObjects(WATCH_OPERATION, position, wait, scope, may_be_stale)
     return (watch,)
 
@@ -289,14 +298,19 @@
 
 
 def _retry(board: Board, scope: str, now: float, random: Random) -> Actions:
-    """Return a timer whose delay doubles with each failure in a row."""
-    count = board.store_scopes_by_name[scope].failure_count
+    """Return a timer whose delay doubles with each failure in a row.
+
+    The time that the failed call took counts as part of it.
+    """
+    known = board.store_scopes_by_name[scope]
+    count = known.failure_count
     _update(board, scope, failure_count=count + 1)
     limit = board.settings.store.retry_limit_seconds
     delay = min(limit, STORE_RETRY_SECONDS * 2 ** min(count, 10))
     if _is_probed(board, scope):
         delay = max(delay, PROBED_RETRY_SECONDS)
-    return _set_timer(board, scope, now + delay * random.uniform(0.5, 1.5))
+    due = known.called_at + delay * random.uniform(0.5, 1.5)
+    return _set_timer(board, scope, max(now + SHORTEST_RETRY_SECONDS, due))
 
 
 def _is_probed(board: Board, scope: str) -> bool:
--- a/src/carawayhitch/core/_object_rows.py
+++ b/src/carawayhitch/core/_object_rows.py
@@ -83,6 +83,8 @@
         store come back shortly after it.
     contacted_at : float
         Time of the store's last answer.
+    called_at : float
+        Time at which the last call was made.
     """
 
     scope: str
@@ -93,6 +95,7 @@
     failing_since: float = 0.0
     removals_after: float = 0.0
     contacted_at: float = 0.0
+    called_at: float = 0.0
 
 
 class ChangeRow(NamedTuple):
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -28,6 +28,10 @@
 from carawayhitch.node._recorder import TraceRecorder
 from carawayhitch.node._stores import Store, open_store
 
+# Connections may fall silent without a reset, all at once. Those of watches are used
+# without a pause; an older one would let a call after a timeout time out as well.
+STORE_IDLE_SECONDS = 0.5
+
 
 class CallerConnection(Protocol):
     """The caller's side of a call, implemented by the front end."""
@@ -98,6 +102,7 @@
         self._recorder: TraceRecorder | None = None
         self.sessions: UpstreamSessions | None = None
         self.platform_session: aiohttp.ClientSession | None = None
+        self.store_session: aiohttp.ClientSession | None = None
         self.store: Store | None = None
         self.peers: PeerSocket | None = None
 
@@ -117,7 +122,10 @@
             fresh=open_session(self.settings, fresh_connections=True),
         )
         self.platform_session = open_session(self.settings, fresh_connections=False)
-        self.store = open_store(self.platform_session, self.settings)
+        self.store_session = open_session(
+            self.settings, fresh_connections=False, idle_seconds=STORE_IDLE_SECONDS
+        )
+        self.store = open_store(self.store_session, self.settings)
         if self.settings.logs.trace_file:
             self._recorder = TraceRecorder(self.settings, self.incarnation, self.seed)
         self.peers = PeerSocket(self.incarnation, self)
@@ -138,6 +146,8 @@
             await self.sessions.fresh.close()
         if self.platform_session is not None:
             await self.platform_session.close()
+        if self.store_session is not None:
+            await self.store_session.close()
 
     def submit(self, event: Any) -> None:
         """Feed an event to the controllers and perform their actions.
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -226,6 +226,7 @@
         entry = ready_entry()
         delays = []
         for _ in range(8):
+            entry.feed(events.TimerFired(_store_watch.STORE_TIMER, ""))
             performed = entry.changed(2)
             self.assertIn(result_codes.CONFIGURATION_OUTDATED, counted(performed))
             timer = of_type(performed, actions.SetTimer)[0]
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -150,6 +150,17 @@
         self.assertLessEqual(max(delays), 0.75)
         self.assertGreater(min(delays), 0.2)
 
+    def test_call_that_timed_out_is_repeated_at_once(self):
+        """Guards against silent connections that are left too late.
+
+        Watch and timeout of the users' platform take 2.5 s of the 3 s that are left.
+        """
+        self.listed()
+        self.next_call()
+        self.now += 2.5
+        (delay,) = self.timers(self.fail())
+        self.assertLess(delay, 0.1)
+
     def test_one_scope_asks_whether_the_store_is_back(self):
         """Guards against refused calls of each scope, which are priced in full."""
         for scope in SCOPES:
@@ -158,7 +169,14 @@
             self.assertLess(delay, 1.0) if scope == SCOPES[0] else self.assertGreater(
                 delay, 2.0
             )
+        for scope in SCOPES:
+            self.board.store_scopes_by_name[scope] = self.board.store_scopes_by_name[
+                scope
+            ]._replace(position=10, list_after=self.now + 100.0)
+        probe = self.next_call(SCOPES[0])
+        self.assertEqual(probe.wait_seconds, _store_watch.PROBE_WATCH_SECONDS)
         regained = self.feed(events.ObjectsChanged("store", 20, (), SCOPES[0]))
+        self.assertEqual(self.next_call(SCOPES[0]).wait_seconds, 30.0)
         self.assertEqual(self.timers(regained), [0.0, 0.0, 0.0])
 
     def test_lost_dependency_is_logged_once_and_its_return(self):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -14,6 +14,7 @@
 import unittest
 from uuid import uuid4
 
+from fakes.link import FakeLink
 from fakes.platform_fleet import (
     DEFAULT_ROUTES,
     MODEL_SERVICE,
@@ -156,6 +157,27 @@
             self.assertEqual(self.fleet.ask("entry-0", "/order/1")[0], 200)
         self.assertEqual(len(self.fleet.seen_by("plain-1")["seen"]), before)
 
+    def test_silent_connections_to_the_store_are_left_in_time(self):
+        """Guards against scopes that wait for each other when all fall silent at once.
+
+        An entry counts as in touch again 3 s after its connections fell silent.
+        """
+        link = FakeLink(self.fleet.ports_by_name["store"])
+        self.addCleanup(link.stop)
+        self.fleet.store_url = lambda entry: f"http://127.0.0.1:{link.port}"
+        self.start(services=2)
+        for _ in range(3):
+            link.silence()
+            silent_at = time.monotonic()
+            self.fleet.register("plain-0", PLAIN_SERVICE, state="draining")
+            time.sleep(max(0.0, silent_at + 3.0 - time.monotonic()))
+            before = self.runs_of("plain-0")
+            for index in range(10):
+                self.fleet.ask("entry-0", f"/order/{index}")
+            self.assertEqual(self.runs_of("plain-0"), before)
+            self.fleet.register("plain-0", PLAIN_SERVICE)
+            time.sleep(CHANGE_SECONDS / 2)
+
     def test_registrations_of_other_writers_do_no_harm(self):
         """Guards against an entry that stops to follow the store at a bad object."""
         self.start()
