Test the deploy files without the platform, and describe the soak

A small stand-in renders it as the platform's pages say; the test checks the settings, that their times fit the platform's bounds, that the role's files exist and that the requirements are those of the project. The soak's check of drained servers takes an entry as in touch by the time of the call, as the users' rule does; before, it also excused faults back to the notice.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -120,7 +120,10 @@
             late = run.began_at - drained_at - DRAIN_SECONDS
             if call is None or late <= CLOCK_SLACK_SECONDS:
                 continue
-            if board.is_in_touch(call.entry, drained_at, run.began_at):
+            if board.is_disturbed({STORE}, drained_at - CONTACT_SECONDS, drained_at):
+                # The store was not stable when it acknowledged the notice.
+                continue
+            if board.is_in_touch(call.entry, call.sent_at, run.began_at):
                 detail = f"{late:.2f} s too late at {run.server} by {call.entry}"
                 yield Violation("drained servers", run.request_id, detail)
 
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,83 @@
+"""The files by which the users' platform builds and starts an entry."""
+
+from __future__ import annotations
+
+import re
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from carawayhitch import codecs
+from fakes.platform_template import render
+
+ROOT = Path(__file__).parent.parent
+# Fields as the platform names them, with bounds of a deployment.
+FIELDS = {
+    "nodeName": "entry-a-1",
+    "ip": "10.1.0.19",
+    "zone": "a",
+    "region": "r1",
+    "zones": {"a": "r1", "b": "r1"},
+    "bind": {"frontend": "10.1.0.19:8740", "readiness": "10.1.0.19:8749"},
+    "internalPorts": [7200, 7215],
+    "bounds": {
+        "contactMs": 3000,
+        "drainMs": 2000,
+        "configMs": 2000,
+        "graceS": 8,
+        "retrySlack": 113,
+        "budgetWindowS": 10,
+    },
+    "platform": {"address": "10.200.1.7:8742"},
+}
+
+
+class TemplateTest(unittest.TestCase):
+    def setUp(self):
+        template = (ROOT / "deploy" / "settings.toml").read_text()
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(render(template, FIELDS))
+            file.flush()
+            self.settings = codecs.read_settings(file.name)
+
+    def test_template_gives_valid_settings(self):
+        """Guards against a template with which no entry starts."""
+        self.assertEqual(self.settings.node.id, "entry-a-1")
+        self.assertEqual(self.settings.node.http_port, 7200)
+        self.assertEqual(self.settings.gateway.address, "10.1.0.19:8740")
+        regions = {"a": "r1", "b": "r1"}
+        self.assertEqual(self.settings.gateway.regions_by_zone, regions)
+        self.assertEqual(self.settings.store.url, "http://10.200.1.7:8742")
+        self.assertEqual(self.settings.retries.fleet_limit, 113)
+
+    def test_times_fit_the_platforms_bounds(self):
+        """Guards against settings with which a rule of the platform cannot be kept."""
+        store, bounds = self.settings.store, FIELDS["bounds"]
+        silent = store.watch_timeout_seconds + store.timeout_seconds
+        self.assertLess(silent, bounds["contactMs"] / 1000)
+        self.assertLess(store.watch_timeout_seconds, bounds["configMs"] / 1000)
+        self.assertLess(store.watch_timeout_seconds, bounds["drainMs"] / 1000)
+        self.assertLess(self.settings.drain.limit_seconds, bounds["graceS"])
+        self.assertLessEqual(set(store.slow_scopes), set(store.stale_scopes))
+        self.assertLessEqual(set(store.stale_scopes), set(store.scopes))
+
+
+class BuildTest(unittest.TestCase):
+    def test_role_starts_a_file_of_the_repository(self):
+        """Guards against a deploy file that names what is not there."""
+        system = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        for role in system["roles"].values():
+            _, program, *_ = role["run"].split()
+            self.assertTrue((ROOT / program).exists(), program)
+            self.assertTrue((ROOT / role["template"]).exists(), role["template"])
+
+    def test_requirements_are_pinned_as_the_project_is_tested(self):
+        """Guards against a deployment with other libraries than the tests have."""
+        pins = re.findall(r"^([\w.-]+)==", (ROOT / "constraints.txt").read_text(), re.M)
+        lines = (ROOT / "deploy" / "requirements.txt").read_text().split("\n")
+        self.assertEqual(lines[0], "-c ../constraints.txt")
+        required = {line for line in lines[1:] if line}
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+        self.assertEqual(required, set(project["dependencies"]))
+        self.assertLessEqual({name.lower() for name in required}, set(pins))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -83,6 +83,8 @@
         board = new_board(new_call("a", sent_at=22.4), runs=runs)
         board.drained_at_by_server["orders-1"] = 20.0
         self.assertEqual(self.promises(board), {"drained servers"})
+        board.disturb("entry-0", "paused", 18.0, 0.5)
+        self.assertEqual(self.promises(board), {"drained servers"})
         board.disturb("entry-0", "paused", 21.0, 0.5)
         self.assertEqual(self.promises(board), set())
 
