--- a/soak/_run.py
+++ b/soak/_run.py
@@ -114,7 +114,7 @@
             row = ProblemRow(entry, "an exception in its log")
             fleet.board.problems.append(row)
         if not fleet.is_running(entry):
-            status = fleet.wait_ended(entry)
+            status = fleet.exit_status(entry)
             row = ProblemRow(entry, f"ended by itself, exit status {status}")
             fleet.board.problems.append(row)
 
--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -148,7 +148,7 @@
 
 @perform.register
 def _await_exit(act: AwaitExit, fleet: SoakFleet, now: float) -> Steps:
-    status = fleet.wait_ended(act.entry)
+    status = fleet.exit_status(act.entry)
     if status is None and now < act.kill_at:
         return (Step(now + POLL_SECONDS, act),)
     if status is None:
@@ -236,10 +236,7 @@
 
 @perform.register
 def _kill_server(act: faults.KillServer, fleet: SoakFleet, now: float) -> Steps:
-    if (
-        not fleet.is_running(act.server)
-        or act.server in fleet.board.drained_at_by_server
-    ):
+    if not fleet.is_in_service(act.server):
         return ()
     fleet.board.disturb(act.server, "killed", now, act.seconds + START_SECONDS)
     fleet.kill(act.server)
@@ -257,10 +254,7 @@
 
 @perform.register
 def _replace(act: faults.ReplaceServer, fleet: SoakFleet, now: float) -> Steps:
-    if (
-        not fleet.is_running(act.server)
-        or act.server in fleet.board.drained_at_by_server
-    ):
+    if not fleet.is_in_service(act.server):
         return ()
     if not _store_answers(fleet, now):
         return (Step(now + POLL_SECONDS, act),)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import subprocess
 import time
 from pathlib import Path
 
@@ -99,7 +98,11 @@
 
     def is_running(self, name: str) -> bool:
         """Return whether a process has not ended."""
-        return self.processes_by_name[name].poll() is None
+        return self.exit_status(name) is None
+
+    def is_in_service(self, server: str) -> bool:
+        """Return whether a server runs and was not asked to leave."""
+        return self.is_running(server) and server not in self.board.drained_at_by_server
 
     def change_configuration(self) -> bool:
         """Write a version with another route and key; tell whether it is taken."""
@@ -152,7 +155,6 @@
         for link in self.links_by_subject.values():
             link.stop()
 
-    def wait_ended(self, name: str) -> int | None:
-        """Return the exit status of a process if it has ended."""
-        process: subprocess.Popen[bytes] = self.processes_by_name[name]
-        return process.poll()
+    def exit_status(self, name: str) -> int | None:
+        """Return the exit status of a process, or None while it runs."""
+        return self.processes_by_name[name].poll()
