Go on with the slow watch from its own position

Since the registrations of entries are not exchanged and do not hold up the complete revision, that revision passes the position of their scope; its watch then began there and skipped registrations in between, so that parts of the fleet did not know each other and each scheduled the same engines. Change: a scope that is watched slowly goes on from its own position. The test failed before (watch from 15 instead of 10).

--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -78,7 +78,12 @@
 
 
 def _position(board: Board, known: rows.StoreScopeRow) -> int:
-    """Return up to which revision every change is known, from the store or a peer."""
+    """Return up to which revision every change is known, from the store or a peer.
+
+    Peers do not exchange the objects of scopes that are watched slowly.
+    """
+    if known.scope in board.settings.store.slow_scopes:
+        return known.position
     return max(known.position, board.object_set.complete_revision)
 
 
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -104,6 +104,17 @@
         (received,) = [a.event for a in decided if isinstance(a, actions.Emit)]
         self.assertEqual(received.complete_revision, 15)
 
+    def test_slow_scope_skips_nothing_that_the_others_have_passed(self):
+        """Guards against entries that never hear of some others.
+
+        Its objects are not exchanged, so what peers or other scopes know says nothing.
+        """
+        for scope, revision in zip(SCOPES, (15, 16, 10), strict=True):
+            self.feed(events.ObjectsListed(revision, (), scope))
+        self.feed(events.ObjectsReceived((), 15, 0))
+        self.assertEqual(self.next_call("entries").revision, 10)
+        self.assertEqual(self.next_call("configuration").revision, 15)
+
     def test_what_a_list_lacks_is_gone(self):
         """Guards against upstreams that stay known after a skipped removal."""
         self.keep(upstream("u1", 3), upstream("u2", 4))
