--- a/src/carawayhitch/controllers/_health.py
+++ b/src/carawayhitch/controllers/_health.py
@@ -1,4 +1,4 @@
-"""Health of upstreams by their results: those that fail more than others rest.
+"""Health of upstreams by their results: those that fail more than others are ejected.
 
 A failing upstream answers fast and looks idle, and its own health check may say that it
 is well. Entries tell each other of failures, because each of them sees too few.
@@ -21,16 +21,16 @@
 # Failures fade with this time constant: shorter than the faults of the users' sheets
 # (4 to 7 s), long enough for entries that see a call a second.
 FADE_SECONDS = 1.5
-# An upstream rests when its recent failures exceed this many, which three in a fifth of
-# a second do, and this multiple of the mean of its siblings, which fail as often if the
-# calls are to blame.
+# An upstream is ejected when its recent failures exceed this many, which three in a
+# fifth of a second do, and this multiple of the mean of its siblings, which fail as
+# often if the calls are to blame.
 FAILURE_MINIMUM = 2.8
 SIBLING_FACTOR = 3.0
-# The first rest; each further one that begins at once lasts twice as long.
-REST_SECONDS = 2.0
-LONGEST_REST_SECONDS = 8.0
-# After a rest one failure beyond the mean of the siblings is enough for the next one,
-# unless this time has passed.
+# The first ejection; each further one that begins at once lasts twice as long.
+EJECTION_SECONDS = 2.0
+LONGEST_EJECTION_SECONDS = 8.0
+# After an ejection one failure beyond the mean of the siblings is enough for the next
+# one, unless this time has passed.
 TRIAL_SECONDS = 2.0
 # Failures are told at once, and then at most this often, to at most so many entries.
 TELL_SECONDS = 0.1
@@ -42,10 +42,10 @@
 decide = new_controller()
 
 
-def is_resting(board: Board, upstream_id: str, now: float) -> bool:
+def is_ejected(board: Board, upstream_id: str, now: float) -> bool:
     """Return whether an upstream gets no work because it fails more than others."""
     known = board.health_by_upstream_id.get(upstream_id)
-    return known is not None and now < known.rests_until
+    return known is not None and now < known.ejected_until
 
 
 def _faded(known: rows.HealthRow, now: float) -> float:
@@ -69,7 +69,7 @@
 
 
 def note_failures(board: Board, upstream_id: str, count: int, now: float) -> Actions:
-    """Add failures of an upstream, and let it rest if they are too many."""
+    """Add failures of an upstream, and eject it if they are too many."""
     upstream = board.upstreams_by_id.get(upstream_id)
     if upstream is None or upstream.leaving:
         board.health_by_upstream_id.pop(upstream_id, None)
@@ -79,20 +79,20 @@
     known = known._replace(failures=failures, updated_at=now)
     board.health_by_upstream_id[upstream_id] = known
     siblings = _siblings(board, upstream_id)
-    if not siblings or now < known.rests_until:
+    if not siblings or now < known.ejected_until:
         return ()
     usual = sum(_failures(board, other, now) for other in siblings) / len(siblings)
-    on_trial = known.rests_until and now < known.rests_until + TRIAL_SECONDS
+    on_trial = known.ejected_until and now < known.ejected_until + TRIAL_SECONDS
     limit = FAILURE_MINIMUM + SIBLING_FACTOR * usual
     if on_trial:
         limit = 1.0 + usual
     if failures < limit:
         return ()
-    seconds = REST_SECONDS
+    seconds = EJECTION_SECONDS
     if on_trial:
-        seconds = min(LONGEST_REST_SECONDS, 2 * known.rest_seconds)
+        seconds = min(LONGEST_EJECTION_SECONDS, 2 * known.ejection_seconds)
     board.health_by_upstream_id[upstream_id] = known._replace(
-        failures=0.0, rests_until=now + seconds, rest_seconds=seconds
+        failures=0.0, ejected_until=now + seconds, ejection_seconds=seconds
     )
     fields = {
         "upstream": upstream_id,
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -7,7 +7,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers import _affinity, _memory, _prefill, _suspects
 from carawayhitch.controllers._cells import rendezvous_score
-from carawayhitch.controllers._health import is_resting
+from carawayhitch.controllers._health import is_ejected
 from carawayhitch.controllers._ranks import (
     first_rank_is_active,
     floor_deficit,
@@ -156,7 +156,7 @@
         if (upstream := board.upstreams_by_id.get(upstream_id)) is not None
         and is_usable(board, upstream, now)
     ]
-    well = [row for row in usable if not is_resting(board, row.upstream_id, now)]
+    well = [row for row in usable if not is_ejected(board, row.upstream_id, now)]
     # Where most of them fail, the others would be flooded.
     if len(well) * 2 >= len(usable):
         usable = well
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -58,23 +58,23 @@
 
 
 class HealthRow(NamedTuple):
-    """Failures of an upstream that any entry saw, and its rests.
+    """Failures of an upstream that any entry saw, and its ejections.
 
     Parameters
     ----------
     failures : float
         Recent failures, faded, as of ``updated_at``.
-    rests_until : float
-        End of the last rest, in seconds of the node clock; 0 for none.
-    rest_seconds : float
-        Length of the last rest.
+    ejected_until : float
+        End of the last ejection, in seconds of the node clock; 0 for none.
+    ejection_seconds : float
+        Length of the last ejection.
     """
 
     upstream_id: str
     failures: float = 0.0
     updated_at: float = 0.0
-    rests_until: float = 0.0
-    rest_seconds: float = 0.0
+    ejected_until: float = 0.0
+    ejection_seconds: float = 0.0
 
 
 class CellRow(NamedTuple):
--- a/tests/controllers/test_health.py
+++ b/tests/controllers/test_health.py
@@ -15,7 +15,7 @@
     return [action for action in decided if isinstance(action, action_type)]
 
 
-class RestTest(unittest.TestCase):
+class EjectionTest(unittest.TestCase):
     def setUp(self):
         self.board = scheduling_board(3)
         self.now = NOW
@@ -27,11 +27,11 @@
         message = messages.FailuresSeen("entry-2", (seen,))
         return feed(self.board, message, self.now)
 
-    def resting(self):
+    def ejected(self):
         return {
             name
             for name in self.board.upstreams_by_id
-            if _health.is_resting(self.board, name, self.now)
+            if _health.is_ejected(self.board, name, self.now)
         }
 
     def granted(self, count=6):
@@ -47,54 +47,54 @@
     def test_upstream_that_fails_more_than_others_gets_no_work(self):
         """Guards against a failing upstream that looks idle and draws all calls."""
         self.see("engine-0", 2)
-        self.assertEqual(self.resting(), set())
+        self.assertEqual(self.ejected(), set())
         (logged,) = of_type(self.see("engine-0"), actions.Log)
         self.assertEqual(logged.fields["upstream"], "engine-0")
         self.assertEqual(self.granted(), {"engine-1", "engine-2"})
-        self.now += _health.REST_SECONDS
+        self.now += _health.EJECTION_SECONDS
         self.assertIn("engine-0", self.granted())
 
     def test_calls_that_fail_everywhere_speak_against_no_upstream(self):
-        """Guards against healthy upstreams that rest because of faulty calls."""
+        """Guards against healthy upstreams that are ejected because of faulty calls."""
         for _ in range(20):
             for name in self.board.upstreams_by_id:
                 self.see(name)
-        self.assertEqual(self.resting(), set())
+        self.assertEqual(self.ejected(), set())
 
     def test_rare_failures_do_not_add_up(self):
         for _ in range(20):
             self.see("engine-0")
             self.now += 2 * _health.FADE_SECONDS
-        self.assertEqual(self.resting(), set())
+        self.assertEqual(self.ejected(), set())
 
-    def test_rests_grow_while_the_upstream_goes_on_failing(self):
+    def test_ejections_grow_while_the_upstream_goes_on_failing(self):
         """Guards against calls lost at each trial of a faulty upstream."""
         self.see("engine-0", 3)
         for seconds in (4.0, 8.0, 8.0):
             known = self.board.health_by_upstream_id["engine-0"]
-            self.now = known.rests_until + 0.1
+            self.now = known.ejected_until + 0.1
             self.see("engine-0")
             known = self.board.health_by_upstream_id["engine-0"]
-            self.assertAlmostEqual(known.rests_until - self.now, seconds)
-        self.now = known.rests_until + _health.TRIAL_SECONDS
+            self.assertAlmostEqual(known.ejected_until - self.now, seconds)
+        self.now = known.ejected_until + _health.TRIAL_SECONDS
         self.see("engine-0")
-        self.assertEqual(self.resting(), set())
+        self.assertEqual(self.ejected(), set())
 
     def test_trial_ends_with_one_failure_beyond_the_usual_ones(self):
         """Guards against a second series of lost calls at each trial."""
         self.see("engine-0", 3)
-        self.now += _health.REST_SECONDS + 0.1
+        self.now += _health.EJECTION_SECONDS + 0.1
         for name in ("engine-1", "engine-2"):
             self.see(name, 2)
         self.see("engine-0", 2)
-        self.assertEqual(self.resting(), set())
+        self.assertEqual(self.ejected(), set())
         self.see("engine-0")
-        self.assertEqual(self.resting(), {"engine-0"})
+        self.assertEqual(self.ejected(), {"engine-0"})
 
-    def test_resting_majority_is_used(self):
+    def test_ejected_majority_is_used(self):
         """Guards against a flood of the few upstreams that have not failed yet."""
         for name in ("engine-0", "engine-1"):
-            health = rows.HealthRow(name, rests_until=NOW + 2.0)
+            health = rows.HealthRow(name, ejected_until=NOW + 2.0)
             self.board.health_by_upstream_id[name] = health
         self.assertEqual(self.granted(), set(self.board.upstreams_by_id))
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -214,7 +214,7 @@
         self.assertEqual(statuses.count(500), self.runs_of("plain-0") - looks)
         self.assertEqual(self.runs_of("plain-0") + self.runs_of("plain-1"), 20 + looks)
 
-    def test_failing_server_rests_at_all_entries(self):
+    def test_failing_server_is_ejected_at_all_entries(self):
         """Guards against entries that each lose calls at the same faulty server."""
         self.start(entries=2, services=3)
         time.sleep(1.0)
@@ -223,8 +223,8 @@
         while self.runs_of("plain-0") < 3 and asked < 60:
             self.fleet.ask("entry-0", f"/order/{asked}")
             asked += 1
-        # Three failures begin a rest, or a few more on a slow machine, where they fade
-        # in between. Without rests, ten of the next thirty calls go there.
+        # Three failures eject the server, or a few more on a slow machine, where they
+        # fade in between. Without that, ten of the next thirty calls go there.
         for entry in ("entry-0", "entry-1"):
             for n in range(15):
                 self.fleet.ask(entry, f"/order/{n}")
