--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -21,8 +21,8 @@
     upstreams_by_id: dict[str, rows.UpstreamRow]
     listed_entries_by_vm_id: dict[str, settings_types.SeedPeer]
     health_by_upstream_id: dict[str, rows.HealthRow]
-    untold_failures_by_upstream_id: dict[str, int]
-    failures_told_at_by_node_id: dict[str, float]
+    unreported_failures_by_upstream_id: dict[str, int]
+    failures_reported_at_by_node_id: dict[str, float]
     cells_by_id: dict[str, rows.CellRow]
     members_by_id: dict[str, rows.MemberRow]
     member_updates_by_id: dict[str, rows.MemberUpdateRow]
@@ -123,8 +123,8 @@
         upstreams_by_id={},
         listed_entries_by_vm_id={},
         health_by_upstream_id={},
-        untold_failures_by_upstream_id={},
-        failures_told_at_by_node_id={},
+        unreported_failures_by_upstream_id={},
+        failures_reported_at_by_node_id={},
         cells_by_id={},
         members_by_id={},
         member_updates_by_id={},
--- a/src/carawayhitch/controllers/_health.py
+++ b/src/carawayhitch/controllers/_health.py
@@ -1,7 +1,7 @@
 """Health of upstreams by their results: those that fail more than others are ejected.
 
 A failing upstream answers fast and looks idle, and its own health check may say that it
-is well. Entries tell each other of failures, because each of them sees too few.
+is well. Entries report failures to each other, because each of them sees too few.
 """
 
 from __future__ import annotations
@@ -32,10 +32,10 @@
 # After an ejection one failure beyond the mean of the siblings is enough for the next
 # one, unless this time has passed.
 TRIAL_SECONDS = 2.0
-# Failures are told at once, and then at most this often, to at most so many entries.
-TELL_SECONDS = 0.1
-TELL_COUNT = 128
-TELL_TIMER = "failures"
+# Failures are reported at once, then at most this often, to at most so many entries.
+REPORT_SECONDS = 0.1
+REPORT_COUNT = 128
+REPORT_TIMER = "failures"
 # States of entries that choose upstreams.
 CHOOSING_STATES = frozenset({"alive", "suspect", "leaving"})
 
@@ -106,40 +106,40 @@
 
 
 def _note_own(board: Board, row: rows.RequestRow, now: float) -> Actions:
-    """Note a failure that this entry saw, and tell the others."""
+    """Note a failure that this entry saw, and report it to the others."""
     noted = note_failures(board, row.upstream_id, 1, now)
     if row.upstream_id not in board.health_by_upstream_id:
         return noted
-    untold = board.untold_failures_by_upstream_id
-    due = not untold
-    untold[row.upstream_id] = untold.get(row.upstream_id, 0) + 1
+    unreported = board.unreported_failures_by_upstream_id
+    due = not unreported
+    unreported[row.upstream_id] = unreported.get(row.upstream_id, 0) + 1
     if not due:
         return noted
-    told_at = board.failures_told_at_by_node_id.get(board.node_id, 0.0)
-    at = max(now, told_at + TELL_SECONDS)
-    return (*noted, actions.SetTimer(at, events.TimerFired(TELL_TIMER)))
+    reported_at = board.failures_reported_at_by_node_id.get(board.node_id, 0.0)
+    at = max(now, reported_at + REPORT_SECONDS)
+    return (*noted, actions.SetTimer(at, events.TimerFired(REPORT_TIMER)))
 
 
 @decide.register(events.TimerFired)
-def _tell(
+def _report(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.name != TELL_TIMER or not board.untold_failures_by_upstream_id:
+    if event.name != REPORT_TIMER or not board.unreported_failures_by_upstream_id:
         return ()
     failures = tuple(
         messages.UpstreamFailures(upstream_id, count)
-        for upstream_id, count in board.untold_failures_by_upstream_id.items()
+        for upstream_id, count in board.unreported_failures_by_upstream_id.items()
     )
-    board.untold_failures_by_upstream_id.clear()
-    board.failures_told_at_by_node_id[board.node_id] = now
+    board.unreported_failures_by_upstream_id.clear()
+    board.failures_reported_at_by_node_id[board.node_id] = now
     message = messages.FailuresSeen(board.node_id, failures)
     others = [
         member.node_id
         for member in board.members_by_id.values()
         if member.state in CHOOSING_STATES and member.node_id != board.node_id
     ]
-    told = random.sample(others, min(TELL_COUNT, len(others)))
-    return tuple(actions.Send(node_id, message) for node_id in told)
+    receivers = random.sample(others, min(REPORT_COUNT, len(others)))
+    return tuple(actions.Send(node_id, message) for node_id in receivers)
 
 
 @decide.register(messages.FailuresSeen)
@@ -161,7 +161,7 @@
     random: Random,
 ) -> Actions:
     row = board.requests_by_id.get(event.request_id)
-    if row is None or row.attempt != event.attempt or not tells_of_failure(event):
+    if row is None or row.attempt != event.attempt or not is_failure(event):
         return ()
     if row.resume_count or is_stopping(board, row):
         # Resumes of one call are one failure, and the stream of a generation that
@@ -171,17 +171,17 @@
 
 
 @singledispatch
-def tells_of_failure(event: Any) -> bool:
+def is_failure(event: Any) -> bool:
     """Return whether the end of a call speaks against its upstream."""
     raise TypeError(f"unknown end of a call {event!r}")
 
 
-@tells_of_failure.register
+@is_failure.register
 def _failed_answer(event: events.AnswerReceived) -> bool:
     return event.status >= FAILURE_STATUS
 
 
-@tells_of_failure.register
+@is_failure.register
 def _failed_call(event: events.UpstreamCallFailed) -> bool:
     # What an upstream refuses or cannot be reached for is a matter of its load.
     return event.sent and event.kind != "refused"
--- a/tests/controllers/test_health.py
+++ b/tests/controllers/test_health.py
@@ -129,12 +129,12 @@
             upstream_id="engine-0",
         )
 
-    def told(self, decided, now):
-        """Return what is told to others when the timer of the decision fires."""
+    def reported(self, decided, now):
+        """Return what is reported to others when the timer of the decision fires."""
         timers = [
             timer
             for timer in of_type(decided, actions.SetTimer)
-            if timer.event == events.TimerFired(_health.TELL_TIMER)
+            if timer.event == events.TimerFired(_health.REPORT_TIMER)
         ]
         if not timers:
             return None
@@ -149,18 +149,18 @@
         failed = events.UpstreamCallFailed("call", 1, "truncated", True)
         return failed._replace(**fields)
 
-    def test_failure_is_told_at_once_and_then_bundled(self):
+    def test_failure_is_reported_at_once_and_then_bundled(self):
         """Guards against entries that each have to lose calls at a faulty upstream."""
         decided = _health.decide(self.failure(), self.board, NOW, None)
         failures = (messages.UpstreamFailures("engine-0", 1),)
-        self.assertEqual(self.told(decided, NOW), (0.0, [("entry-2", failures)]))
+        self.assertEqual(self.reported(decided, NOW), (0.0, [("entry-2", failures)]))
         first = _health.decide(self.failure(), self.board, NOW, None)
         second = _health.decide(self.failure(), self.board, NOW, None)
-        self.assertIsNone(self.told(second, NOW))
+        self.assertIsNone(self.reported(second, NOW))
         failures = (messages.UpstreamFailures("engine-0", 2),)
-        delay, told = self.told(first, NOW)
-        self.assertAlmostEqual(delay, _health.TELL_SECONDS)
-        self.assertEqual(told, [("entry-2", failures)])
+        delay, reported = self.reported(first, NOW)
+        self.assertAlmostEqual(delay, _health.REPORT_SECONDS)
+        self.assertEqual(reported, [("entry-2", failures)])
 
     def test_what_counts_as_a_failure(self):
         answer = events.AnswerReceived("call", 1, 500, "", b"", 0)
@@ -175,6 +175,6 @@
         ):
             with self.subTest(event):
                 self.board.health_by_upstream_id.clear()
-                self.board.untold_failures_by_upstream_id.clear()
+                self.board.unreported_failures_by_upstream_id.clear()
                 _health.decide(event, self.board, NOW, None)
                 self.assertEqual(bool(self.board.health_by_upstream_id), counts)
