Watch the store at once when all peers have left

Cause: an entry without live members only counted as alone 6 s after its last exchange with a peer. That wait is for entries that have not met their peers yet, so that a restart of all does not lead to watches by all. An entry whose only peers had just left made no call to the store until it was over, and learned of a draining server up to 2.6 s after the notice. Without `stale_watches` only; the users' platform sets it, so no entry there stopped watching.

Ruled out: a watch position beyond the missed revision. The kept log shows all three revisions that came meanwhile read in one answer, exactly 6 s after the last exchange.

Conclusion: an entry that has met peers is alone as soon as none is live.

--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -114,11 +114,14 @@
 def is_watcher(board: Board, now: float) -> bool:
     """Return whether this node holds a watch of the store.
 
-    A node that is alone watches, whatever its zone's ranking says.
+    A node that is alone watches, whatever its zone's ranking says. One whose peers
+    have all left is alone at once; one that has not met any yet only counts as alone
+    when none has answered it for some time.
     """
     live = [row for row in board.members_by_id.values() if row.state in LIVE_STATES]
     if not any(row.node_id != board.node_id for row in live):
-        return now >= board.object_set.alone_after
+        has_met_peers = bool(board.members_by_id.keys() - {board.node_id})
+        return has_met_peers or now >= board.object_set.alone_after
     zone = board.settings.node.zone
     in_zone = {row.node_id for row in live if row.zone == zone} | {board.node_id}
     count = board.settings.store.watchers_per_zone
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -131,6 +131,23 @@
                         name,
                     )
 
+    def test_last_entry_in_service_learns_of_changes_in_time(self):
+        """Guards against an entry that watches nothing when its peers have just left.
+
+        It took itself for one that has not met its peers yet, for up to 6 s.
+        """
+        self.start(entries=2)
+        # Every entry compares with a peer within 3.9 s.
+        time.sleep(4.0)
+        self.fleet.send_signal("entry-1", signal.SIGTERM)
+        self.assertEqual(self.fleet.wait_exit("entry-1"), 0)
+        # The watch that ran when the other one left ends within 1 s.
+        time.sleep(1.2)
+        self.fleet.configure((*DEFAULT_ROUTES, route("late", "safe", PLAIN_SERVICE)))
+        self.assertTrue(
+            within(CHANGE_SECONDS, lambda: self._status("entry-0", "/late/1") == 200)
+        )
+
     def test_taken_key_is_refused_in_time(self):
         self.start()
         self.fleet.configure(keys=("another",))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 # Seeds that broke a promise, with the cause.
 REGRESSION_SEEDS = {
     1: "a second SIGTERM cut the calls that a drain had let go on",
+    170877205: "an entry whose peers had all left watched nothing for up to 6 s",
 }
 
 
