Count and log store objects that cannot be read

Ruled out: failing the whole answer, which would stop the entry from following the store at one bad object.

Conclusion: the answer carries the number of objects left out; the store watch counts it as STORE_OBJECT_UNREADABLE (4012) and logs scope, revision and number.

--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -216,11 +216,13 @@
     An answer below the revision that is known comes late or from a store that lost
     changes. Its objects are still merged by version, which never reverts one.
     """
+    unreadable = _note_unreadable(event)
     known = board.store_scopes_by_name[event.scope]
     if event.revision < _position(board, known) and event.may_be_stale:
         # Peers know more already; the next answer may have caught up.
         kept = _without_early_removals(board, event.scope, objects, now)
         return (
+            *unreadable,
             *_note_contact(board, known, now),
             actions.Emit(events.ObjectsReceived(kept, -1, push_count)),
             *_set_timer(board, event.scope, now + STALE_PAUSE_SECONDS),
@@ -228,6 +230,7 @@
     if event.revision < _position(board, known):
         received = events.ObjectsReceived(tuple(objects), -1, push_count)
         return (
+            *unreadable,
             *note_outdated(board, "store", event.revision),
             actions.Emit(received),
             *_retry(board, event.scope, now, random),
@@ -238,12 +241,29 @@
     complete = _complete_revision(board)
     pause = _pause_seconds(board.settings.store, event.scope)
     return (
+        *unreadable,
         *decided,
         actions.Emit(events.ObjectsReceived(kept, complete, push_count)),
         *_set_timer(board, event.scope, now + pause),
     )
 
 
+def _note_unreadable(event: events.ObjectsListed | events.ObjectsChanged) -> Actions:
+    """Count and log objects that were left out, once for each answer."""
+    if not event.unreadable_count:
+        return ()
+    fields = {
+        "code": result_codes.STORE_OBJECT_UNREADABLE.name,
+        "scope": event.scope,
+        "revision": event.revision,
+        "objects": event.unreadable_count,
+    }
+    return (
+        actions.Count(result_codes.STORE_OBJECT_UNREADABLE),
+        actions.Log("warning", "store objects could not be read", fields),
+    )
+
+
 def _complete_revision(board: Board) -> int:
     """Return the revision up to which every exchanged object is known, -1 for none.
 
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -213,6 +213,9 @@
 CONFIGURATION_PULL_FAILED = ResultCode(
     4011, "CONFIGURATION_PULL_FAILED", "no", 0, "A peer sent no configuration."
 )
+STORE_OBJECT_UNREADABLE = ResultCode(
+    4012, "STORE_OBJECT_UNREADABLE", "no", 0, "An object of the store has no name."
+)
 PEER_UNREACHABLE = ResultCode(
     4020, "PEER_UNREACHABLE", "no", 0, "A message to an entry could not be sent."
 )
--- a/src/carawayhitch/core/_store_events.py
+++ b/src/carawayhitch/core/_store_events.py
@@ -29,6 +29,8 @@
     kinds : tuple of str
         Kinds of which the store has no other objects than the listed ones; empty if
         the list names deleted objects.
+    unreadable_count : int
+        Objects left out because they have no name or no revision.
     """
 
     revision: int
@@ -36,6 +38,7 @@
     scope: str = ""
     kinds: tuple[str, ...] = ()
     may_be_stale: bool = False
+    unreadable_count: int = 0
 
 
 class ObjectsChanged(NamedTuple):
@@ -45,6 +48,8 @@
     ----------
     may_be_stale : bool
         Whether the answer may be seconds old.
+    unreadable_count : int
+        Objects left out because they have no name or no revision.
     """
 
     source: str
@@ -52,6 +57,7 @@
     objects: tuple[StoredObject, ...]
     scope: str = ""
     may_be_stale: bool = False
+    unreadable_count: int = 0
 
 
 class ObjectsReceived(NamedTuple):
--- a/src/carawayhitch/platform/_store.py
+++ b/src/carawayhitch/platform/_store.py
@@ -161,6 +161,7 @@
     url = store.url(PLATFORM_KINDS[action.scope])
     found: list[events.StoredObject] = []
     revision = -1
+    unreadable_count = 0
     after = ""
     for _ in range(PAGE_LIMIT):
         params = _staleness(action) | ({"after": after} if after else {})
@@ -174,12 +175,18 @@
         revision = page["at"] if revision < 0 else revision
         stored = [_stored(kind, item, False) for item in page["items"]]
         found += [item for item in stored if item is not None]
+        unreadable_count += stored.count(None)
         last = _name_of(page["items"][-1]) if page["items"] else ""
         if not page["hasMore"] or last in ("", after):
             break
         after = last
     return events.ObjectsListed(
-        revision, tuple(found), action.scope, (kind,), action.may_be_stale
+        revision,
+        tuple(found),
+        action.scope,
+        (kind,),
+        action.may_be_stale,
+        unreadable_count,
     )
 
 
@@ -208,7 +215,12 @@
     ]
     found = tuple(item for item in stored if item is not None)
     return events.ObjectsChanged(
-        STORE_SOURCE, body["at"], found, action.scope, action.may_be_stale
+        STORE_SOURCE,
+        body["at"],
+        found,
+        action.scope,
+        action.may_be_stale,
+        stored.count(None),
     )
 
 
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -7,7 +7,7 @@
 
 from carawayhitch import controllers
 from carawayhitch.controllers import _store_watch
-from carawayhitch.core import actions, declarations, events
+from carawayhitch.core import actions, declarations, events, result_codes
 from carawayhitch.core import settings as settings_types
 from tests.boards import ready_board
 
@@ -206,6 +206,18 @@
         ]
         self.assertEqual(found, ["dependency lost", "dependency regained"])
 
+    def test_objects_that_could_not_be_read_are_counted_and_logged(self):
+        """Guards against servers that are missing without a word in the log."""
+        changed = events.ObjectsChanged(
+            "store", 20, (), "upstreams", True, unreadable_count=2
+        )
+        decided = self.feed(changed)
+        codes = [a.code for a in decided if isinstance(a, actions.Count)]
+        self.assertEqual(codes, [result_codes.STORE_OBJECT_UNREADABLE])
+        (line,) = [a for a in decided if isinstance(a, actions.Log)]
+        self.assertEqual(line.event, "store objects could not be read")
+        self.assertEqual((line.fields["objects"], line.fields["revision"]), (2, 20))
+
     def test_stale_answer_reverts_nothing(self):
         """Guards against a stale read that counts as the newest state."""
         self.listed(upstream("u1", 30), revision=30)
