Ignore stops that are repeated at the end of a stop

Cause: the event loop restores the default action of SIGTERM when it closes. A second stop that came in the last 0.1 s, while the interpreter shut down after a complete drain, ended the process by the signal: exit status -15 after a clean stop.

Ruled out: a drain that was cut. The log has "stopped" with no open request before.

Conclusion: the handlers are replaced by SIG_IGN once the node is closed.

--- a/src/carawayhitch/frontend/_server.py
+++ b/src/carawayhitch/frontend/_server.py
@@ -66,6 +66,7 @@
         server.close()
     await _flush(servers, node)
     await node.close()
+    _ignore_stops()
 
 
 async def _wait_until_ready(node: Node) -> None:
@@ -167,6 +168,17 @@
     loop.add_signal_handler(signal.SIGHUP, _read_settings, node, settings_path)
 
 
+def _ignore_stops() -> None:
+    """Have a stop that is repeated now not change the exit status.
+
+    The loop would leave the default action, which ends the process by the signal.
+    """
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _read_settings(node: Node, path: str) -> None:
     try:
         settings = codecs.read_settings(path)
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -119,6 +119,18 @@
         self.assertEqual(len(received.tokens), 300)
         self.assertEqual(self.fleet.wait_exit("entry-1"), 0)
 
+    def test_stop_that_is_repeated_to_the_end_changes_no_exit_status(self):
+        """Guards against a clean exit that a late signal turns into a failure.
+
+        Handlers are gone while the interpreter shuts down, for some 0.1 s.
+        """
+        self.start(grace=0.2)
+        process = self.fleet.processes_by_name["entry-1"]
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.002)
+        self.assertEqual(process.returncode, 0)
+
     def test_interrupt_after_a_stop_ends_at_once(self):
         """Guards against a process that an operator cannot end."""
         self.start()
