Tell a stop during the start by the log in the soak

The soak took the first 2 s for the start.

Conclusion: a process that has not logged "serving" had not read any call, so the signal may end it; one that has still counts.

--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -162,8 +162,11 @@
 def _was_starting(act: AwaitExit, fleet: SoakFleet) -> bool:
     """Return whether a process was asked to stop before it had read any call.
 
-    It is then ended by the signal itself.
+    It is then ended by the signal itself. On a busy machine a start takes longer than
+    usual (4.3 s were seen), which its log shows.
     """
+    if not fleet.has_served(act.entry):
+        return True
     asked_at = act.kill_at - GRACE_SECONDS
     return fleet.board.was_starting(act.entry, asked_at, asked_at)
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -17,6 +17,7 @@
 from soak._board import RouteRow, RunRow, SoakBoard
 
 EVENT_SECONDS = 0.05
+SERVING = '"event": "serving"'
 # Routes that are there for the whole run. Callers wait longer than the route allows.
 LASTING_ROUTES = (
     route("look", "safe", PLAIN_SERVICE, timeoutMs=2000),
@@ -37,6 +38,7 @@
         self.links_by_subject: dict[str, FakeLink] = {}
         self.services_by_server: dict[str, str] = {}
         self.born_by_server: dict[str, int] = {}
+        self.serving_lines_by_entry: dict[str, int] = {}
         self.change_count = 0
         self.server_count = 0
 
@@ -96,6 +98,19 @@
         self.born_by_server[name] = int(time.time() * 1000)
         self.start_server(name, self.services_by_server[name], "a", EVENT_SECONDS)
 
+    def start_gateway(
+        self, name: str, zone: str = "a", wait: bool = True, output: int | None = None
+    ) -> None:
+        """Start an entry, and note how often it has logged that it serves."""
+        log = Path(self.folder.name) / f"{name}.log"
+        text = log.read_text() if log.exists() else ""
+        self.serving_lines_by_entry[name] = text.count(SERVING)
+        super().start_gateway(name, zone, wait, output)
+
+    def has_served(self, name: str) -> bool:
+        """Return whether the newest process of an entry got ready to serve."""
+        return self.log_text(name).count(SERVING) > self.serving_lines_by_entry[name]
+
     def is_running(self, name: str) -> bool:
         """Return whether a process has not ended."""
         return self.exit_status(name) is None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import random
+import signal
 import unittest
+from unittest.mock import Mock
 
 from soak._board import STORE, CallRow, RouteRow, RunRow, SoakBoard
 from soak._callers import find_stream_fault
 from soak._checks import find_violations
 from soak._faults import draw_plan
 from soak._run import RunOptions, run_seed
+from soak._steps import AwaitExit, perform
 
 # Seeds that broke a promise, with the cause.
 REGRESSION_SEEDS = {
     1: "a second SIGTERM cut the calls that a drain had let go on",
+    14: "a SIGTERM at the end of a stop turned a clean exit into a failure",
     170877205: "an entry whose peers had all left watched nothing for up to 6 s",
 }
 
@@ -147,6 +151,22 @@
         self.assertNotEqual(draw_plan(8, 16.0, *names), first)
 
 
+class StopTest(unittest.TestCase):
+    def test_exit_by_the_signal_counts_only_after_the_start(self):
+        """Guards against a slow start that counts as a fault, and the reverse.
+
+        On a busy machine a process was stopped 4.3 s after its start, before it could
+        handle signals.
+        """
+        for has_served, problems in ((False, 0), (True, 1)):
+            with self.subTest(has_served=has_served):
+                fleet = Mock(board=SoakBoard())
+                fleet.exit_status.return_value = -signal.SIGTERM
+                fleet.has_served.return_value = has_served
+                perform(AwaitExit("entry-0", 110.0), fleet, 105.0)
+                self.assertEqual(len(fleet.board.problems), problems)
+
+
 class SoakTest(unittest.TestCase):
     def test_seeds_that_once_failed(self):
         """Guards against the return of the faults that the soak has found."""
