Keep the declared limit of header bytes

Ruled out: setting the library's own limit, which is one for all applications of a process and cannot be raised.

Conclusion: headers are counted without the request line, which is noted as a question.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -66,6 +66,7 @@
         self,
         routes: tuple[dict[str, Any], ...] = DEFAULT_ROUTES,
         keys: tuple[str, ...] = (KEY,),
+        limits: dict[str, int] | None = None,
     ) -> bool:
         """Write the next version of the configuration; tell whether it is taken."""
         self.version += 1
@@ -88,7 +89,11 @@
                     },
                 },
             ],
-            "limits": {"bodyBytes": 100_000, "idleTimeoutMs": 15000},
+            "limits": {
+                "bodyBytes": 100_000,
+                "idleTimeoutMs": 15000,
+                **(limits or {}),
+            },
             "tenants": [{"name": "hotel", "apiKeys": list(keys)}],
         }
         body = {"metadata": {"name": "main"}, "spec": spec}
--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -21,9 +21,9 @@
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 UNUSED_LIMIT_SECONDS = 86400
-# The limits of bodies and times that operators declare hold for each call; headers are
-# bounded by this alone.
-HEADER_BYTES_LIMIT = 65536
+# The limits that operators declare hold for each call. The library reads at most this
+# much of a request's head, whatever they declare.
+HEADER_BYTES_LIMIT = 16_384
 
 
 class GatewayCaller(SanicCaller):
@@ -133,7 +133,10 @@
 def _error_handler(node: Node) -> Any:
     async def handle_error(request: Request, error: Exception) -> HTTPResponse:
         refused = refuse_error(node, request, error)
-        if refused.code is result_codes.MALFORMED_REQUEST:
+        if refused.code in (
+            result_codes.MALFORMED_REQUEST,
+            result_codes.HEADERS_TOO_LARGE,
+        ):
             close_after(request)
         return refusal_response(refused)
 
@@ -144,12 +147,27 @@
     async def handle_call(request: Request, path: str = "") -> HTTPResponse | None:
         check_head(request)
         apply_caller_limits(request.app, node)
+        _check_header_size(node, request)
         await receive_body(node, request, _body_limit(node))
         return await _serve(node, request)
 
     return handle_call
 
 
+def _check_header_size(node: Node, request: Request) -> None:
+    """Refuse more bytes of headers than operators declare."""
+    configuration = node.board.configuration
+    if configuration is None:
+        return
+    limit_bytes = configuration.caller_limits.header_bytes
+    _, _, headers = request.head.partition(b"\r\n")
+    if len(headers) > limit_bytes:
+        raise errors.CallRefusedError(
+            result_codes.HEADERS_TOO_LARGE,
+            f"headers take {len(headers)} bytes, the limit is {limit_bytes}",
+        )
+
+
 def _body_limit(node: Node) -> int:
     configuration = node.board.configuration
     own = node.settings.limits.body_bytes
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -95,6 +95,19 @@
         self.assertEqual(self.fleet.ask("entry-0", "/order/1", key="wrong")[0], 401)
         self.assertEqual(self.fleet.seen_by("plain-0")["seen"], [])
 
+    def test_headers_above_the_declared_limit_are_refused(self):
+        """Guards against a limit that operators declare and nobody keeps."""
+        self.fleet.configure(limits={"headerBytes": 8192})
+        self.start()
+        for size, wanted in ((7000, 200), (9000, 431), (20_000, 431)):
+            with self.subTest(size=size):
+                status, _, headers = self.fleet.ask(
+                    "entry-0", "/order/1", Filler="x" * size
+                )
+                self.assertEqual(status, wanted)
+                self.assertNotIn("Retry-After", headers)
+        self.assertEqual(self.runs_of("plain-0"), 1)
+
     def test_entry_without_configuration_promises_nothing_ran(self):
         """Guards against 401 and 404 from an entry that knows no configuration."""
         self.fleet.store_call("DELETE", f"{OBJECTS}/config/main")
