Feed no timer's event before its time

Cause: the event loop rounds timers to milliseconds and fires them up to 1.4 ms early. Controllers that check their deadline then take the event for an old one and do nothing.

Ruled out: a suspicion that is begun again.

Conclusion: the node sets a timer that fired early again, for all controllers at once.

--- a/src/carawayhitch/controllers/_prefill.py
+++ b/src/carawayhitch/controllers/_prefill.py
@@ -8,8 +8,9 @@
 from carawayhitch.controllers import _memory
 from carawayhitch.core import rows
 
-# Timers of the event loop are rounded to a millisecond and may fire that much early.
-TIMER_SLACK_SECONDS = 0.002
+# Sums of times are rounded: without slack a look at the time of `room_at` could find
+# none.
+ROUNDING_SLACK_SECONDS = 0.002
 
 
 def read_seconds(board: Board, prompt_tokens: int) -> float:
@@ -45,7 +46,7 @@
 def has_prefill_room(board: Board, upstream_id: str, now: float) -> bool:
     """Return whether another prompt may be placed on an engine."""
     limit = board.settings.scheduling.prefill_limit_seconds
-    return backlog_seconds(board, upstream_id, now) <= limit + TIMER_SLACK_SECONDS
+    return backlog_seconds(board, upstream_id, now) <= limit + ROUNDING_SLACK_SECONDS
 
 
 def room_at(board: Board, upstream_ids: Iterable[str], now: float) -> float:
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -31,6 +31,9 @@
 # Connections may fall silent without a reset, all at once. Those of watches are used
 # without a pause; an older one would let a call after a timeout time out as well.
 STORE_IDLE_SECONDS = 0.5
+# The event loop rounds times to this and may fire that much early. A shorter wait would
+# be none.
+TIMER_SECONDS = 0.001
 
 
 class CallerConnection(Protocol):
@@ -186,13 +189,23 @@
         return controllers.find_refusal(self.board)
 
     def set_timer(self, deadline: float, event: Any) -> None:
-        """Feed an event at a time of the node clock."""
-        delay = max(0.0, deadline - self.now())
-        asyncio.get_running_loop().call_later(delay, self._fire, event)
+        """Feed an event at a time of the node clock, or soon after."""
+        delay = deadline - self.now()
+        if delay > 0:
+            delay = max(delay, TIMER_SECONDS)
+        asyncio.get_running_loop().call_later(
+            max(0.0, delay), self._fire, deadline, event
+        )
 
-    def _fire(self, event: Any) -> None:
-        if not self.stopped.is_set():
-            self.submit(event)
+    def _fire(self, deadline: float, event: Any) -> None:
+        if self.stopped.is_set():
+            return
+        if self.now() < deadline:
+            # Controllers that check their deadlines would take the event for an old
+            # one.
+            self.set_timer(deadline, event)
+            return
+        self.submit(event)
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine; its errors are logged."""
