--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -583,8 +583,10 @@
     whole = min(event.complete_revision, known.complete_revision) >= known.revision
     if not whole or event.since < 0 or now < known.whole_pull_after:
         return ()
-    _update(board, whole_pull_after=now + WHOLE_PULL_SECONDS)
-    return _pull_from(board, event.peer_id, -1, now)
+    pulled = _pull_from(board, event.peer_id, -1, now)
+    if pulled:
+        _update(board, whole_pull_after=now + WHOLE_PULL_SECONDS)
+    return pulled
 
 
 def _answer_peer(
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -476,6 +476,16 @@
         again = of_type(entry.feed(answer), actions.PullObjects)
         self.assertFalse(again)
 
+    def test_unknown_peer_puts_off_no_pull_of_the_whole_set(self):
+        """Guards against a skipped change that stays for half a minute longer."""
+        entry = ready_entry()
+        entry.changed(13, stored("upstream", "u", 13))
+        answer = peer_answer(13, (), since=13, digest="other")
+        self.assertFalse(of_type(entry.feed(answer), actions.PullObjects))
+        entry.join("n2")
+        pulled = of_type(entry.feed(answer), actions.PullObjects)
+        self.assertEqual([action.request.since for action in pulled], [-1])
+
 
 def change_request(version=10, weight=2.0, change_id="c1", **fields):
     item = stored("client_account", "hotel", version, change_id, quota_weight=weight)
