Note unreadable objects where an answer arrives

The three outcomes of a store answer each repeated the note. The two handlers of answers make it once. No decision changes; tests.controllers.test_store_watch passes as it is.

--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -171,7 +171,7 @@
     _update(board, event.scope, list_after=list_after)
     removed = _removed(event, board)
     first = _position(board, known) < 0
-    return _take_answer(
+    taken = _take_answer(
         board,
         event,
         (*event.objects, *removed),
@@ -179,6 +179,7 @@
         random,
         PUSH_COUNT if first or removed else 0,
     )
+    return (*_note_unreadable(event), *taken)
 
 
 def _removed(event: events.ObjectsListed, board: Board) -> list[events.StoredObject]:
@@ -200,7 +201,8 @@
 def _take_watch(
     event: events.ObjectsChanged, board: Board, now: float, random: Random
 ) -> Actions:
-    return _take_answer(board, event, event.objects, now, random, PUSH_COUNT)
+    taken = _take_answer(board, event, event.objects, now, random, PUSH_COUNT)
+    return (*_note_unreadable(event), *taken)
 
 
 def _take_answer(
@@ -216,13 +218,11 @@
     An answer below the revision that is known comes late or from a store that lost
     changes. Its objects are still merged by version, which never reverts one.
     """
-    unreadable = _note_unreadable(event)
     known = board.store_scopes_by_name[event.scope]
     if event.revision < _position(board, known) and event.may_be_stale:
         # Peers know more already; the next answer may have caught up.
         kept = _without_early_removals(board, event.scope, objects, now)
         return (
-            *unreadable,
             *_note_contact(board, known, now),
             actions.Emit(events.ObjectsReceived(kept, -1, push_count)),
             *_set_timer(board, event.scope, now + STALE_PAUSE_SECONDS),
@@ -230,7 +230,6 @@
     if event.revision < _position(board, known):
         received = events.ObjectsReceived(tuple(objects), -1, push_count)
         return (
-            *unreadable,
             *note_outdated(board, "store", event.revision),
             actions.Emit(received),
             *_retry(board, event.scope, now, random),
@@ -241,7 +240,6 @@
     complete = _complete_revision(board)
     pause = _pause_seconds(board.settings.store, event.scope)
     return (
-        *unreadable,
         *decided,
         actions.Emit(events.ObjectsReceived(kept, complete, push_count)),
         *_set_timer(board, event.scope, now + pause),
