Simplify how the soak starts, kills and replaces processes

An entry that is started again keeps its zone (all came back in zone a). A process that has logged "serving" has no excuse for an exit by the signal any more; the 2 s after its start were one beside that. Killing an entry and a server is one function. A refused notice of a leaving server is repeated alone, where each repeat started one more server.

--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -71,6 +71,12 @@
     server: str
 
 
+class DrainServer(NamedTuple):
+    """Writes that a server leaves, until the store has taken it."""
+
+    server: str
+
+
 class EndServer(NamedTuple):
     """Ends a server that was emptied."""
 
@@ -113,9 +119,16 @@
 def _kill(act: faults.KillEntry, fleet: SoakFleet, now: float) -> Steps:
     if not fleet.is_running(act.entry):
         return ()
-    fleet.board.disturb(act.entry, "killed", now, act.seconds + START_SECONDS)
-    fleet.kill(act.entry)
-    return (Step(now + act.seconds, StartEntry(act.entry)),)
+    return _kill_process(act.entry, act.seconds, StartEntry(act.entry), fleet, now)
+
+
+def _kill_process(
+    name: str, seconds: float, following: Any, fleet: SoakFleet, now: float
+) -> Steps:
+    """Kill a process; what follows after some seconds starts it again."""
+    fleet.board.disturb(name, "killed", now, seconds + START_SECONDS)
+    fleet.kill(name)
+    return (Step(now + seconds, following),)
 
 
 @perform.register
@@ -131,7 +144,7 @@
 def _start(act: StartEntry, fleet: SoakFleet, now: float) -> Steps:
     if not fleet.is_running(act.entry):
         fleet.board.disturb(act.entry, STARTING, now, START_SECONDS, planned=True)
-        fleet.start_gateway(act.entry, wait=False)
+        fleet.launch_gateway(act.entry)
     return ()
 
 
@@ -153,24 +166,13 @@
         return (Step(now + POLL_SECONDS, act),)
     if status is None:
         fleet.kill(act.entry)
-    elif status not in (0, -signal.SIGKILL) and not _was_starting(act, fleet):
+    elif status not in (0, -signal.SIGKILL) and fleet.has_served(act.entry):
+        # Before that it has read no call, and the signal itself ends it.
         row = ProblemRow(act.entry, f"exit status {status} after SIGTERM")
         fleet.board.problems.append(row)
     return (Step(now + RESTART_SECONDS, StartEntry(act.entry)),)
 
 
-def _was_starting(act: AwaitExit, fleet: SoakFleet) -> bool:
-    """Return whether a process was asked to stop before it had read any call.
-
-    It is then ended by the signal itself. On a busy machine a start takes longer than
-    usual (4.3 s were seen), which its log shows.
-    """
-    if not fleet.has_served(act.entry):
-        return True
-    asked_at = act.kill_at - GRACE_SECONDS
-    return fleet.board.was_starting(act.entry, asked_at, asked_at)
-
-
 @perform.register
 def _reload(act: faults.ReloadEntry, fleet: SoakFleet, now: float) -> Steps:
     if fleet.is_running(act.entry) and fleet.is_ready(act.entry):
@@ -241,9 +243,7 @@
 def _kill_server(act: faults.KillServer, fleet: SoakFleet, now: float) -> Steps:
     if not fleet.is_in_service(act.server):
         return ()
-    fleet.board.disturb(act.server, "killed", now, act.seconds + START_SECONDS)
-    fleet.kill(act.server)
-    return (Step(now + act.seconds, StartServer(act.server)),)
+    return _kill_process(act.server, act.seconds, StartServer(act.server), fleet, now)
 
 
 @perform.register
@@ -263,7 +263,14 @@
         return (Step(now + POLL_SECONDS, act),)
     fleet.start_next_server(fleet.services_by_server[act.server])
     fleet.board.disturb(act.server, "emptied", now, math.inf, planned=True)
-    if not fleet.drain_server(act.server):
+    return perform(DrainServer(act.server), fleet, now)
+
+
+@perform.register
+def _drain_server(act: DrainServer, fleet: SoakFleet, now: float) -> Steps:
+    if not fleet.is_in_service(act.server):
+        return ()
+    if not _store_answers(fleet, now) or not fleet.drain_server(act.server):
         return (Step(now + POLL_SECONDS, act),)
     acknowledged_at = time.time()
     fleet.board.drained_at_by_server[act.server] = acknowledged_at
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -38,6 +38,7 @@
         self.links_by_subject: dict[str, FakeLink] = {}
         self.services_by_server: dict[str, str] = {}
         self.born_by_server: dict[str, int] = {}
+        self.zones_by_entry: dict[str, str] = {}
         self.serving_lines_by_entry: dict[str, int] = {}
         self.change_count = 0
         self.server_count = 0
@@ -53,7 +54,8 @@
         names = [f"entry-{index}" for index in range(entry_count)]
         for index, name in enumerate(names):
             self.links_by_subject[name] = FakeLink(self.ports_by_name["store"])
-            self.start_gateway(name, "ab"[index % 2], wait=False)
+            self.zones_by_entry[name] = "ab"[index % 2]
+            self.launch_gateway(name)
         for name in names:
             self.wait_gateway(name)
 
@@ -98,18 +100,16 @@
         self.born_by_server[name] = int(time.time() * 1000)
         self.start_server(name, self.services_by_server[name], "a", EVENT_SECONDS)
 
-    def start_gateway(
-        self, name: str, zone: str = "a", wait: bool = True, output: int | None = None
-    ) -> None:
+    def launch_gateway(self, name: str) -> None:
         """Start an entry, and note how often it has logged that it serves."""
-        log = Path(self.folder.name) / f"{name}.log"
-        text = log.read_text() if log.exists() else ""
-        self.serving_lines_by_entry[name] = text.count(SERVING)
-        super().start_gateway(name, zone, wait, output)
+        if name in self.processes_by_name:
+            self.serving_lines_by_entry[name] = self.log_text(name).count(SERVING)
+        self.start_gateway(name, self.zones_by_entry[name], wait=False)
 
     def has_served(self, name: str) -> bool:
         """Return whether the newest process of an entry got ready to serve."""
-        return self.log_text(name).count(SERVING) > self.serving_lines_by_entry[name]
+        known = self.serving_lines_by_entry.get(name, 0)
+        return self.log_text(name).count(SERVING) > known
 
     def is_running(self, name: str) -> bool:
         """Return whether a process has not ended."""
