Reserve the ports of test fleets while the fleets run

Cause: free_port closed its probe socket before the process that was to listen had started, so two test runs whose search started at the same place got the same ports. Ruled out: port 0, because entries and fakes restart on the port that others know. The reservation is a bound socket that does not listen; servers bind beside it with address reuse.

--- a/experiments/configuration_propagation.py
+++ b/experiments/configuration_propagation.py
@@ -21,7 +21,7 @@
 from carawayhitch import codecs, controllers
 from carawayhitch.board import Board, new_board
 from carawayhitch.core import actions, events, settings
-from fakes.processes import ADMIN_TOKEN, Fleet, call, free_port, token_hash
+from fakes.processes import ADMIN_TOKEN, Fleet, call, token_hash
 
 ADMIN_HEADERS = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
 ZONES = "abc"
@@ -67,7 +67,7 @@
     fleet.put_defaults()
     names = [f"entry-{index}" for index in range(entry_count)]
     for name in names:
-        fleet.entry_ports[name] = (free_port(), free_port())
+        fleet.reserve_entry_ports(name)
     start_entries(fleet, names)
     return fleet, names
 
--- a/experiments/relay_cost.py
+++ b/experiments/relay_cost.py
@@ -18,7 +18,7 @@
 
 import uvloop
 
-from fakes.processes import ACCOUNT_TOKENS, Fleet, call, free_port, token_hash
+from fakes.processes import ACCOUNT_TOKENS, Fleet, call, token_hash
 
 INTERVAL_SECONDS = 0.035
 # Callers that arrive together while the scheduler settles would exceed the queue limit
@@ -243,12 +243,12 @@
         self.fleet = Fleet(SETTINGS)
         self.fleet.start_platform()
         self.fleet.put_defaults()
-        port = self.fleet.ports_by_name["engine-1"] = free_port()
+        port = self.fleet.ports_by_name["engine-1"] = self.fleet.reserve_port()
         self.engine = multiprocessing.Process(target=run_engine, args=(port,))
         self.engine.start()
         self.copy: multiprocessing.Process | None = None
         if copy_only:
-            self.port = free_port()
+            self.port = self.fleet.reserve_port()
             self.copy = multiprocessing.Process(target=run_copy, args=(self.port, port))
             self.copy.start()
             self.pid = self.copy.pid
@@ -264,7 +264,7 @@
 
     def add_full_engine(self) -> None:
         """Add an engine for one generation and an account that may queue one call."""
-        port = self.fleet.ports_by_name["engine-2"] = free_port()
+        port = self.fleet.ports_by_name["engine-2"] = self.fleet.reserve_port()
         self.full_engine = multiprocessing.Process(target=run_engine, args=(port, 1))
         self.full_engine.start()
         self.fleet.add_vm_to_list("engine-2", "engine", {"model": "full"}, "a")
--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from fakes.processes import START_TIMEOUT_SECONDS, Fleet, call, free_port
+from fakes.processes import START_TIMEOUT_SECONDS, Fleet, call
 
 HOST = "shop.example"
 KEY = "key-of-hotel"
@@ -178,10 +178,10 @@
         output : int, optional
             File descriptor for standard output; by default, the log file.
         """
-        ports = self.gateways_by_name.setdefault(
-            name,
-            {part: free_port() for part in ("callers", "readiness", "metrics", "own")},
-        )
+        if name not in self.gateways_by_name:
+            parts = ("callers", "readiness", "metrics", "own")
+            self.gateways_by_name[name] = {part: self.reserve_port() for part in parts}
+        ports = self.gateways_by_name[name]
         self.ports_by_name[name] = ports["callers"]
         text = f"""
 [node]
--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -13,18 +13,18 @@
 import time
 import urllib.error
 import urllib.request
-from contextlib import suppress
 from hashlib import sha256
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 PEER_SECRET = "loopback-only-secret-of-the-stand-ins"
 ACCOUNT_TOKENS = {"hotel": "hotel-token", "inspection": "inspection-token"}
 ADMIN_TOKEN = "admin-token"
 START_TIMEOUT_SECONDS = 20.0
-# Below the ephemeral port range of Linux.
+# Below the ephemeral port range of Linux: an outgoing connection could take such a port
+# and keep a process from listening on it again after a restart.
 FIRST_PORT, PORT_COUNT = 20_000, 12_000
-# Ports allotted to one test process or soak run.
+# Concurrent test runs start their search in different blocks of ports.
 PORT_BLOCK = 64
 _candidate_ports = (
     FIRST_PORT + (os.getpid() * PORT_BLOCK + index) % PORT_COUNT
@@ -32,17 +32,35 @@
 )
 
 
-def free_port() -> int:
-    """Return a TCP port that is free at the time of the call.
+class PortReservation(NamedTuple):
+    """A port on the loopback address and the bound socket that reserves it."""
 
-    It is not an ephemeral port: an outgoing connection could take that and keep a
-    process from listening on it again after a restart. Concurrent processes start in
-    different blocks of ports.
+    port: int
+    holder: socket.socket
+
+
+def reserve_port() -> PortReservation:
+    """Reserve a port until the returned socket is closed.
+
+    The socket is bound exclusively, so of several concurrent test runs only one gets
+    the port. Afterwards it allows address reuse, with which servers bind: Linux lets
+    them listen beside a bound socket that does not listen itself. A process can
+    therefore restart on its port while the reservation lasts.
+
+    Raises
+    ------
+    RuntimeError
+        If no port is free.
     """
-    for port in _candidate_ports:
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
+    for port in itertools.islice(_candidate_ports, PORT_COUNT):
+        holder = socket.socket()
+        try:
+            holder.bind(("127.0.0.1", port))
+        except OSError:
+            holder.close()
+            continue
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return PortReservation(port, holder)
     raise RuntimeError("no free port found")
 
 
@@ -104,6 +122,7 @@
         self.ports_by_name: dict[str, int] = {}
         self.vms: list[dict[str, Any]] = []
         self.entry_ports: dict[str, tuple[int, int]] = {}
+        self.port_holders: list[socket.socket] = []
 
     def __enter__(self) -> Fleet:
         return self
@@ -111,6 +130,12 @@
     def __exit__(self, *_: object) -> None:
         self.stop()
 
+    def reserve_port(self) -> int:
+        """Reserve a port for a process of this fleet until the fleet stops."""
+        reservation = reserve_port()
+        self.port_holders.append(reservation.holder)
+        return reservation.port
+
     def url(self, name: str) -> str:
         """Return the base URL of a process."""
         return f"http://127.0.0.1:{self.ports_by_name[name]}"
@@ -121,7 +146,7 @@
 
     def start_module(self, name: str, module: str, *arguments: str) -> None:
         """Start ``python -m module --port ...`` and wait until it listens."""
-        port = self.ports_by_name.get(name) or free_port()
+        port = self.ports_by_name.get(name) or self.reserve_port()
         self.ports_by_name[name] = port
         self._spawn(
             name, [sys.executable, "-m", module, "--port", str(port), *arguments]
@@ -249,8 +274,7 @@
 
     def start_entry(self, name: str, zone: str = "a", wait: bool = True) -> None:
         """Start an entry; if `wait` is true, wait until it is ready."""
-        ports = self.entry_ports.get(name) or (free_port(), free_port())
-        self.entry_ports[name] = ports
+        ports = self.reserve_entry_ports(name)
         self.ports_by_name[name] = ports[0]
         if self.seeds_from_vm_list:
             self.add_vm_to_list(name, "entry", {}, zone, port=ports[1])
@@ -262,6 +286,12 @@
         if wait:
             self.wait_ready(name)
 
+    def reserve_entry_ports(self, name: str) -> tuple[int, int]:
+        """Return the HTTP port and the peer port of an entry, reserved at first use."""
+        if name not in self.entry_ports:
+            self.entry_ports[name] = (self.reserve_port(), self.reserve_port())
+        return self.entry_ports[name]
+
     def write_settings(self, name: str, zone: str = "a", added_text: str = "") -> Path:
         """Replace the settings file of an entry atomically and return its path."""
         path = Path(self.folder.name) / f"{name}.toml"
@@ -338,4 +368,6 @@
                 os.kill(process.pid, signal.SIGKILL)
         for process in self.processes_by_name.values():
             process.wait()
+        for holder in self.port_holders:
+            holder.close()
         self.folder.cleanup()
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -12,7 +12,7 @@
 import unittest
 from pathlib import Path
 
-from fakes.processes import ADMIN_TOKEN, Fleet, call, free_port, token_hash
+from fakes.processes import ADMIN_TOKEN, Fleet, call, token_hash
 
 IN_FORCE_LIMIT_SECONDS = 8.0
 ADMIN_HEADERS = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
@@ -28,7 +28,7 @@
         self.fleet.start_platform()
         self.fleet.put_defaults()
         for name in self.entries:
-            self.fleet.entry_ports[name] = (free_port(), free_port())
+            self.fleet.reserve_entry_ports(name)
         for index, name in enumerate(self.entries):
             self.fleet.start_entry(name, zone="ab"[index % 2], wait=False)
         for name in self.entries:
