Accept fractions and refuse values out of range from the platform

In the other direction nothing bounded ports, start times and addresses, and the decoding error of an entry's registration was not handled: it left the controllers' event loop before the next watch was set.

Ruled out: rounding in the template, which would change the retry budget of a small deployment by up to a third of a retry a machine. Counts that only operators set stay whole numbers.

--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -27,6 +27,7 @@
     decode_peer_keys,
     encode_entry_registration,
     encode_peer_keys,
+    is_ip_address,
 )
 from carawayhitch.codecs._event_stream import EventBlock, split_events
 from carawayhitch.codecs._journal import (
@@ -166,6 +167,7 @@
     "encode_trace_header",
     "encode_trace_step",
     "forward_signature_payload",
+    "is_ip_address",
     "mapping_from_record",
     "message_type_name",
     "object_bodies_from_rows",
--- a/src/carawayhitch/codecs/_entries.py
+++ b/src/carawayhitch/codecs/_entries.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TypedDict
+from ipaddress import ip_address
+from typing import Annotated, TypedDict
 
 import msgspec
+from msgspec import Meta
 
 from carawayhitch.core import errors, events, result_codes
 from carawayhitch.core import settings as settings_types
@@ -14,8 +16,8 @@
     """Registration of an entry in the store."""
 
     address: str
-    peer_port: int
-    http_port: int
+    peer_port: Annotated[int, Meta(ge=1, le=65535)]
+    http_port: Annotated[int, Meta(ge=0, le=65535)]
     zone: str
     region: str
 
@@ -36,6 +38,15 @@
     return errors.MalformedMessageError(code, f"{error}")
 
 
+def is_ip_address(text: str) -> bool:
+    """Return whether a text is an IP address, which needs no name lookup."""
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def encode_entry_registration(node: settings_types.NodeSettings) -> bytes:
     """Return the store value of an entry's registration."""
     body: EntryBody = {
@@ -54,12 +65,15 @@
     Raises
     ------
     MalformedMessageError
-        If a field is missing or has another type.
+        If a field is missing, has another type or is out of range.
     """
     try:
         body = _entry_decoder.decode(value)
     except (msgspec.MsgspecError, RecursionError) as error:
         raise _store_value_error(error) from None
+    if not is_ip_address(body["address"]):
+        found = f"address is {body['address'][:80]!r}, expected an IP address"
+        raise _store_value_error(ValueError(found))
     return events.VmListed(
         vm_id=name,
         address=f"{body['address']}:{body['peer_port']}",
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -178,7 +178,7 @@
 
     Parameters
     ----------
-    fleet_limit : int
+    fleet_limit : float
         Retries beyond the share that all entries together may make for one serving
         group within ``fleet_window_seconds``; 0 for no such limit. Each entry may use
         an equal part of it.
@@ -186,7 +186,7 @@
 
     budget_share: UnitFraction = 0.1
     budget_minimum_per_second: PositiveSeconds = 1.0
-    fleet_limit: Annotated[int, Meta(ge=0)] = 0
+    fleet_limit: Annotated[float, Meta(ge=0)] = 0.0
     fleet_window_seconds: PositiveSeconds = 10.0
     backoff_base_seconds: PositiveSeconds = 0.05
     backoff_limit_seconds: PositiveSeconds = 2.0
--- a/src/carawayhitch/platform/_declarations.py
+++ b/src/carawayhitch/platform/_declarations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from hashlib import sha256
 from typing import Any, NotRequired, TypedDict
 
@@ -15,6 +16,9 @@
 WORK_BY_KIND = {"safe": "repeatable", "unsafe": "once", "streaming": "stream"}
 DEFAULT_PRIORITY = 5
 MAXIMUM_PORT = 65535
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+# Ids of upstreams are sent in a header.
+UPSTREAM_ID_PATTERN = re.compile(r"[!-~]{1,255}")
 # The protocol specifies when callers abandon a stream: after a gap of two seconds, four
 # times the goal or eight times the goal for gaps between events, whichever is longest.
 MINIMUM_ABANDONMENT_SECONDS = 2.0
@@ -29,7 +33,7 @@
     """A service and its share of a route's calls."""
 
     service: str
-    weight: float
+    weight: _names.Count
 
 
 class RouteBody(TypedDict):
@@ -41,11 +45,11 @@
     kind: str
     service: NotRequired[str]
     split: NotRequired[list[SplitBody]]
-    timeoutMs: NotRequired[float]
-    goalMs: NotRequired[float]
-    gapGoalMs: NotRequired[float]
-    priority: NotRequired[int]
-    maxAttempts: NotRequired[int]
+    timeoutMs: NotRequired[_names.Milliseconds]
+    goalMs: NotRequired[_names.Milliseconds]
+    gapGoalMs: NotRequired[_names.Milliseconds]
+    priority: NotRequired[_names.Count]
+    maxAttempts: NotRequired[_names.Count]
     public: NotRequired[bool]
     resumable: NotRequired[bool]
 
@@ -53,12 +57,12 @@
 class EngineBody(TypedDict):
     """Capacity of a service's engines; ``stride`` is the number of tokens per event."""
 
-    slots: int
-    kvCapacityTokens: int
-    kvTokenBytes: NotRequired[int]
-    linkMbps: NotRequired[float]
+    slots: _names.Count
+    kvCapacityTokens: _names.Count
+    kvTokenBytes: NotRequired[_names.Count]
+    linkMbps: NotRequired[_names.Count]
     moves: NotRequired[bool]
-    stride: NotRequired[int]
+    stride: NotRequired[_names.Count]
 
 
 class ServiceBody(TypedDict):
@@ -71,10 +75,10 @@
 class LimitsBody(TypedDict):
     """Limits of sizes and times of callers' requests."""
 
-    headerBytes: NotRequired[int]
-    bodyBytes: NotRequired[int]
-    headerTimeoutMs: NotRequired[float]
-    idleTimeoutMs: NotRequired[float]
+    headerBytes: NotRequired[_names.Count]
+    bodyBytes: NotRequired[_names.Count]
+    headerTimeoutMs: NotRequired[_names.Milliseconds]
+    idleTimeoutMs: NotRequired[_names.Milliseconds]
 
 
 class TenantBody(TypedDict):
@@ -82,13 +86,13 @@
 
     name: str
     apiKeys: NotRequired[list[str]]
-    priority: NotRequired[int | None]
+    priority: NotRequired[_names.Count | None]
 
 
 class ConfigurationBody(TypedDict):
     """The complete configuration, written by operators."""
 
-    version: int
+    version: _names.Count
     routes: list[RouteBody]
     services: list[ServiceBody]
     limits: NotRequired[LimitsBody]
@@ -102,9 +106,9 @@
     address: str
     zone: str
     state: str
-    slots: NotRequired[int]
-    coldLeftMs: NotRequired[float]
-    born: NotRequired[int]
+    slots: NotRequired[_names.Count]
+    coldLeftMs: NotRequired[_names.Milliseconds]
+    born: NotRequired[_names.UnixMilliseconds]
     models: NotRequired[list[Any] | None]
 
 
@@ -142,7 +146,7 @@
         except (
             msgspec.MsgspecError,
             RecursionError,
-            errors.InvalidValueError,
+            errors.CarawayhitchError,
         ) as error:
             problem = f"{stored.kind}/{stored.name}: {error}"[:300]
     return events.DecodedObject(
@@ -167,7 +171,7 @@
     ]
     return declarations.DeclarationSet(
         name,
-        body["version"],
+        int(body["version"]),
         (
             *routes,
             *(_decode_serving_group(service) for service in body["services"]),
@@ -200,13 +204,13 @@
         host=body["host"],
         path_prefix=body["pathPrefix"],
         shares=tuple(shares),
-        priority=body.get("priority", DEFAULT_PRIORITY),
+        priority=int(body.get("priority", DEFAULT_PRIORITY)),
         work=work,
         resumable=work == "stream" and body.get("resumable", False),
         timeout_seconds=timeout_seconds,
         goal_seconds=goal_seconds,
         patience_seconds=_abandonment_seconds(work, goal_seconds, gap_goal_seconds),
-        attempt_limit=max(1, body.get("maxAttempts", 1)),
+        attempt_limit=max(1, int(body.get("maxAttempts", 1))),
         public=is_public_by_default or body.get("public", False),
     )
 
@@ -232,12 +236,12 @@
     capacity = None
     if engine is not None:
         capacity = declarations.EngineCapacity(
-            slots=engine["slots"],
-            memory_tokens=engine["kvCapacityTokens"],
-            token_bytes=engine.get("kvTokenBytes", 0),
+            slots=max(1, int(engine["slots"])),
+            memory_tokens=max(1, int(engine["kvCapacityTokens"])),
+            token_bytes=int(engine.get("kvTokenBytes", 0)),
             link_bits_per_second=engine.get("linkMbps", 0.0) * 1e6,
             can_move=engine.get("moves", False),
-            tokens_per_event=max(1, engine.get("stride", 1)),
+            tokens_per_event=max(1, int(engine.get("stride", 1))),
         )
     return declarations.ServingGroup(
         name=body["name"],
@@ -248,6 +252,7 @@
 
 
 def _decode_account(body: TenantBody) -> declarations.ClientAccount:
+    priority = body.get("priority")
     return declarations.ClientAccount(
         name=body["name"],
         token_sha256s=tuple(
@@ -256,7 +261,7 @@
             )
         ),
         queue_limit=ACCOUNT_QUEUE_LIMIT,
-        priority=body.get("priority"),
+        priority=None if priority is None else int(priority),
     )
 
 
@@ -264,8 +269,8 @@
     defaults = declarations.CallerLimits("default")
     return declarations.CallerLimits(
         name="default",
-        header_bytes=body.get("headerBytes", defaults.header_bytes),
-        body_bytes=body.get("bodyBytes", defaults.body_bytes),
+        header_bytes=int(body.get("headerBytes", defaults.header_bytes)),
+        body_bytes=int(body.get("bodyBytes", defaults.body_bytes)),
         header_seconds=_positive_seconds(
             body.get("headerTimeoutMs", 0.0), defaults.header_seconds
         ),
@@ -285,8 +290,12 @@
     msgspec.MsgspecError
         If a field is missing or has the wrong type.
     InvalidValueError
-        If the state is unknown or the address is malformed.
+        If the state is unknown, or the id or the address is malformed.
     """
+    if not UPSTREAM_ID_PATTERN.fullmatch(name):
+        raise _invalid_declaration(
+            f"id is {name[:80]!r}, expected 1 to 255 printable ASCII characters"
+        )
     body = _registration_decoder.decode(value)
     if body["state"] not in _names.STATES:
         raise _invalid_declaration(
@@ -302,15 +311,19 @@
         kind="engine" if body.get("models") else "service",
         labels={declarations.SERVICE_LABEL: body["service"]},
         leaving=body["state"] == _names.DRAINING,
-        running_limit=max(0, body.get("slots", 0)),
+        running_limit=int(body.get("slots", 0)),
         started_at=body.get("born", 0),
     )
 
 
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) <= MAXIMUM_PORT:
-        raise _invalid_declaration(f"address is {address!r}, expected IP:PORT")
+    if (
+        not codecs.is_ip_address(host)
+        or not PORT_PATTERN.fullmatch(port)
+        or not 0 < int(port) <= MAXIMUM_PORT
+    ):
+        raise _invalid_declaration(f"address is {address[:80]!r}, expected IP:PORT")
 
 
 def _invalid_declaration(message: str) -> errors.InvalidValueError:
--- a/src/carawayhitch/platform/_engines.py
+++ b/src/carawayhitch/platform/_engines.py
@@ -24,14 +24,14 @@
     memory.
     """
 
-    queued: int
-    active: int
-    kvUsed: int
-    kvTotal: int
-    born: NotRequired[int]
+    queued: _names.Count
+    active: _names.Count
+    kvUsed: _names.Count
+    kvTotal: _names.Count
+    born: NotRequired[_names.UnixMilliseconds]
     state: NotRequired[str]
     # Time until the engine stops, in milliseconds.
-    leaves_ms: NotRequired[float | None]
+    leaves_ms: NotRequired[_names.Milliseconds | None]
     runs: NotRequired[list[Any]]
 
 
@@ -52,11 +52,11 @@
     return events.LoadReported(
         upstream_id=upstream_id,
         reported_at=now - REPORT_LAG_SECONDS,
-        memory_capacity=body["kvTotal"],
-        memory_used=body["kvUsed"],
-        running_count=body["active"],
+        memory_capacity=int(body["kvTotal"]),
+        memory_used=int(body["kvUsed"]),
+        running_count=int(body["active"]),
         running_limit=0,
-        waiting_count=body["queued"],
+        waiting_count=int(body["queued"]),
         preemption_count=0,
         leaving=body.get("state") == _names.DRAINING,
         polled_at=now,
@@ -80,7 +80,7 @@
     """
 
     handle: NotRequired[str]
-    created: NotRequired[int]
+    created: NotRequired[_names.Count]
 
 
 _move_response_decoder = msgspec.json.Decoder(MoveResponseBody)
--- a/src/carawayhitch/platform/_names.py
+++ b/src/carawayhitch/platform/_names.py
@@ -2,6 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
+from msgspec import Meta
+
+# Numbers in bodies may be fractions unless the protocol says otherwise. Larger values
+# than these limits are errors of the writer: they would overflow timers and counters.
+Count = Annotated[float, Meta(ge=0, le=1e15)]
+Milliseconds = Annotated[float, Meta(ge=-1e12, le=1e12)]
+# Unix time of a start in milliseconds, always a whole number.
+UnixMilliseconds = Annotated[int, Meta(ge=0, le=2**53)]
+
 REQUEST_ID = "Carawayhitch-Request-Id"
 # Remaining time of the request in milliseconds; not a point in time.
 DEADLINE = "Carawayhitch-Deadline-Ms"
