Decode each object of the store by itself

Cause: a list or watch was decoded as one JSON value. A number out of range lost the whole page; nesting deeper than 1,000 raised RecursionError, which nothing caught, so the operation never got its event and the watch was not renewed; an odd last object ended a list early, so that the objects of later pages counted as deleted; an odd object beside the configuration made it rejected.

Pages are now split into undecoded items, by msgspec and otherwise by a scan that does not recurse, and each item is decoded alone. An odd value names no server to use and never rejects the others; a named object without a readable revision keeps its last value; skipped ones are counted and logged with their names. Every exception ends a store operation with its event, and bodies are read up to 8 MB. The store's own client and the list of VMs do the same.

--- a/fakes/platform_store.py
+++ b/fakes/platform_store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections import Counter
 from typing import Any
 
@@ -31,6 +32,7 @@
         self.silent = False
         self.refused_zones: set[str] = set()
         self.lost_answers = 0
+        self.odd_items: list[str] = []
         self.calls: Counter[str] = Counter()
         self._changed = asyncio.Event()
 
@@ -116,9 +118,10 @@
         )
         page = names[:PAGE_ITEMS]
         items = [self.objects_by_key[kind, name] for name in page]
-        return web.json_response(
+        text = json.dumps(
             {"items": items, "hasMore": len(names) > len(page), "at": self.revision}
         )
+        return self._with_odd_items(text, "items", self.odd_items)
 
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
         since = int(request.query["watch"])
@@ -141,7 +144,20 @@
                 await asyncio.wait_for(changed.wait(), left)
             except TimeoutError:
                 continue
-        return web.json_response({"events": found, "at": self.revision})
+        text = json.dumps({"events": found, "at": self.revision})
+        changes = [f'{{"object":{item},"deleted":false}}' for item in self.odd_items]
+        return self._with_odd_items(text, "events", changes if found else [])
+
+    def _with_odd_items(
+        self, text: str, list_name: str, odd_items: list[str]
+    ) -> web.Response:
+        """Return a response whose list begins with the injected odd items."""
+        start = f'"{list_name}": ['
+        assert start in text
+        rest = text.split(start, 1)[1]
+        separator = ", " if odd_items and not rest.startswith("]") else ""
+        text = text.replace(start, start + ", ".join(odd_items) + separator, 1)
+        return web.Response(text=text, content_type="application/json")
 
     async def create(self, request: web.Request) -> web.Response:
         """Create an object; 409 with the stored object if it exists."""
@@ -189,12 +205,14 @@
 
         ``status``: status of all calls; 0 for normal service; ``silent``: whether calls
         get no response; ``forget``: discard the watch history; ``lost_answers``: number
-        of writes that take effect but get no response.
+        of writes that take effect but get no response; ``odd_items``: JSON texts that
+        every list and every watch with changes contains, whatever its kind.
         """
         faults = await request.json()
         self.status = faults.get("status", self.status)
         self.silent = faults.get("silent", self.silent)
         self.lost_answers = faults.get("lost_answers", 0)
+        self.odd_items = faults.get("odd_items", self.odd_items)
         if faults.get("forget"):
             self.revision += 1
             self.forgotten = self.revision
--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from carawayhitch.backends._bodies import BodyTooLargeError, read_limited
 from carawayhitch.backends._calls import (
     CONNECTION_HEADERS,
     CallContent,
@@ -40,6 +41,7 @@
     "CONNECTION_HEADERS",
     "FORWARD_PATH",
     "PROOF_HEADER",
+    "BodyTooLargeError",
     "CallContent",
     "Caller",
     "PeerSocket",
@@ -57,6 +59,7 @@
     "open_session",
     "read_cache_events",
     "read_engine_state",
+    "read_limited",
     "read_load",
     "read_vm_list",
     "resume_generation",
--- a/src/carawayhitch/backends/_object_store.py
+++ b/src/carawayhitch/backends/_object_store.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from carawayhitch.backends._bodies import read_limited
 from carawayhitch.codecs import (
     decode_object_list,
     decode_stored_object,
@@ -17,6 +18,8 @@
 
 DECLARED_KINDS = ",".join(declarations.declaration_types_by_kind)
 STORE_SOURCE = "store"
+# The declarations at the size in docs/CAPACITY.md take 0.4 MB, a claim journal 0.9 MB.
+BODY_BYTES_LIMIT = 8_388_608
 
 
 class StoreClient(NamedTuple):
@@ -44,6 +47,11 @@
         return events.StoreCallFailed(action.operation_id, repr(error))
     except errors.MalformedMessageError as error:
         return events.StoreCallFailed(action.operation_id, error.message)
+    except Exception as error:
+        # Without an event, the operation would never end and a watch never be renewed.
+        return events.StoreCallFailed(
+            action.operation_id, f"unexpected error: {error!r}"
+        )
 
 
 @singledispatch
@@ -59,7 +67,7 @@
             absent = events.StoredObject(action.kind, action.name, 0, b"")
             return events.ObjectRead(action.operation_id, absent)
         response.raise_for_status()
-        stored = decode_stored_object(await response.read())
+        stored = decode_stored_object(await read_limited(response, BODY_BYTES_LIMIT))
         return events.ObjectRead(action.operation_id, stored)
 
 
@@ -72,7 +80,7 @@
     ) as response:
         if response.status != 412:
             response.raise_for_status()
-        version = decode_written_version(await response.read())
+        version = decode_written_version(await read_limited(response, BODY_BYTES_LIMIT))
         accepted = response.status != 412
         return events.ObjectWritten(action.operation_id, accepted, version)
 
@@ -84,7 +92,7 @@
         f"{client.url}/objects", params=params, timeout=client.timeout
     ) as response:
         response.raise_for_status()
-        return decode_object_list(await response.read())
+        return decode_object_list(await read_limited(response, BODY_BYTES_LIMIT))
 
 
 @_perform.register
@@ -102,5 +110,10 @@
         if response.status == 410:
             return events.WatchExpired(action.operation_id)
         response.raise_for_status()
-        listed = decode_object_list(await response.read())
-        return events.ObjectsChanged(STORE_SOURCE, listed.revision, listed.objects)
+        listed = decode_object_list(await read_limited(response, BODY_BYTES_LIMIT))
+        return events.ObjectsChanged(
+            STORE_SOURCE,
+            listed.revision,
+            listed.objects,
+            unreadable_count=listed.unreadable_count,
+        )
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -36,6 +36,12 @@
     encode_journal,
     encode_journal_layout,
 )
+from carawayhitch.codecs._json_items import (
+    ItemList,
+    split_item_list,
+    split_list,
+    split_object,
+)
 from carawayhitch.codecs._keys import (
     decode_key_count,
     encode_issued_keys,
@@ -112,6 +118,7 @@
     "ChangeBody",
     "EventBlock",
     "FolderDeclarations",
+    "ItemList",
     "MemberStatusBody",
     "ObjectBody",
     "ObjectsBody",
@@ -184,6 +191,9 @@
     "sign_resume_token",
     "sort_keys_by_dependency",
     "split_events",
+    "split_item_list",
+    "split_list",
+    "split_object",
     "uuid7_unix_time",
     "verify_exchange",
     "verify_forwarded_call",
--- a/src/carawayhitch/codecs/_platform.py
+++ b/src/carawayhitch/codecs/_platform.py
@@ -2,37 +2,36 @@
 
 from __future__ import annotations
 
+import re
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
-from typing import Any, NotRequired, TypedDict, TypeVar
+from contextlib import suppress
+from typing import Annotated, Any, NotRequired, TypedDict
 
 import msgspec
+from msgspec import Meta
 
+from carawayhitch.codecs._json_items import split_item_list
 from carawayhitch.codecs._objects import decode_change_metadata
 from carawayhitch.core import actions, errors, events, result_codes, rows
 
-Body = TypeVar("Body")
-
 DRAINING_ROLE = "draining"
 
+Revision = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+VM_ADDRESS = re.compile(r"[^:]{1,255}:[0-9]{1,5}")
+MAXIMUM_PORT = 65535
+
 
 class StoredObjectBody(TypedDict):
     """One object of the store; the value is base64-encoded."""
 
     kind: str
     name: str
-    version: int
+    version: Revision
     value: str
     deleted: NotRequired[bool]
 
 
-class ObjectListBody(TypedDict):
-    """Response to a list or watch request."""
-
-    revision: int
-    objects: list[StoredObjectBody]
-
-
 class WriteResponseBody(TypedDict):
     """Response to a write."""
 
@@ -51,12 +50,6 @@
     leaving: NotRequired[bool]
 
 
-class VmListBody(TypedDict):
-    """VM list of the platform."""
-
-    vms: list[VmBody]
-
-
 class LoadBody(TypedDict):
     """Load of an engine, measured ``age_seconds`` before the response."""
 
@@ -86,7 +79,7 @@
     events: list[CacheEventBody]
 
 
-def _decode(body: bytes, body_type: type[Body], source: str) -> Body:
+def _decode(body: bytes, body_type: Any, source: str) -> Any:
     try:
         return msgspec.json.decode(body, type=body_type)
     except (msgspec.DecodeError, RecursionError) as error:
@@ -131,10 +124,21 @@
 
 
 def decode_object_list(body: bytes) -> events.ObjectsListed:
-    """Return the objects in a list or watch response."""
-    decoded = _decode(body, ObjectListBody, "store list")
-    objects = tuple(stored_object_from_body(item) for item in decoded["objects"])
-    return events.ObjectsListed(decoded["revision"], objects)
+    """Return the objects in a list or watch response.
+
+    An object that cannot be decoded is skipped and counted.
+    """
+    answer = split_item_list(body, "objects")
+    revision = answer.members_by_name.get("revision", b"")
+    objects: list[events.StoredObject] = []
+    for item in answer.items:
+        with suppress(errors.MalformedMessageError):
+            objects.append(decode_stored_object(item))
+    return events.ObjectsListed(
+        _decode(revision, Revision, "store list"),
+        tuple(objects),
+        unreadable_count=len(answer.items) - len(objects),
+    )
 
 
 def decode_written_version(body: bytes) -> int:
@@ -143,21 +147,34 @@
 
 
 def decode_vm_list(body: bytes) -> events.VmListReceived:
-    """Return the VMs in the platform's VM list."""
-    decoded = _decode(body, VmListBody, "VM list")
-    return events.VmListReceived(
-        tuple(
-            events.VmListed(
-                vm["id"],
-                vm["address"],
-                vm["zone"],
-                vm["region"],
-                vm["kind"],
-                vm.get("labels", {}),
-                vm.get("leaving", False),
-            )
-            for vm in decoded["vms"]
+    """Return the VMs in the platform's VM list.
+
+    A VM that cannot be decoded is skipped and counted.
+    """
+    items = split_item_list(body, "vms").items
+    vms: list[events.VmListed] = []
+    for item in items:
+        with suppress(errors.MalformedMessageError):
+            vms.append(_decode_vm(item))
+    return events.VmListReceived(tuple(vms), len(items) - len(vms))
+
+
+def _decode_vm(data: bytes) -> events.VmListed:
+    vm = _decode(data, VmBody, "VM")
+    _, _, port = vm["address"].rpartition(":")
+    if not VM_ADDRESS.fullmatch(vm["address"]) or not 0 < int(port) <= MAXIMUM_PORT:
+        raise errors.MalformedMessageError(
+            result_codes.STORE_CALL_FAILED,
+            f"VM address is {vm['address'][:80]!r}, expected IP:PORT",
         )
+    return events.VmListed(
+        vm["id"],
+        vm["address"],
+        vm["zone"],
+        vm["region"],
+        vm["kind"],
+        vm.get("labels", {}),
+        vm.get("leaving", False),
     )
 
 
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -48,6 +48,8 @@
 # together stay below the 2 s within which a change has to be active.
 LARGE_OBJECT_WAIT_SECONDS = 1.0
 CATCH_UP_TIMER = "configuration_catch_up"
+# Names in one log line about odd objects.
+LOGGED_NAMES_LIMIT = 20
 
 # An entry without known members does not count as isolated while a seed or peer
 # answers. After a restart of all entries, gossip fills the member table in this time.
@@ -262,7 +264,35 @@
         if board.objects_by_key[key].version == decoded.version:
             board.decoded_objects_by_key[key] = validate_decoded_object(decoded)
             kinds.add(decoded.kind)
-    return _apply_changed_kinds(board, kinds, now)
+    return (
+        *_report_odd_registrations(event.objects),
+        *_apply_changed_kinds(board, kinds, now),
+    )
+
+
+def _report_odd_registrations(decoded: Iterable[events.DecodedObject]) -> Actions:
+    """Count and log the registrations that cannot be decoded, once per version.
+
+    The problems of other objects are reported when their set is rejected.
+    """
+    odd = [
+        item
+        for item in decoded
+        if item.problem and item.kind in declarations.REGISTRATION_KINDS
+    ]
+    if not odd:
+        return ()
+    code = result_codes.STORE_OBJECT_UNREADABLE
+    fields = {
+        "code": code.name,
+        "objects": len(odd),
+        "names": [item.name for item in odd[:LOGGED_NAMES_LIMIT]],
+        "problem": odd[0].problem,
+    }
+    return (
+        actions.Count(code),
+        actions.Log("warning", "registrations could not be read", fields),
+    )
 
 
 def _apply_changed_kinds(board: Board, kinds: Iterable[str], now: float) -> Actions:
--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -191,10 +191,16 @@
 def _tombstones_of_unlisted(
     event: events.ObjectsListed, board: Board
 ) -> list[events.StoredObject]:
-    """Return tombstones for known objects that are missing in a list of their kind."""
+    """Return tombstones for known objects that are missing in a list of their kind.
+
+    An object that is listed but cannot be read keeps its last value.
+    """
     if not event.kinds:
         return []
     listed = {(stored.kind, stored.name) for stored in event.objects}
+    listed.update(
+        (kind, name) for kind in event.kinds for name in event.unreadable_names
+    )
     return [
         events.StoredObject(*key, event.revision, b"", deleted=True)
         for key, row in board.objects_by_key.items()
@@ -266,6 +272,7 @@
         "scope": event.scope,
         "revision": event.revision,
         "objects": event.unreadable_count,
+        "names": list(event.unreadable_names),
     }
     return (
         actions.Count(result_codes.STORE_OBJECT_UNREADABLE),
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -11,7 +11,14 @@
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._selectors import selector_matches
 from carawayhitch.controllers._store_watch import maximum_watch_seconds
-from carawayhitch.core import actions, declarations, events, messages, rows
+from carawayhitch.core import (
+    actions,
+    declarations,
+    events,
+    messages,
+    result_codes,
+    rows,
+)
 from carawayhitch.core import settings as settings_types
 
 VM_LIST_TIMER = "vm_list"
@@ -214,8 +221,11 @@
     logged = _upstream_change_logs(board, merged)
     board.upstreams_by_id.clear()
     board.upstreams_by_id.update(merged)
+    # The list is read again within seconds, so skipped VMs are counted but not logged.
+    unreadable = (actions.Count(result_codes.STORE_OBJECT_UNREADABLE),)
     return (
         *logged,
+        *(unreadable if event.unreadable_count else ()),
         *(_derive_cells_again(board) if changed else ()),
         *(
             actions.Emit(events.UpstreamLeaving(upstream_id))
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -139,6 +139,9 @@
 ANSWER_FOREIGN = ResultCode(
     2042, "ANSWER_FOREIGN", "unknown", 502, "The answer is of another generation."
 )
+ANSWER_TOO_LARGE = ResultCode(
+    2043, "ANSWER_TOO_LARGE", "unknown", 502, "The answer exceeds the size limit."
+)
 FORWARD_REFUSED = ResultCode(
     2009, "FORWARD_REFUSED", "unknown", 403, "The forwarded call was not signed."
 )
@@ -214,7 +217,7 @@
     4011, "CONFIGURATION_PULL_FAILED", "no", 0, "A peer sent no configuration."
 )
 STORE_OBJECT_UNREADABLE = ResultCode(
-    4012, "STORE_OBJECT_UNREADABLE", "no", 0, "An object of the store has no name."
+    4012, "STORE_OBJECT_UNREADABLE", "no", 0, "An object of the store is unreadable."
 )
 PEER_UNREACHABLE = ResultCode(
     4020, "PEER_UNREACHABLE", "no", 0, "A message to an entry could not be sent."
--- a/src/carawayhitch/core/_store_events.py
+++ b/src/carawayhitch/core/_store_events.py
@@ -30,7 +30,10 @@
         Kinds for which the list is exhaustive, so that objects missing from it were
         deleted; empty if the list contains deleted objects explicitly.
     unreadable_count : int
-        Objects skipped because they have no name or no revision.
+        Objects skipped because their name or revision is not readable, or because
+        the kind has no object of that name.
+    unreadable_names : tuple of str
+        Names of the first of them that have a name.
     """
 
     revision: int
@@ -39,6 +42,7 @@
     kinds: tuple[str, ...] = ()
     may_be_stale: bool = False
     unreadable_count: int = 0
+    unreadable_names: tuple[str, ...] = ()
 
 
 class ObjectsChanged(NamedTuple):
@@ -49,7 +53,10 @@
     may_be_stale : bool
         Whether the answer may be seconds old.
     unreadable_count : int
-        Objects skipped because they have no name or no revision.
+        Objects skipped because their name or revision is not readable, or because
+        the kind has no object of that name.
+    unreadable_names : tuple of str
+        Names of the first of them that have a name.
     """
 
     source: str
@@ -58,6 +65,7 @@
     scope: str = ""
     may_be_stale: bool = False
     unreadable_count: int = 0
+    unreadable_names: tuple[str, ...] = ()
 
 
 class ObjectsReceived(NamedTuple):
--- a/src/carawayhitch/core/_upstream_events.py
+++ b/src/carawayhitch/core/_upstream_events.py
@@ -37,9 +37,16 @@
 
 
 class VmListReceived(NamedTuple):
-    """The platform's VM list, which may be outdated when it arrives."""
+    """The platform's VM list, which may be outdated when it arrives.
+
+    Parameters
+    ----------
+    unreadable_count : int
+        VMs skipped because they could not be decoded.
+    """
 
     vms: tuple[VmListed, ...]
+    unreadable_count: int = 0
 
 
 class LoadReported(NamedTuple):
--- a/src/carawayhitch/platform/_store.py
+++ b/src/carawayhitch/platform/_store.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from functools import singledispatch
-from typing import Any, NamedTuple, NotRequired, TypedDict
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
 
 import aiohttp
 import msgspec
+from msgspec import Meta
 
+from carawayhitch import codecs
+from carawayhitch.backends import BodyTooLargeError, read_limited
 from carawayhitch.core import actions, declarations, errors, events, result_codes
 from carawayhitch.core import settings as settings_types
 from carawayhitch.platform import _names
@@ -29,15 +33,28 @@
 PLATFORM_KINDS_BY_KIND = {
     kind: PLATFORM_KINDS[scope] for scope, kind in KINDS_BY_SCOPE.items()
 }
+# The complete configuration is one object; other objects of its kind are not used.
+NAMES_BY_KIND = {declarations.DECLARATION_SET: "main"}
 STORE_SOURCE = "store"
 PAGE_LIMIT = 1000
 
 
+# Objects have at most 1 MB and pages about as much; a watch may return several versions
+# of one object.
+BODY_BYTES_LIMIT = 8_388_608
+# Stands for a value that cannot be decoded at all, so that no later reader has to try.
+UNREADABLE_VALUE = b"null"
+# Names of skipped objects that an event reports; the others are only counted.
+REPORTED_NAMES_LIMIT = 20
+
+Revision = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+
+
 class MetadataBody(TypedDict):
     """Object name and the revision of the last change."""
 
     name: str
-    revision: int
+    revision: Revision
 
 
 class NameMetadataBody(TypedDict):
@@ -46,46 +63,34 @@
     name: str
 
 
-class ObjectNameBody(TypedDict):
-    """An object of which only the name is decoded."""
-
-    metadata: NameMetadataBody
-
-
 class ObjectBody(TypedDict):
-    """A stored object; ``spec`` is its value."""
+    """A stored object; ``spec`` is its value, which other writers may have chosen."""
 
     metadata: MetadataBody
-    spec: NotRequired[Any]
-
-
-class ObjectChangeBody(TypedDict):
-    """A change of an object.
+    spec: NotRequired[msgspec.Raw]
 
-    The object is decoded separately, since other writers may store any JSON value.
-    """
-
-    object: Any
-    deleted: bool
-
-
-class ListBody(TypedDict):
-    """One page of objects of a kind; ``at`` is the revision of the store."""
 
-    items: list[Any]
-    hasMore: bool
-    at: int
+_object_decoder = msgspec.json.Decoder(ObjectBody)
+_metadata_decoder = msgspec.json.Decoder(MetadataBody)
+_name_decoder = msgspec.json.Decoder(NameMetadataBody)
+_revision_decoder = msgspec.json.Decoder(Revision)
+_flag_decoder = msgspec.json.Decoder(bool)
 
 
-class WatchBody(TypedDict):
-    """Changes of objects of a kind up to the revision ``at``."""
-
-    events: list[ObjectChangeBody]
-    at: int
+class ReadItem(NamedTuple):
+    """An item of a list or watch.
 
+    Parameters
+    ----------
+    name : str
+        Name of the object; empty if it is not readable.
+    stored : StoredObject or None
+        None if the name or the revision is not readable, or the kind has no object of
+        that name.
+    """
 
-_list_decoder = msgspec.json.Decoder(ListBody)
-_watch_decoder = msgspec.json.Decoder(WatchBody)
+    name: str
+    stored: events.StoredObject | None
 
 
 class PlatformStore(NamedTuple):
@@ -121,8 +126,11 @@
         detail = repr(error)
     except msgspec.MsgspecError as error:
         detail = f"response could not be decoded: {error}"
-    except errors.StoreError as error:
+    except errors.CarawayhitchError as error:
         detail = error.message
+    except Exception as error:
+        # Without an event, the operation would never end and a watch never be renewed.
+        detail = f"unexpected error: {error!r}"
     scope = getattr(action, "scope", "")
     return events.StoreCallFailed(action.operation_id, detail, scope)
 
@@ -132,25 +140,67 @@
     raise TypeError(f"not a store action: {action!r}")
 
 
-def _object_name(value: Any) -> str:
-    """Return the name of an object, valid otherwise or not; empty if it has none."""
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    return await read_limited(response, BODY_BYTES_LIMIT)
+
+
+def _read_item(kind: str, data: bytes, deleted: bool) -> ReadItem:
+    """Decode one object by itself, so that an odd one does not affect the others."""
+    try:
+        body = _object_decoder.decode(data)
+    except (msgspec.MsgspecError, RecursionError):
+        return _read_odd_item(kind, data, deleted)
+    value = bytes(body.get("spec", UNREADABLE_VALUE))
+    return _new_item(kind, body["metadata"], value, deleted)
+
+
+def _read_odd_item(kind: str, data: bytes, deleted: bool) -> ReadItem:
+    """Decode the metadata of an object whose other members cannot be decoded."""
+    name = ""
     try:
-        return msgspec.convert(value, ObjectNameBody)["metadata"]["name"]
-    except msgspec.ValidationError:
-        return ""
+        metadata_data = codecs.split_object(data).get("metadata", b"")
+        name = _name_decoder.decode(metadata_data)["name"]
+        metadata = _metadata_decoder.decode(metadata_data)
+    except (msgspec.MsgspecError, RecursionError, errors.MalformedMessageError):
+        return ReadItem(name, None)
+    return _new_item(kind, metadata, UNREADABLE_VALUE, deleted)
+
+
+def _new_item(
+    kind: str, metadata: MetadataBody, value: bytes, deleted: bool
+) -> ReadItem:
+    name = metadata["name"]
+    if name != NAMES_BY_KIND.get(kind, name):
+        return ReadItem(name, None)
+    stored = events.StoredObject(
+        kind, name, metadata["revision"], b"" if deleted else value, deleted
+    )
+    return ReadItem(name, stored)
 
 
-def _convert_object(kind: str, value: Any, deleted: bool) -> events.StoredObject | None:
-    """Convert a JSON value to a stored object; return None if it is not one."""
+def _read_change(kind: str, data: bytes) -> ReadItem:
+    """Decode one change of a watch."""
     try:
-        body = msgspec.convert(value, ObjectBody)
-    except msgspec.ValidationError:
-        return None
-    metadata = body["metadata"]
-    spec = b"" if deleted else msgspec.json.encode(body.get("spec"))
-    return events.StoredObject(
-        kind, metadata["name"], metadata["revision"], spec, deleted
+        members = codecs.split_object(data)
+        deleted = _flag_decoder.decode(members.get("deleted", b"false"))
+    except (msgspec.MsgspecError, RecursionError, errors.MalformedMessageError):
+        return ReadItem("", None)
+    return _read_item(kind, members.get("object", b""), deleted)
+
+
+def _stored_objects(items: Iterable[ReadItem]) -> tuple[events.StoredObject, ...]:
+    return tuple(item.stored for item in items if item.stored is not None)
+
+
+def _skipped_names(items: Iterable[ReadItem]) -> tuple[str, ...]:
+    names = dict.fromkeys(
+        item.name for item in items if item.stored is None and item.name
     )
+    return tuple(names)[:REPORTED_NAMES_LIMIT]
+
+
+def _skipped_count(items: Iterable[ReadItem]) -> int:
+    return sum(item.stored is None for item in items)
 
 
 def _consistency_params(
@@ -168,9 +218,9 @@
 async def _list_objects(action: actions.ListObjects, store: PlatformStore) -> Any:
     kind = KINDS_BY_SCOPE[action.scope]
     url = store.url(PLATFORM_KINDS[action.scope])
-    found: list[events.StoredObject] = []
+    items: list[ReadItem] = []
     revision = -1
-    unreadable_count = 0
+    is_exhaustive = False
     after = ""
     for _ in range(PAGE_LIMIT):
         params = _consistency_params(action) | ({"after": after} if after else {})
@@ -179,27 +229,35 @@
         ) as response:
             if response.status != 200:
                 raise UnexpectedStatusError(response.status)
-            page = _list_decoder.decode(await response.read())
+            page = codecs.split_item_list(await _read_body(response), "items")
         # The watch starts at the revision of the first page, so it reports changes that
         # later pages may lack.
-        revision = page["at"] if revision < 0 else revision
-        stored = [_convert_object(kind, item, False) for item in page["items"]]
-        found += [item for item in stored if item is not None]
-        unreadable_count += stored.count(None)
-        last = _object_name(page["items"][-1]) if page["items"] else ""
-        if not page["hasMore"] or last in ("", after):
+        page_revision = _read_revision(page)
+        revision = page_revision if revision < 0 else revision
+        page_items = [_read_item(kind, data, False) for data in page.items]
+        items += page_items
+        if not _flag_decoder.decode(page.members_by_name.get("hasMore", b"false")):
+            is_exhaustive = True
+            break
+        names = [item.name for item in page_items if item.name]
+        if not names or names[-1] == after:
             break
-        after = last
+        after = names[-1]
     return events.ObjectsListed(
         revision,
-        tuple(found),
+        _stored_objects(items),
         action.scope,
-        (kind,),
+        (kind,) if is_exhaustive else (),
         action.may_be_stale,
-        unreadable_count,
+        _skipped_count(items),
+        _skipped_names(items),
     )
 
 
+def _read_revision(answer: codecs.ItemList) -> int:
+    return _revision_decoder.decode(answer.members_by_name.get("at", b""))
+
+
 @_perform.register
 async def _watch_objects(action: actions.WatchObjects, store: PlatformStore) -> Any:
     kind = KINDS_BY_SCOPE[action.scope]
@@ -219,19 +277,20 @@
             return events.WatchExpired(action.operation_id, action.scope)
         if response.status != 200:
             raise UnexpectedStatusError(response.status)
-        body = _watch_decoder.decode(await response.read())
-    stored = [
-        _convert_object(kind, change["object"], change["deleted"])
-        for change in body["events"]
-    ]
-    found = tuple(item for item in stored if item is not None)
+        try:
+            answer = codecs.split_item_list(await _read_body(response), "events")
+        except BodyTooLargeError:
+            # The same watch would be too large again.
+            return events.WatchExpired(action.operation_id, action.scope)
+    items = [_read_change(kind, data) for data in answer.items]
     return events.ObjectsChanged(
         STORE_SOURCE,
-        body["at"],
-        found,
+        _read_revision(answer),
+        _stored_objects(items),
         action.scope,
         action.may_be_stale,
-        stored.count(None),
+        _skipped_count(items),
+        _skipped_names(items),
     )
 
 
@@ -244,8 +303,7 @@
             return events.ObjectRead(action.operation_id, absent)
         if response.status != 200:
             raise UnexpectedStatusError(response.status)
-        read = msgspec.json.decode(await response.read())
-    stored = _convert_object(action.kind, read, False)
+        stored = _read_item(action.kind, await _read_body(response), False).stored
     if stored is None:
         raise errors.StoreError(
             result_codes.STORE_CALL_FAILED, f"{url}: response is not a stored object"
@@ -269,14 +327,14 @@
         headers={"Content-Type": "application/json"},
         timeout=store.timeout,
     ) as response:
-        answer = await response.read()
+        answer = await _read_body(response)
         if response.status == 409:
             return _conflict_result(action, answer)
         if response.status == 404 and not created:
             return events.ObjectWritten(action.operation_id, False, 0)
         if response.status not in (200, 201):
             raise UnexpectedStatusError(response.status)
-    stored = _convert_object(action.kind, msgspec.json.decode(answer), False)
+    stored = _read_item(action.kind, answer, False).stored
     version = stored.version if stored else 0
     return events.ObjectWritten(action.operation_id, True, version)
 
@@ -288,10 +346,13 @@
 
     The response contains the current object.
     """
-    stored = _convert_object(action.kind, msgspec.json.decode(answer), False)
+    stored = _read_item(action.kind, answer, False).stored
     if stored is None:
         return events.ObjectWritten(action.operation_id, False, 0)
-    current_value = msgspec.json.decode(stored.value)
+    try:
+        current_value = msgspec.json.decode(stored.value)
+    except (msgspec.MsgspecError, RecursionError):
+        return events.ObjectWritten(action.operation_id, False, stored.version)
     unchanged = current_value == msgspec.json.decode(action.value)
     return events.ObjectWritten(action.operation_id, False, stored.version, unchanged)
 
