--- a/src/carawayhitch/backends/_bodies.py
+++ b/src/carawayhitch/backends/_bodies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import aiohttp
 
 from carawayhitch.core import errors, result_codes
@@ -17,9 +19,18 @@
         )
 
 
-async def read_limited(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
+async def read_limited(
+    response: aiohttp.ClientResponse,
+    limit_bytes: int,
+    handle_progress: Callable[[], None] = lambda: None,
+) -> bytes:
     """Return the complete body of a response.
 
+    Parameters
+    ----------
+    handle_progress : callable
+        Is called after each part of the body.
+
     Raises
     ------
     BodyTooLargeError
@@ -32,4 +43,5 @@
         body += part
         if len(body) > limit_bytes:
             raise BodyTooLargeError(limit_bytes)
+        handle_progress()
     return bytes(body)
--- a/src/carawayhitch/backends/_calls.py
+++ b/src/carawayhitch/backends/_calls.py
@@ -9,6 +9,8 @@
 
 import aiohttp
 
+from carawayhitch.backends._bodies import BodyTooLargeError, read_limited
+from carawayhitch.backends._sessions import EndlessResponseError
 from carawayhitch.core import errors, events, result_codes
 from carawayhitch.core import settings as settings_types
 
@@ -97,6 +99,8 @@
         yield
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         call.submit(new_call_failure(call, "connect", False, error))
+    except (BodyTooLargeError, EndlessResponseError) as error:
+        call.submit(new_call_failure(call, "oversized", True, error))
     except (errors.MalformedMessageError, aiohttp.ClientPayloadError) as error:
         call.submit(new_call_failure(call, "truncated", True, error))
     except TimeoutError as error:
@@ -113,6 +117,8 @@
     MalformedMessageError
         If the headers do not tell where the body ends: a truncated body would look
         complete.
+    BodyTooLargeError
+        If the body exceeds the limit of the settings.
     TimeoutError
         If no data arrives within the stall timeout.
     """
@@ -125,9 +131,9 @@
         )
     stall_timeout = call.settings.streams.stall_timeout_seconds
     loop = asyncio.get_running_loop()
-    parts: list[bytes] = []
     async with asyncio.timeout(stall_timeout) as limit:
-        async for part in response.content.iter_any():
-            parts.append(part)
-            limit.reschedule(loop.time() + stall_timeout)
-    return b"".join(parts)
+        return await read_limited(
+            response,
+            call.settings.limits.answer_bytes,
+            lambda: limit.reschedule(loop.time() + stall_timeout),
+        )
--- a/src/carawayhitch/backends/_engine_orders.py
+++ b/src/carawayhitch/backends/_engine_orders.py
@@ -6,11 +6,13 @@
 
 import aiohttp
 
+from carawayhitch.backends._bodies import read_limited
 from carawayhitch.codecs import decode_engine_state, encode_order
 from carawayhitch.core import actions, errors, events
 
 ORDER_TIMEOUT = aiohttp.ClientTimeout(total=30.0, sock_connect=1.0)
 STATE_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+STATE_BYTES_LIMIT = 1_048_576
 
 
 class LeaseExpiredError(Exception):
@@ -25,7 +27,9 @@
     try:
         async with session.get(url, timeout=STATE_TIMEOUT) as response:
             response.raise_for_status()
-            return decode_engine_state(action.upstream_id, await response.read())
+            return decode_engine_state(
+                action.upstream_id, await read_limited(response, STATE_BYTES_LIMIT)
+            )
     except (aiohttp.ClientError, TimeoutError, OSError, errors.MalformedMessageError):
         return None
 
--- a/src/carawayhitch/backends/_engines.py
+++ b/src/carawayhitch/backends/_engines.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from carawayhitch.backends._bodies import BodyTooLargeError
 from carawayhitch.backends._calls import (
     UpstreamCall,
     new_call_failure,
@@ -115,6 +116,9 @@
         body = await read_body(call, response)
         generation_id = response.headers.get(GENERATION_HEADER, "")
         token_count = decode_completion_token_count(body, generation_id)
+    except BodyTooLargeError as error:
+        call.submit(new_call_failure(call, "oversized", True, error.message))
+        return
     except errors.MalformedMessageError as error:
         foreign = error.code is result_codes.ANSWER_FOREIGN
         kind: events.FailureKind = "foreign" if foreign else "truncated"
--- a/src/carawayhitch/backends/_forwards.py
+++ b/src/carawayhitch/backends/_forwards.py
@@ -9,9 +9,16 @@
 from yarl import URL
 
 from carawayhitch import codecs
-from carawayhitch.backends._calls import CONNECTION_HEADERS, UpstreamCall
-from carawayhitch.backends._engines import new_call_failure
-from carawayhitch.backends._sessions import single_send_middleware
+from carawayhitch.backends._bodies import BodyTooLargeError, read_limited
+from carawayhitch.backends._calls import (
+    CONNECTION_HEADERS,
+    UpstreamCall,
+    new_call_failure,
+)
+from carawayhitch.backends._sessions import (
+    EndlessResponseError,
+    single_send_middleware,
+)
 from carawayhitch.core import actions, events, rows
 
 FORWARD_PATH = "/peer/v1/forwarded"
@@ -52,7 +59,10 @@
             allow_redirects=False,
             middlewares=(single_send_middleware(),),
         ) as response:
-            body = await response.read()
+            body = await read_limited(response, call.settings.limits.answer_bytes)
+    except (BodyTooLargeError, EndlessResponseError) as error:
+        call.submit(new_call_failure(call, "oversized", True, error))
+        return
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         call.submit(new_call_failure(call, "link_lost", True, error))
         return
--- a/src/carawayhitch/backends/_object_exchange.py
+++ b/src/carawayhitch/backends/_object_exchange.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from carawayhitch.backends._bodies import read_limited
 from carawayhitch.codecs import (
     EXCHANGE_SIGNATURE_HEADER,
     decode_exchange,
@@ -18,6 +19,8 @@
 
 EXCHANGE_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 EXCHANGE_PATH = "/peer/v1/objects"
+# A full set of declarations at the size in docs/CAPACITY.md takes 0.4 MB.
+EXCHANGE_BYTES_LIMIT = 4_194_304
 
 
 async def exchange_objects(
@@ -51,7 +54,7 @@
             timeout=EXCHANGE_TIMEOUT,
         ) as response:
             response.raise_for_status()
-            answer = await response.read()
+            answer = await read_limited(response, EXCHANGE_BYTES_LIMIT)
             count_bytes(len(body), len(answer))
             header = response.headers.get(EXCHANGE_SIGNATURE_HEADER, "")
         verify_exchange(answer, header, keys, signature)
--- a/src/carawayhitch/backends/_platform.py
+++ b/src/carawayhitch/backends/_platform.py
@@ -4,10 +4,14 @@
 
 import aiohttp
 
+from carawayhitch.backends._bodies import read_limited
 from carawayhitch.codecs import decode_cache_events, decode_engine_load, decode_vm_list
 from carawayhitch.core import errors, events
 
 POLL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+# 1,310 VMs, the size in docs/CAPACITY.md, take 0.2 MB.
+LIST_BYTES_LIMIT = 4_194_304
+REPORT_BYTES_LIMIT = 65_536
 
 
 async def read_vm_list(
@@ -17,7 +21,7 @@
     try:
         async with session.get(url, timeout=POLL_TIMEOUT) as response:
             response.raise_for_status()
-            return decode_vm_list(await response.read())
+            return decode_vm_list(await read_limited(response, LIST_BYTES_LIMIT))
     except (aiohttp.ClientError, TimeoutError, OSError, errors.MalformedMessageError):
         return None
 
@@ -30,7 +34,9 @@
         url = f"http://{address}/load"
         async with session.get(url, timeout=POLL_TIMEOUT) as response:
             response.raise_for_status()
-            return decode_engine_load(upstream_id, await response.read(), now)
+            return decode_engine_load(
+                upstream_id, await read_limited(response, REPORT_BYTES_LIMIT), now
+            )
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         return events.LoadUnavailable(upstream_id, str(error))
     except errors.MalformedMessageError as error:
@@ -45,6 +51,8 @@
         url = f"http://{address}/cache_events?since={since}"
         async with session.get(url, timeout=POLL_TIMEOUT) as response:
             response.raise_for_status()
-            return decode_cache_events(upstream_id, await response.read())
+            return decode_cache_events(
+                upstream_id, await read_limited(response, LIST_BYTES_LIMIT)
+            )
     except (aiohttp.ClientError, TimeoutError, OSError, errors.MalformedMessageError):
         return []
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -46,6 +46,7 @@
     "truncated": result_codes.ANSWER_TRUNCATED,
     "foreign": result_codes.ANSWER_FOREIGN,
     "stalled": result_codes.STALLED,
+    "oversized": result_codes.ANSWER_TOO_LARGE,
 }
 # A running engine returns the id of a new generation within this time, so the
 # connection stays open that long in order to cancel the generation by its id.
--- a/src/carawayhitch/core/_call_events.py
+++ b/src/carawayhitch/core/_call_events.py
@@ -20,6 +20,7 @@
     "truncated",
     "generation_gone",
     "foreign",
+    "oversized",
 ]
 
 
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -208,9 +208,19 @@
 
 
 class LimitSettings(NamedTuple):
-    """Limits that protect the process from overload."""
+    """Limits that protect the process from overload.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Size of a request body.
+    answer_bytes : int
+        Size of an answer that is not streamed; it is held in memory until it is
+        complete.
+    """
 
     body_bytes: Annotated[int, Meta(ge=1024)] = 4_194_304
+    answer_bytes: Annotated[int, Meta(ge=1024)] = 4_194_304
     open_requests: Annotated[int, Meta(ge=1)] = 2000
     connections: Annotated[int, Meta(ge=1)] = 4096
     receiving_requests: Annotated[int, Meta(ge=1)] = 128
--- a/src/carawayhitch/platform/_engines.py
+++ b/src/carawayhitch/platform/_engines.py
@@ -8,13 +8,15 @@
 import aiohttp
 import msgspec
 
-from carawayhitch.backends import CallContent
+from carawayhitch.backends import BodyTooLargeError, CallContent, read_limited
 from carawayhitch.core import actions, events
 from carawayhitch.platform import _calls, _names
 
 REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 # Values in a report are a few hundred milliseconds old.
 REPORT_LAG_SECONDS = 0.5
+# A report lists some dozen running requests.
+BODY_BYTES_LIMIT = 262_144
 
 
 class ReportBody(TypedDict):
@@ -46,8 +48,17 @@
         url = f"http://{address}{_names.REPORT_PATH}"
         async with session.get(url, timeout=REPORT_TIMEOUT) as response:
             response.raise_for_status()
-            body = _report_decoder.decode(await response.read())
-    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+            body = _report_decoder.decode(
+                await read_limited(response, BODY_BYTES_LIMIT)
+            )
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        OSError,
+        msgspec.MsgspecError,
+        RecursionError,
+        BodyTooLargeError,
+    ) as error:
         return events.LoadUnavailable(upstream_id, repr(error)[:200])
     return events.LoadReported(
         upstream_id=upstream_id,
@@ -97,8 +108,8 @@
     for address in action.addresses:
         url = f"http://{address}{_names.HANDLE_PATH}/{action.handle}"
         with suppress(aiohttp.ClientError, TimeoutError, OSError):
-            async with session.delete(url, timeout=REPORT_TIMEOUT) as response:
-                await response.read()
+            async with session.delete(url, timeout=REPORT_TIMEOUT):
+                continue
 
 
 async def copy_memory(
@@ -139,14 +150,14 @@
             timeout=timeout,
         ) as response:
             status = response.status
-            received = await response.read()
-    except (aiohttp.ClientError, TimeoutError, OSError):
+            received = await read_limited(response, BODY_BYTES_LIMIT)
+    except (aiohttp.ClientError, TimeoutError, OSError, BodyTooLargeError):
         return answer("unknown")
     if status == GENERATION_NOT_FOUND_STATUS:
         return answer("gone")
     try:
         handle = _move_response_decoder.decode(received).get("handle", "")
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         handle = ""
     if status != 200:
         return answer("refused", handle)
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -12,6 +12,7 @@
 from carawayhitch.backends import (
     UpstreamCall,
     new_call_failure,
+    read_limited,
     single_send_middleware,
     submit_failures,
 )
@@ -65,7 +66,7 @@
     if is_success and response.content_type == EVENT_STREAM:
         await _relay_stream(call, response, address)
         return
-    body = await response.read()
+    body = await read_limited(response, call.settings.limits.answer_bytes)
     call.submit(
         events.AnswerReceived(
             call.request_id,
