Send no new call to an upstream that announces its leaving

Cause: nothing read the header Server-Leaving, which an upstream that leaves sets in all its answers. An entry that is cut from the store, or whose store is slow, kept sending it calls for as long as the registration said ready.

An announcement holds from the moment of the answer until another instance is registered under the id, whatever older registrations say, and covers waiting calls, retries and targets of moves; running calls finish. The entry tells the scheduler of the cell in one datagram, declines grants that were made before it knew (RETRY_GRANT_DECLINED, 3014) and asks again. Ruled out: a broadcast to all entries (195 datagrams for each reclaimed engine), since each entry learns it from its own next answer; declining grants of upstreams that only the local list shows as leaving, since a lapsed registration would then spread.

--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -63,6 +63,7 @@
         self.cut_after = 0
         self.refusals = 0
         self.state = "ready"
+        self.announces_leaving = False
         self.move_status = 0
 
     def application(self) -> web.Application:
@@ -83,9 +84,11 @@
 
     def _response_headers(self, request: web.Request) -> dict[str, str]:
         request_id = request.headers.get("Carawayhitch-Request-Id", "")
+        leaving = {"Server-Leaving": "1"} if self.announces_leaving else {}
         return {
             "Carawayhitch-Request-Id": request_id,
             "Carawayhitch-Server-Seal": f"seal-of-{self.name}",
+            **leaving,
         }
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
@@ -230,7 +233,8 @@
         ``failures``: number of calls to fail with 500; ``refusals``: number of calls to
         refuse with 503, not executed; ``cut_after``: event after which the next stream
         is interrupted; ``move_status``: status of all moves; 0 for the default;
-        ``state``: state in the load report.
+        ``state``: state in the load report; ``announces_leaving``: whether all answers
+        say that the server is leaving.
         """
         faults = await request.json()
         self.failures = faults.get("failures", 0)
@@ -238,6 +242,7 @@
         self.cut_after = faults.get("cut_after", 0)
         self.move_status = faults.get("move_status", 0)
         self.state = faults.get("state", "ready")
+        self.announces_leaving = faults.get("announces_leaving", False)
         return web.json_response({})
 
     async def list_calls(self, request: web.Request) -> web.Response:
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -19,6 +19,7 @@
     lifecycle_by_node_id: dict[str, rows.LifecycleRow]
     requests_by_id: dict[str, rows.RequestRow]
     upstreams_by_id: dict[str, rows.UpstreamRow]
+    leaving_announcements_by_upstream_id: dict[str, rows.LeavingAnnouncementRow]
     listed_entries_by_vm_id: dict[str, settings_types.SeedPeer]
     health_by_upstream_id: dict[str, rows.HealthRow]
     unreported_failures_by_upstream_id: dict[str, int]
@@ -123,6 +124,7 @@
         lifecycle_by_node_id={node_id: lifecycle},
         requests_by_id={},
         upstreams_by_id={},
+        leaving_announcements_by_upstream_id={},
         listed_entries_by_vm_id={},
         health_by_upstream_id={},
         unreported_failures_by_upstream_id={},
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -65,6 +65,7 @@
     "moveOrder": messages.MoveOrder,
     "moveReport": messages.MoveReport,
     "failuresSeen": messages.FailuresSeen,
+    "leavingSeen": messages.LeavingSeen,
 }
 _wire_names_by_type = {
     message_type: name for name, message_type in _types_by_wire_name.items()
@@ -147,6 +148,7 @@
 @wire_fields.register(messages.ProgressAck)
 @wire_fields.register(messages.Finished)
 @wire_fields.register(messages.UpstreamFailures)
+@wire_fields.register(messages.LeavingSeen)
 def _encode_fields(record: Any, now: float) -> dict[str, Any]:
     return _fields_by_wire_name(record)
 
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -30,6 +30,7 @@
     moveOrder @14 :MoveOrder;
     moveReport @15 :MoveReport;
     failuresSeen @16 :FailuresSeen;
+    leavingSeen @17 :LeavingSeen;
   }
 }
 
@@ -162,6 +163,11 @@
   failures @0 :List(UpstreamFailures);
 }
 
+struct LeavingSeen {
+  upstreamId @0 :Text;
+  startedAt @1 :UInt64;
+}
+
 enum MemberState {
   alive @0;
   suspect @1;
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -13,6 +13,7 @@
 from carawayhitch.controllers._cells import derive_schedulers, entry_scheduled_groups
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._targets import admission_size
+from carawayhitch.controllers._upstreams import is_announced_leaving, leaving_notice
 from carawayhitch.core import actions, events, messages, result_codes, rows
 
 ASK_LIMIT = 6
@@ -361,6 +362,8 @@
             build_retry_log(row, result_codes.RETRY_GRANT_EXPIRED),
             actions.Emit(events.RequestAdmitted(row.request_id)),
         )
+    if is_announced_leaving(board, event.upstream_id):
+        return _decline_grant(board, row, event)
     # Schedulers of an earlier release need the full row in every progress message.
     granted = row._replace(
         phase="claiming",
@@ -379,6 +382,24 @@
     )
 
 
+def _decline_grant(
+    board: Board, row: rows.RequestRow, grant: messages.AdmissionGrant
+) -> Actions:
+    """Return a grant of an upstream that wants no calls, and ask again.
+
+    The scheduler gets the notice first: it did not know of it when it granted.
+    """
+    board.requests_by_id[row.request_id] = row._replace(attempt=row.attempt + 1)
+    notice = leaving_notice(board, grant.upstream_id)
+    return (
+        actions.Send(grant.sender_id, notice),
+        *_release_unused_grant(grant, board),
+        actions.Count(result_codes.RETRY_GRANT_DECLINED, row.rank),
+        build_retry_log(row, result_codes.RETRY_GRANT_DECLINED),
+        actions.Emit(events.RequestAdmitted(row.request_id)),
+    )
+
+
 def _release_unused_grant(event: messages.AdmissionGrant, board: Board) -> Actions:
     """Release a grant unless it repeats the one that the request uses."""
     current = board.requests_by_id.get(event.request_id)
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -37,6 +37,8 @@
 # An unlisted upstream keeps serving during its notice period, which can take many
 # seconds.
 UNLISTED_REMOVAL_SECONDS = 15.0
+# An upstream that has announced its leaving stops within minutes.
+ANNOUNCEMENT_LIFETIME_SECONDS = 3600.0
 
 decide = new_controller()
 
@@ -182,8 +184,12 @@
             if capacity
             else _service_running_limit(labels, board, vm.running_limit),
         )
+    announced = board.leaving_announcements_by_upstream_id.get(vm.vm_id)
+    if announced is not None and _instance(announced) != _instance(vm):
+        del board.leaving_announcements_by_upstream_id[vm.vm_id]
+        announced = None
     # An upstream that is listed again had only lost its registration.
-    leaving = vm.leaving or (known.leaving and known.is_listed)
+    leaving = vm.leaving or (known.leaving and known.is_listed) or announced is not None
     if leaving and not known.leaving:
         known = known._replace(leaving_since=now)
     return known._replace(labels=labels, leaving=leaving, is_listed=True)
@@ -191,7 +197,95 @@
 
 def _was_replaced(known: rows.UpstreamRow, vm: events.VmListed) -> bool:
     """Return whether a VM is a new instance under the id of a known upstream."""
-    return (known.address, known.started_at) != (vm.address, vm.started_at)
+    return _instance(known) != _instance(vm)
+
+
+def _instance(
+    record: events.VmListed | rows.UpstreamRow | rows.LeavingAnnouncementRow,
+) -> tuple[str, int]:
+    """Return what distinguishes successive upstreams with the same id."""
+    return record.address, record.started_at
+
+
+def is_announced_leaving(board: Board, upstream_id: str) -> bool:
+    """Return whether the current instance of an upstream announced its leaving."""
+    return upstream_id in board.leaving_announcements_by_upstream_id
+
+
+def leaving_notice(board: Board, upstream_id: str) -> messages.LeavingSeen:
+    """Return the message that tells a scheduler of an announcement."""
+    row = board.leaving_announcements_by_upstream_id[upstream_id]
+    return messages.LeavingSeen(board.node_id, upstream_id, row.started_at)
+
+
+@decide.register(events.LeavingAnnounced)
+def _apply_announcement(
+    event: events.LeavingAnnounced, board: Board, now: float, random: Random
+) -> Actions:
+    known = board.upstreams_by_id.get(event.upstream_id)
+    if known is None or is_announced_leaving(board, event.upstream_id):
+        return ()
+    decided = _mark_announced_leaving(board, known, now)
+    notice = leaving_notice(board, event.upstream_id)
+    schedulers = schedulers_of_upstream(board, event.upstream_id)
+    return (*decided, *(actions.Send(node_id, notice) for node_id in schedulers))
+
+
+def _delete_expired_announcements(board: Board, now: float) -> None:
+    announcements = board.leaving_announcements_by_upstream_id
+    for row in list(announcements.values()):
+        if now >= row.deadline:
+            del announcements[row.upstream_id]
+
+
+def schedulers_of_upstream(board: Board, upstream_id: str) -> list[str]:
+    """Return the other entries that schedule the cells of an upstream."""
+    schedulers = {
+        board.schedulers_by_cell_id[cell.cell_id][0]
+        for cell in board.cells_by_id.values()
+        if upstream_id in cell.upstream_ids
+        and board.schedulers_by_cell_id.get(cell.cell_id)
+    }
+    return sorted(schedulers - {board.node_id})
+
+
+@decide.register(messages.LeavingSeen)
+def _apply_leaving_notice(
+    event: messages.LeavingSeen, board: Board, now: float, random: Random
+) -> Actions:
+    known = board.upstreams_by_id.get(event.upstream_id)
+    if (
+        known is None
+        or known.started_at != event.started_at
+        or is_announced_leaving(board, event.upstream_id)
+    ):
+        return ()
+    return _mark_announced_leaving(board, known, now)
+
+
+def _mark_announced_leaving(
+    board: Board, known: rows.UpstreamRow, now: float
+) -> Actions:
+    board.leaving_announcements_by_upstream_id[known.upstream_id] = (
+        rows.LeavingAnnouncementRow(
+            known.upstream_id, *_instance(known), now + ANNOUNCEMENT_LIFETIME_SECONDS
+        )
+    )
+    if known.leaving:
+        return ()
+    board.upstreams_by_id[known.upstream_id] = known._replace(
+        leaving=True, leaving_since=now
+    )
+    fields = {
+        "upstream": known.upstream_id,
+        "address": known.address,
+        "state": "leaving",
+        "source": "answer",
+    }
+    return (
+        actions.Log("info", "upstream changed", fields),
+        actions.Emit(events.UpstreamLeaving(known.upstream_id)),
+    )
 
 
 @decide.register(events.VmListReceived)
@@ -199,6 +293,7 @@
     event: events.VmListReceived, board: Board, now: float, random: Random
 ) -> Actions:
     _store_listed_entries(board, event.vms)
+    _delete_expired_announcements(board, now)
     merged = {
         vm.vm_id: _merge_vm(vm, board, now) for vm in event.vms if vm.kind != "entry"
     }
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -73,6 +73,7 @@
 from carawayhitch.core._upstream_events import (
     CacheChanged,
     EngineStateRead,
+    LeavingAnnounced,
     LoadReported,
     LoadUnavailable,
     OrderAnswered,
@@ -107,6 +108,7 @@
     "KeyPresented",
     "KeysRequested",
     "LayoutRead",
+    "LeavingAnnounced",
     "LifecycleChanged",
     "LoadReported",
     "LoadUnavailable",
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -247,6 +247,20 @@
     failures: tuple[UpstreamFailures, ...]
 
 
+class LeavingSeen(NamedTuple):
+    """Notice to a scheduler that an upstream has announced its leaving.
+
+    Parameters
+    ----------
+    started_at : int
+        Start of the instance in milliseconds of Unix time; 0 if unknown.
+    """
+
+    sender_id: str
+    upstream_id: str
+    started_at: int
+
+
 class Probe(NamedTuple):
     """Failure detection probe with piggybacked member and crash rows."""
 
@@ -287,6 +301,7 @@
     | MoveOrder
     | MoveReport
     | FailuresSeen
+    | LeavingSeen
     | Probe
     | ProbeAck
     | IndirectProbe
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -179,6 +179,9 @@
 RETRY_MOVED = ResultCode(
     3012, "RETRY_MOVED", "yes", 0, "The engine leaves; the generation was moved."
 )
+RETRY_GRANT_DECLINED = ResultCode(
+    3014, "RETRY_GRANT_DECLINED", "no", 0, "The granted upstream wants no calls."
+)
 MOVE_FAILED = ResultCode(
     3013, "MOVE_FAILED", "yes", 0, "A generation could not be moved."
 )
--- a/src/carawayhitch/core/_upstream_events.py
+++ b/src/carawayhitch/core/_upstream_events.py
@@ -93,6 +93,12 @@
     detail: str
 
 
+class LeavingAnnounced(NamedTuple):
+    """An upstream announced in an answer that it is leaving."""
+
+    upstream_id: str
+
+
 class EngineStateRead(NamedTuple):
     """Answer to ``ReadEngineState``: the engine state that orders can change.
 
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -58,6 +58,24 @@
         return not (self.leaving or self.draining) and now >= available_at
 
 
+class LeavingAnnouncementRow(NamedTuple):
+    """Announcement of one instance of an upstream that it is leaving.
+
+    It is kept until another instance is registered under the id, because registrations
+    can be older than the announcement, or lapse and return.
+
+    Parameters
+    ----------
+    deadline : float
+        Time by which the instance has certainly stopped (seconds of the node clock).
+    """
+
+    upstream_id: str
+    address: str
+    started_at: int
+    deadline: float
+
+
 class HealthRow(NamedTuple):
     """Failures of an upstream observed by any entry, and its ejections.
 
--- a/src/carawayhitch/platform/_engines.py
+++ b/src/carawayhitch/platform/_engines.py
@@ -48,6 +48,7 @@
         url = f"http://{address}{_names.REPORT_PATH}"
         async with session.get(url, timeout=REPORT_TIMEOUT) as response:
             response.raise_for_status()
+            announces_leaving = response.headers.get(_names.LEAVING, "").strip() == "1"
             body = _report_decoder.decode(
                 await read_limited(response, BODY_BYTES_LIMIT)
             )
@@ -69,7 +70,7 @@
         running_limit=0,
         waiting_count=int(body["queued"]),
         preemption_count=0,
-        leaving=body.get("state") == _names.DRAINING,
+        leaving=announces_leaving or body.get("state") == _names.DRAINING,
         polled_at=now,
         incarnation=body.get("born", 0),
         leaves_at=_stop_time(body, now),
--- a/src/carawayhitch/platform/_names.py
+++ b/src/carawayhitch/platform/_names.py
@@ -23,6 +23,8 @@
 # Signature by which the upstream proves that it produced the response.
 SIGNATURE = "Carawayhitch-Server-Seal"
 NOT_EXECUTED = "Carawayhitch-Not-Executed"
+# Value "1" in all answers of an upstream that is leaving.
+LEAVING = "Server-Leaving"
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_COUNT = "Carawayhitch-Token-Count"
 PROMPT_PARTS = "Carawayhitch-Prompt-Prefix"
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -45,26 +45,29 @@
             allow_redirects=False,
             middlewares=(single_send_middleware(),),
         ) as response:
-            await _receive_response(call, response, action.address)
+            await _receive_response(call, response, action)
 
 
 async def _receive_response(
-    call: UpstreamCall, response: aiohttp.ClientResponse, address: str
+    call: UpstreamCall, response: aiohttp.ClientResponse, action: actions.OpenUpstream
 ) -> None:
-    if (
-        response.status == MISDIRECTED_REQUEST_STATUS
-        or _names.NOT_EXECUTED in response.headers
-    ):
+    is_refused = _names.NOT_EXECUTED in response.headers
+    is_from_upstream = _is_from_upstream(call, response)
+    # Another upstream may use the address now.
+    is_misdirected = response.status == MISDIRECTED_REQUEST_STATUS
+    if (is_refused or is_from_upstream) and not is_misdirected:
+        _submit_notices(call, response, action)
+    if is_misdirected or is_refused:
         call.submit(new_call_failure(call, "refused", False, response.status))
         return
-    if not _is_from_upstream(call, response):
+    if not is_from_upstream:
         call.submit(
             new_call_failure(call, "foreign", True, f"status {response.status}")
         )
         return
     is_success = 200 <= response.status < 300
     if is_success and response.content_type == EVENT_STREAM:
-        await _relay_stream(call, response, address)
+        await _relay_stream(call, response, action.address)
         return
     body = await read_limited(response, call.settings.limits.answer_bytes)
     call.submit(
@@ -79,6 +82,19 @@
     )
 
 
+def _submit_notices(
+    call: UpstreamCall, response: aiohttp.ClientResponse, action: actions.OpenUpstream
+) -> None:
+    """Submit what an upstream says about itself beside its answer."""
+    if is_leaving(response):
+        call.submit(events.LeavingAnnounced(action.upstream_id))
+
+
+def is_leaving(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the upstream announces in a response that it is leaving."""
+    return response.headers.get(_names.LEAVING, "").strip() == "1"
+
+
 def _is_from_upstream(call: UpstreamCall, response: aiohttp.ClientResponse) -> bool:
     """Return whether the upstream produced this response to this call.
 
--- a/tests/platform/test_routed_calls.py
+++ b/tests/platform/test_routed_calls.py
@@ -185,6 +185,44 @@
                 self.assertIsNone(received_answer(found))
                 self.assertEqual(received_failures(found), [expected])
 
+    async def test_announced_leaving_is_reported(self):
+        """Guards against calls to an upstream that says in its answers that it leaves.
+
+        An answer of another upstream at the same address says nothing about this one.
+        """
+        leaving = b"Server-Leaving: 1\r\n"
+        length = b"Content-Length: 0\r\n\r\n"
+        refused = b"HTTP/1.1 503 Full\r\nCarawayhitch-Not-Executed: 1\r\n"
+        whole = b"HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS
+        cases = {
+            "success": (whole + leaving + length, True),
+            "stream": (CHUNKED_HEAD[:-2] + leaving + b"\r\n0\r\n\r\n", True),
+            "error": (
+                b"HTTP/1.1 500 Oops\r\n" + SIGNED_HEADERS + leaving + length,
+                True,
+            ),
+            "refusal": (refused + leaving + length, True),
+            "another value": (whole + b"Server-Leaving: 0\r\n" + length, False),
+            "no header": (whole + length, False),
+            "another call": (
+                whole.replace(b"call-1", b"call-2") + leaving + length,
+                False,
+            ),
+            "another upstream": (
+                b"HTTP/1.1 421 Misdirected\r\n" + leaving + length,
+                False,
+            ),
+        }
+        for name, (answer, expected) in cases.items():
+            with self.subTest(name):
+                found = await Upstream(answer).call()
+                announced = [e for e in found if isinstance(e, events.LeavingAnnounced)]
+                self.assertEqual(
+                    announced, [events.LeavingAnnounced("engine-1")] * expected
+                )
+                # The calls that follow this answer must see the announcement.
+                self.assertEqual(announced, found[: len(announced)])
+
     async def test_error_response_is_relayed_unchanged(self):
         """Guards against replacing the status or body of an error response."""
         answer = (
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -197,6 +197,23 @@
             self.assertEqual(self.fleet.ask("entry-0", "/order/1")[0], 200)
         self.assertEqual(len(self.fleet.server_call_record("plain-1")["seen"]), before)
 
+    def test_upstream_that_announces_its_leaving_gets_no_new_work(self):
+        """Guards against work for an upstream that says in an answer that it leaves.
+
+        The store is silent meanwhile, so the answer is the only source.
+        """
+        self.start(services=2)
+        call("POST", self.fleet.url("store") + "/fake/faults", {"silent": True})
+        self.fleet.server_faults("plain-0", announces_leaving=True)
+        announced = False
+        while not announced:
+            _, _, headers = self.fleet.ask("entry-0", "/order/1")
+            announced = headers.get("Server-Leaving") == "1"
+        before = self.run_count("plain-0")
+        statuses = [self.fleet.ask("entry-0", "/order/1")[0] for _ in range(20)]
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(self.run_count("plain-0"), before)
+
     def test_stalled_store_connections_are_replaced_in_time(self):
         """Guards against watch scopes that wait for each other after a common stall.
 
