Honour the time for which an upstream wants no calls

Cause: nothing read Retry-After in an upstream's 503. The entry tried the next upstream and returned to the first at once, and the scheduler avoided it for a fixed second, for all entries.

The time holds for this entry, fractions of a second included, and covers waiting calls, retries, load polls and targets of moves. The entry tells the scheduler, which then places its calls elsewhere without holding up the queue of other entries, and declines grants made before. When every upstream of a group has named a time that is too late for a call's goal, the call is refused at once with that time as Retry-After; a call that can still be served in time waits. Ruled out: avoiding the upstream for all entries, since the refusal speaks of one; refusing every call while all upstreams refuse, since a wait of some 0.1 s still meets goals of 1.5 to 4 s.

--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -62,6 +62,7 @@
         self.failures = 0
         self.cut_after = 0
         self.refusals = 0
+        self.retry_after = 0.0
         self.state = "ready"
         self.announces_leaving = False
         self.move_status = 0
@@ -99,7 +100,11 @@
             return web.Response(status=421)
         if self.refusals:
             self.refusals -= 1
-            return web.Response(status=503, headers={"Carawayhitch-Not-Executed": "1"})
+            self.counts["refusals"] += 1
+            headers = {"Carawayhitch-Not-Executed": "1"}
+            if self.retry_after:
+                headers["Retry-After"] = str(self.retry_after)
+            return web.Response(status=503, headers=headers)
         self.seen.append(
             {
                 "method": request.method,
@@ -231,7 +236,8 @@
         """Set faults.
 
         ``failures``: number of calls to fail with 500; ``refusals``: number of calls to
-        refuse with 503, not executed; ``cut_after``: event after which the next stream
+        refuse with 503, not executed; ``retry_after``: ``Retry-After`` of refusals in
+        seconds, 0 for none; ``cut_after``: event after which the next stream
         is interrupted; ``move_status``: status of all moves; 0 for the default;
         ``state``: state in the load report; ``announces_leaving``: whether all answers
         say that the server is leaving.
@@ -239,6 +245,7 @@
         faults = await request.json()
         self.failures = faults.get("failures", 0)
         self.refusals = faults.get("refusals", 0)
+        self.retry_after = faults.get("retry_after", 0.0)
         self.cut_after = faults.get("cut_after", 0)
         self.move_status = faults.get("move_status", 0)
         self.state = faults.get("state", "ready")
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -20,6 +20,7 @@
     requests_by_id: dict[str, rows.RequestRow]
     upstreams_by_id: dict[str, rows.UpstreamRow]
     leaving_announcements_by_upstream_id: dict[str, rows.LeavingAnnouncementRow]
+    backoff_deadlines_by_entry_upstream: dict[tuple[str, str], float]
     listed_entries_by_vm_id: dict[str, settings_types.SeedPeer]
     health_by_upstream_id: dict[str, rows.HealthRow]
     unreported_failures_by_upstream_id: dict[str, int]
@@ -125,6 +126,7 @@
         requests_by_id={},
         upstreams_by_id={},
         leaving_announcements_by_upstream_id={},
+        backoff_deadlines_by_entry_upstream={},
         listed_entries_by_vm_id={},
         health_by_upstream_id={},
         unreported_failures_by_upstream_id={},
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -66,6 +66,7 @@
     "moveReport": messages.MoveReport,
     "failuresSeen": messages.FailuresSeen,
     "leavingSeen": messages.LeavingSeen,
+    "backoffSeen": messages.BackoffSeen,
 }
 _wire_names_by_type = {
     message_type: name for name, message_type in _types_by_wire_name.items()
@@ -160,6 +161,7 @@
 
 @wire_fields.register(messages.AdmissionGrant)
 @wire_fields.register(messages.MoveOrder)
+@wire_fields.register(messages.BackoffSeen)
 @wire_fields.register(rows.CrashRow)
 def _encode_with_deadline(record: Any, now: float) -> dict[str, Any]:
     return _fields_by_wire_name(record) | {
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -31,6 +31,7 @@
     moveReport @15 :MoveReport;
     failuresSeen @16 :FailuresSeen;
     leavingSeen @17 :LeavingSeen;
+    backoffSeen @18 :BackoffSeen;
   }
 }
 
@@ -168,6 +169,11 @@
   startedAt @1 :UInt64;
 }
 
+struct BackoffSeen {
+  upstreamId @0 :Text;
+  deadline @1 :Float32;
+}
+
 enum MemberState {
   alive @0;
   suspect @1;
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -13,6 +13,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers import (
     _admission,
+    _backoffs,
     _changes,
     _configuration,
     _evacuation,
@@ -84,6 +85,7 @@
     _configuration.decide,
     _changes.decide,
     _upstreams.decide,
+    _backoffs.decide,
     _health.decide,
     _leases.decide,
     _orders.decide,
--- a/src/carawayhitch/controllers/_cells.py
+++ b/src/carawayhitch/controllers/_cells.py
@@ -118,3 +118,14 @@
         )
         for cell in cells.values()
     }
+
+
+def other_schedulers(board: Board, upstream_id: str) -> list[str]:
+    """Return the other entries that schedule the cells of an upstream."""
+    schedulers = {
+        board.schedulers_by_cell_id[cell.cell_id][0]
+        for cell in board.cells_by_id.values()
+        if upstream_id in cell.upstream_ids
+        and board.schedulers_by_cell_id.get(cell.cell_id)
+    }
+    return sorted(schedulers - {board.node_id})
--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -16,6 +16,7 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _lengths, _memory, _rebuild
+from carawayhitch.controllers._backoffs import load_polls
 from carawayhitch.controllers._cells import engine_capacity
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._upstream_choice import (
@@ -195,7 +196,7 @@
 ) -> Actions:
     if event.name == LOAD_POLL_TIMER:
         upstream = board.upstreams_by_id.get(event.subject)
-        return (actions.PollLoad(event.subject, upstream.address),) if upstream else ()
+        return load_polls(board, (upstream,), now) if upstream else ()
     if event.name != EVACUATION_TIMER:
         return ()
     evacuation = board.evacuations_by_upstream_id.get(event.subject)
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._upstreams import is_announced_leaving
 from carawayhitch.core import actions, events, messages, result_codes, rows
@@ -103,7 +104,9 @@
         return (_send_report(board, move, event.attempt, "gone"),)
     if not row.response_started:
         return (_send_report(board, move, event.attempt, "not_started"),)
-    if is_announced_leaving(board, event.target_id):
+    if is_announced_leaving(board, event.target_id) or is_backing_off(
+        board, board.node_id, event.target_id, now
+    ):
         return (_send_report(board, move, event.attempt, "failed"),)
     board.moves_by_request_id[row.request_id] = move
     return (_copy_memory(move, is_final=False),)
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -5,6 +5,11 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._backoffs import (
+    backoff_notice,
+    is_backing_off,
+    next_available_at,
+)
 from carawayhitch.controllers._call_logs import (
     build_grant_log,
     build_retry_log,
@@ -240,6 +245,11 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None:
         return ()
+    available_at = next_available_at(board, row.group, now)
+    if available_at >= (row.goal_deadline or row.deadline) and not row.may_have_run:
+        # Every upstream has named a time that is too late for this call.
+        retry_after = available_at - now
+        return end_request(row, result_codes.UPSTREAM_REFUSED, retry_after)
     cell = choose_cell(board, row.group, now, random)
     if cell is None:
         return end_request(row, result_codes.NO_UPSTREAM, retry_after=1.0)
@@ -363,7 +373,11 @@
             actions.Emit(events.RequestAdmitted(row.request_id)),
         )
     if is_announced_leaving(board, event.upstream_id):
-        return _decline_grant(board, row, event)
+        notice: messages.PeerMessage = leaving_notice(board, event.upstream_id)
+        return _decline_grant(board, row, event, notice)
+    if is_backing_off(board, board.node_id, event.upstream_id, now):
+        notice = backoff_notice(board, event.upstream_id)
+        return _decline_grant(board, row, event, notice)
     # Schedulers of an earlier release need the full row in every progress message.
     granted = row._replace(
         phase="claiming",
@@ -383,14 +397,16 @@
 
 
 def _decline_grant(
-    board: Board, row: rows.RequestRow, grant: messages.AdmissionGrant
+    board: Board,
+    row: rows.RequestRow,
+    grant: messages.AdmissionGrant,
+    notice: messages.PeerMessage,
 ) -> Actions:
     """Return a grant of an upstream that wants no calls, and ask again.
 
     The scheduler gets the notice first: it did not know of it when it granted.
     """
     board.requests_by_id[row.request_id] = row._replace(attempt=row.attempt + 1)
-    notice = leaving_notice(board, grant.upstream_id)
     return (
         actions.Send(grant.sender_id, notice),
         *_release_unused_grant(grant, board),
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -7,6 +7,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers import (
     _affinity,
+    _backoffs,
     _fairness,
     _memory,
     _prefill,
@@ -148,12 +149,13 @@
     settle_seconds = board.settings.scheduling.settle_seconds
     board.settle_deadlines_by_cell_id[cell_id] = now + settle_seconds
     cell = board.cells_by_id.get(cell_id)
-    return [
-        actions.PollLoad(upstream_id, board.upstreams_by_id[upstream_id].address)
+    upstreams = [
+        board.upstreams_by_id[upstream_id]
         for upstream_id in (cell.upstream_ids if cell else ())
         if upstream_id in board.upstreams_by_id
-        and board.upstreams_by_id[upstream_id].kind == "engine"
     ]
+    engines = (row for row in upstreams if row.kind == "engine")
+    return list(_backoffs.load_polls(board, engines, now))
 
 
 def _delete_idle_settle_deadlines(board: Board, now: float) -> None:
--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._backoffs import load_polls
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._queue import SCHEDULING_TIMER
 from carawayhitch.core import actions, events, messages, rows
@@ -111,7 +112,7 @@
         confirmed=False,
     )
     upstream = board.upstreams_by_id.get(upstream_id)
-    return (actions.PollLoad(upstream_id, upstream.address),) if upstream else ()
+    return load_polls(board, (upstream,), now) if upstream else ()
 
 
 def confirm_death(board: Board, death: rows.LastFailureRow, now: float) -> Actions:
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -6,6 +6,7 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _affinity, _memory, _prefill, _suspects
+from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._cells import rendezvous_score
 from carawayhitch.controllers._health import is_ejected
 from carawayhitch.controllers._ranks import (
@@ -203,7 +204,12 @@
     # A retry may reuse an upstream only after it has tried all upstreams of the cell.
     if excluded.issuperset(cell.upstream_ids):
         excluded.clear()
-    candidates = [row for row in usable if row.upstream_id not in excluded]
+    candidates = [
+        row
+        for row in usable
+        if row.upstream_id not in excluded
+        and not is_backing_off(board, ask.entry_id, row.upstream_id, now)
+    ]
     if not candidates or candidates[0].kind != "engine":
         return candidates
     upstream_ids = [row.upstream_id for row in candidates]
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from random import Random
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._affinity import last_cache_sequence
-from carawayhitch.controllers._cells import derive_cells
+from carawayhitch.controllers._backoffs import load_polls
+from carawayhitch.controllers._cells import derive_cells, other_schedulers
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._selectors import selector_matches
 from carawayhitch.controllers._store_watch import maximum_watch_seconds
@@ -89,7 +90,7 @@
         silent = _is_store_silent(board, now)
         engines = upstreams_to_poll(board) if silent else []
         return (
-            *_load_poll_actions(row for row in engines if not row.leaving),
+            *load_polls(board, (row for row in engines if not row.leaving), now),
             *_set_store_silence_timer(board, now),
         )
     if event.name == LOAD_TIMER:
@@ -99,7 +100,7 @@
         # prefixes are shared. Grants then suffice to estimate the caches.
         reads_cache_events = board.settings.scheduling.cache_events
         return (
-            *_load_poll_actions(polled),
+            *load_polls(board, polled, now),
             *(
                 actions.PollCacheEvents(
                     upstream.upstream_id,
@@ -113,13 +114,6 @@
     return ()
 
 
-def _load_poll_actions(upstreams: Iterable[rows.UpstreamRow]) -> Actions:
-    return [
-        actions.PollLoad(upstream.upstream_id, upstream.address)
-        for upstream in upstreams
-    ]
-
-
 def upstreams_to_poll(board: Board) -> list[rows.UpstreamRow]:
     """Return the engines of cells that this node owns or has a settle deadline for."""
     found: dict[str, rows.UpstreamRow] = {}
@@ -227,7 +221,7 @@
         return ()
     decided = _mark_announced_leaving(board, known, now)
     notice = leaving_notice(board, event.upstream_id)
-    schedulers = schedulers_of_upstream(board, event.upstream_id)
+    schedulers = other_schedulers(board, event.upstream_id)
     return (*decided, *(actions.Send(node_id, notice) for node_id in schedulers))
 
 
@@ -238,17 +232,6 @@
             del announcements[row.upstream_id]
 
 
-def schedulers_of_upstream(board: Board, upstream_id: str) -> list[str]:
-    """Return the other entries that schedule the cells of an upstream."""
-    schedulers = {
-        board.schedulers_by_cell_id[cell.cell_id][0]
-        for cell in board.cells_by_id.values()
-        if upstream_id in cell.upstream_ids
-        and board.schedulers_by_cell_id.get(cell.cell_id)
-    }
-    return sorted(schedulers - {board.node_id})
-
-
 @decide.register(messages.LeavingSeen)
 def _apply_leaving_notice(
     event: messages.LeavingSeen, board: Board, now: float, random: Random
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -71,6 +71,7 @@
     WatchExpired,
 )
 from carawayhitch.core._upstream_events import (
+    BackoffRequested,
     CacheChanged,
     EngineStateRead,
     LeavingAnnounced,
@@ -85,6 +86,7 @@
     "AnswerOverdue",
     "AnswerReceived",
     "AskTimedOut",
+    "BackoffRequested",
     "CacheChanged",
     "CallOverdue",
     "CallReceived",
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -261,6 +261,20 @@
     started_at: int
 
 
+class BackoffSeen(NamedTuple):
+    """Notice to a scheduler that an upstream wants no calls from the sender.
+
+    Parameters
+    ----------
+    deadline : float
+        End of that time (seconds of the node clock).
+    """
+
+    sender_id: str
+    upstream_id: str
+    deadline: float
+
+
 class Probe(NamedTuple):
     """Failure detection probe with piggybacked member and crash rows."""
 
@@ -302,6 +316,7 @@
     | MoveReport
     | FailuresSeen
     | LeavingSeen
+    | BackoffSeen
     | Probe
     | ProbeAck
     | IndirectProbe
--- a/src/carawayhitch/core/_upstream_events.py
+++ b/src/carawayhitch/core/_upstream_events.py
@@ -99,6 +99,19 @@
     upstream_id: str
 
 
+class BackoffRequested(NamedTuple):
+    """An upstream refused a call and wants no further ones for some time.
+
+    Parameters
+    ----------
+    deadline : float
+        End of that time (seconds of the node clock).
+    """
+
+    upstream_id: str
+    deadline: float
+
+
 class EngineStateRead(NamedTuple):
     """Answer to ``ReadEngineState``: the engine state that orders can change.
 
--- a/src/carawayhitch/platform/_engines.py
+++ b/src/carawayhitch/platform/_engines.py
@@ -10,7 +10,7 @@
 
 from carawayhitch.backends import BodyTooLargeError, CallContent, read_limited
 from carawayhitch.core import actions, events
-from carawayhitch.platform import _calls, _names
+from carawayhitch.platform import _calls, _names, _notices
 
 REPORT_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 # Values in a report are a few hundred milliseconds old.
@@ -48,7 +48,7 @@
         url = f"http://{address}{_names.REPORT_PATH}"
         async with session.get(url, timeout=REPORT_TIMEOUT) as response:
             response.raise_for_status()
-            announces_leaving = response.headers.get(_names.LEAVING, "").strip() == "1"
+            announces_leaving = _notices.announces_leaving(response)
             body = _report_decoder.decode(
                 await read_limited(response, BODY_BYTES_LIMIT)
             )
--- a/src/carawayhitch/platform/_names.py
+++ b/src/carawayhitch/platform/_names.py
@@ -71,6 +71,10 @@
 DRAINING = "draining"
 STATES = frozenset({READY, DRAINING})
 
+# Status of a response whose ``Retry-After`` names a time without requests.
+UNAVAILABLE_STATUS = 503
+RETRY_AFTER = "Retry-After"
+
 READINESS_PATH = "/carawayhitch/readiness"
 OBJECTS_PATH = "/carawayhitch/objects"
 REPORT_PATH = "/carawayhitch/report"
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -17,7 +17,7 @@
     submit_failures,
 )
 from carawayhitch.core import actions, errors, events, result_codes
-from carawayhitch.platform import _calls, _names
+from carawayhitch.platform import _calls, _names, _notices
 
 EVENT_STREAM = "text/event-stream"
 # 421 Misdirected Request: the address belongs to another upstream now.
@@ -45,18 +45,21 @@
             allow_redirects=False,
             middlewares=(single_send_middleware(),),
         ) as response:
-            await _receive_response(call, response, action)
+            await _receive_response(call, response, action, now)
 
 
 async def _receive_response(
-    call: UpstreamCall, response: aiohttp.ClientResponse, action: actions.OpenUpstream
+    call: UpstreamCall,
+    response: aiohttp.ClientResponse,
+    action: actions.OpenUpstream,
+    now: Callable[[], float],
 ) -> None:
     is_refused = _names.NOT_EXECUTED in response.headers
     is_from_upstream = _is_from_upstream(call, response)
     # Another upstream may use the address now.
     is_misdirected = response.status == MISDIRECTED_REQUEST_STATUS
     if (is_refused or is_from_upstream) and not is_misdirected:
-        _submit_notices(call, response, action)
+        _submit_notices(call, response, action.upstream_id, now())
     if is_misdirected or is_refused:
         call.submit(new_call_failure(call, "refused", False, response.status))
         return
@@ -83,16 +86,14 @@
 
 
 def _submit_notices(
-    call: UpstreamCall, response: aiohttp.ClientResponse, action: actions.OpenUpstream
+    call: UpstreamCall, response: aiohttp.ClientResponse, upstream_id: str, now: float
 ) -> None:
     """Submit what an upstream says about itself beside its answer."""
-    if is_leaving(response):
-        call.submit(events.LeavingAnnounced(action.upstream_id))
-
-
-def is_leaving(response: aiohttp.ClientResponse) -> bool:
-    """Return whether the upstream announces in a response that it is leaving."""
-    return response.headers.get(_names.LEAVING, "").strip() == "1"
+    if _notices.announces_leaving(response):
+        call.submit(events.LeavingAnnounced(upstream_id))
+    backoff = _notices.requested_backoff(response, upstream_id, now)
+    if backoff is not None:
+        call.submit(backoff)
 
 
 def _is_from_upstream(call: UpstreamCall, response: aiohttp.ClientResponse) -> bool:
--- a/tests/platform/test_routed_calls.py
+++ b/tests/platform/test_routed_calls.py
@@ -223,6 +223,37 @@
                 # The calls that follow this answer must see the announcement.
                 self.assertEqual(announced, found[: len(announced)])
 
+    async def test_named_time_without_calls_is_reported(self):
+        """Guards against calls within the time that a refusal names."""
+        length = b"Content-Length: 0\r\n\r\n"
+        full = b"HTTP/1.1 503 Full\r\nCarawayhitch-Not-Executed: 1\r\n"
+        failed = b"HTTP/1.1 503 Failed\r\n" + SIGNED_HEADERS
+        cases = {
+            "refusal": (full + b"Retry-After: 2\r\n", 2.0),
+            "fraction": (full + b"Retry-After: 0.25\r\n", 0.25),
+            "own failure": (failed + b"Retry-After: 1.5\r\n", 1.5),
+            "no header": (full, None),
+            "date": (full + b"Retry-After: Sat, 05 Dec 2026 04:00:00 GMT\r\n", None),
+            "negative": (full + b"Retry-After: -1\r\n", None),
+            "no number": (full + b"Retry-After: soon\r\n", None),
+            "too many digits": (full + b"Retry-After: 1" + b"0" * 30 + b"\r\n", None),
+            "another status": (
+                full.replace(b"503", b"429") + b"Retry-After: 2\r\n",
+                None,
+            ),
+            "another call": (
+                failed.replace(b"call-1", b"call-2") + b"Retry-After: 2\r\n",
+                None,
+            ),
+        }
+        for name, (head, seconds) in cases.items():
+            with self.subTest(name):
+                found = await Upstream(head + length).call()
+                requested = [e for e in found if isinstance(e, events.BackoffRequested)]
+                expected = [events.BackoffRequested("engine-1", 9.0 + (seconds or 0))]
+                self.assertEqual(requested, expected if seconds else [])
+                self.assertEqual(requested, found[: len(requested)])
+
     async def test_error_response_is_relayed_unchanged(self):
         """Guards against replacing the status or body of an error response."""
         answer = (
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -214,6 +214,36 @@
         self.assertEqual(set(statuses), {200})
         self.assertEqual(self.run_count("plain-0"), before)
 
+    def test_refusing_upstream_gets_no_calls_for_the_time_it_names(self):
+        """Guards against calls and retries that keep an overloaded server busy."""
+        self.start(services=2)
+        self.fleet.server_faults("plain-0", refusals=1000, retry_after=1.5)
+        refused_at = 0.0
+        while not refused_at:
+            self.assertEqual(self.fleet.ask("entry-0", "/order/1")[0], 200)
+            if self.refusal_count("plain-0"):
+                refused_at = time.monotonic()
+        while time.monotonic() < refused_at + 1.3:
+            self.assertEqual(self.fleet.ask("entry-0", "/order/1")[0], 200)
+        self.assertEqual(self.refusal_count("plain-0"), 1)
+        # All servers refuse, and the call's goal of 1 s cannot be met.
+        self.fleet.server_faults("plain-1", refusals=1000, retry_after=7.5)
+        self.fleet.server_faults("plain-0", refusals=1000, retry_after=8.5)
+        statuses: list[int] = []
+        while not statuses or time.monotonic() < refused_at + 4.0:
+            started = time.monotonic()
+            status, _, headers = self.fleet.ask("entry-0", "/order/1")
+            statuses.append(status)
+            last = time.monotonic() - started, headers
+        self.assertEqual(set(statuses), {503})
+        self.assertLess(last[0], 0.5)
+        self.assertGreater(float(last[1]["Retry-After"]), 3.0)
+        self.assertLessEqual(self.refusal_count("plain-0"), 2)
+        self.assertEqual(self.refusal_count("plain-1"), 1)
+
+    def refusal_count(self, name):
+        return self.fleet.server_call_record(name)["counts"].get("refusals", 0)
+
     def test_stalled_store_connections_are_replaced_in_time(self):
         """Guards against watch scopes that wait for each other after a common stall.
 
