Measure the silence of a stream from its last event, and go on late

Cause, three faults in one limit. The check of a stream's silence was set when the call was sent, for the time of its first event (60 s), so a stall after the first event was noticed after a minute and not after 5 s; a stream that may run only once was never checked, and bytes that are no event kept it open without end. A resumable stream that paused for 5 s ended with an error when no other attempt was allowed, although a preempted generation goes on by itself.

The check now starts with the first event and counts events only. A stream that can go on elsewhere does so after 5 s of silence; otherwise it may pause for as long as its caller waits. A stream that breaks gets a new deadline from its last event, within its caller's.

Ruled out: a limit in bytes a second, which a drip of comments passes; a longer limit for all streams, which keeps callers at dark engines.

--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -21,6 +21,7 @@
 from carawayhitch.controllers._routes import choose_group, find_route, rank_name
 from carawayhitch.controllers._selectors import find_binding
 from carawayhitch.controllers._targets import (
+    PATIENCE_WAIT_FRACTION,
     apply_declaration,
     first_sequence,
     is_idempotent,
@@ -31,8 +32,6 @@
 # Added to the issuer's time limits, so that a forwarded call does not time out here
 # before it does at the issuer.
 FORWARDING_ALLOWANCE_SECONDS = 5.0
-# Fraction of a route's ``patience_seconds`` that a call may wait for an upstream.
-PATIENCE_WAIT_FRACTION = 0.6
 ISSUED_KEY_SERIAL_BITS = 96
 
 decide = new_controller()
@@ -143,6 +142,7 @@
             streamed=route.work == "stream",
             repeatable=route.work == "repeatable",
             resumable=route.resumable,
+            patience_seconds=route.patience_seconds,
         ),
         wait_seconds=wait_seconds,
         answer_seconds=route.timeout_seconds,
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -457,7 +457,8 @@
     event: events.WaitExpired, board: Board, now: float, random: Random
 ) -> Actions:
     row = board.requests_by_id.get(event.request_id)
-    if row is None or row.phase not in WAITING_PHASES:
+    if row is None or row.phase not in WAITING_PHASES or now < row.deadline:
+        # A stream that another upstream has to go on with has a later deadline.
         return ()
     return end_request(row, result_codes.WAIT_EXPIRED, retry_after=5.0)
 
--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -13,6 +13,7 @@
     finished_message,
     send_upstream_answer,
 )
+from carawayhitch.controllers._targets import PATIENCE_WAIT_FRACTION, caller_patience
 from carawayhitch.core import actions, events, result_codes, rows
 
 SAVED_RETRY_LIMIT = 20.0
@@ -87,6 +88,8 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None:
         return ()
+    initial_deadline = row.deadline
+    row = row._replace(deadline=_waiting_deadline(row))
     budget = _budget(board, row.group, now)
     board.retry_budgets_by_group[row.group] = budget
     if _is_last_attempt(board, row) or now >= row.deadline:
@@ -117,14 +120,38 @@
     )
     board.requests_by_id[row.request_id] = next_row
     delay = backoff_seconds(board, row.attempt, random)
+    expiry = actions.SetTimer(row.deadline, events.WaitExpired(row.request_id))
     return (
         actions.Send(row.scheduler_id, finished),
         actions.Count(event.code, row.rank),
         build_retry_log(row, event.code),
+        *((expiry,) if row.deadline > initial_deadline else ()),
         actions.SetTimer(now + delay, events.RequestAdmitted(row.request_id)),
     )
 
 
+def _waiting_deadline(row: rows.RequestRow) -> float:
+    """Return the time by which another upstream has to go on with a request.
+
+    The deadline of a request limits the wait for its first event. A caller that has
+    events waits again from the last one on.
+    """
+    patience = caller_patience(row.target)
+    if not row.response_started or not patience:
+        return row.deadline
+    deadline = row.last_chunk_at + patience * PATIENCE_WAIT_FRACTION
+    return min(deadline, row.caller_deadline or deadline)
+
+
+def may_retry(board: Board, row: rows.RequestRow, now: float) -> bool:
+    """Return whether another attempt of a request would be made at this time."""
+    return (
+        not _is_last_attempt(board, row._replace(run_count=row.run_count + 1))
+        and now < _waiting_deadline(row)
+        and _budget(board, row.group, now).retries >= 1.0
+    )
+
+
 def _is_last_attempt(board: Board, row: rows.RequestRow) -> bool:
     """Return whether the attempt limit forbids another attempt.
 
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -19,7 +19,9 @@
     end_request,
     send_upstream_answer,
 )
+from carawayhitch.controllers._retries import may_retry
 from carawayhitch.controllers._targets import (
+    caller_patience,
     can_continue,
     can_retry_error_answer,
     final_code,
@@ -71,10 +73,9 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None or row.phase != "claiming":
         return ()
-    board.requests_by_id[row.request_id] = row._replace(
-        phase="opening", last_chunk_at=now
-    )
-    deadline = now + first_byte_timeout(row.target, board.settings)
+    row = row._replace(phase="opening", last_chunk_at=now)
+    board.requests_by_id[row.request_id] = row
+    deadline = now + _silence_limit(board, row, now)
     return (
         open_upstream(row, upstream_deadline(row)),
         actions.SetTimer(deadline, events.StallCheck(row.request_id, row.attempt)),
@@ -102,7 +103,7 @@
     row = row._replace(last_chunk_at=now)
     board.requests_by_id[row.request_id] = row
     check = events.StallCheck(row.request_id, row.attempt)
-    deadline = now + _silence_limit(board, row)
+    deadline = now + _silence_limit(board, row, now)
     return (_resume_action(row), actions.SetTimer(deadline, check))
 
 
@@ -158,9 +159,13 @@
         return (forwarded,)
     # The response headers contain the generation id, so they are sent with the first
     # token: until then a retry may replace the generation.
+    # The check of the first event comes too late for a stall after it.
+    check = events.StallCheck(row.request_id, row.attempt)
+    silence_limit = _silence_limit(board, board.requests_by_id[row.request_id], now)
     return (
         _start_stream(row),
         forwarded,
+        actions.SetTimer(now + silence_limit, check),
         build_stage_observation(row, "first", now),
         actions.Emit(events.StreamStarted(row.request_id)),
     )
@@ -238,11 +243,19 @@
     )
 
 
-def _silence_limit(board: Board, row: rows.RequestRow) -> float:
-    """Return the limit on the silence of an upstream at this point, in seconds."""
-    if row.last_sequence:
-        return board.settings.streams.stall_timeout_seconds
-    return first_byte_timeout(row.target, board.settings)
+def _silence_limit(board: Board, row: rows.RequestRow, now: float) -> float:
+    """Return the limit on the silence of an upstream at this point, in seconds.
+
+    Silence means no complete event; other bytes do not count. If the stream could not
+    go on elsewhere, the limit is the caller's patience, because a sound generation can
+    pause for seconds.
+    """
+    if not row.last_sequence:
+        return first_byte_timeout(row.target, board.settings)
+    stall_timeout = board.settings.streams.stall_timeout_seconds
+    if can_continue(row.target) and may_retry(board, row, now):
+        return stall_timeout
+    return max(stall_timeout, caller_patience(row.target))
 
 
 @decide.register(events.AnswerOverdue)
@@ -267,7 +280,7 @@
         return ()
     if not has_silence_timeout(row.target):
         return ()
-    limit = _silence_limit(board, row)
+    limit = _silence_limit(board, row, now)
     if row.paused_at:
         # The entry stops reading from the upstream while the caller is slow, so silence
         # does not indicate a lost link. The pause is limited, because the engine holds
--- a/src/carawayhitch/controllers/_targets.py
+++ b/src/carawayhitch/controllers/_targets.py
@@ -12,6 +12,8 @@
 
 READ_METHODS = frozenset({"GET", "HEAD"})
 AMBIGUOUS_PATH_SEGMENTS = frozenset({"", ".", ".."})
+# Fraction of a route's ``patience_seconds`` that a call may wait for an upstream.
+PATIENCE_WAIT_FRACTION = 0.6
 
 
 class AdmissionSize(NamedTuple):
@@ -208,8 +210,20 @@
 
 @has_silence_timeout.register
 def _routed_has_silence_timeout(target: rows.RoutedTarget) -> bool:
-    # Abandoning a silent upstream only helps if another attempt is allowed.
-    return is_idempotent(target)
+    # Abandoning a silent upstream only helps if another attempt is allowed, or if it
+    # frees the caller of a stream that has stalled.
+    return is_idempotent(target) or target.streamed
+
+
+@singledispatch
+def caller_patience(target: Any) -> float:
+    """Return the gap in seconds after which callers abandon a stream; 0 if unknown."""
+    return 0.0
+
+
+@caller_patience.register
+def _routed_caller_patience(target: rows.RoutedTarget) -> float:
+    return target.patience_seconds if target.streamed else 0.0
 
 
 @singledispatch
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -68,6 +68,9 @@
         answer; 0 for a new call.
     streamed, repeatable, resumable : bool
         Set during admission from the declared route; False until then.
+    patience_seconds : float
+        Gap without events after which the caller abandons a stream, from the declared
+        route; 0 if it is not known.
     """
 
     method: str
@@ -81,6 +84,7 @@
     streamed: bool = False
     repeatable: bool = False
     resumable: bool = False
+    patience_seconds: float = 0.0
 
 
 Target = GenerationTarget | ServiceTarget | ForwardTarget | ResumeTarget | RoutedTarget
