Let entries that schedule no engines gather changes of upstreams

Cause: every entry watches the registrations of upstreams, and a watch of every entry ends with each change.

Only the schedulers of cells, and the entries that would take over from them, need such changes at once. The others pause for 0.8 of the time that the bounds of the platform allow between two answers, and wait for the rest, so that a quiet store is not called more often. Ruled out: fewer watchers that push to the others, which adds a path that has to fail over within the same bounds.

--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -3,6 +3,11 @@
 A watch without events cannot be told from a broken one, so each watch has a time
 limit, and periodic lists find changes that watches skipped. Answers of the store are
 emitted as `ObjectsReceived`.
+
+Load pattern: in a fleet of hundreds of entries, upstreams change several times a
+second, and a watch of every entry ends with each change. Only the schedulers of cells
+need such changes at once. The other entries let them gather, for as long as the bounds
+of the platform allow.
 """
 
 from __future__ import annotations
@@ -12,6 +17,7 @@
 from typing import Any
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._cells import entry_scheduled_groups
 from carawayhitch.controllers._configuration import (
     ANTI_ENTROPY_TIMER,
     PUSH_FANOUT,
@@ -45,6 +51,14 @@
 STALE_READ_PAUSE_SECONDS = 0.5
 # A list finds changes that a watch skipped. 240 KB every 300 s are 0.8 KB/s.
 LIST_INTERVAL_SECONDS = 300.0
+# Kept free under each bound of the platform for the answer, its handling and timers.
+BOUND_MARGIN_SECONDS = 0.5
+# Share of the time between two answers for which a relaxed watch pauses. The watch that
+# follows waits for the rest, so that a quiet scope costs no further calls.
+RELAXED_PAUSE_SHARE = 0.8
+# Candidates for a cell that follow its upstreams closely: its scheduler, and the entry
+# that takes over from it.
+CLOSE_CANDIDATE_COUNT = 2
 # Registrations expire after several missed heartbeats, so an interruption of the store
 # that is shorter than this expires none.
 MINIMUM_OUTAGE_SECONDS = 1.0
@@ -113,6 +127,8 @@
         return (actions.ListObjects(LIST_OPERATION, scope, first_may_be_stale),)
     _update_scope(board, scope, call="watch", called_at=now)
     wait = maximum_watch_seconds(store, scope)
+    if _is_relaxed(board, scope):
+        wait -= _pause_seconds(board, scope)
     if scope_row.failure_count:
         wait = min(wait, PROBE_WATCH_SECONDS)
     watch = actions.WatchObjects(WATCH_OPERATION, position, wait, scope, may_be_stale)
@@ -120,15 +136,43 @@
 
 
 def maximum_watch_seconds(store: settings_types.StoreSettings, scope: str) -> float:
-    """Return the longest time that a watch of a scope waits for a change."""
+    """Return the longest time that a watch of a scope waits for a change.
+
+    It is also the longest time between two answers of a working store to a relaxed
+    watch, pause included.
+    """
     if scope in store.slow_scopes:
         return store.slow_watch_seconds
-    return store.watch_timeout_seconds
+    # A connection that has failed silently is noticed when a watch times out.
+    limits = (
+        store.contact_milliseconds / 1000.0 - store.timeout_seconds,
+        store.configuration_milliseconds / 1000.0,
+        store.leaving_milliseconds / 1000.0,
+    )
+    if min(limits) <= BOUND_MARGIN_SECONDS:
+        return store.watch_timeout_seconds
+    return min(limits) - BOUND_MARGIN_SECONDS
+
+
+def _is_relaxed(board: Board, scope: str) -> bool:
+    """Return whether this entry may learn of the changes of a scope late."""
+    if scope not in board.settings.store.relaxed_scopes:
+        return False
+    entry_scheduled = entry_scheduled_groups(board)
+    return not any(
+        board.node_id in schedulers[:CLOSE_CANDIDATE_COUNT]
+        and board.cells_by_id[cell_id].group not in entry_scheduled
+        for cell_id, schedulers in board.schedulers_by_cell_id.items()
+        if cell_id in board.cells_by_id
+    )
 
 
-def _pause_seconds(store: settings_types.StoreSettings, scope: str) -> float:
+def _pause_seconds(board: Board, scope: str) -> float:
+    store = board.settings.store
     if scope in store.slow_scopes:
         return store.slow_pause_seconds
+    if _is_relaxed(board, scope):
+        return RELAXED_PAUSE_SHARE * maximum_watch_seconds(store, scope)
     return store.watch_pause_seconds
 
 
@@ -161,7 +205,7 @@
         return ()
     decided: list[actions.Action] = []
     for scope in idle:
-        pause = _pause_seconds(board.settings.store, scope)
+        pause = _pause_seconds(board, scope)
         decided += _set_call_timer(board, scope, now + random.uniform(0, pause))
     return decided
 
@@ -253,7 +297,7 @@
     kept = _defer_removals(board, event.scope, objects, now)
     _update_scope(board, event.scope, position=event.revision)
     complete = _complete_revision(board)
-    pause = _pause_seconds(board.settings.store, event.scope)
+    pause = _pause_seconds(board, event.scope)
     return (
         *decided,
         actions.Emit(events.ObjectsReceived(kept, complete, push_count)),
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -84,6 +84,14 @@
     watch_pause_seconds : float
         Pause between an answer and the next watch, so that a burst of changes costs
         few watches, each of which counts as a call to the store.
+    relaxed_scopes : tuple of str
+        Scopes whose changes only the schedulers of cells need at once; the other
+        entries pause longer between an answer and the next watch.
+    contact_milliseconds, configuration_milliseconds, leaving_milliseconds : float
+        Bounds of the platform, under which the time between two answers of a watch
+        has to stay: for regaining contact after connections have failed, for taking
+        over a configuration and for leaving an upstream. If any is 0,
+        ``watch_timeout_seconds`` alone limits that time.
     retry_limit_seconds : float
         Longest delay between retries of failed calls.
     lapse_grace_seconds : float
@@ -105,6 +113,10 @@
     watch_pause_seconds: Annotated[float, Meta(ge=0)] = 0.2
     retry_limit_seconds: PositiveSeconds = 30.0
     lapse_grace_seconds: Annotated[float, Meta(ge=0)] = 0.0
+    relaxed_scopes: tuple[str, ...] = ()
+    contact_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
+    configuration_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
+    leaving_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class PlatformSettings(NamedTuple):
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -7,7 +7,7 @@
 
 from carawayhitch import controllers
 from carawayhitch.controllers import _store_watch
-from carawayhitch.core import actions, declarations, events, result_codes
+from carawayhitch.core import actions, declarations, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
 from tests.boards import ready_board
 
@@ -219,6 +219,60 @@
         self.assertEqual(line.event, "store objects could not be read")
         self.assertEqual((line.fields["objects"], line.fields["revision"]), (2, 20))
 
+    def test_watches_use_the_time_that_the_bounds_allow(self):
+        """Guards against store calls that no bound requires, and against late ones.
+
+        A silent connection is noticed when a watch times out, a second after its wait.
+        """
+        store = settings_types.StoreSettings("", timeout_seconds=1.0)
+        cases = (
+            # contact, configuration and leaving bound in milliseconds, longest wait
+            ((3000, 2000, 2000), 1.5),
+            ((4000, 3000, 3000), 2.5),
+            ((5000, 4000, 4000), 3.5),
+            ((9000, 8000, 2000), 1.5),
+            ((1200, 2000, 2000), 30.0),
+            ((0, 0, 0), 30.0),
+        )
+        for (contact, configuration, leaving), expected in cases:
+            bounded = store._replace(
+                contact_milliseconds=contact,
+                configuration_milliseconds=configuration,
+                leaving_milliseconds=leaving,
+            )
+            found = _store_watch.maximum_watch_seconds(bounded, "upstreams")
+            self.assertEqual(found, expected)
+
+    def test_only_schedulers_follow_upstreams_at_once(self):
+        """Guards against one store call per entry for each change of an upstream.
+
+        An entry that schedules no engines pauses, and then waits only for the rest of
+        the time, so that a quiet store is not called more often.
+        """
+        store = self.board.settings.store._replace(
+            relaxed_scopes=("upstreams",), watch_timeout_seconds=2.0
+        )
+        board = self.board
+        board.settings_by_name["in_force"] = board.settings._replace(store=store)
+        board.cells_by_id["quotes/r1/0"] = rows.CellRow(
+            "quotes/r1/0", "quotes", "r1", ()
+        )
+        own = board.node_id
+        cases = (
+            (("other", "another", own), 1.6, 0.4),
+            (("other", own), 0.0, 2.0),
+            ((own, "other"), 0.0, 2.0),
+        )
+        for schedulers, pause, wait in cases:
+            with self.subTest(schedulers):
+                board.schedulers_by_cell_id["quotes/r1/0"] = schedulers
+                revision = board.store_scopes_by_name["upstreams"].position + 1
+                changed = events.ObjectsChanged("s", revision, (), "upstreams", True)
+                (delay,) = self.call_delays(self.feed(changed))
+                self.assertAlmostEqual(delay, pause)
+                self.now += delay
+                self.assertAlmostEqual(self.next_call().wait_seconds, wait)
+
     def test_stale_answer_reverts_nothing(self):
         """Guards against a stale read that is taken for the newest state."""
         self.listed(upstream("u1", 30), revision=30)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from carawayhitch import codecs
+from carawayhitch.controllers._store_watch import maximum_watch_seconds
 from fakes.platform_template import render
 
 ROOT = Path(__file__).parent.parent
@@ -71,10 +72,15 @@
     def test_timeouts_are_within_platform_bounds(self):
         """Guards against timeouts too long to keep the bounds of the platform."""
         store, bounds = self.settings.store, TEMPLATE_FIELDS["bounds"]
-        silence_detection_seconds = store.watch_timeout_seconds + store.timeout_seconds
-        self.assertLess(silence_detection_seconds, bounds["contactMs"] / 1000)
-        self.assertLess(store.watch_timeout_seconds, bounds["configMs"] / 1000)
-        self.assertLess(store.watch_timeout_seconds, bounds["drainMs"] / 1000)
+        for factor in (0.6, 1.0, 1.5, 2.0):
+            scaled = {name: value * factor for name, value in bounds.items()}
+            settings = read_rendered_settings({**TEMPLATE_FIELDS, "bounds": scaled})
+            watch_seconds = maximum_watch_seconds(settings.store, "upstreams")
+            with self.subTest(factor=factor):
+                silence_detection_seconds = watch_seconds + store.timeout_seconds
+                self.assertLess(silence_detection_seconds, scaled["contactMs"] / 1000)
+                self.assertLess(watch_seconds, scaled["configMs"] / 1000)
+                self.assertLess(watch_seconds, scaled["drainMs"] / 1000)
         self.assertLess(self.settings.drain.limit_seconds, bounds["graceS"])
         self.assertLessEqual(set(store.slow_scopes), set(store.stale_scopes))
         self.assertLessEqual(set(store.stale_scopes), set(store.scopes))
