Start with stale lists and spread the creation of the peer key

Cause: what each entry asks of the store in full at a start grows with the fleet.

First lists of all scopes may be stale, because the watch that follows finds newer changes; lists of entries always may, because membership spreads them. The key is read stale, and if there is none, each entry looks again after up to 2 s and only then creates one; a key that the stale read missed is found by the conditional write. Ruled out: stale lists of upstreams after a lost history, since a notice in the gap would be seen late.

--- a/src/carawayhitch/backends/_peer_keys.py
+++ b/src/carawayhitch/backends/_peer_keys.py
@@ -21,19 +21,22 @@
     perform: PerformStoreAction,
     generate_secret: Callable[[int], str],
 ) -> Any:
-    """Read the shared keys, and create one if the store has none.
+    """Read the shared keys, and create one if the store has none and the action may.
 
     If several entries create a key at the same time, the store accepts one write and
     the other entries read that key.
 
     Returns
     -------
-    PeerKeysRead or StoreCallFailed
+    PeerKeysRead, PeerKeysAbsent or StoreCallFailed
         The keys in the store, or the reason why they could not be read or written.
     """
     read = actions.ReadObject(action.operation_id, PEER_KEY_KIND, PEER_KEY_NAME)
-    event = await perform(read)
+    # A key that a stale read misses is found by the conditional write.
+    event = await perform(read._replace(may_be_stale=True))
     if isinstance(event, events.ObjectRead) and not event.stored.version:
+        if not action.may_create:
+            return events.PeerKeysAbsent()
         created = settings_types.PeerKey(FIRST_KEY_ID, generate_secret(SECRET_BYTES))
         value = encode_peer_keys((created,))
         written = await perform(
@@ -43,7 +46,9 @@
         )
         if not isinstance(written, events.ObjectWritten):
             return written
-        # Another entry may have written its key first.
+        if written.accepted:
+            return events.PeerKeysRead((created,))
+        # Another entry has written its key first.
         event = await perform(read)
     if not isinstance(event, events.ObjectRead):
         return event
--- a/src/carawayhitch/controllers/_registration.py
+++ b/src/carawayhitch/controllers/_registration.py
@@ -13,6 +13,8 @@
 # With its jitter, short enough for a new entry to become a member within a second after
 # the store recovers.
 RETRY_DELAY_SECONDS = 0.5
+# Entries that start together spread the creation of a key over this time.
+KEY_CREATION_SPREAD_SECONDS = 2.0
 
 decide = new_controller()
 
@@ -26,7 +28,20 @@
     register = actions.RegisterEntry(REGISTRATION_OPERATION, 0)
     if board.settings.peers.keys:
         return (register,)
-    return (actions.LoadPeerKeys(PEER_KEYS_OPERATION), register)
+    return (actions.LoadPeerKeys(PEER_KEYS_OPERATION, may_create=False), register)
+
+
+@decide.register(events.PeerKeysAbsent)
+def _schedule_key_creation(
+    event: events.PeerKeysAbsent, board: Board, now: float, random: Random
+) -> Actions:
+    """Look again after a random time, and create a key if there is still none.
+
+    When all entries start together, few of them write, and the others read that key.
+    """
+    timer = events.TimerFired(PEER_KEYS_OPERATION)
+    delay = random.uniform(0.0, KEY_CREATION_SPREAD_SECONDS)
+    return (actions.SetTimer(now + delay, timer),)
 
 
 @decide.register(events.PeerKeysRead)
--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -121,10 +121,8 @@
         )
     if now >= scope_row.list_after:
         _update_scope(board, scope, call="list", called_at=now)
-        # Later lists have to find changes that a watch skipped, so only the first may
-        # be stale.
-        first_may_be_stale = position < 0 and scope in store.stale_scopes
-        return (actions.ListObjects(LIST_OPERATION, scope, first_may_be_stale),)
+        list_may_be_stale = _list_may_be_stale(store, scope, position)
+        return (actions.ListObjects(LIST_OPERATION, scope, list_may_be_stale),)
     _update_scope(board, scope, call="watch", called_at=now)
     wait = maximum_watch_seconds(store, scope)
     if _is_relaxed(board, scope):
@@ -135,6 +133,20 @@
     return (watch,)
 
 
+def _list_may_be_stale(
+    store: settings_types.StoreSettings, scope: str, position: int
+) -> bool:
+    """Return whether a list of a scope may be seconds old.
+
+    A first list may be, since the watch that follows finds newer changes. Later lists
+    have to find changes that a watch skipped, except in slow scopes, whose changes
+    also reach the entries in another way.
+    """
+    if position < 0:
+        return store.stale_watches or scope in store.stale_scopes
+    return scope in store.slow_scopes and scope in store.stale_scopes
+
+
 def maximum_watch_seconds(store: settings_types.StoreSettings, scope: str) -> float:
     """Return the longest time that a watch of a scope waits for a change.
 
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -241,11 +241,18 @@
 
 
 class ReadObject(NamedTuple):
-    """Read one object of the store."""
+    """Read one object of the store.
+
+    Parameters
+    ----------
+    may_be_stale : bool
+        Whether the answer may be seconds old, which costs the store less.
+    """
 
     operation_id: str
     kind: str
     name: str
+    may_be_stale: bool = False
 
 
 class WriteObject(NamedTuple):
@@ -259,9 +266,16 @@
 
 
 class LoadPeerKeys(NamedTuple):
-    """Read the keys that entries share through the store; create one if absent."""
+    """Read the keys that entries share through the store.
+
+    Parameters
+    ----------
+    may_create : bool
+        Whether to create a key if the store has none.
+    """
 
     operation_id: str
+    may_create: bool = True
 
 
 class RegisterEntry(NamedTuple):
--- a/src/carawayhitch/core/_store_events.py
+++ b/src/carawayhitch/core/_store_events.py
@@ -129,6 +129,10 @@
     keys: tuple[PeerKey, ...]
 
 
+class PeerKeysAbsent(NamedTuple):
+    """Answer to ``LoadPeerKeys``: the store has no key, and none was created."""
+
+
 class JournalRead(NamedTuple):
     """Answer to ``ReadJournal``; version 0 means that the object is absent."""
 
--- a/src/carawayhitch/platform/_store.py
+++ b/src/carawayhitch/platform/_store.py
@@ -204,7 +204,7 @@
 
 
 def _consistency_params(
-    action: actions.ListObjects | actions.WatchObjects,
+    action: actions.ListObjects | actions.WatchObjects | actions.ReadObject,
 ) -> dict[str, str]:
     """Return the query parameters that allow a stale read.
 
@@ -297,7 +297,8 @@
 @_perform.register
 async def _read_object(action: actions.ReadObject, store: PlatformStore) -> Any:
     url = store.url(platform_kind(action.kind), action.name)
-    async with store.session.get(url, timeout=store.timeout) as response:
+    params = _consistency_params(action)
+    async with store.session.get(url, params=params, timeout=store.timeout) as response:
         if response.status == 404:
             absent = events.StoredObject(action.kind, action.name, 0, b"")
             return events.ObjectRead(action.operation_id, absent)
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -91,6 +91,25 @@
         self.assertIsInstance(again, actions.ListObjects)
         self.assertFalse(again.may_be_stale)
 
+    def test_all_entries_start_with_stale_lists(self):
+        """Guards against full charges when hundreds of entries start together."""
+        store = self.board.settings.store._replace(stale_watches=True)
+        self.board.settings_by_name["in_force"] = self.board.settings._replace(
+            store=store
+        )
+        self.now += 1.0
+        started = self.feed(events.ProcessStarted(1))
+        lists = [a for a in started if isinstance(a, actions.ListObjects)]
+        self.assertEqual([a.may_be_stale for a in lists], [True, True, True])
+
+    def test_list_of_a_slow_scope_may_always_be_stale(self):
+        """Guards against a full charge per entry when the store drops its history."""
+        self.feed(events.ObjectsListed(10, (), "entries"))
+        self.feed(events.WatchExpired(_store_watch.WATCH_OPERATION, "entries"))
+        again = self.next_call("entries")
+        self.assertIsInstance(again, actions.ListObjects)
+        self.assertTrue(again.may_be_stale)
+
     def test_slow_scope_is_watched_less_often_and_delays_no_other_scope(self):
         """Guards against store calls that return nothing new."""
         for scope in SCOPES:
