Count a slow scope's pause as part of its silence, and keep schedulers close

Cause: the store counted as silent 0.2 s after the longest wait of a watch, but a slow scope pauses for 1 s after each wait of 20 s, so every scheduler polled all its engines up to twice in each 21 s of a working store. With the longer watches of large deployments, a scheduler would also have noticed a store that hangs only after 3.7 s, while engines leave 1.5 to 2.1 s after their notice.

The pause of a slow scope counts now, and schedulers of cells keep the short watch of upstreams.

Before: the new case of tests.controllers.test_load_polls polls three engines, and the wait of a scheduler in test_only_schedulers_follow... is 2.0 s. After: none, 1.5 s.

--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -124,9 +124,7 @@
         list_may_be_stale = _list_may_be_stale(store, scope, position)
         return (actions.ListObjects(LIST_OPERATION, scope, list_may_be_stale),)
     _update_scope(board, scope, call="watch", called_at=now)
-    wait = maximum_watch_seconds(store, scope)
-    if _is_relaxed(board, scope):
-        wait -= _pause_seconds(board, scope)
+    wait = _watch_seconds(board, scope)
     if scope_row.failure_count:
         wait = min(wait, PROBE_WATCH_SECONDS)
     watch = actions.WatchObjects(WATCH_OPERATION, position, wait, scope, may_be_stale)
@@ -147,15 +145,12 @@
     return scope in store.slow_scopes and scope in store.stale_scopes
 
 
-def maximum_watch_seconds(store: settings_types.StoreSettings, scope: str) -> float:
-    """Return the longest time that a watch of a scope waits for a change.
+def answer_interval_seconds(store: settings_types.StoreSettings) -> float:
+    """Return the longest time between two answers to a watch of a working store.
 
-    It is also the longest time between two answers of a working store to a relaxed
-    watch, pause included.
+    Bounds of the platform limit it; a connection that has failed silently is noticed
+    when a watch times out.
     """
-    if scope in store.slow_scopes:
-        return store.slow_watch_seconds
-    # A connection that has failed silently is noticed when a watch times out.
     limits = (
         store.contact_milliseconds / 1000.0 - store.timeout_seconds,
         store.configuration_milliseconds / 1000.0,
@@ -166,6 +161,30 @@
     return min(limits) - BOUND_MARGIN_SECONDS
 
 
+def _watch_seconds(board: Board, scope: str) -> float:
+    """Return the longest time that a watch of a scope waits for a change."""
+    store = board.settings.store
+    if scope in store.slow_scopes:
+        return store.slow_watch_seconds
+    interval = answer_interval_seconds(store)
+    if _is_relaxed(board, scope):
+        return interval - _pause_seconds(board, scope)
+    if scope in store.relaxed_scopes:
+        # Schedulers have to notice a silent store before an engine leaves unnoticed.
+        return min(interval, store.watch_timeout_seconds)
+    return interval
+
+
+def maximum_silence_seconds(board: Board, scope: str) -> float:
+    """Return the time without an answer after which the store counts as silent.
+
+    Only the long pause of a slow scope is added to its wait.
+    """
+    slow_scopes = board.settings.store.slow_scopes
+    pause = _pause_seconds(board, scope) if scope in slow_scopes else 0.0
+    return _watch_seconds(board, scope) + pause
+
+
 def _is_relaxed(board: Board, scope: str) -> bool:
     """Return whether this entry may learn of the changes of a scope late."""
     if scope not in board.settings.store.relaxed_scopes:
@@ -184,7 +203,7 @@
     if scope in store.slow_scopes:
         return store.slow_pause_seconds
     if _is_relaxed(board, scope):
-        return RELAXED_PAUSE_SHARE * maximum_watch_seconds(store, scope)
+        return RELAXED_PAUSE_SHARE * answer_interval_seconds(store)
     return store.watch_pause_seconds
 
 
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -11,7 +11,7 @@
 from carawayhitch.controllers._cells import derive_cells, other_schedulers
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._selectors import selector_matches
-from carawayhitch.controllers._store_watch import maximum_watch_seconds
+from carawayhitch.controllers._store_watch import maximum_silence_seconds
 from carawayhitch.core import (
     actions,
     declarations,
@@ -69,8 +69,7 @@
         and (
             scope.failure_count
             or now - scope.contacted_at
-            > maximum_watch_seconds(board.settings.store, scope.scope)
-            + STORE_SILENCE_SLACK_SECONDS
+            > maximum_silence_seconds(board, scope.scope) + STORE_SILENCE_SLACK_SECONDS
         )
         for scope in board.store_scopes_by_name.values()
     )
--- a/tests/controllers/test_load_polls.py
+++ b/tests/controllers/test_load_polls.py
@@ -56,8 +56,10 @@
     def test_slow_watch_does_not_count_as_silence(self):
         """Guards against polls caused by a scope with a long watch timeout."""
         self.set_store_contact(NOW - 0.1)
-        self.set_store_contact(NOW - 15.0, scope="entries")
-        self.assertEqual(self.polled_ids(), [])
+        store = self.board.settings.store
+        for seconds in (15.0, store.slow_watch_seconds + store.slow_pause_seconds):
+            self.set_store_contact(NOW - seconds, scope="entries")
+            self.assertEqual(self.polled_ids(), [])
 
     def test_leaving_engine_is_not_polled(self):
         """Guards against polls that bring no new information."""
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -259,17 +259,22 @@
                 configuration_milliseconds=configuration,
                 leaving_milliseconds=leaving,
             )
-            found = _store_watch.maximum_watch_seconds(bounded, "upstreams")
+            found = _store_watch.answer_interval_seconds(bounded)
             self.assertEqual(found, expected)
 
     def test_only_schedulers_follow_upstreams_at_once(self):
         """Guards against one store call per entry for each change of an upstream.
 
         An entry that schedules no engines pauses, and then waits only for the rest of
-        the time, so that a quiet store is not called more often.
+        the time, so that a quiet store is not called more often. Schedulers notice a
+        silent store before an engine leaves unnoticed.
         """
         store = self.board.settings.store._replace(
-            relaxed_scopes=("upstreams",), watch_timeout_seconds=2.0
+            relaxed_scopes=("upstreams",),
+            watch_timeout_seconds=1.5,
+            contact_milliseconds=9000,
+            configuration_milliseconds=2500,
+            leaving_milliseconds=2500,
         )
         board = self.board
         board.settings_by_name["in_force"] = board.settings._replace(store=store)
@@ -279,8 +284,8 @@
         own = board.node_id
         cases = (
             (("other", "another", own), 1.6, 0.4),
-            (("other", own), 0.0, 2.0),
-            ((own, "other"), 0.0, 2.0),
+            (("other", own), 0.0, 1.5),
+            ((own, "other"), 0.0, 1.5),
         )
         for schedulers, pause, wait in cases:
             with self.subTest(schedulers):
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from carawayhitch import codecs
-from carawayhitch.controllers._store_watch import maximum_watch_seconds
+from carawayhitch.controllers._store_watch import answer_interval_seconds
 from fakes.platform_template import render
 
 ROOT = Path(__file__).parent.parent
@@ -75,7 +75,7 @@
         for factor in (0.6, 1.0, 1.5, 2.0):
             scaled = {name: value * factor for name, value in bounds.items()}
             settings = read_rendered_settings({**TEMPLATE_FIELDS, "bounds": scaled})
-            watch_seconds = maximum_watch_seconds(settings.store, "upstreams")
+            watch_seconds = answer_interval_seconds(settings.store)
             with self.subTest(factor=factor):
                 silence_detection_seconds = watch_seconds + store.timeout_seconds
                 self.assertLess(silence_detection_seconds, scaled["contactMs"] / 1000)
