--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -218,6 +218,18 @@
                 self.assertEqual(grant.upstream_id, expected)
                 self.assertIn("first", board.grant_ids_by_upstream_id[expected])
 
+    def test_order_without_a_report_is_repeated(self):
+        """Guards against a generation that is lost with a single datagram.
+
+        Entries ignore the repetition of an order that they carry out.
+        """
+        board = evacuation_board(engine_count=2)
+        source = start_generation(board, "first")
+        ordered = sent(announce_leaving(board, source), messages.MoveOrder)
+        timer = events.TimerFired(_evacuation.EVACUATION_TIMER, source)
+        found = feed(board, timer, NOW + _evacuation.EVACUATION_CHECK_INTERVAL_SECONDS)
+        self.assertEqual(sent(found, messages.MoveOrder), ordered)
+
     def test_deadline_is_read_from_a_report_after_the_notice(self):
         """Guards against a deadline taken from a load report before the notice."""
         board = evacuation_board(engine_count=2)
