Create the peer key within half a second of a fleet's first start

A spread of 0.5 s is still a hundred times the store's answer, so few entries write. Only the first start of a fleet is concerned.

--- a/src/carawayhitch/controllers/_registration.py
+++ b/src/carawayhitch/controllers/_registration.py
@@ -14,7 +14,7 @@
 # the store recovers.
 RETRY_DELAY_SECONDS = 0.5
 # Entries that start together spread the creation of a key over this time.
-KEY_CREATION_SPREAD_SECONDS = 2.0
+KEY_CREATION_SPREAD_SECONDS = 0.5
 
 decide = new_controller()
 
