--- a/tests/controllers/scheduling_world.py
+++ b/tests/controllers/scheduling_world.py
@@ -46,6 +46,30 @@
     return board
 
 
+def board_with_waiting_request(scheduler_id) -> Board:
+    """Return the board of an entry whose request waits for a grant of a scheduler."""
+    board = scheduling_board()
+    board.schedulers_by_cell_id[CELL] = (scheduler_id, NODE)
+    board.requests_by_id["r1"] = rows.RequestRow(
+        request_id="r1",
+        account="hotel",
+        group="quotes",
+        rank="urgent",
+        binding="b",
+        target=rows.RoutedTarget("POST", "h", "/"),
+        fingerprint="",
+        body_sha256="",
+        idempotency_key="",
+        received_at=1.0,
+        deadline=60.0,
+        phase="asking",
+        cell_id=CELL,
+        scheduler_id=scheduler_id,
+        attempt=1,
+    )
+    return board
+
+
 def feed(board, event, now):
     """Return the actions that the controllers return for an event."""
     return list(controllers.decide(event, board, now, Random(1)))
--- a/tests/controllers/test_backoffs.py
+++ b/tests/controllers/test_backoffs.py
@@ -6,8 +6,13 @@
 from random import Random
 
 from carawayhitch import controllers
-from carawayhitch.core import actions, events, messages, rows
-from tests.controllers.scheduling_world import CELL, NODE, ask, scheduling_board
+from carawayhitch.core import actions, events, messages
+from tests.controllers.scheduling_world import (
+    CELL,
+    ask,
+    board_with_waiting_request,
+    scheduling_board,
+)
 from tests.controllers.test_routed_calls import RoutedEntry, opened, refused
 
 OTHER = "entry-2"
@@ -172,25 +177,7 @@
     """An entry whose calls another entry schedules."""
 
     def setUp(self):
-        self.board = scheduling_board()
-        self.board.schedulers_by_cell_id[CELL] = (OTHER, NODE)
-        self.board.requests_by_id["r1"] = rows.RequestRow(
-            request_id="r1",
-            account="hotel",
-            group="quotes",
-            rank="urgent",
-            binding="b",
-            target=rows.RoutedTarget("POST", "h", "/"),
-            fingerprint="",
-            body_sha256="",
-            idempotency_key="",
-            received_at=1.0,
-            deadline=60.0,
-            phase="asking",
-            cell_id=CELL,
-            scheduler_id=OTHER,
-            attempt=1,
-        )
+        self.board = board_with_waiting_request(OTHER)
 
     def feed(self, event, now=2.0):
         return list(controllers.decide_chain(event, self.board, now, Random(1)))
