--- a/src/carawayhitch/controllers/_call_logs.py
+++ b/src/carawayhitch/controllers/_call_logs.py
@@ -7,6 +7,9 @@
 from carawayhitch.board import Board
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
+# Enough digits to recognize repetitions of a request in the logs of a day.
+FINGERPRINT_DIGITS = 12
+
 
 def build_refusal_log(
     request_id: str, account: str, code: result_codes.ResultCode
@@ -105,6 +108,7 @@
         "address": row.address,
         "kind": event.kind,
         "sent": event.sent,
+        "fingerprint": row.fingerprint[:FINGERPRINT_DIGITS],
         "detail": event.detail[:200],
         "last_sequence": row.last_sequence,
         "seconds": round(now - row.received_at, 4),
