--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from collections import Counter
 from typing import Any, TextIO
@@ -18,6 +19,7 @@
 from fakes.serving import new_parser, serve
 
 HANDLE_HEADER = "Kv-From"
+CRASH_STATUS = 70
 
 
 class RunningGeneration:
@@ -66,6 +68,7 @@
         self.state = "ready"
         self.announces_leaving = False
         self.move_status = 0
+        self.crash_on = ""
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -129,6 +132,9 @@
         self.run_file.write(f"{time.time():.4f} {what} {request_id}\n")
 
     async def _run(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        if self.crash_on and self.crash_on in request.path_qs:
+            # The process ends at once, as in a crash: no answer, no clean-up.
+            os._exit(CRASH_STATUS)
         if self.failures:
             self.failures -= 1
             return web.Response(status=500, headers=self._response_headers(request))
@@ -240,7 +246,8 @@
         seconds, 0 for none; ``cut_after``: event after which the next stream
         is interrupted; ``move_status``: status of all moves; 0 for the default;
         ``state``: state in the load report; ``announces_leaving``: whether all answers
-        say that the server is leaving.
+        say that the server is leaving; ``crash_on``: part of the paths whose calls end
+        the process as they begin to run; empty for none.
         """
         faults = await request.json()
         self.failures = faults.get("failures", 0)
@@ -250,6 +257,7 @@
         self.move_status = faults.get("move_status", 0)
         self.state = faults.get("state", "ready")
         self.announces_leaving = faults.get("announces_leaving", False)
+        self.crash_on = faults.get("crash_on", "")
         return web.json_response({})
 
     async def list_calls(self, request: web.Request) -> web.Response:
