Record crashes of plain services, and refuse the call that causes three

Cause: only failures of engines led to crash records. A lost call to a plain service was taken for a fault of the link, and each entry chooses such servers by itself, so no scheduler sees all calls that ran on a crashed one.

An entry that loses a call opens a connection to the server 0.05 s later; if it is refused, each call that the entry had there gets a crash on record, which is sent to the other entries at once. An answer clears a fingerprint at all entries. The third crash without an answer convicts it, and a repetition waits for the check that can. Resets and partitions make no record, since the server listens or stays silent.

--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -31,6 +31,7 @@
 from carawayhitch.backends._peers import PeerSocket
 from carawayhitch.backends._plain_services import run_service_call
 from carawayhitch.backends._platform import (
+    check_listening,
     read_cache_events,
     read_load,
     read_vm_list,
@@ -52,6 +53,7 @@
     "call_journal",
     "call_store",
     "cancel_generation",
+    "check_listening",
     "exchange_objects",
     "forward_call",
     "load_peer_keys",
--- a/src/carawayhitch/backends/_platform.py
+++ b/src/carawayhitch/backends/_platform.py
@@ -1,7 +1,9 @@
-"""Polls of the VM list and of the load and cache events of engines."""
+"""Polls of the VM list and of upstreams: load, cache events, whether they listen."""
 
 from __future__ import annotations
 
+import asyncio
+
 import aiohttp
 
 from carawayhitch.backends._bodies import read_limited
@@ -9,6 +11,10 @@
 from carawayhitch.core import errors, events
 
 POLL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+# A process that ends may close its connections a moment before its listening socket.
+LISTENING_CHECK_DELAY_SECONDS = 0.05
+# A host that is up refuses or accepts a connection within a round trip.
+LISTENING_TIMEOUT_SECONDS = 0.5
 # 1,310 VMs, the size in docs/CAPACITY.md, take 0.2 MB.
 LIST_BYTES_LIMIT = 4_194_304
 REPORT_BYTES_LIMIT = 65_536
@@ -43,6 +49,21 @@
         return events.LoadUnavailable(upstream_id, error.message)
 
 
+async def check_listening(upstream_id: str, address: str) -> events.ListeningChecked:
+    """Open a connection to an upstream and close it without sending anything."""
+    host, _, port = address.rpartition(":")
+    await asyncio.sleep(LISTENING_CHECK_DELAY_SECONDS)
+    try:
+        async with asyncio.timeout(LISTENING_TIMEOUT_SECONDS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return events.ListeningChecked(upstream_id, "refused")
+    except (OSError, ValueError):
+        return events.ListeningChecked(upstream_id, "unknown")
+    writer.close()
+    return events.ListeningChecked(upstream_id, "listening")
+
+
 async def read_cache_events(
     session: aiohttp.ClientSession, upstream_id: str, address: str, since: int
 ) -> list[events.CacheChanged]:
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -56,7 +56,9 @@
     evacuations_by_upstream_id: dict[str, rows.EvacuationRow]
     moves_by_request_id: dict[str, rows.MoveRow]
     crashes_by_fingerprint: dict[str, rows.CrashRow]
-    last_failures_by_upstream_id: dict[str, rows.LastFailureRow]
+    last_failures_by_upstream_id: dict[
+        str, rows.EngineFailureRow | rows.ServiceFailureRow
+    ]
     claims_by_key: dict[str, rows.ClaimRow]
     journal_shards_by_name: dict[str, rows.JournalShardRow]
     journal_layouts_by_name: dict[str, rows.LayoutRow]
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -67,6 +67,7 @@
     "failuresSeen": messages.FailuresSeen,
     "leavingSeen": messages.LeavingSeen,
     "backoffSeen": messages.BackoffSeen,
+    "crashesSeen": messages.CrashesSeen,
 }
 _wire_names_by_type = {
     message_type: name for name, message_type in _types_by_wire_name.items()
@@ -203,6 +204,11 @@
     return {"failures": [wire_fields(seen, now) for seen in message.failures]}
 
 
+@wire_fields.register(messages.CrashesSeen)
+def _encode_crashes(message: messages.CrashesSeen, now: float) -> dict[str, Any]:
+    return {"crashes": [wire_fields(row, now) for row in message.crashes]}
+
+
 @wire_fields.register(rows.MemberRow)
 def _encode_member(row: rows.MemberRow, now: float) -> dict[str, Any]:
     fields = _fields_by_wire_name(row)
@@ -241,8 +247,9 @@
 
 @split_message.register(messages.Progress)
 @split_message.register(messages.ProgressAck)
+@split_message.register(messages.CrashesSeen)
 def _split_lists(
-    message: messages.Progress | messages.ProgressAck,
+    message: messages.Progress | messages.ProgressAck | messages.CrashesSeen,
 ) -> tuple[messages.PeerMessage, ...]:
     lists = {
         name: value
@@ -550,6 +557,7 @@
     **dict.fromkeys(IDENTIFIER_LIST_FIELDS, _decode_identifiers),
     "excluded_upstream_ids": _decode_strings,
     "upstream_ids": _decode_strings,
+    "cleared_ids": _decode_strings,
     "deadline": _decode_deadline,
     "goal_deadline": _decode_optional_deadline,
     "retry_after": _decode_seconds,
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -32,6 +32,7 @@
     failuresSeen @16 :FailuresSeen;
     leavingSeen @17 :LeavingSeen;
     backoffSeen @18 :BackoffSeen;
+    crashesSeen @19 :CrashesSeen;
   }
 }
 
@@ -201,6 +202,11 @@
   upstreamIds @1 :List(Text);
   convicted @2 :Bool;
   deadline @3 :Float32;
+  clearedIds @4 :List(Text);
+}
+
+struct CrashesSeen {
+  crashes @0 :List(Crash);
 }
 
 struct Probe {
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -49,10 +49,10 @@
     kind_of,
 )
 from carawayhitch.controllers._controller import Actions, combine_controllers
+from carawayhitch.controllers._crash_records import merge_crashes
 from carawayhitch.controllers._routes import find_route
 from carawayhitch.controllers._selectors import selector_matches
 from carawayhitch.controllers._settings import peer_key_ids
-from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions
 
 __all__ = [
--- a/src/carawayhitch/controllers/_cells.py
+++ b/src/carawayhitch/controllers/_cells.py
@@ -4,13 +4,19 @@
 
 from collections.abc import Iterable, Mapping
 from hashlib import blake2b
+from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._controller import Actions
 from carawayhitch.controllers._selectors import selector_matches
-from carawayhitch.core import declarations, rows
+from carawayhitch.core import actions, declarations, messages, rows
 
 SCHEDULER_CANDIDATE_LIMIT = 3
 SCHEDULING_STATES = frozenset({"alive", "suspect"})
+# Membership states in which entries still choose upstreams.
+UPSTREAM_CHOOSING_STATES = frozenset({"alive", "suspect", "leaving"})
+# Entries to which an observation about upstreams is sent at once.
+OBSERVATION_RECEIVER_LIMIT = 128
 
 
 def rendezvous_score(subject: str, candidate: str) -> int:
@@ -129,3 +135,18 @@
         and board.schedulers_by_cell_id.get(cell.cell_id)
     }
     return sorted(schedulers - {board.node_id})
+
+
+def send_observation(
+    board: Board,
+    message: messages.FailuresSeen | messages.CrashesSeen,
+    random: Random,
+) -> Actions:
+    """Send an observation about upstreams to other entries that choose upstreams."""
+    others = [
+        member.node_id
+        for member in board.members_by_id.values()
+        if member.state in UPSTREAM_CHOOSING_STATES and member.node_id != board.node_id
+    ]
+    receivers = random.sample(others, min(OBSERVATION_RECEIVER_LIMIT, len(others)))
+    return tuple(actions.Send(node_id, message) for node_id in receivers)
--- a/src/carawayhitch/controllers/_health.py
+++ b/src/carawayhitch/controllers/_health.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._cells import send_observation
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._moves import is_stopping_for_move
 from carawayhitch.core import actions, events, messages, rows
@@ -33,12 +34,9 @@
 # enough to eject the upstream again.
 TRIAL_SECONDS = 2.0
 # The first failure is reported immediately; further reports are sent at most once per
-# interval, each to a limited number of entries.
+# interval.
 FAILURE_REPORT_INTERVAL_SECONDS = 0.1
-FAILURE_REPORT_RECEIVER_LIMIT = 128
 FAILURE_REPORT_TIMER = "failures"
-# Membership states in which entries still choose upstreams.
-UPSTREAM_CHOOSING_STATES = frozenset({"alive", "suspect", "leaving"})
 
 decide = new_controller()
 
@@ -144,13 +142,7 @@
     board.unreported_failures_by_upstream_id.clear()
     board.failures_reported_at_by_node_id[board.node_id] = now
     message = messages.FailuresSeen(board.node_id, failures)
-    others = [
-        member.node_id
-        for member in board.members_by_id.values()
-        if member.state in UPSTREAM_CHOOSING_STATES and member.node_id != board.node_id
-    ]
-    receivers = random.sample(others, min(FAILURE_REPORT_RECEIVER_LIMIT, len(others)))
-    return tuple(actions.Send(node_id, message) for node_id in receivers)
+    return send_observation(board, message, random)
 
 
 @decide.register(messages.FailuresSeen)
--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -7,6 +7,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers._configuration import format_object_set_digest
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._crash_records import merge_crashes
 from carawayhitch.controllers._member_table import (
     FULL_ROW_UNITS,
     SUSPICION_TIMER,
@@ -22,7 +23,6 @@
     select_piggybacked_rows,
     suspicion_timer,
 )
-from carawayhitch.controllers._suspects import merge_crashes
 from carawayhitch.core import actions, events, messages, rows
 from carawayhitch.core import settings as settings_types
 
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -13,10 +13,10 @@
     _prefill,
     _queue,
     _rebuild,
-    _suspects,
 )
 from carawayhitch.controllers._call_logs import build_ask_log
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._crash_records import is_convicted
 from carawayhitch.controllers._queue import SCHEDULING_TIMER
 from carawayhitch.controllers._ranks import rank_class, waiting_ranks
 from carawayhitch.controllers._upstream_choice import choose_upstream, is_usable
@@ -106,7 +106,7 @@
         _queue.remove_ask(board, event.request_id)
     if event.cell_id not in board.cells_by_id:
         return _queue.refuse_ask(board, ask, result_codes.NO_UPSTREAM, 1.0, now)
-    if _suspects.is_convicted(board, event.fingerprint, now):
+    if is_convicted(board, event.fingerprint, now):
         return _queue.refuse_ask(board, ask, result_codes.SUSPECT_REFUSED, 0.0, now)
     refused = _queue.find_refusal(board, ask, now)
     if refused is not None:
@@ -214,7 +214,7 @@
         ask = _next_ask(board, cell_id, skipped_request_ids, now)
         if ask is None:
             break
-        if _suspects.is_convicted(board, ask.fingerprint, now):
+        if is_convicted(board, ask.fingerprint, now):
             _queue.remove_ask(board, ask.request_id)
             code = result_codes.SUSPECT_REFUSED
             decided.extend(_queue.refuse_ask(board, ask, code, 0.0, now))
@@ -398,9 +398,23 @@
     if upstream is None or upstream.reported_at != event.reported_at:
         return ()
     _memory.apply_load_report(board, upstream, now)
+    return _grant_waiting_asks_of_upstream(board, event.upstream_id, now)
+
+
+@decide.register(events.ListeningChecked)
+def _grant_after_check(
+    event: events.ListeningChecked, board: Board, now: float, random: Random
+) -> Actions:
+    """Grant or refuse the asks that waited for the check of a server."""
+    return _grant_waiting_asks_of_upstream(board, event.upstream_id, now)
+
+
+def _grant_waiting_asks_of_upstream(
+    board: Board, upstream_id: str, now: float
+) -> list[actions.Action]:
     decided: list[actions.Action] = []
     for cell in board.cells_by_id.values():
-        if event.upstream_id in cell.upstream_ids:
+        if upstream_id in cell.upstream_ids:
             decided.extend(_grant_waiting_asks(board, cell.cell_id, now))
     return decided
 
--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -1,19 +1,35 @@
-"""Crash records of requests that were running when an upstream died."""
+"""Crash records of requests that were running when an upstream died.
+
+One scheduler places all requests of an engine and isolates those with a crash record,
+so one more crash has a clear cause. Entries choose the servers of plain services by
+themselves, so there the cause follows from several crashes without an answer.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
+from functools import singledispatch
 from random import Random
+from typing import Any
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._backoffs import load_polls
+from carawayhitch.controllers._cells import send_observation
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._crash_records import (
+    CRASH_RECORD_SECONDS,
+    clear_record,
+    crash_record,
+    merge_crashes,
+    uncleared_crash_count,
+)
+from carawayhitch.controllers._health import FAILURE_STATUS
 from carawayhitch.controllers._queue import SCHEDULING_TIMER
 from carawayhitch.core import actions, events, messages, rows
 
-# Callers resend a crashing request within minutes. After this time, requests that only
-# ran beside it are no longer restricted.
-CRASH_RECORD_SECONDS = 1800.0
+# Other calls run on the server that a call crashes, and each can be sent to a second
+# server that the same call crashes.
+CONVICTING_CRASH_COUNT = 3
 # A death that no load poll has confirmed or cleared within this time is confirmed.
 DEATH_CONFIRMATION_SECONDS = 3.0
 # An entry detects a failure with a delay, so a restarted engine may have started before
@@ -24,18 +40,6 @@
 decide = new_controller()
 
 
-def crash_record(board: Board, fingerprint: str, now: float) -> rows.CrashRow | None:
-    """Return the unexpired crash record of a fingerprint, or None."""
-    record = board.crashes_by_fingerprint.get(fingerprint)
-    return record if record is not None and now < record.deadline else None
-
-
-def is_convicted(board: Board, fingerprint: str, now: float) -> bool:
-    """Return whether a fingerprint is convicted, so that its requests are refused."""
-    record = crash_record(board, fingerprint, now)
-    return record is not None and record.convicted
-
-
 def suspects_by_upstream(board: Board, now: float) -> dict[str, set[str]]:
     """Return the running fingerprints with a crash record, by upstream."""
     running_suspects: dict[str, set[str]] = {}
@@ -63,8 +67,8 @@
     """
     if not fingerprint:
         return upstream_ids
-    for death in board.last_failures_by_upstream_id.values():
-        if not death.confirmed and fingerprint in death.fingerprints:
+    for failure in board.last_failures_by_upstream_id.values():
+        if not failure.confirmed and fingerprint in failure.fingerprints:
             return []
     recorded = crash_record(board, fingerprint, now) is not None
     if recorded or now >= board.cleared_until_by_fingerprint.get(fingerprint, 0.0):
@@ -81,80 +85,186 @@
     return upstream_ids
 
 
-def may_receive_work(board: Board, upstream: rows.UpstreamRow) -> bool:
-    """Return whether an upstream may receive requests after its last failure, if any.
+def awaits_check(board: Board, fingerprint: str, now: float) -> bool:
+    """Return whether a check of a server is pending that can convict a fingerprint.
 
-    It may not while a death is suspected. After a confirmed death, it may once a load
-    report newer than the failure has arrived.
+    Other lost calls are repeated at once, because a check takes longer than a lookup.
     """
-    death = board.last_failures_by_upstream_id.get(upstream.upstream_id)
-    return death is None or (
-        death.confirmed and upstream.reported_at > death.upstream_failed_at
+    count = uncleared_crash_count(crash_record(board, fingerprint, now))
+    return count + 1 >= CONVICTING_CRASH_COUNT and any(
+        not failure.confirmed and fingerprint in failure.fingerprints
+        for failure in board.last_failures_by_upstream_id.values()
     )
 
 
+def may_receive_work(board: Board, upstream: rows.UpstreamRow) -> bool:
+    """Return whether an upstream may receive requests after its last failure."""
+    failure = board.last_failures_by_upstream_id.get(upstream.upstream_id)
+    return failure is None or _permits_work(failure, upstream)
+
+
+@singledispatch
+def _permits_work(failure: Any, upstream: rows.UpstreamRow) -> bool:
+    """Return whether an upstream may receive requests after a failure."""
+    raise TypeError(f"expected a failure row of core.rows, got {failure!r}")
+
+
+@_permits_work.register
+def _engine_permits_work(
+    failure: rows.EngineFailureRow, upstream: rows.UpstreamRow
+) -> bool:
+    # A load report newer than the failure shows that a crashed engine is back.
+    return failure.confirmed and upstream.reported_at > failure.upstream_failed_at
+
+
+@_permits_work.register
+def _service_permits_work(
+    failure: rows.ServiceFailureRow, upstream: rows.UpstreamRow
+) -> bool:
+    # Most failed calls of a service are the fault of a link or of the call.
+    return True
+
+
 def record_suspected_death(board: Board, upstream_id: str, now: float) -> Actions:
-    """Record that an upstream may have died, and poll its load to confirm it.
+    """Record that an upstream may have died, and check whether it did.
 
-    A connection may also be lost because of a network fault. Crash records are made
-    only if the engine does not answer or no longer runs its earlier requests.
+    A connection may also be lost because of a network fault.
     """
-    lifetime = board.settings.scheduling.grant_lifetime_seconds
+    upstream = board.upstreams_by_id.get(upstream_id)
     grants = [
         board.grants_by_request_id[request_id]
         for request_id in board.grant_ids_by_upstream_id.get(upstream_id, ())
     ]
-    board.last_failures_by_upstream_id[upstream_id] = rows.LastFailureRow(
+    fingerprints = tuple(sorted({grant.fingerprint for grant in grants} - {""}))
+    if upstream is not None and upstream.kind == "service":
+        board.last_failures_by_upstream_id[upstream_id] = rows.ServiceFailureRow(
+            upstream_id, upstream.started_at, now, fingerprints, confirmed=False
+        )
+        return (actions.CheckListening(upstream_id, upstream.address),)
+    lifetime = board.settings.scheduling.grant_lifetime_seconds
+    board.last_failures_by_upstream_id[upstream_id] = rows.EngineFailureRow(
         upstream_id,
         upstream_failed_at=now,
-        fingerprints=tuple(sorted({grant.fingerprint for grant in grants} - {""})),
+        fingerprints=fingerprints,
         recent_grant_count=sum(grant.granted_at > now - lifetime for grant in grants),
         confirmed=False,
     )
-    upstream = board.upstreams_by_id.get(upstream_id)
     return load_polls(board, (upstream,), now) if upstream else ()
 
 
-def confirm_death(board: Board, death: rows.LastFailureRow, now: float) -> Actions:
-    """Add a crash record for every fingerprint that ran on a dead upstream.
-
-    If exactly one of them already had a record, it is convicted. The others get
-    their first record nevertheless: if one of them was the cause, it can crash at
-    most one more upstream.
-    """
-    board.last_failures_by_upstream_id[death.upstream_id] = death._replace(
+def confirm_death(
+    board: Board,
+    failure: rows.EngineFailureRow | rows.ServiceFailureRow,
+    now: float,
+    random: Random,
+) -> Actions:
+    """Add a crash record for every fingerprint that ran on a dead upstream."""
+    board.last_failures_by_upstream_id[failure.upstream_id] = failure._replace(
         confirmed=True
     )
+    records = _records_after_crash(failure, board, now)
+    convicted = [
+        record.fingerprint
+        for record in records
+        if record.convicted and not _was_convicted(board, record.fingerprint)
+    ]
+    for record in records:
+        board.crashes_by_fingerprint[record.fingerprint] = record
+    fields = {
+        "upstream": failure.upstream_id,
+        "running": len(failure.fingerprints),
+        "convicted": convicted,
+    }
+    return (
+        actions.Log("warning", "upstream died", fields),
+        *_share_records(board, records, random),
+    )
+
+
+def _was_convicted(board: Board, fingerprint: str) -> bool:
+    record = board.crashes_by_fingerprint.get(fingerprint)
+    return record is not None and record.convicted
+
+
+def _share_records(
+    board: Board, records: tuple[rows.CrashRow, ...], random: Random
+) -> Actions:
+    """Send changed records to other entries; gossip alone takes seconds."""
+    if not records:
+        return ()
+    return send_observation(board, messages.CrashesSeen(board.node_id, records), random)
+
+
+@singledispatch
+def _records_after_crash(
+    failure: Any, board: Board, now: float
+) -> tuple[rows.CrashRow, ...]:
+    """Return the crash records of the fingerprints that ran on a dead upstream."""
+    raise TypeError(f"expected a failure row of core.rows, got {failure!r}")
+
+
+@_records_after_crash.register
+def _records_after_engine_crash(
+    failure: rows.EngineFailureRow, board: Board, now: float
+) -> tuple[rows.CrashRow, ...]:
+    """Convict the fingerprint that alone had a crash record, if there is one.
+
+    The others get their first record nevertheless: if one of them was the cause, it can
+    crash at most one more upstream.
+    """
     recorded = {
         fingerprint
-        for fingerprint in death.fingerprints
+        for fingerprint in failure.fingerprints
         if crash_record(board, fingerprint, now) is not None
     }
-    for fingerprint in death.fingerprints:
-        existing = crash_record(board, fingerprint, now)
-        board.crashes_by_fingerprint[fingerprint] = rows.CrashRow(
-            fingerprint,
-            (*(existing.upstream_ids if existing else ()), death.upstream_id),
-            convicted=recorded == {fingerprint}
-            or (existing is not None and existing.convicted),
-            deadline=now + CRASH_RECORD_SECONDS,
+    return tuple(
+        _add_crash(
+            board, fingerprint, failure.upstream_id, recorded == {fingerprint}, now
         )
-    fields = {
-        "upstream": death.upstream_id,
-        "running": len(death.fingerprints),
-        "convicted": sorted(recorded) if len(recorded) == 1 else [],
-    }
-    return (actions.Log("warning", "upstream died", fields),)
+        for fingerprint in failure.fingerprints
+    )
+
+
+@_records_after_crash.register
+def _records_after_service_crash(
+    failure: rows.ServiceFailureRow, board: Board, now: float
+) -> tuple[rows.CrashRow, ...]:
+    """Convict each fingerprint that has run in several crashes without an answer."""
+    # Several entries report the same crash, so its id names the instance.
+    crash_id = f"{failure.upstream_id}/{failure.started_at}"
+    records = []
+    for fingerprint in failure.fingerprints:
+        existing = crash_record(board, fingerprint, now)
+        if existing is not None and crash_id in existing.upstream_ids:
+            continue
+        count = uncleared_crash_count(existing) + 1
+        convicts = count >= CONVICTING_CRASH_COUNT
+        records.append(_add_crash(board, fingerprint, crash_id, convicts, now))
+    return tuple(records)
+
+
+def _add_crash(
+    board: Board, fingerprint: str, crash_id: str, convicts: bool, now: float
+) -> rows.CrashRow:
+    """Return the record of a fingerprint with one more crash."""
+    existing = crash_record(board, fingerprint, now)
+    if existing is None:
+        existing = rows.CrashRow(fingerprint, (), convicted=False, deadline=0.0)
+    return existing._replace(
+        upstream_ids=(*existing.upstream_ids, crash_id),
+        convicted=existing.convicted or convicts,
+        deadline=now + CRASH_RECORD_SECONDS,
+    )
 
 
 def _is_new_failure(board: Board, grant: rows.GrantRow) -> bool:
     """Return whether the failure of a grant is not explained by a known death."""
     upstream = board.upstreams_by_id.get(grant.upstream_id)
-    if upstream is not None and (upstream.kind != "engine" or upstream.leaving):
+    if upstream is not None and upstream.leaving:
         # The platform stops a leaving upstream, so no request caused the failure.
         return False
-    death = board.last_failures_by_upstream_id.get(grant.upstream_id)
-    return death is None or grant.granted_at > death.upstream_failed_at
+    failure = board.last_failures_by_upstream_id.get(grant.upstream_id)
+    return failure is None or grant.granted_at > failure.upstream_failed_at
 
 
 @decide.register(messages.Finished)
@@ -197,19 +307,59 @@
 ) -> Actions:
     # All requests were lost at the same time, so no load poll is needed to confirm.
     record_suspected_death(board, event.upstream_id, now)
-    return confirm_death(
-        board, board.last_failures_by_upstream_id[event.upstream_id], now
-    )
+    failure = board.last_failures_by_upstream_id[event.upstream_id]
+    return confirm_death(board, failure, now, random)
 
 
 @decide.register(events.LoadUnavailable)
 def _confirm_death_if_unavailable(
     event: events.LoadUnavailable, board: Board, now: float, random: Random
 ) -> Actions:
-    death = board.last_failures_by_upstream_id.get(event.upstream_id)
-    if death is None or death.confirmed:
+    failure = board.last_failures_by_upstream_id.get(event.upstream_id)
+    if failure is None or failure.confirmed:
         return ()
-    return confirm_death(board, death, now)
+    return confirm_death(board, failure, now, random)
+
+
+@decide.register(events.ListeningChecked)
+def _confirm_death_if_refused(
+    event: events.ListeningChecked, board: Board, now: float, random: Random
+) -> Actions:
+    """Confirm a suspected death if nothing listens any more, otherwise drop it.
+
+    Silence may also come from a partition, so it confirms nothing.
+    """
+    failure = board.last_failures_by_upstream_id.get(event.upstream_id)
+    if failure is None or failure.confirmed:
+        return ()
+    if event.outcome == "refused":
+        return confirm_death(board, failure, now, random)
+    del board.last_failures_by_upstream_id[event.upstream_id]
+    return ()
+
+
+@decide.register(events.RequestEnded)
+def _clear_answered_fingerprint(
+    event: events.RequestEnded, board: Board, now: float, random: Random
+) -> Actions:
+    """Clear the fingerprint of a call that a plain service answered."""
+    row = board.requests_by_id.get(event.request_id)
+    if row is None or not event.complete or row.answer_status >= FAILURE_STATUS:
+        # A server that fails may answer before it runs the call.
+        return ()
+    upstream = board.upstreams_by_id.get(row.upstream_id)
+    if upstream is None or upstream.kind != "service":
+        return ()
+    cleared = clear_record(board, row.fingerprint, now)
+    return _share_records(board, (cleared,), random) if cleared else ()
+
+
+@decide.register(messages.CrashesSeen)
+def _merge_seen_crashes(
+    event: messages.CrashesSeen, board: Board, now: float, random: Random
+) -> Actions:
+    merge_crashes(board, event.crashes, now)
+    return ()
 
 
 @decide.register(events.LoadReported)
@@ -223,32 +373,32 @@
     were granted directly before the failure still runs older ones, so it did not
     restart.
     """
-    death = board.last_failures_by_upstream_id.get(event.upstream_id)
-    if death is None or death.confirmed:
+    failure = board.last_failures_by_upstream_id.get(event.upstream_id)
+    if not isinstance(failure, rows.EngineFailureRow) or failure.confirmed:
         return ()
     # The start time is current as of the poll; the other values of a report lag.
     has_start_time = event.started_at is not None or event.incarnation
     taken_at = event.polled_at if has_start_time else event.reported_at
-    if taken_at <= death.upstream_failed_at:
+    if taken_at <= failure.upstream_failed_at:
         return ()
     upstream = board.upstreams_by_id.get(event.upstream_id)
-    if _has_survived(event, death, upstream.started_at if upstream else 0):
+    if _has_survived(event, failure, upstream.started_at if upstream else 0):
         del board.last_failures_by_upstream_id[event.upstream_id]
         return ()
-    return confirm_death(board, death, now)
+    return confirm_death(board, failure, now, random)
 
 
 def _has_survived(
-    event: events.LoadReported, death: rows.LastFailureRow, incarnation: int
+    event: events.LoadReported, failure: rows.EngineFailureRow, incarnation: int
 ) -> bool:
     # Both incarnations are the registered start of the engine; 0 if not known.
     if event.incarnation and incarnation:
         return event.incarnation == incarnation
     if event.started_at is not None:
         return (
-            event.started_at < death.upstream_failed_at - START_TIME_TOLERANCE_SECONDS
+            event.started_at < failure.upstream_failed_at - START_TIME_TOLERANCE_SECONDS
         )
-    return event.running_count + event.waiting_count > death.recent_grant_count
+    return event.running_count + event.waiting_count > failure.recent_grant_count
 
 
 @decide.register(events.TimerFired)
@@ -265,62 +415,33 @@
         if now >= record.deadline:
             del board.crashes_by_fingerprint[record.fingerprint]
     decided: list[actions.Action] = []
-    for death in list(board.last_failures_by_upstream_id.values()):
-        if (
-            not death.confirmed
-            and now >= death.upstream_failed_at + DEATH_CONFIRMATION_SECONDS
-        ):
-            decided.extend(confirm_death(board, death, now))
-        elif death.confirmed and death.upstream_id not in board.upstreams_by_id:
-            del board.last_failures_by_upstream_id[death.upstream_id]
+    for failure in list(board.last_failures_by_upstream_id.values()):
+        if failure.confirmed:
+            if failure.upstream_id not in board.upstreams_by_id:
+                del board.last_failures_by_upstream_id[failure.upstream_id]
+        elif now >= failure.upstream_failed_at + DEATH_CONFIRMATION_SECONDS:
+            decided.extend(_expire_suspicion(failure, board, now, random))
     return decided
 
 
-def merge_crashes(
-    board: Board, received: Iterable[rows.CrashRow], now: float
-) -> tuple[rows.CrashRow, ...]:
-    """Merge crash records received by gossip; return those that changed.
-
-    Parameters
-    ----------
-    received : iterable of CrashRow
-        Records with deadlines in local clock time.
-
-    Returns
-    -------
-    tuple of CrashRow
-        New records, and those whose upstreams or conviction changed; a later deadline
-        alone is no change. Merging is commutative and idempotent, so the order in which
-        nodes receive records has no effect.
-    """
-    changed: list[rows.CrashRow] = []
-    for record in received:
-        deadline = min(record.deadline, now + CRASH_RECORD_SECONDS)
-        if now >= deadline:
-            continue
-        existing = crash_record(board, record.fingerprint, now)
-        if existing is None:
-            merged = record._replace(deadline=deadline)
-        else:
-            merged = rows.CrashRow(
-                record.fingerprint,
-                _merge_upstreams(existing.upstream_ids, record.upstream_ids),
-                existing.convicted or record.convicted,
-                max(existing.deadline, deadline),
-            )
-        if existing is None or merged[:3] != existing[:3]:
-            changed.append(merged)
-        board.crashes_by_fingerprint[record.fingerprint] = merged
-    return tuple(changed)
-
-
-def _merge_upstreams(
-    existing: tuple[str, ...], received: tuple[str, ...]
-) -> tuple[str, ...]:
-    """Return the multiset union of the upstreams of two records, sorted."""
-    names = sorted({*existing, *received})
-    return tuple(
-        name
-        for name in names
-        for _ in range(max(existing.count(name), received.count(name)))
-    )
+@singledispatch
+def _expire_suspicion(
+    failure: Any, board: Board, now: float, random: Random
+) -> Actions:
+    """Decide on a suspected death that no check has decided in time."""
+    raise TypeError(f"expected a failure row of core.rows, got {failure!r}")
+
+
+@_expire_suspicion.register
+def _confirm_undecided_engine(
+    failure: rows.EngineFailureRow, board: Board, now: float, random: Random
+) -> Actions:
+    return confirm_death(board, failure, now, random)
+
+
+@_expire_suspicion.register
+def _drop_undecided_service(
+    failure: rows.ServiceFailureRow, board: Board, now: float, random: Random
+) -> Actions:
+    del board.last_failures_by_upstream_id[failure.upstream_id]
+    return ()
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -210,8 +210,11 @@
         if row.upstream_id not in excluded
         and not is_backing_off(board, ask.entry_id, row.upstream_id, now)
     ]
-    if not candidates or candidates[0].kind != "engine":
-        return candidates
+    if not candidates:
+        return []
+    if candidates[0].kind != "engine":
+        waits = _suspects.awaits_check(board, ask.fingerprint, now)
+        return [] if waits else candidates
     upstream_ids = [row.upstream_id for row in candidates]
     upstream_ids = _suspects.allowed_upstreams(
         board, ask.fingerprint, upstream_ids, suspects, now
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -443,19 +443,34 @@
 
 
 @decide.register(events.LoadUnavailable)
-def _mark_unreachable(
+def _avoid_upstream_without_report(
     event: events.LoadUnavailable, board: Board, now: float, random: Random
 ) -> Actions:
-    known = board.upstreams_by_id.get(event.upstream_id)
-    if known is not None:
-        until = now + UNREACHABLE_SECONDS
-        board.upstreams_by_id[event.upstream_id] = known._replace(
-            unreachable_until=until
-        )
-        if now >= known.unreachable_until:
-            reason = f"no load report: {event.detail[:200]}"
-            return (_avoidance_log(known, reason, UNREACHABLE_SECONDS),)
-    return ()
+    reason = f"no load report: {event.detail[:200]}"
+    return _mark_unreachable(board, event.upstream_id, reason, now)
+
+
+@decide.register(events.ListeningChecked)
+def _avoid_closed_upstream(
+    event: events.ListeningChecked, board: Board, now: float, random: Random
+) -> Actions:
+    if event.outcome != "refused":
+        return ()
+    reason = "does not accept connections"
+    return _mark_unreachable(board, event.upstream_id, reason, now)
+
+
+def _mark_unreachable(
+    board: Board, upstream_id: str, reason: str, now: float
+) -> Actions:
+    known = board.upstreams_by_id.get(upstream_id)
+    if known is None:
+        return ()
+    until = now + UNREACHABLE_SECONDS
+    board.upstreams_by_id[upstream_id] = known._replace(unreachable_until=until)
+    if now < known.unreachable_until:
+        return ()
+    return (_avoidance_log(known, reason, UNREACHABLE_SECONDS),)
 
 
 @decide.register(messages.Finished)
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -199,6 +199,13 @@
     address: str
 
 
+class CheckListening(NamedTuple):
+    """Find out whether an upstream accepts connections, without calling it."""
+
+    upstream_id: str
+    address: str
+
+
 class PollCacheEvents(NamedTuple):
     """Read the cache events of an upstream after sequence number ``since``."""
 
@@ -460,6 +467,7 @@
     | IssueKeys
     | RefuseCall
     | PollLoad
+    | CheckListening
     | PollCacheEvents
     | PollVmList
     | ReadEngineState
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -247,6 +247,13 @@
     failures: tuple[UpstreamFailures, ...]
 
 
+class CrashesSeen(NamedTuple):
+    """Crash records that the sender has just changed."""
+
+    sender_id: str
+    crashes: tuple[CrashRow, ...]
+
+
 class LeavingSeen(NamedTuple):
     """Notice to a scheduler that an upstream has announced its leaving.
 
@@ -315,6 +322,7 @@
     | MoveOrder
     | MoveReport
     | FailuresSeen
+    | CrashesSeen
     | LeavingSeen
     | BackoffSeen
     | Probe
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -66,7 +66,7 @@
     1011, "STORE_UNAVAILABLE", "no", 503, "The claim could not be recorded."
 )
 SUSPECT_REFUSED = ResultCode(
-    1012, "SUSPECT_REFUSED", "no", 422, "This request crashed two upstreams."
+    1012, "SUSPECT_REFUSED", "no", 422, "This request crashed several upstreams."
 )
 NOT_CONFIGURED = ResultCode(
     1013, "NOT_CONFIGURED", "no", 503, "This entry has no configuration yet."
--- a/src/carawayhitch/core/_upstream_events.py
+++ b/src/carawayhitch/core/_upstream_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from carawayhitch.core._declarations import Labels
 from carawayhitch.core._rows import VmKind
@@ -93,6 +93,20 @@
     detail: str
 
 
+class ListeningChecked(NamedTuple):
+    """Result of ``CheckListening``.
+
+    Parameters
+    ----------
+    outcome : {"listening", "refused", "unknown"}
+        ``refused`` if nothing listens at the address; ``unknown`` if there was no
+        answer in time, as at a partitioned upstream.
+    """
+
+    upstream_id: str
+    outcome: Literal["listening", "refused", "unknown"]
+
+
 class LeavingAnnounced(NamedTuple):
     """An upstream announced in an answer that it is leaving."""
 
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -166,16 +166,20 @@
         Whether the fingerprint was identified as the cause of a crash.
     deadline : float
         Time at which the record expires (seconds of the node clock).
+    cleared_ids : tuple of str
+        Those of ``upstream_ids`` after whose crash a request with the fingerprint was
+        answered, so that another request caused the crash.
     """
 
     fingerprint: str
     upstream_ids: tuple[str, ...]
     convicted: bool
     deadline: float
+    cleared_ids: tuple[str, ...] = ()
 
 
-class LastFailureRow(NamedTuple):
-    """The last failure of an upstream.
+class EngineFailureRow(NamedTuple):
+    """The last failure of an engine.
 
     Parameters
     ----------
@@ -195,6 +199,26 @@
     confirmed: bool
 
 
+class ServiceFailureRow(NamedTuple):
+    """The last failure of a server of a plain service, as this entry saw it.
+
+    Parameters
+    ----------
+    started_at : int
+        Start of the failed instance in milliseconds of Unix time; 0 if unknown.
+    fingerprints : tuple of str
+        Fingerprints of the calls that this entry had sent there when it failed.
+    confirmed : bool
+        Whether the server no longer listened after the failure.
+    """
+
+    upstream_id: str
+    started_at: int
+    upstream_failed_at: float
+    fingerprints: tuple[str, ...]
+    confirmed: bool
+
+
 class LeaseRow(NamedTuple):
     """Lease that permits sending orders to one serving group, as last seen.
 
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -14,6 +14,7 @@
     UpstreamCall,
     call_journal,
     cancel_generation,
+    check_listening,
     exchange_objects,
     forward_call,
     load_peer_keys,
@@ -300,6 +301,11 @@
     )
 
 
+@perform.register(actions.CheckListening)
+def _check_listening(action: actions.CheckListening, node: Node) -> None:
+    node.spawn_and_submit(check_listening(action.upstream_id, action.address))
+
+
 @perform.register(actions.PollCacheEvents)
 def _poll_cache_events(action: actions.PollCacheEvents, node: Node) -> None:
     assert node.platform_session is not None
--- a/tests/controllers/test_suspects.py
+++ b/tests/controllers/test_suspects.py
@@ -9,9 +9,11 @@
 from hypothesis import strategies as st
 
 from carawayhitch.controllers import merge_crashes
-from carawayhitch.core import events, messages, rows
+from carawayhitch.core import actions, events, messages, rows
 from tests.controllers.scheduling_world import (
+    NODE,
     ask,
+    board_with_waiting_request,
     feed,
     finished,
     granted,
@@ -19,6 +21,7 @@
     refusals,
     report_all,
     scheduling_board,
+    sent,
 )
 
 
@@ -188,6 +191,129 @@
         )
 
 
+def service_board():
+    """Return the board of an entry that chooses among three plain servers."""
+    board = scheduling_board(engine_count=3)
+    for name, upstream in list(board.upstreams_by_id.items()):
+        board.upstreams_by_id[name] = upstream._replace(kind="service", started_at=7)
+    for node_id in (NODE, "entry-2", "entry-3"):
+        row = rows.MemberRow(node_id, 1, "alive", "127.0.0.1", 1, 1, "z", "region-1")
+        board.members_by_id[node_id] = row
+    return board
+
+
+def lose_call(board, request_id, now, outcome="refused", fingerprint="killer"):
+    """Lose a call at a server that starts again; return the server and the actions."""
+    decided = feed(board, ask(request_id, fingerprint=fingerprint), now)
+    (upstream_id,) = granted(decided).values()
+    decided = feed(board, finished(request_id, 0, False, failed=True), now + 0.1)
+    checked = [a for a in decided if isinstance(a, actions.CheckListening)]
+    assert [check.upstream_id for check in checked] == [upstream_id]
+    event = events.ListeningChecked(upstream_id, outcome)
+    decided = feed(board, event, now + 0.2)
+    upstream = board.upstreams_by_id[upstream_id]
+    restarted = upstream._replace(started_at=upstream.started_at + 1)
+    board.upstreams_by_id[upstream_id] = restarted
+    return upstream_id, decided
+
+
+class ServiceCrashTest(unittest.TestCase):
+    def test_call_that_crashes_three_servers_is_refused(self):
+        """Guards against crashes of plain services that no entry records."""
+        board = service_board()
+        for number in range(1, 4):
+            lose_call(board, f"r{number}", 10.0 * number)
+        decided = feed(board, ask("again", fingerprint="killer"), 50.0)
+        self.assertEqual(refusals(decided), {"again": "SUSPECT_REFUSED"})
+
+    def test_repetition_waits_for_the_check_that_can_convict_it(self):
+        """Guards against a fourth crash while the third is being confirmed."""
+        for outcome, expected in (
+            ("refused", {"r3": "SUSPECT_REFUSED"}),
+            ("listening", {}),
+        ):
+            with self.subTest(outcome):
+                board = service_board()
+                for number in (1, 2):
+                    lose_call(board, f"r{number}", 10.0 * number)
+                decided = feed(board, ask("r3", fingerprint="killer"), 30.0)
+                (lost,) = granted(decided).values()
+                feed(board, finished("r3", 0, False, failed=True), 30.1)
+                again = ask(
+                    "r3", fingerprint="killer", attempt=2, excluded_upstream_ids=(lost,)
+                )
+                self.assertEqual(granted(feed(board, again, 30.11)), {})
+                decided = feed(board, events.ListeningChecked(lost, outcome), 30.2)
+                self.assertEqual(refusals(decided), expected)
+                self.assertEqual(len(granted(decided)), 1 - len(expected))
+
+    def test_each_crash_is_sent_to_the_other_entries_at_once(self):
+        """Guards against records that reach other entries only with the next probes."""
+        board = service_board()
+        _, decided = lose_call(board, "r1", 10.0)
+        receivers = {
+            action.node_id
+            for action in decided
+            if isinstance(action, actions.Send)
+            and isinstance(action.message, messages.CrashesSeen)
+        }
+        self.assertEqual(receivers, {"entry-2", "entry-3"})
+
+    def test_one_crash_seen_by_several_entries_counts_once(self):
+        """Guards against a conviction by several reports of the same crash."""
+        board = service_board()
+        lost, _ = lose_call(board, "r1", 10.0)
+        (record,) = board.crashes_by_fingerprint.values()
+        feed(board, messages.CrashesSeen("entry-2", (record,)), 10.3)
+        self.assertEqual(board.crashes_by_fingerprint, {"killer": record})
+        self.assertEqual(record.upstream_ids, (f"{lost}/7",))
+
+    def test_lost_call_at_a_listening_or_silent_server_is_no_crash(self):
+        """Guards against crash records for resets and partitions."""
+        for outcome in ("listening", "unknown"):
+            with self.subTest(outcome):
+                board = service_board()
+                for number in range(1, 5):
+                    lose_call(board, f"r{number}", 10.0 * number, outcome)
+                self.assertEqual(board.crashes_by_fingerprint, {})
+
+    def test_undecided_check_is_no_crash(self):
+        """Guards against a crash record for a check that never ended."""
+        board = service_board()
+        feed(board, ask("r1", fingerprint="killer"), 1.0)
+        feed(board, finished("r1", 0, False, failed=True), 1.1)
+        feed(board, events.TimerFired("scheduling"), 9.0)
+        self.assertEqual(board.crashes_by_fingerprint, {})
+        self.assertEqual(board.last_failures_by_upstream_id, {})
+
+    def answer(self, board, status, now):
+        """Let a server answer a call with the fingerprint of the crashing one."""
+        waiting = board_with_waiting_request(NODE).requests_by_id["r1"]
+        board.requests_by_id["r1"] = waiting._replace(
+            fingerprint="killer", upstream_id="engine-0", answer_status=status
+        )
+        decided = feed(board, events.RequestEnded("r1", True, None), now)
+        board.requests_by_id.clear()
+        return decided
+
+    def test_answered_call_is_cleared_of_earlier_crashes(self):
+        """Guards against refusing a frequent lookup that ran beside crashing calls."""
+        board = service_board()
+        for number in range(1, 6):
+            lose_call(board, f"r{number}", 10.0 * number)
+            decided = self.answer(board, 200, 10.0 * number + 1.0)
+            self.assertEqual(len(sent(decided, messages.CrashesSeen)), 2)
+        self.assertFalse(board.crashes_by_fingerprint["killer"].convicted)
+
+    def test_error_answer_clears_no_crash(self):
+        """Guards against a failing server that answers before it runs a call."""
+        board = service_board()
+        for number in range(1, 4):
+            lose_call(board, f"r{number}", 10.0 * number)
+            self.answer(board, 500, 10.0 * number + 1.0)
+        self.assertTrue(board.crashes_by_fingerprint["killer"].convicted)
+
+
 records = st.builds(
     rows.CrashRow,
     st.sampled_from(["f", "g"]),
@@ -196,6 +322,7 @@
     .map(tuple),
     st.booleans(),
     st.floats(10.0, 1000.0),
+    st.lists(st.sampled_from(["a", "b", "c"]), max_size=3).map(tuple),
 )
 
 
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -11,6 +11,9 @@
 SERVERS = tuple(f"plain-{index}" for index in range(8))
 # The start-up of a fleet ends before entries know each other.
 MEMBERSHIP_SECONDS = 2.0
+# Callers return after a round trip at least; a record reaches the other entries after
+# the check of the server, which follows 0.05 s after the crash.
+RESEND_PAUSE_SECONDS = 0.2
 
 
 class CrashingCallTest(unittest.TestCase):
@@ -34,10 +37,10 @@
 
     def resend(self, path, method):
         """Send a call twice through each entry; return the last three statuses."""
-        statuses = [
-            self.fleet.ask(entry, path, method, body=b"same")[0]
-            for entry in ENTRIES * 2
-        ]
+        statuses = []
+        for entry in ENTRIES * 2:
+            statuses.append(self.fleet.ask(entry, path, method, body=b"same")[0])
+            time.sleep(RESEND_PAUSE_SECONDS)
         return statuses[-3:]
 
     def test_lookup_resent_at_any_entry_crashes_at_most_three_servers(self):
@@ -51,7 +54,7 @@
         self.assertEqual(self.fleet.ask("entry-0", "/look/sound", "GET")[0], 200)
 
     def test_order_resent_at_any_entry_crashes_at_most_three_servers(self):
-        """Guards against a non-idempotent call that crashes one server after another."""
+        """Guards against an order that crashes one server after another."""
         refused = self.resend("/order/crashing", "POST")
         self.assertLessEqual(len(self.crashed_servers()), 3)
         self.assertEqual(refused, [503] * 3)
