Put convictions first among the crash records of a probe

A probe carries four records, the two newest and two at random, and each crash records everything that ran beside its cause, so an entry that has just started learnt of a conviction by chance.

--- a/src/carawayhitch/controllers/_member_table.py
+++ b/src/carawayhitch/controllers/_member_table.py
@@ -197,13 +197,21 @@
 
 
 def select_crash_records(board: Board, random: Random) -> tuple[rows.CrashRow, ...]:
-    """Return the newest crash records and a random sample of the others."""
+    """Return the crash records that matter most and a random sample of the others.
+
+    Convictions go first: an entry that has just started can repeat a convicted request
+    until it learns of it. Newer records precede older ones.
+    """
     crashes = board.crashes_by_fingerprint.values()
     if len(crashes) <= CRASHES_IN_MESSAGE:
         return tuple(crashes)
-    newest = nsmallest(CRASHES_IN_MESSAGE // 2, crashes, key=lambda row: -row.deadline)
-    others = [row for row in crashes if row not in newest]
-    return (*newest, *random.sample(others, CRASHES_IN_MESSAGE - len(newest)))
+    first = nsmallest(
+        CRASHES_IN_MESSAGE // 2,
+        crashes,
+        key=lambda row: (not row.convicted, -row.deadline),
+    )
+    others = [row for row in crashes if row not in first]
+    return (*first, *random.sample(others, CRASHES_IN_MESSAGE - len(first)))
 
 
 def merge_members(
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -439,6 +439,21 @@
         early = brief._replace(state="suspect", incarnation=newer)
         self.assertEqual(self.report(early)["node-1"].state, "alive")
 
+    def test_conviction_is_in_each_probe_after_many_newer_records(self):
+        """Guards against a new entry that repeats a convicted request for seconds.
+
+        Each crash records all requests that ran on the upstream.
+        """
+        board = self.fleet.boards["node-0"]
+        convicted = rows.CrashRow("killer", ("a", "b"), True, 900.0)
+        board.crashes_by_fingerprint["killer"] = convicted
+        for index in range(20):
+            row = rows.CrashRow(f"victim-{index}", ("c",), False, 901.0 + index)
+            board.crashes_by_fingerprint[row.fingerprint] = row
+        for seed in range(10):
+            selected = _member_table.select_crash_records(board, Random(seed))
+            self.assertIn(convicted, selected)
+
     def test_crash_records_are_disseminated(self):
         """Guards against a request that crashes one engine per entry."""
         board = self.fleet.boards["node-1"]
