Log the prompt parts of a call that failed at its upstream

Cause: the log could not tell which requests of a crash had a part in common, nor which of them had begun to be answered.

--- a/src/carawayhitch/controllers/_call_logs.py
+++ b/src/carawayhitch/controllers/_call_logs.py
@@ -5,10 +5,13 @@
 from typing import Any
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._targets import admission_size
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
 # Enough digits to recognize repetitions of a request in the logs of a day.
 FINGERPRINT_DIGITS = 12
+# Few prompts have more shareable blocks, and the volume of the logs is bounded.
+BLOCK_LIMIT = 8
 
 
 def build_refusal_log(
@@ -109,6 +112,8 @@
         "kind": event.kind,
         "sent": event.sent,
         "fingerprint": row.fingerprint[:FINGERPRINT_DIGITS],
+        "prefix_blocks": list(admission_size(row.target).prefix_blocks)[:BLOCK_LIMIT],
+        "began": row.phase == "relaying",
         "detail": event.detail[:200],
         "last_sequence": row.last_sequence,
         "seconds": round(now - row.received_at, 4),
