Check an engine whose stream broke off before its first event

Callers saw engines crash one after the other without a crash record, if the request that caused the crash ran alone: an engine that crashes as it begins to answer breaks off a response whose head has arrived, which ended with ANSWER_TRUNCATED and was taken for a faulty answer.

Such an end of a stream leads to the same check as a lost connection, which clears an engine that still runs.

--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -17,7 +17,7 @@
 )
 from carawayhitch.controllers._cells import derive_schedulers, entry_scheduled_groups
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.controllers._targets import admission_size
+from carawayhitch.controllers._targets import admission_size, is_streamed
 from carawayhitch.controllers._upstreams import is_announced_leaving, leaving_notice
 from carawayhitch.core import actions, events, messages, result_codes, rows
 
@@ -479,15 +479,20 @@
         actions.Send(
             row.scheduler_id,
             finished_message(
-                board,
-                row,
-                event.complete,
-                event.upstream_failed or event.code in UPSTREAM_FAILURE_CODES,
+                board, row, event.complete, _may_be_upstream_failure(row, event)
             ),
         ),
     )
 
 
+def _may_be_upstream_failure(row: rows.RequestRow, event: events.RequestEnded) -> bool:
+    """Return whether the end of a request may show that its upstream crashed."""
+    if event.upstream_failed or event.code in UPSTREAM_FAILURE_CODES:
+        return True
+    # An upstream that crashes as it begins a stream breaks off without an event.
+    return event.code is result_codes.ANSWER_TRUNCATED and is_streamed(row.target)
+
+
 def finished_message(
     board: Board, row: rows.RequestRow, complete: bool, upstream_failed: bool
 ) -> messages.Finished:
--- a/tests/controllers/test_routed_calls.py
+++ b/tests/controllers/test_routed_calls.py
@@ -211,6 +211,16 @@
         self.assertEqual(refused(found), "STREAM_LOST")
         self.assertFalse([a for a in found if isinstance(a, actions.FinishStream)])
 
+    def test_stream_broken_before_its_first_event_counts_as_upstream_failure(self):
+        """Guards against crashes of engines that are taken for faulty answers."""
+        entry = RoutedEntry()
+        entry.call("draft")
+        entry.feed(events.UpstreamOpened(CALL, entry.row.attempt, "", "", ""))
+        found = entry.fail("truncated")
+        self.assertEqual(refused(found), "ANSWER_TRUNCATED")
+        checked = [a for a in found if isinstance(a, actions.CheckListening)]
+        self.assertEqual(len(checked), 1)
+
 
 class DeadlineTest(unittest.TestCase):
     def test_call_ends_at_the_deadline_of_its_route(self):
