Convict the prompt part that crashes engines, whatever else a request holds

Cause: crash records knew only whole requests, by the fingerprint of path and body. No two of these requests are alike, so none was ever on record twice.

Prefix blocks have crash records now. Suspect are requests without a token that the engine had begun to answer; a token clears all blocks of its request. The third crash convicts a block, the fifth if it was answered in the 300 s before, since several engines can crash before a sound request with the same first part is answered; at most the last block of a request is convicted, and one with a convicted block explains a crash. Schedulers learn the blocks of running requests from progress messages.

--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -69,6 +69,7 @@
         self.announces_leaving = False
         self.move_status = 0
         self.crash_on = ""
+        self.crash_on_part = ""
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -167,6 +168,10 @@
         )
         response.enable_chunked_encoding()
         await response.prepare(request)
+        parts = request.headers.get("Carawayhitch-Prompt-Prefix", "")
+        if self.crash_on_part and f"{self.crash_on_part}:" in parts:
+            await asyncio.sleep(self.event_seconds)
+            os._exit(CRASH_STATUS)
         try:
             while generation.made < generation.total:
                 try:
@@ -247,7 +252,8 @@
         is interrupted; ``move_status``: status of all moves; 0 for the default;
         ``state``: state in the load report; ``announces_leaving``: whether all answers
         say that the server is leaving; ``crash_on``: part of the paths whose calls end
-        the process as they begin to run; empty for none.
+        the process as they begin to run, empty for none; ``crash_on_part``: id of the
+        prompt part whose streams end the process after the head of the answer.
         """
         faults = await request.json()
         self.failures = faults.get("failures", 0)
@@ -258,6 +264,7 @@
         self.state = faults.get("state", "ready")
         self.announces_leaving = faults.get("announces_leaving", False)
         self.crash_on = faults.get("crash_on", "")
+        self.crash_on_part = faults.get("crash_on_part", "")
         return web.json_response({})
 
     async def list_calls(self, request: web.Request) -> web.Response:
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -56,6 +56,7 @@
     evacuations_by_upstream_id: dict[str, rows.EvacuationRow]
     moves_by_request_id: dict[str, rows.MoveRow]
     crashes_by_fingerprint: dict[str, rows.CrashRow]
+    answered_until_by_prefix_block: dict[str, float]
     last_failures_by_upstream_id: dict[
         str, rows.EngineFailureRow | rows.ServiceFailureRow
     ]
@@ -164,6 +165,7 @@
         evacuations_by_upstream_id={},
         moves_by_request_id={},
         crashes_by_fingerprint={},
+        answered_until_by_prefix_block={},
         last_failures_by_upstream_id={},
         claims_by_key={},
         journal_shards_by_name={},
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -145,7 +145,6 @@
 
 @wire_fields.register(messages.AdmissionQueued)
 @wire_fields.register(messages.AskWithdrawn)
-@wire_fields.register(messages.RunningRequest)
 @wire_fields.register(messages.RunningCount)
 @wire_fields.register(messages.ProgressAck)
 @wire_fields.register(messages.Finished)
@@ -155,6 +154,12 @@
     return _fields_by_wire_name(record)
 
 
+@wire_fields.register(messages.RunningRequest)
+def _encode_running(message: messages.RunningRequest, now: float) -> dict[str, Any]:
+    blocks = message.prefix_blocks[:MAXIMUM_PREFIX_BLOCKS]
+    return _fields_by_wire_name(message._replace(prefix_blocks=blocks))
+
+
 @wire_fields.register(messages.MoveReport)
 def _encode_move_report(message: messages.MoveReport, now: float) -> dict[str, Any]:
     return _fields_by_wire_name(message) | {"outcome": _wire_name(message.outcome)}
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -98,6 +98,7 @@
   promptTokens @8 :UInt32;
   maximumTokens @9 :UInt32;
   tokenCount @10 :UInt32;
+  prefixBlocks @11 :List(Data);
 }
 
 struct RunningCount {
@@ -129,6 +130,7 @@
   complete @4 :Bool;
   upstreamFailed @5 :Bool;
   upstreamRefused @6 :Bool;
+  began @7 :Bool;
 }
 
 struct MoveOrder {
--- a/src/carawayhitch/controllers/_crash_records.py
+++ b/src/carawayhitch/controllers/_crash_records.py
@@ -27,6 +27,46 @@
     return record is not None and record.convicted
 
 
+def prefix_block_key(block: str) -> str:
+    """Return the key of a prefix block among the fingerprints of crash records."""
+    return f"block {block}"
+
+
+def has_convicted_block(board: Board, prefix_blocks: Iterable[str], now: float) -> bool:
+    """Return whether a prefix block is convicted."""
+    return any(
+        is_convicted(board, prefix_block_key(block), now) for block in prefix_blocks
+    )
+
+
+def is_cause_of_crashes(
+    board: Board, fingerprint: str, prefix_blocks: Iterable[str], now: float
+) -> bool:
+    """Return whether a request is refused for its fingerprint or a prefix block."""
+    return is_convicted(board, fingerprint, now) or has_convicted_block(
+        board, prefix_blocks, now
+    )
+
+
+def crash_id(upstream_id: str, started_at: int) -> str:
+    """Return the id of the crash of one instance, equal at all entries that see it."""
+    return f"{upstream_id}/{started_at}"
+
+
+def add_crash(
+    board: Board, fingerprint: str, crash: str, convicts: bool, now: float
+) -> rows.CrashRow:
+    """Return the record of a fingerprint with one more crash."""
+    existing = crash_record(board, fingerprint, now)
+    if existing is None:
+        existing = rows.CrashRow(fingerprint, (), convicted=False, deadline=0.0)
+    return existing._replace(
+        upstream_ids=(*existing.upstream_ids, crash),
+        convicted=existing.convicted or convicts,
+        deadline=now + CRASH_RECORD_SECONDS,
+    )
+
+
 def uncleared_crash_count(record: rows.CrashRow | None) -> int:
     """Return the number of crashes that a fingerprint may have caused."""
     if record is None:
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -505,6 +505,7 @@
         token_count=row.token_count,
         complete=complete,
         upstream_failed=upstream_failed,
+        began=row.phase == "relaying",
     )
 
 
@@ -630,6 +631,7 @@
         prompt_tokens=size.prompt_tokens,
         maximum_tokens=size.maximum_tokens,
         token_count=row.token_count,
+        prefix_blocks=() if row.token_count else size.prefix_blocks,
     )
 
 
--- a/src/carawayhitch/controllers/_rebuild.py
+++ b/src/carawayhitch/controllers/_rebuild.py
@@ -193,6 +193,7 @@
                 running.maximum_tokens,
             ),
             prompt_charged=False,
+            prefix_blocks=running.prefix_blocks,
         ),
     )
     return True
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -16,7 +16,7 @@
 )
 from carawayhitch.controllers._call_logs import build_ask_log
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.controllers._crash_records import is_convicted
+from carawayhitch.controllers._crash_records import is_cause_of_crashes
 from carawayhitch.controllers._queue import SCHEDULING_TIMER
 from carawayhitch.controllers._ranks import rank_class, waiting_ranks
 from carawayhitch.controllers._upstream_choice import choose_upstream, is_usable
@@ -106,7 +106,7 @@
         _queue.remove_ask(board, event.request_id)
     if event.cell_id not in board.cells_by_id:
         return _queue.refuse_ask(board, ask, result_codes.NO_UPSTREAM, 1.0, now)
-    if is_convicted(board, event.fingerprint, now):
+    if is_cause_of_crashes(board, event.fingerprint, event.prefix_blocks, now):
         return _queue.refuse_ask(board, ask, result_codes.SUSPECT_REFUSED, 0.0, now)
     refused = _queue.find_refusal(board, ask, now)
     if refused is not None:
@@ -214,7 +214,7 @@
         ask = _next_ask(board, cell_id, skipped_request_ids, now)
         if ask is None:
             break
-        if is_convicted(board, ask.fingerprint, now):
+        if is_cause_of_crashes(board, ask.fingerprint, ask.prefix_blocks, now):
             _queue.remove_ask(board, ask.request_id)
             code = result_codes.SUSPECT_REFUSED
             decided.extend(_queue.refuse_ask(board, ask, code, 0.0, now))
@@ -308,6 +308,7 @@
         memory=_memory.predict_memory(
             board, ask.binding, ask.prompt_tokens, 0, ask.maximum_tokens
         ),
+        prefix_blocks=ask.prefix_blocks,
     )
     logged = build_ask_log(board, ask, upstream_id, None, now)
     previous = board.grants_by_request_id.get(ask.request_id)
--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -13,12 +13,14 @@
 from typing import Any
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import _prompt_evidence
 from carawayhitch.controllers._backoffs import load_polls
 from carawayhitch.controllers._cells import send_observation
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._crash_records import (
-    CRASH_RECORD_SECONDS,
+    add_crash,
     clear_record,
+    crash_id,
     crash_record,
     merge_crashes,
     uncleared_crash_count,
@@ -30,6 +32,7 @@
 # Other calls run on the server that a call crashes, and each can be sent to a second
 # server that the same call crashes.
 CONVICTING_CRASH_COUNT = 3
+EVIDENCE_TIMER = "crash_evidence"
 # A death that no load poll has confirmed or cleared within this time is confirmed.
 DEATH_CONFIRMATION_SECONDS = 3.0
 # An entry detects a failure with a delay, so a restarted engine may have started before
@@ -142,14 +145,22 @@
         )
         return (actions.CheckListening(upstream_id, upstream.address),)
     lifetime = board.settings.scheduling.grant_lifetime_seconds
-    board.last_failures_by_upstream_id[upstream_id] = rows.EngineFailureRow(
+    failure = rows.EngineFailureRow(
         upstream_id,
         upstream_failed_at=now,
         fingerprints=fingerprints,
         recent_grant_count=sum(grant.granted_at > now - lifetime for grant in grants),
         confirmed=False,
+        started_at=upstream.started_at if upstream else 0,
+        unanswered=_prompt_evidence.unanswered_requests(grants),
+        evidence_deadline=now + _prompt_evidence.EVIDENCE_SECONDS,
     )
-    return load_polls(board, (upstream,), now) if upstream else ()
+    board.last_failures_by_upstream_id[upstream_id] = failure
+    polls = load_polls(board, (upstream,), now) if upstream else ()
+    if not failure.unanswered:
+        return polls
+    timer = events.TimerFired(EVIDENCE_TIMER, upstream_id)
+    return (*polls, actions.SetTimer(failure.evidence_deadline, timer))
 
 
 def confirm_death(
@@ -178,6 +189,36 @@
     return (
         actions.Log("warning", "upstream died", fields),
         *_share_records(board, records, random),
+        *_record_crash_of_blocks(board, failure.upstream_id, now, random),
+    )
+
+
+def _record_crash_of_blocks(
+    board: Board, upstream_id: str, now: float, random: Random
+) -> Actions:
+    """Record a confirmed crash for prefix blocks, once the evidence is complete."""
+    failure = board.last_failures_by_upstream_id.get(upstream_id)
+    if (
+        not isinstance(failure, rows.EngineFailureRow)
+        or not failure.confirmed
+        or not failure.unanswered
+        or now < failure.evidence_deadline
+    ):
+        return ()
+    records = _prompt_evidence.block_records_after_crash(board, failure, now)
+    board.last_failures_by_upstream_id[upstream_id] = failure._replace(unanswered=())
+    for record in records:
+        board.crashes_by_fingerprint[record.fingerprint] = record
+    fields = {
+        "upstream": upstream_id,
+        "unanswered": len(failure.unanswered),
+        "began": sum(request.began for request in failure.unanswered),
+        "suspects": [record.fingerprint for record in records],
+        "convicted": [row.fingerprint for row in records if row.convicted],
+    }
+    return (
+        actions.Log("warning", "prompts of a dead upstream", fields),
+        *_share_records(board, records, random),
     )
 
 
@@ -218,7 +259,7 @@
         if crash_record(board, fingerprint, now) is not None
     }
     return tuple(
-        _add_crash(
+        add_crash(
             board, fingerprint, failure.upstream_id, recorded == {fingerprint}, now
         )
         for fingerprint in failure.fingerprints
@@ -231,32 +272,18 @@
 ) -> tuple[rows.CrashRow, ...]:
     """Convict each fingerprint that has run in several crashes without an answer."""
     # Several entries report the same crash, so its id names the instance.
-    crash_id = f"{failure.upstream_id}/{failure.started_at}"
+    crash = crash_id(failure.upstream_id, failure.started_at)
     records = []
     for fingerprint in failure.fingerprints:
         existing = crash_record(board, fingerprint, now)
-        if existing is not None and crash_id in existing.upstream_ids:
+        if existing is not None and crash in existing.upstream_ids:
             continue
         count = uncleared_crash_count(existing) + 1
         convicts = count >= CONVICTING_CRASH_COUNT
-        records.append(_add_crash(board, fingerprint, crash_id, convicts, now))
+        records.append(add_crash(board, fingerprint, crash, convicts, now))
     return tuple(records)
 
 
-def _add_crash(
-    board: Board, fingerprint: str, crash_id: str, convicts: bool, now: float
-) -> rows.CrashRow:
-    """Return the record of a fingerprint with one more crash."""
-    existing = crash_record(board, fingerprint, now)
-    if existing is None:
-        existing = rows.CrashRow(fingerprint, (), convicted=False, deadline=0.0)
-    return existing._replace(
-        upstream_ids=(*existing.upstream_ids, crash_id),
-        convicted=existing.convicted or convicts,
-        deadline=now + CRASH_RECORD_SECONDS,
-    )
-
-
 def _is_new_failure(board: Board, grant: rows.GrantRow) -> bool:
     """Return whether the failure of a grant is not explained by a known death."""
     upstream = board.upstreams_by_id.get(grant.upstream_id)
@@ -268,18 +295,43 @@
 
 
 @decide.register(messages.Finished)
-def _record_failed_request(
+def _record_end_of_request(
     event: messages.Finished, board: Board, now: float, random: Random
 ) -> Actions:
     grant = board.grants_by_request_id.get(event.request_id)
-    if (
-        not event.upstream_failed
-        or grant is None
-        or grant.attempt != event.attempt
-        or not _is_new_failure(board, grant)
-    ):
+    if grant is None or grant.attempt != event.attempt:
         return ()
-    return record_suspected_death(board, grant.upstream_id, now)
+    decided: list[actions.Action] = []
+    if event.upstream_failed and _is_new_failure(board, grant):
+        decided.extend(record_suspected_death(board, grant.upstream_id, now))
+    if event.token_count:
+        cleared = _prompt_evidence.record_answered_blocks(
+            board, grant.prefix_blocks, now
+        )
+        _prompt_evidence.remove_answered_request(board, grant)
+        decided.extend(_share_records(board, cleared, random))
+    elif event.upstream_failed:
+        _prompt_evidence.record_lost_request(board, grant, event)
+    return decided
+
+
+@decide.register(messages.Progress)
+def _clear_blocks_of_answered_requests(
+    event: messages.Progress, board: Board, now: float, random: Random
+) -> Actions:
+    """Clear the prefix blocks of requests that have produced their first token."""
+    token_counts = {running.request_id: running.token_count for running in event.counts}
+    token_counts |= {
+        running.request_id: running.token_count for running in event.running
+    }
+    cleared: list[rows.CrashRow] = []
+    for request_id, token_count in token_counts.items():
+        grant = board.grants_by_request_id.get(request_id)
+        if token_count and grant is not None and not grant.token_count:
+            cleared.extend(
+                _prompt_evidence.record_answered_blocks(board, grant.prefix_blocks, now)
+            )
+    return _share_records(board, tuple(cleared), random)
 
 
 @decide.register(messages.AdmissionAsk)
@@ -409,6 +461,8 @@
 
     Suspected deaths that no load poll has decided in time are confirmed.
     """
+    if event.name == EVIDENCE_TIMER:
+        return _record_crash_of_blocks(board, event.subject, now, random)
     if event.name != SCHEDULING_TIMER:
         return ()
     for record in list(board.crashes_by_fingerprint.values()):
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -101,7 +101,13 @@
 
 
 class RunningRequest(NamedTuple):
-    """Progress of one running request, sufficient to rebuild the scheduler's row."""
+    """Progress of one running request, sufficient to rebuild the scheduler's row.
+
+    Parameters
+    ----------
+    prefix_blocks : tuple of str
+        Shareable blocks of the prompt, until the first token.
+    """
 
     request_id: str
     attempt: int
@@ -114,6 +120,7 @@
     prompt_tokens: int
     maximum_tokens: int
     token_count: int
+    prefix_blocks: tuple[str, ...] = ()
 
 
 class RunningCount(NamedTuple):
@@ -178,6 +185,9 @@
     upstream_refused : bool
         Whether the upstream refused the request or the connection, so that the
         request did not run.
+    began : bool
+        Whether the upstream had begun to answer; False from entries of an earlier
+        release.
     """
 
     sender_id: str
@@ -188,6 +198,7 @@
     complete: bool
     upstream_failed: bool
     upstream_refused: bool = False
+    began: bool = False
 
 
 class MoveOrder(NamedTuple):
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -64,6 +64,7 @@
     LeavingAnnouncementRow,
     LoadReconciliationRow,
     ServiceFailureRow,
+    UnansweredRequestRow,
     UpstreamRow,
     VmKind,
 )
@@ -120,6 +121,7 @@
     "ServiceTarget",
     "StoreScopeRow",
     "Target",
+    "UnansweredRequestRow",
     "UpstreamRow",
     "VmKind",
 ]
--- a/src/carawayhitch/core/_scheduling_rows.py
+++ b/src/carawayhitch/core/_scheduling_rows.py
@@ -78,6 +78,9 @@
         Whether this scheduler charged the prompt; False if an earlier scheduler did.
     charged_tokens : int
         Output tokens that this scheduler charged.
+    prefix_blocks : tuple of str
+        Shareable blocks of the prompt; empty if an earlier scheduler granted the
+        request and it has produced tokens.
     """
 
     request_id: str
@@ -99,6 +102,7 @@
     memory: MemoryForecastRow = MemoryForecastRow()
     prompt_charged: bool = True
     charged_tokens: int = 0
+    prefix_blocks: tuple[str, ...] = ()
 
 
 class EvacuationRow(NamedTuple):
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -156,10 +156,12 @@
 
 
 class CrashRow(NamedTuple):
-    """Crash record of one request fingerprint.
+    """Crash record of one request fingerprint or one prefix block.
 
     Parameters
     ----------
+    fingerprint : str
+        Fingerprint of a request, or the key of a prefix block.
     upstream_ids : tuple of str
         Upstreams that crashed while the fingerprint ran there.
     convicted : bool
@@ -178,6 +180,20 @@
     cleared_ids: tuple[str, ...] = ()
 
 
+class UnansweredRequestRow(NamedTuple):
+    """A request on a failed engine that had not produced a token.
+
+    Parameters
+    ----------
+    began : bool
+        Whether the engine had begun to answer it, as far as its entry has reported.
+    """
+
+    request_id: str
+    prefix_blocks: tuple[str, ...]
+    began: bool = False
+
+
 class EngineFailureRow(NamedTuple):
     """The last failure of an engine.
 
@@ -190,6 +206,14 @@
     confirmed : bool
         Whether the failure counts as a crash of the engine; False until a load poll
         shows whether the engine crashed or only a connection was lost.
+    started_at : int
+        Start of the failed instance in milliseconds of Unix time; 0 if unknown.
+    unanswered : tuple of UnansweredRequestRow
+        Requests whose prefix blocks may have caused the failure; empty once the blocks
+        have their crash records.
+    evidence_deadline : float
+        Time by which entries have reported the requests that they lost there (seconds
+        of the node clock).
     """
 
     upstream_id: str
@@ -197,6 +221,9 @@
     fingerprints: tuple[str, ...]
     recent_grant_count: int
     confirmed: bool
+    started_at: int = 0
+    unanswered: tuple[UnansweredRequestRow, ...] = ()
+    evidence_deadline: float = 0.0
 
 
 class ServiceFailureRow(NamedTuple):
