End a stream as broken if another answer comes in place of its rest

Reported by other operators: a stream had begun and broke off, and the next server answered with an error. Here the controllers sent that answer to a response that had started. As read from SanicCaller.answer, not played over sockets: the text did not reach the caller, but nothing ended its stream either.

An answer that is not a stream now counts as a failed attempt of a started stream: it is continued elsewhere if an attempt is left, and otherwise cut without its end.

--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -229,6 +229,9 @@
     row = _request_of_attempt(board, event.request_id, event.attempt)
     if row is None:
         return ()
+    if row.response_started:
+        # The caller has a part of a stream, which no other kind of answer continues.
+        return _abandon_attempt(board, row, "foreign", sent=True)
     if event.status >= FAILURE_STATUS and can_retry_error_answer(row.target):
         row = row._replace(may_have_run=True, run_count=row.run_count + 1)
         board.requests_by_id[row.request_id] = row
--- a/tests/controllers/test_routed_calls.py
+++ b/tests/controllers/test_routed_calls.py
@@ -34,6 +34,10 @@
 )
 
 
+# Actions after which a caller takes an answer for complete.
+ENDS_OF_ANSWERS = (actions.SendAnswer, actions.FinishStream)
+
+
 class RoutedEntry:
     """An entry that schedules calls to two upstreams by itself."""
 
@@ -202,6 +206,21 @@
             [a for a in entry.chunk(2) if isinstance(a, actions.ForwardChunk)]
         )
 
+    def test_answer_in_place_of_the_rest_of_a_stream_ends_it_as_broken(self):
+        """Guards against an error's text, or silence, in the middle of a stream."""
+        for status in (500, 404, 200):
+            with self.subTest(status):
+                entry = RoutedEntry()
+                entry.call("ask")
+                entry.chunk(1)
+                self.assertEqual(len(opened(entry.fail("truncated"))), 1)
+                answer = events.AnswerReceived(
+                    CALL, entry.row.attempt, status, "text/plain", b"text"
+                )
+                found = entry.feed(answer)
+                self.assertFalse([a for a in found if type(a) in ENDS_OF_ANSWERS])
+                self.assertEqual(refused(found), "STREAM_LOST")
+
     def test_broken_stream_that_cannot_continue_ends_with_an_error(self):
         """Guards against a broken stream that looks complete."""
         entry = RoutedEntry()
