Accept a refusal only with the id of the call that it refuses

Reported by other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of calls that ran. Calls of callers use a new connection each, so that way does not exist here; but a refusal was taken as one whatever id it echoed. With another id it now counts as a foreign answer, after which a call may have run. The new case 'refusal of another call' fails on the commit before.

Heads that break off, and streams without a length that end inside an event, are cases of the same table; they passed before.

--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -54,7 +54,10 @@
     action: actions.OpenUpstream,
     now: Callable[[], float],
 ) -> None:
-    is_refused = _names.NOT_EXECUTED in response.headers
+    sent_id = _calls.caller_request_id(call.content.headers)
+    # A refusal without an id refuses a request whose head was not read.
+    answered_id = response.headers.get(_names.REQUEST_ID) or sent_id
+    is_refused = _names.NOT_EXECUTED in response.headers and answered_id == sent_id
     is_from_upstream = _is_from_upstream(call, response)
     # Another upstream may use the address now.
     is_misdirected = response.status == MISDIRECTED_REQUEST_STATUS
--- a/tests/platform/test_routed_calls.py
+++ b/tests/platform/test_routed_calls.py
@@ -166,6 +166,18 @@
                 b"Content-Length: 0\r\n\r\n",
                 ("refused", False),
             ),
+            "refusal of another call": (
+                b"HTTP/1.1 503 Full\r\nCarawayhitch-Not-Executed: 1\r\n"
+                b"Carawayhitch-Request-Id: call-0\r\nContent-Length: 0\r\n\r\n",
+                ("foreign", True),
+            ),
+            "head cut in the status line": (b"HTTP/1.1 200 O", ("link_lost", True)),
+            "head cut in a header": (
+                ok + SIGNED_HEADERS + b"Content-Le",
+                ("link_lost", True),
+            ),
+            "head cut before its end": (ok + SIGNED_HEADERS, ("link_lost", True)),
+            "head of a stream cut": (CHUNKED_HEAD[:-4], ("link_lost", True)),
             "another upstream": (
                 b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
                 ("refused", False),
@@ -174,6 +186,10 @@
                 CHUNKED_HEAD + encode_chunk(encode_event(1)[:9]),
                 ("truncated", True),
             ),
+            "stream without length ends in an event": (
+                ok + STREAM_HEADERS + b"\r\n" + encode_event(1)[:9],
+                ("truncated", True),
+            ),
             "stream ends in an event": (
                 CHUNKED_HEAD + encode_chunk(encode_event(1)[:9]) + b"0\r\n\r\n",
                 ("truncated", True),
