Probe the listed entries at once after a start

Callers saw a request that the other entries refuse crash servers again through an entry that had just started: it serves within 0.2 s, and its first membership tick comes before it has read the list of entries, so it learnt of convictions with the next tick, 1 s after its start.

An entry that knows no other member probes up to three listed entries with each list and when it reads the keys that sign its probes; the answers bring members and crash records.

--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -127,6 +127,25 @@
     return decided
 
 
+@decide.register(events.PeerKeysRead)
+@decide.register(events.VmListReceived)
+def _probe_listed_entries_at_start(
+    event: events.PeerKeysRead | events.VmListReceived,
+    board: Board,
+    now: float,
+    random: Random,
+) -> Actions:
+    """Probe entries of the first list at once, since this node may serve before a tick.
+
+    The list and the keys that sign probes arrive in either order. The answers bring
+    the crash records: without them, a request that other entries refuse can crash
+    upstreams through this one.
+    """
+    if board.node_id not in board.members_by_id or present_peers(board):
+        return ()
+    return _probe_seeds(board, random)
+
+
 @decide.register(events.TimerFired)
 def _handle_timer(
     event: events.TimerFired, board: Board, now: float, random: Random
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -439,6 +439,28 @@
         early = brief._replace(state="suspect", incarnation=newer)
         self.assertEqual(self.report(early)["node-1"].state, "alive")
 
+    def test_started_entry_learns_of_convictions_with_its_first_list(self):
+        """Guards against an entry that serves before its first probe is answered."""
+        convicted = rows.CrashRow("killer", ("a", "b"), True, self.fleet.now + 99.0)
+        self.fleet.boards["node-0"].crashes_by_fingerprint["killer"] = convicted
+        # The list and the keys that sign datagrams arrive in either order.
+        for index, last in (
+            (8, events.VmListReceived(())),
+            (9, events.PeerKeysRead((KEY,))),
+        ):
+            with self.subTest(last):
+                name = f"node-{index}"
+                self.fleet.start(name, index, [])
+                self.fleet.run(0.1)
+                board = self.fleet.boards[name]
+                self.assertEqual(board.crashes_by_fingerprint, {})
+                seed = settings_types.SeedPeer("127.0.0.1", 9000)
+                board.listed_entries_by_vm_id["node-0"] = seed
+                self.fleet.feed(name, last)
+                self.fleet.run(0.02)
+                record = board.crashes_by_fingerprint.get("killer")
+                self.assertTrue(record is not None and record.convicted)
+
     def test_conviction_is_in_each_probe_after_many_newer_records(self):
         """Guards against a new entry that repeats a convicted request for seconds.
 
