Bound the prompt blocks that one crash puts on record

Cause: a prompt of our own interface can have hundreds of blocks, each of which would get a crash record, a place in the log line and in messages to up to 128 entries. The first 32 count, as many as an ask from another entry carries.

--- a/src/carawayhitch/controllers/_prompt_evidence.py
+++ b/src/carawayhitch/controllers/_prompt_evidence.py
@@ -20,6 +20,9 @@
 )
 from carawayhitch.core import messages, rows
 
+# Blocks of a prompt that can be suspect, from its start; asks from other entries carry
+# no more. It bounds the records of a crash and the messages that spread them.
+SUSPECT_BLOCK_LIMIT = 32
 # Entries report the requests that they lost at one engine within this time.
 EVIDENCE_SECONDS = 0.2
 BLOCK_CONVICTING_CRASH_COUNT = 3
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -17,6 +17,7 @@
 from carawayhitch.controllers._call_logs import build_ask_log
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._crash_records import is_cause_of_crashes
+from carawayhitch.controllers._prompt_evidence import SUSPECT_BLOCK_LIMIT
 from carawayhitch.controllers._queue import SCHEDULING_TIMER
 from carawayhitch.controllers._ranks import rank_class, waiting_ranks
 from carawayhitch.controllers._upstream_choice import choose_upstream, is_usable
@@ -308,7 +309,7 @@
         memory=_memory.predict_memory(
             board, ask.binding, ask.prompt_tokens, 0, ask.maximum_tokens
         ),
-        prefix_blocks=ask.prefix_blocks,
+        prefix_blocks=ask.prefix_blocks[:SUSPECT_BLOCK_LIMIT],
     )
     logged = build_ask_log(board, ask, upstream_id, None, now)
     previous = board.grants_by_request_id.get(ask.request_id)
--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -213,7 +213,7 @@
         "upstream": upstream_id,
         "unanswered": len(failure.unanswered),
         "began": sum(request.began for request in failure.unanswered),
-        "suspects": [record.fingerprint for record in records],
+        "suspects": len(records),
         "convicted": [row.fingerprint for row in records if row.convicted],
     }
     return (
--- a/tests/controllers/test_prompt_evidence.py
+++ b/tests/controllers/test_prompt_evidence.py
@@ -170,6 +170,14 @@
                 world.crash(request_id)
         self.assertEqual(world.convicted(), [f"block {DEADLY}"])
 
+    def test_records_of_a_crash_are_bounded(self):
+        """Guards against hundreds of records and messages for one long prompt."""
+        world = EngineWorld()
+        world.crash(world.request(*(f"block-{number}:1" for number in range(500))))
+        records = world.board.crashes_by_fingerprint
+        blocks = [name for name in records if name.startswith("block ")]
+        self.assertEqual(len(blocks), 32)
+
     def test_engine_that_survived_adds_no_record(self):
         """Guards against records for streams that a link or the engine broke off."""
         world = EngineWorld(engine_count=1)
