--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -370,6 +370,7 @@
         self.record = record
         self.event_seconds = event_seconds
         self.work_seconds = work_seconds
+        self.first_seconds = 0.0
         self.listener = Listener(address, self.handle)
         self.born = int(time.time() * 1000)
         self.state = "ready"
@@ -525,6 +526,8 @@
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         writer = connection.writer
         try:
+            # A request starts to run with its first token.
+            await asyncio.sleep(self.first_seconds)
             writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
             while generation.made < generation.total:
                 await asyncio.sleep(self.event_seconds)
@@ -863,25 +866,34 @@
         """Start the store, the servers and the entries; wait until all are ready."""
         await self.store.listener.start()
         self.configure()
-        for index, service in enumerate(services):
-            server = Server(
-                self.store,
-                f"{self.network}.{100 + index}",
-                f"i-{index}",
-                service,
-                self.record,
-                event_seconds,
-            )
-            await server.start()
-            self.servers.append(server)
-        addresses = {server.listener.address: server for server in self.servers}
-        for server in self.servers:
-            server.servers_by_address = addresses
+        for service in services:
+            await self.add_server(service, event_seconds)
         self.entries = [Entry(self, index, zone) for index, zone in enumerate(zones)]
         for entry in self.entries:
             entry.start()
         await self.wait_ready()
 
+    async def add_server(
+        self, service: str, event_seconds: float = 0.05, zone: str = "cairo-a"
+    ) -> Server:
+        """Start a further server and register it."""
+        index = len(self.servers)
+        server = Server(
+            self.store,
+            f"{self.network}.{100 + index}",
+            f"i-{index:02d}",
+            service,
+            self.record,
+            event_seconds,
+        )
+        server.zone = zone
+        self.servers.append(server)
+        await server.start()
+        addresses = {one.listener.address: one for one in self.servers}
+        for known in self.servers:
+            known.servers_by_address = addresses
+        return server
+
     async def wait_ready(self) -> None:
         """Wait until all entries are ready and know each other."""
         deadline = time.monotonic() + READY_SECONDS
@@ -937,11 +949,18 @@
 
     async def main() -> int:
         case = Case(folder)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             broken = await asyncio.wait_for(play(case), 110.0)
         except (CouldNotRunError, TimeoutError, OSError) as error:
             case.record(f"could not run: {error!r}")
             return 2
+        except asyncio.CancelledError:
+            case.record("stopped from outside")
+            return 2
         finally:
             case.stop()
         case.record("the rule was broken" if broken else "the rule held")
