Continue moved streams that end with their connection

Cause: an engine closes the stream of a generation that it stops for a move. A chunked stream then fails and the failure is ignored; a response without framing ends with its connection, so StreamEnded finished the request. Ruled out: an empty stream from the target (no engine was asked to continue) and a cancellation by the entry (the same moves of chunked streams go on elsewhere).

StreamEnded now says whether the response marked its own end. An end of the connection alone waits, while the generation is being stopped, for the result of the final copy: copied, the stream goes on; no such generation, it had ended by itself; no answer, it is lost visibly. Related: a stream that broke off with an error while being stopped, whose generation was gone by then, never ended before.

--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -22,6 +22,13 @@
 CRASH_STATUS = 70
 
 
+class UnframedResponse(web.StreamResponse):
+    """Response with neither a length nor chunks, which ends with its connection."""
+
+    # aiohttp sends a body of unknown length in chunks if it checks the length.
+    _length_check = False
+
+
 class RunningGeneration:
     """One running generation."""
 
@@ -70,6 +77,7 @@
         self.move_status = 0
         self.crash_on = ""
         self.crash_on_part = ""
+        self.unframed = False
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -160,13 +168,16 @@
             total = copied[2]
             self.counts["continued"] += 1
         generation = self.generations_by_id[request_id] = RunningGeneration(made, total)
-        response = web.StreamResponse(
-            headers={
-                **self._response_headers(request),
-                "Content-Type": "text/event-stream",
-            }
-        )
-        response.enable_chunked_encoding()
+        headers = {
+            **self._response_headers(request),
+            "Content-Type": "text/event-stream",
+        }
+        if self.unframed:
+            response: web.StreamResponse = UnframedResponse(headers=headers)
+            response.force_close()
+        else:
+            response = web.StreamResponse(headers=headers)
+            response.enable_chunked_encoding()
         await response.prepare(request)
         parts = request.headers.get("Carawayhitch-Prompt-Prefix", "")
         if self.crash_on_part and f"{self.crash_on_part}:" in parts:
@@ -187,7 +198,8 @@
                     self.cut_after = 0
                     generation.stopped.set()
             if generation.made < generation.total:
-                # An interrupted stream ends without its terminating chunk.
+                # An interrupted stream ends without its terminating chunk, if it has
+                # chunks.
                 assert request.transport is not None
                 request.transport.close()
                 return response
@@ -253,7 +265,8 @@
         ``state``: state in the load report; ``announces_leaving``: whether all answers
         say that the server is leaving; ``crash_on``: part of the paths whose calls end
         the process as they begin to run, empty for none; ``crash_on_part``: id of the
-        prompt part whose streams end the process after the head of the answer.
+        prompt part whose streams end the process after the head of the answer;
+        ``unframed``: whether streams have neither a length nor chunks.
         """
         faults = await request.json()
         self.failures = faults.get("failures", 0)
@@ -265,6 +278,7 @@
         self.announces_leaving = faults.get("announces_leaving", False)
         self.crash_on = faults.get("crash_on", "")
         self.crash_on_part = faults.get("crash_on_part", "")
+        self.unframed = faults.get("unframed", False)
         return web.json_response({})
 
     async def list_calls(self, request: web.Request) -> web.Response:
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -140,8 +140,11 @@
         )
         return (_copy_memory(move, is_final=True),)
     if event.outcome == "gone":
-        # The generation ended by itself, and its last events are in transit.
-        return _abort_move(board, row, move, event.outcome, now)
+        # The generation ended by itself.
+        return (
+            *_abort_move(board, row, move, event.outcome, now),
+            *_report_source_end(move),
+        )
     if not event.handle:
         failure = events.UpstreamCallFailed(
             row.request_id,
@@ -157,6 +160,45 @@
     return _continue_stream(board, row, move, event, now)
 
 
+@decide.register(events.StreamEnded)
+@decide.register(events.UpstreamCallFailed)
+def _record_source_end(
+    event: events.StreamEnded | events.UpstreamCallFailed,
+    board: Board,
+    now: float,
+    random: Random,
+) -> Actions:
+    """Record the end of a stream that is being stopped until its copy is known."""
+    move = board.moves_by_request_id.get(event.request_id)
+    if move is None or move.phase != "stopping" or move.attempt != event.attempt:
+        return ()
+    is_closed = isinstance(event, events.StreamEnded)
+    board.moves_by_request_id[event.request_id] = move._replace(
+        source_end="closed" if is_closed else "broken"
+    )
+    return ()
+
+
+def _report_source_end(move: rows.MoveRow) -> Actions:
+    """Return the end of the stream at the source that waited for the final copy.
+
+    Without one, the last events are in transit and their end is still to come.
+    """
+    if not move.source_end:
+        return ()
+    if move.source_end == "closed":
+        ended = events.StreamEnded(move.request_id, move.attempt, is_delimited=False)
+        return (actions.Emit(ended),)
+    failure = events.UpstreamCallFailed(
+        move.request_id,
+        move.attempt,
+        "link_lost",
+        True,
+        "the stream broke off and its generation is gone",
+    )
+    return (actions.Emit(failure),)
+
+
 def _release_copy(addresses: tuple[str, ...], handle: str) -> Actions:
     return (actions.ReleaseMemory(addresses, handle),) if handle else ()
 
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -213,6 +213,10 @@
     row = _request_of_attempt(board, event.request_id, event.attempt)
     if row is None:
         return ()
+    if not event.is_delimited and is_stopping_for_move(board, row):
+        # The source also closes the connection when it stops a generation. The result
+        # of the final copy shows whether the generation had ended before.
+        return ()
     # A stream without events is complete as well, and the caller needs its headers.
     started = () if row.response_started else (_start_stream(row),)
     return (
--- a/src/carawayhitch/core/_call_events.py
+++ b/src/carawayhitch/core/_call_events.py
@@ -138,10 +138,19 @@
 
 
 class StreamEnded(NamedTuple):
-    """The stream closed after its final event."""
+    """The stream of an upstream ended without an error.
+
+    Parameters
+    ----------
+    is_delimited : bool
+        Whether the response itself marked its end, by its length, its last chunk or its
+        final event. Otherwise its end was that of the connection, which also follows
+        when the upstream stops the generation.
+    """
 
     request_id: str
     attempt: int
+    is_delimited: bool = True
 
 
 class AnswerReceived(NamedTuple):
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -6,6 +6,7 @@
 
 RequestPhase = Literal["asking", "claiming", "opening", "relaying", "finished"]
 MovePhase = Literal["copying", "stopping", "opening"]
+MoveSourceEnd = Literal["", "closed", "broken"]
 MoveOutcome = Literal["moved", "not_started", "gone", "failed"]
 
 
@@ -219,6 +220,9 @@
         the remainder is copied, ``opening`` until the target sends its first event.
     handle : str
         Name of the copied key-value cache at the source.
+    source_end : MoveSourceEnd
+        How the stream at the source ended while ``stopping``: ``closed`` with its
+        connection, ``broken`` with an error, empty if it has not ended.
     """
 
     request_id: str
@@ -232,6 +236,7 @@
     deadline: float
     phase: MovePhase = "copying"
     handle: str = ""
+    source_end: MoveSourceEnd = ""
 
 
 class RetryBudgetRow(NamedTuple):
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -142,4 +142,14 @@
         raise errors.MalformedMessageError(
             result_codes.ANSWER_TRUNCATED, "stream ended in the middle of an event"
         )
-    call.submit(events.StreamEnded(call.request_id, call.attempt))
+    call.submit(
+        events.StreamEnded(
+            call.request_id, call.attempt, is_delimited=_is_delimited(response)
+        )
+    )
+
+
+def _is_delimited(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the response marks its own end, by a length or a last chunk."""
+    headers = response.headers
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
--- a/tests/controllers/test_moves.py
+++ b/tests/controllers/test_moves.py
@@ -134,6 +134,48 @@
         codes = [action.code.name for action in of_type(decided, actions.RefuseCall)]
         self.assertEqual(codes, ["STREAM_LOST"])
 
+    def test_connection_closed_by_a_move_does_not_end_the_stream(self):
+        """Guards against half a stream without framing that looks complete."""
+        board = relaying_board()
+        feed(board, ORDER)
+        feed(board, copied(False))
+        closed = events.StreamEnded("r1", 1, is_delimited=False)
+        self.assertEqual(feed(board, closed), [])
+        decided = feed(board, copied(True, handle="h2"))
+        opened = of_type(decided, actions.OpenUpstream)[0]
+        self.assertEqual((opened.upstream_id, opened.last_sequence), ("engine-2", 7))
+
+    def test_end_of_a_generation_is_told_from_its_stop_by_the_final_copy(self):
+        """Guards against a caller that waits for the end of a finished stream."""
+        closed = events.StreamEnded("r1", 1, is_delimited=False)
+        broken = events.UpstreamCallFailed("r1", 1, "truncated", True)
+        cases = (
+            (closed, "gone", ""),
+            (broken, "gone", "STREAM_LOST"),
+            (closed, "unknown", "STREAM_LOST"),
+            (broken, "unknown", "STREAM_LOST"),
+        )
+        for end, outcome, code in cases:
+            with self.subTest(end=end, outcome=outcome):
+                board = relaying_board()
+                feed(board, ORDER)
+                feed(board, copied(False))
+                self.assertEqual(feed(board, end), [])
+                decided = feed(board, copied(True, outcome, handle=""))
+                refused = [a.code.name for a in of_type(decided, actions.RefuseCall)]
+                self.assertEqual(refused, [code] if code else [])
+                finished = of_type(decided, actions.FinishStream)
+                self.assertEqual(bool(finished), not code)
+                self.assertNotIn("r1", board.requests_by_id)
+
+    def test_delimited_end_finishes_a_stream_during_its_move(self):
+        """Guards against a finished stream whose end waits for a copy."""
+        board = relaying_board()
+        feed(board, ORDER)
+        feed(board, copied(False))
+        decided = feed(board, events.StreamEnded("r1", 1, is_delimited=True))
+        self.assertTrue(of_type(decided, actions.FinishStream))
+
     def test_unused_copies_are_released(self):
         """Guards against engine memory leaked by unused copies."""
         board = relaying_board()
--- a/tests/platform/test_routed_calls.py
+++ b/tests/platform/test_routed_calls.py
@@ -128,6 +128,21 @@
         self.assertIsNone(received_answer(reset))
         self.assertEqual(received_failures(reset), [("truncated", True)])
 
+    async def test_end_of_the_connection_is_told_from_an_end_in_the_response(self):
+        """Guards against a stream that its upstream stopped and that looks complete."""
+        head = b"HTTP/1.1 200 OK\r\n" + STREAM_HEADERS
+        event = encode_event(1)
+        cases = (
+            (head + b"\r\n" + event, False),
+            (head + b"Content-Length: %d\r\n\r\n" % len(event) + event, True),
+            (CHUNKED_HEAD + encode_chunk(event) + b"0\r\n\r\n", True),
+        )
+        for response, is_delimited in cases:
+            with self.subTest(response=response[-60:]):
+                found = await Upstream(response).call()
+                ended = events.StreamEnded("call-1", 1, is_delimited)
+                self.assertEqual(found[-1], ended)
+
     async def test_reset_stream_without_length_is_truncated(self):
         """Guards against reporting the end of a stream that was reset earlier."""
         head = b"HTTP/1.1 200 OK\r\n" + STREAM_HEADERS + b"\r\n" + encode_event(1)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -346,7 +346,19 @@
 
         Running generations must move to another engine before the engine stops.
         """
+        self.check_moves(unframed=False)
+
+    def test_streams_without_framing_move_off_a_reclaimed_engine(self):
+        """Guards against half a stream that ends as complete when it is moved.
+
+        The engine closes the connection of a stopped generation, which is also the end
+        of a response that has neither a length nor chunks.
+        """
+        self.check_moves(unframed=True)
+
+    def check_moves(self, unframed):
         self.start(entries=2, engines=1, event_seconds=0.05)
+        self.fleet.server_faults("engine-0", unframed=unframed)
         answers = []
 
         def draft(entry):
@@ -372,6 +384,7 @@
             becomes_true_within(2.0, lambda: self.run_count("engine-0") == 4)
         )
         self.fleet.start_server("engine-1", MODEL_SERVICE, "a", 0.05)
+        self.fleet.server_faults("engine-1", unframed=unframed)
         time.sleep(0.3)
         self.fleet.register("engine-0", MODEL_SERVICE, state="draining")
         time.sleep(1.0)
