Treat a stream that closes before its first event as broken off

Callers got an empty stream that looked complete when an engine ended after the head of a response without a length or chunks: the same class as the moved stream, where the end of the connection stands for the end of the answer.

Cause: _finish_stream accepted every end without an error. A generation has at least one event, so an end of the connection before it is that of the engine. The call fails as truncated and is repeated where it may be. A resumed stream whose caller already has an event may still end without one.

--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -217,6 +217,13 @@
         # The source also closes the connection when it stops a generation. The result
         # of the final copy shows whether the generation had ended before.
         return ()
+    if not event.is_delimited and not row.last_sequence:
+        # A generation has at least one event, so its engine broke off before it.
+        detail = "connection closed before the first event"
+        failure = events.UpstreamCallFailed(
+            row.request_id, row.attempt, "truncated", True, detail
+        )
+        return (actions.Emit(failure),)
     # A stream without events is complete as well, and the caller needs its headers.
     started = () if row.response_started else (_start_stream(row),)
     return (
--- a/tests/controllers/test_routed_calls.py
+++ b/tests/controllers/test_routed_calls.py
@@ -230,6 +230,28 @@
         self.assertEqual(refused(found), "STREAM_LOST")
         self.assertFalse([a for a in found if isinstance(a, actions.FinishStream)])
 
+    def test_connection_that_closes_before_the_first_event_is_no_complete_stream(self):
+        """Guards against an empty success from an engine that ends after its head."""
+        for name, code in (("draft", "ANSWER_TRUNCATED"), ("ask", "")):
+            with self.subTest(name):
+                entry = RoutedEntry()
+                entry.call(name)
+                entry.feed(events.UpstreamOpened(CALL, entry.row.attempt, "", "", ""))
+                ended = events.StreamEnded(CALL, entry.row.attempt, is_delimited=False)
+                found = entry.feed(ended)
+                self.assertFalse([a for a in found if type(a) in ENDS_OF_ANSWERS])
+                self.assertEqual(refused(found), code)
+                self.assertEqual(bool(opened(found)), not code)
+
+    def test_connection_that_closes_after_the_last_requested_event_is_complete(self):
+        """Guards against a resumed stream that had no event left and never ends."""
+        entry = RoutedEntry()
+        target = rows.RoutedTarget("POST", "shop.example", "/ask/1", last_sequence=4)
+        entry.call("ask", target=target)
+        ended = events.StreamEnded(CALL, entry.row.attempt, is_delimited=False)
+        found = entry.feed(ended)
+        self.assertTrue([a for a in found if isinstance(a, actions.FinishStream)])
+
     def test_stream_broken_before_its_first_event_counts_as_upstream_failure(self):
         """Guards against crashes of engines that are taken for faulty answers."""
         entry = RoutedEntry()
