Refuse requests that wait for an upstream before a drain ends

Cause: a wait ends at its own deadline, up to 9.6 s, which knows nothing of the drain; drain.limit_seconds stopped the process, timers don't fire after that, and the front end aborted the connections, as the deadline had passed. Ruled out: lost answers of the scheduler (an entry that schedules for itself shows the same) and refusals that were decided but not sent (none is counted or logged).

During a drain a request waits only as long as its answer would usually end before the process does, by the smoothed answer times of its binding; then it is refused as not run. At the limit, calls without the beginning of an answer are answered (DRAINING or the new ENTRY_STOPPED, 2010), and the last answers have 0.2 s to reach their callers. Related paths with the same cause: calls at work at the limit were reset, and requests granted late in the drain were sent although the stop would cut them.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -44,10 +44,19 @@
 
 
 class PlatformFleet(Fleet):
-    """Processes of one test on the fake of the users' platform."""
+    """Processes of one test on the fake of the users' platform.
 
-    def __init__(self, settings_text: str = "") -> None:
+    Parameters
+    ----------
+    drain_limit_seconds : float
+        Longest time that a stop of an entry takes.
+    """
+
+    def __init__(
+        self, settings_text: str = "", drain_limit_seconds: float = 20.0
+    ) -> None:
         super().__init__(settings_text)
+        self.drain_limit_seconds = drain_limit_seconds
         self.gateways_by_name: dict[str, dict[str, int]] = {}
         self.version = 0
 
@@ -212,7 +221,7 @@
 backoff_base_seconds = 0.005
 [drain]
 readiness_grace_seconds = 0.3
-limit_seconds = 20.0
+limit_seconds = {self.drain_limit_seconds}
 [scheduling]
 cache_events = false
 {self.settings_text}
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -18,6 +18,7 @@
     settings_by_name: dict[str, settings_types.Settings]
     lifecycle_by_node_id: dict[str, rows.LifecycleRow]
     requests_by_id: dict[str, rows.RequestRow]
+    answer_times_by_binding: dict[str, rows.AnswerTimesRow]
     upstreams_by_id: dict[str, rows.UpstreamRow]
     leaving_announcements_by_upstream_id: dict[str, rows.LeavingAnnouncementRow]
     backoff_deadlines_by_entry_upstream: dict[tuple[str, str], float]
@@ -127,6 +128,7 @@
         settings_by_name={"in_force": settings},
         lifecycle_by_node_id={node_id: lifecycle},
         requests_by_id={},
+        answer_times_by_binding={},
         upstreams_by_id={},
         leaving_announcements_by_upstream_id={},
         backoff_deadlines_by_entry_upstream={},
--- a/src/carawayhitch/controllers/_lifecycle.py
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -6,11 +6,18 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.core import actions, events
+from carawayhitch.controllers._drain_waits import (
+    DRAIN_RETRY_AFTER_SECONDS,
+    WAITING_PHASES,
+)
+from carawayhitch.controllers._placement import end_request
+from carawayhitch.core import actions, events, result_codes
 
 DRAIN_GRACE_TIMER = "drain_grace"
 DRAIN_LIMIT_TIMER = "drain_limit"
 DRAIN_JOURNAL_TIMER = "drain_journal"
+# Time in which the last answers reach their callers after the drain has ended.
+LAST_ANSWERS_SECONDS = 0.2
 
 decide = new_controller()
 
@@ -86,7 +93,10 @@
             "open_requests": len(board.requests_by_id),
         }
         logged = actions.Log("warning", "drain limit reached", fields)
-        return (logged, *_stop_process(board))
+        board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(
+            deadline=now + LAST_ANSWERS_SECONDS
+        )
+        return (logged, *_end_unanswered_requests(board), *_stop_process(board))
     if event.name == DRAIN_JOURNAL_TIMER and lifecycle.state != "stopped":
         return () if board.requests_by_id else _stop_process(board)
     return ()
@@ -118,6 +128,20 @@
     return _stop_process(board)
 
 
+def _end_unanswered_requests(board: Board) -> list[actions.Action]:
+    """Answer all requests that would otherwise end with their connection.
+
+    A stream that has begun ends with the process; it can be resumed at other entries.
+    """
+    decided: list[actions.Action] = []
+    for row in board.requests_by_id.values():
+        if not row.response_started:
+            is_waiting = row.phase in WAITING_PHASES
+            code = result_codes.DRAINING if is_waiting else result_codes.ENTRY_STOPPED
+            decided.extend(end_request(row, code, DRAIN_RETRY_AFTER_SECONDS))
+    return decided
+
+
 def _stop_process(board: Board) -> Actions:
     board.lifecycle_by_node_id[board.node_id] = board.lifecycle._replace(
         state="stopped"
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -17,6 +17,11 @@
 )
 from carawayhitch.controllers._cells import derive_schedulers, entry_scheduled_groups
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._drain_waits import (
+    DRAIN_RETRY_AFTER_SECONDS,
+    WAITING_PHASES,
+    wait_deadline,
+)
 from carawayhitch.controllers._targets import admission_size, is_streamed
 from carawayhitch.controllers._upstreams import is_announced_leaving, leaving_notice
 from carawayhitch.core import actions, events, messages, result_codes, rows
@@ -46,7 +51,6 @@
 # later, shows a waiting request that its scheduler is alive. With it, failover from a
 # dead scheduler takes at most 0.9 s instead of 1.6 s.
 WAITING_CHECK_INTERVAL_SECONDS = 0.3
-WAITING_PHASES = frozenset({"asking"})
 GRANTED_PHASES = frozenset({"claiming", "opening", "relaying"})
 # For these codes, the scheduler decides by the engine's load reports whether the engine
 # or only a link failed.
@@ -245,6 +249,8 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None:
         return ()
+    if wait_deadline(board, row) <= now < row.deadline:
+        return _end_wait(board, row, now)
     available_at = next_available_at(board, row.group, now)
     if available_at >= (row.goal_deadline or row.deadline) and not row.may_have_run:
         # Every upstream has named a time that is too late for this call.
@@ -457,9 +463,19 @@
     event: events.WaitExpired, board: Board, now: float, random: Random
 ) -> Actions:
     row = board.requests_by_id.get(event.request_id)
-    if row is None or row.phase not in WAITING_PHASES or now < row.deadline:
+    if row is None or row.phase not in WAITING_PHASES:
+        return ()
+    if now < wait_deadline(board, row):
         # A stream that another upstream has to go on with has a later deadline.
         return ()
+    return _end_wait(board, row, now)
+
+
+def _end_wait(board: Board, row: rows.RequestRow, now: float) -> Actions:
+    """End a wait at its own deadline, or earlier because the process is stopping."""
+    if now < row.deadline:
+        code = result_codes.DRAINING
+        return end_request(row, code, retry_after=DRAIN_RETRY_AFTER_SECONDS)
     return end_request(row, result_codes.WAIT_EXPIRED, retry_after=5.0)
 
 
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -11,11 +11,11 @@
     build_stage_observation,
 )
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._drain_waits import WAITING_PHASES
 from carawayhitch.controllers._health import FAILURE_STATUS
 from carawayhitch.controllers._lengths import tokens_per_event
 from carawayhitch.controllers._moves import is_stopping_for_move, open_upstream
 from carawayhitch.controllers._placement import (
-    WAITING_PHASES,
     end_request,
     send_upstream_answer,
 )
@@ -73,7 +73,9 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None or row.phase != "claiming":
         return ()
-    row = row._replace(phase="opening", last_chunk_at=now)
+    row = row._replace(
+        phase="opening", last_chunk_at=now, opened_at=row.opened_at or now
+    )
     board.requests_by_id[row.request_id] = row
     deadline = now + _silence_limit(board, row, now)
     return (
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -158,6 +158,8 @@
         Headers of the upstream's answer until they are sent to the caller.
     answer_status : int
         HTTP status of a complete answer that was forwarded; 0 for none.
+    opened_at : float
+        Time at which the call was first sent to an upstream; 0 before that.
     """
 
     request_id: str
@@ -204,6 +206,7 @@
     run_count: int = 0
     answer_headers: tuple[tuple[str, str], ...] = ()
     answer_status: int = 0
+    opened_at: float = 0.0
 
 
 class MoveRow(NamedTuple):
@@ -239,6 +242,19 @@
     source_end: MoveSourceEnd = ""
 
 
+class AnswerTimesRow(NamedTuple):
+    """Smoothed time from sending a call of a binding to the end of its answer.
+
+    Parameters
+    ----------
+    mean_seconds, deviation_seconds : float
+        Mean and mean absolute deviation, with more weight on recent answers.
+    """
+
+    mean_seconds: float
+    deviation_seconds: float
+
+
 class RetryBudgetRow(NamedTuple):
     """Retry budget of one serving group, as a token bucket."""
 
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -133,6 +133,9 @@
 CALLER_GONE = ResultCode(
     2008, "CALLER_GONE", "unknown", 0, "The caller closed before the end."
 )
+ENTRY_STOPPED = ResultCode(
+    2010, "ENTRY_STOPPED", "unknown", 502, "This entry stopped during the call."
+)
 INTERNAL_ERROR = ResultCode(
     2041, "INTERNAL_ERROR", "unknown", 500, "The entry failed during the call."
 )
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -26,6 +26,7 @@
     StoreScopeRow,
 )
 from carawayhitch.core._request_rows import (
+    AnswerTimesRow,
     ForwardTarget,
     GenerationTarget,
     IssuedKey,
@@ -72,6 +73,7 @@
 
 __all__ = [
     "AccountUsageRow",
+    "AnswerTimesRow",
     "AskRow",
     "CacheCursorRow",
     "CellLoadRow",
--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -230,7 +230,7 @@
 
 def _close_when_draining(node: Node, request: Request) -> None:
     """Close the connection so that the caller reconnects to another entry."""
-    if node.board.lifecycle.state in ("draining", "refusing"):
+    if node.board.lifecycle.state in ("draining", "refusing", "stopped"):
         close_connection_after_response(request)
 
 
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import http.client
 import itertools
 import signal
+import threading
 import time
 import unittest
 from typing import NamedTuple
 
-from fakes.platform_fleet import HOST, KEY, PLAIN_SERVICE, PlatformFleet
+from fakes.platform_fleet import (
+    HOST,
+    KEY,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    PlatformFleet,
+)
 
 CALLERS = 24
 LOAD_SECONDS = 1.5
@@ -162,5 +170,64 @@
         self.assertEqual(callers.mixed, [])
 
 
+class StopWithWaitingCallsTest(unittest.TestCase):
+    """A stop that ends before calls of the entry could be served."""
+
+    LIMIT_SECONDS = 2.0
+    # Slots of the only engine, in the configuration of the fleet.
+    SLOTS = 8
+    WAITING = 4
+
+    def setUp(self):
+        self.fleet = PlatformFleet(drain_limit_seconds=self.LIMIT_SECONDS)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start_store()
+        self.fleet.configure()
+
+    def call_in_thread(self, path, answers):
+        def call():
+            try:
+                answers.append(self.fleet.ask("entry-1", path)[:2])
+            except (OSError, http.client.HTTPException) as error:
+                answers.append((0, repr(error).encode()))
+
+        thread = threading.Thread(target=call)
+        thread.start()
+        return thread
+
+    def stop_entry(self):
+        self.fleet.send_signal("entry-1", signal.SIGTERM)
+        self.assertEqual(self.fleet.wait_exit("entry-1"), 0)
+
+    def test_calls_that_wait_for_an_engine_are_refused(self):
+        """Guards against a stop that resets whole requests without an answer."""
+        self.fleet.start_server("engine-1", MODEL_SERVICE, "a", 0.1)
+        self.fleet.start_gateway("entry-1")
+        running, waiting = [], []
+        path = "/draft/1?events=200"
+        threads = [self.call_in_thread(path, running) for _ in range(self.SLOTS)]
+        time.sleep(1.0)
+        threads += [self.call_in_thread(path, waiting) for _ in range(self.WAITING)]
+        time.sleep(0.5)
+        self.assertEqual((running, waiting), ([], []))
+        self.stop_entry()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(waiting, [(503, b"DRAINING\n")] * self.WAITING)
+        runs = self.fleet.server_call_record("engine-1")["counts"]["runs"]
+        self.assertEqual(runs, self.SLOTS)
+
+    def test_call_at_work_is_answered_at_the_limit(self):
+        """Guards against a reset of a call whose upstream is still at work."""
+        self.fleet.start_server("plain-1", PLAIN_SERVICE, "a", 30.0)
+        self.fleet.start_gateway("entry-1")
+        answers = []
+        thread = self.call_in_thread("/order/1", answers)
+        time.sleep(0.5)
+        self.stop_entry()
+        thread.join()
+        self.assertEqual(answers, [(502, b"ENTRY_STOPPED\n")])
+
+
 if __name__ == "__main__":
     unittest.main()
