Read registrations of upstreams consistently at the watchers of a zone

Cause: stale_scopes of the deployment named upstreams, so no entry ever read them consistently; a stale read may be seconds old, also while the store is well. Ruled out: pushes of a consistent reader that come late (there was none) and old grants (entries grant calls to plain servers themselves).

The watchers, now two a zone, read upstreams as they read the configuration and push what they read to every entry of their zone: random pushes alone miss some. The others go on with stale watches.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -14,6 +14,16 @@
 KEY = "key-of-hotel"
 MODEL_SERVICE, PLAIN_SERVICE = "model", "orders"
 OBJECTS = "/carawayhitch/objects"
+# Every entry watches the store by itself, with short pauses.
+STORE_TEXT = """
+scopes = ["configuration", "upstreams", "entries"]
+watch_timeout_seconds = 1.0
+timeout_seconds = 0.5
+watch_pause_seconds = 0.0
+watchers_per_zone = 100
+retry_limit_seconds = 0.5
+lapse_grace_seconds = 1.0
+"""
 
 
 def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -50,12 +60,18 @@
     ----------
     drain_limit_seconds : float
         Longest time that a stop of an entry takes.
+    store_text : str
+        Settings of the entries for the store, without its address.
     """
 
     def __init__(
-        self, settings_text: str = "", drain_limit_seconds: float = 20.0
+        self,
+        settings_text: str = "",
+        drain_limit_seconds: float = 20.0,
+        store_text: str = STORE_TEXT,
     ) -> None:
         super().__init__(settings_text)
+        self.store_text = store_text
         self.drain_limit_seconds = drain_limit_seconds
         self.gateways_by_name: dict[str, dict[str, int]] = {}
         self.version = 0
@@ -210,13 +226,7 @@
 [platform]
 [store]
 url = "{self.store_url(name)}"
-scopes = ["configuration", "upstreams", "entries"]
-watch_timeout_seconds = 1.0
-timeout_seconds = 0.5
-watch_pause_seconds = 0.0
-watchers_per_zone = 100
-retry_limit_seconds = 0.5
-lapse_grace_seconds = 1.0
+{self.store_text}
 [retries]
 backoff_base_seconds = 0.005
 [drain]
--- a/fakes/platform_store.py
+++ b/fakes/platform_store.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import json
+import time
 from collections import Counter
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -20,14 +21,32 @@
 MAXIMUM_WAIT_MILLISECONDS = 30_000
 
 
+class Change(NamedTuple):
+    """A change of an object, as watches return it.
+
+    Parameters
+    ----------
+    changed_at : float
+        Time of the change in seconds of the monotonic clock.
+    """
+
+    changed_at: float
+    revision: int
+    kind: str
+    name: str
+    stored: dict[str, Any]
+    deleted: bool
+
+
 class FakePlatformStore:
     """One store process with its injected faults."""
 
     def __init__(self) -> None:
         self.revision = 1
         self.objects_by_key: dict[tuple[str, str], dict[str, Any]] = {}
-        self.history: list[tuple[int, str, dict[str, Any]]] = []
+        self.history: list[Change] = []
         self.forgotten = 0
+        self.stale_seconds = 0.0
         self.status = 0
         self.silent = False
         self.refused_zones: set[str] = set()
@@ -94,10 +113,10 @@
         else:
             self.objects_by_key[kind, name] = stored
         self.history.append(
-            (self.revision, kind, {"object": stored, "deleted": deleted})
+            Change(time.monotonic(), self.revision, kind, name, stored, deleted)
         )
         while len(self.history) > HISTORY_LIMIT:
-            self.forgotten = self.history.pop(0)[0]
+            self.forgotten = self.history.pop(0).revision
         self._notify_watches()
         return stored
 
@@ -105,21 +124,59 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _known_until(self, request: web.Request) -> float:
+        """Return the time up to which a call sees changes."""
+        is_stale = request.query.get("serializable") == "1"
+        return time.monotonic() - (self.stale_seconds if is_stale else 0.0)
+
+    def _revision_at(self, known_until: float) -> int:
+        unseen = [c.revision for c in self.history if c.changed_at > known_until]
+        return min(unseen) - 1 if unseen else self.revision
+
+    def _objects_at(self, kind: str, known_until: float) -> dict[str, Any]:
+        """Return the objects of a kind by name, as they were at a time.
+
+        Changes of a history that was discarded are always seen.
+        """
+        objects = {
+            name: stored
+            for (object_kind, name), stored in self.objects_by_key.items()
+            if object_kind == kind
+        }
+        unseen = {
+            c.name
+            for c in self.history
+            if c.kind == kind and c.changed_at > known_until
+        }
+        for name in unseen:
+            objects.pop(name, None)
+        for change in self.history:
+            if (
+                change.kind == kind
+                and change.name in unseen
+                and change.changed_at <= known_until
+            ):
+                objects.pop(change.name, None)
+                if not change.deleted:
+                    objects[change.name] = change.stored
+        return objects
+
     async def list_or_watch(self, request: web.Request) -> web.Response:
         """Return a page of objects of a kind, or its changes after a revision."""
         kind = request.match_info["kind"]
         if "watch" in request.query:
             return await self._watch(kind, request)
         after = request.query.get("after", "")
-        names = sorted(
-            name
-            for object_kind, name in self.objects_by_key
-            if object_kind == kind and name > after
-        )
+        known_until = self._known_until(request)
+        objects = self._objects_at(kind, known_until)
+        names = sorted(name for name in objects if name > after)
         page = names[:PAGE_ITEMS]
-        items = [self.objects_by_key[kind, name] for name in page]
         text = json.dumps(
-            {"items": items, "hasMore": len(names) > len(page), "at": self.revision}
+            {
+                "items": [objects[name] for name in page],
+                "hasMore": len(names) > len(page),
+                "at": self._revision_at(known_until),
+            }
         )
         return self._with_odd_items(text, "items", self.odd_items)
 
@@ -132,19 +189,21 @@
             if since < self.forgotten:
                 return web.json_response({}, status=410)
             changed = self._changed
-            found = [
-                change
-                for revision, object_kind, change in self.history
-                if object_kind == kind and revision > since
-            ]
+            known_until = self._known_until(request)
+            later = [c for c in self.history if c.kind == kind and c.revision > since]
+            found = [c for c in later if c.changed_at <= known_until]
             left = deadline - loop.time()
             if found or left <= 0:
                 break
+            # A stale watch sees a change when it is old enough.
+            unseen = [c.changed_at - known_until for c in later]
             try:
-                await asyncio.wait_for(changed.wait(), left)
+                await asyncio.wait_for(changed.wait(), min([left, *unseen]))
             except TimeoutError:
                 continue
-        text = json.dumps({"events": found, "at": self.revision})
+        revision = max(since, self._revision_at(known_until))
+        changes_found = [{"object": c.stored, "deleted": c.deleted} for c in found]
+        text = json.dumps({"events": changes_found, "at": revision})
         changes = [f'{{"object":{item},"deleted":false}}' for item in self.odd_items]
         return self._with_odd_items(text, "events", changes if found else [])
 
@@ -170,7 +229,8 @@
 
     async def read(self, request: web.Request) -> web.Response:
         """Return one object."""
-        stored_object = self.objects_by_key.get(self._key(request))
+        kind, name = self._key(request)
+        stored_object = self._objects_at(kind, self._known_until(request)).get(name)
         if stored_object is None:
             return web.json_response({}, status=404)
         return web.json_response(stored_object)
@@ -206,13 +266,15 @@
         ``status``: status of all calls; 0 for normal service; ``silent``: whether calls
         get no response; ``forget``: discard the watch history; ``lost_answers``: number
         of writes that take effect but get no response; ``odd_items``: JSON texts that
-        every list and every watch with changes contains, whatever its kind.
+        every list and every watch with changes contains, whatever its kind;
+        ``stale_seconds``: age of the data that calls with ``serializable`` get.
         """
         faults = await request.json()
         self.status = faults.get("status", self.status)
         self.silent = faults.get("silent", self.silent)
         self.lost_answers = faults.get("lost_answers", 0)
         self.odd_items = faults.get("odd_items", self.odd_items)
+        self.stale_seconds = faults.get("stale_seconds", self.stale_seconds)
         if faults.get("forget"):
             self.revision += 1
             self.forgotten = self.revision
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -179,6 +179,7 @@
         random,
         event.push_count,
         complete=event.complete_revision,
+        pushes_to_zone=event.is_current,
     )
 
 
@@ -207,16 +208,19 @@
     random: Random,
     push_count: int,
     complete: int = -1,
+    pushes_to_zone: bool = False,
 ) -> Actions:
     """Merge objects that have a higher version than the stored ones.
 
     Parameters
     ----------
     push_count : int
-        Number of peers to which changed objects are pushed.
+        Number of random peers to which changed objects are pushed.
     complete : int
         Revision up to which the sender guarantees that no change is missing; -1 for no
         guarantee.
+    pushes_to_zone : bool
+        Whether changed objects are also pushed to all entries of this zone.
     """
     object_set = board.object_set
     revision, digest = object_set.revision, object_set.digest
@@ -246,7 +250,7 @@
     decided: list[actions.Action] = []
     if changed:
         decided.append(actions.DecodeObjects(DECODE_OPERATION, tuple(changed)))
-        decided += _push_changes(board, changed, random, push_count)
+        decided += _push_changes(board, changed, random, push_count, pushes_to_zone)
     elif is_first_set:
         decided += _apply_changed_kinds(board, (), now)
     return decided
@@ -508,14 +512,22 @@
 
 
 def _push_changes(
-    board: Board, changed: list[events.StoredObject], random: Random, count: int
+    board: Board,
+    changed: list[events.StoredObject],
+    random: Random,
+    count: int,
+    pushes_to_zone: bool,
 ) -> Actions:
     """Push changed objects to random peers, which push them on in turn.
 
     Every entry pushes a change once, when it first receives it. A change therefore
-    costs two messages per entry and reaches all entries in a number of rounds that is
-    logarithmic in the fleet size, independent of gossip and of the store. If more than
-    `PUSH_OBJECT_LIMIT` objects changed, only the revision and digest are sent.
+    costs two messages per entry and reaches nearly all entries in a number of rounds
+    that is logarithmic in the fleet size, independent of gossip and of the store. If
+    more than `PUSH_OBJECT_LIMIT` objects changed, only the revision and digest are
+    sent.
+
+    A watcher that has read the latest state also pushes to every entry of its zone,
+    because random pushes miss some and stale reads may lag by seconds.
     """
     peers = exchange_peers(board)
     shared = [
@@ -533,10 +545,20 @@
         offered if len(offered) <= PUSH_OBJECT_LIMIT else [],
         takes_large=pushes_large,
     )
-    return tuple(
-        actions.PullObjects(*peer, request)
-        for peer in random.sample(peers, min(count, len(peers)))
-    )
+    receivers = random.sample(peers, min(count, len(peers)))
+    if pushes_to_zone:
+        zone = board.settings.node.zone
+        receivers += [
+            peer
+            for peer in peers
+            if peer not in receivers and _zone_of(board, peer[0]) == zone
+        ]
+    return tuple(actions.PullObjects(*peer, request) for peer in receivers)
+
+
+def _zone_of(board: Board, node_id: str) -> str:
+    member = board.members_by_id.get(node_id)
+    return member.zone if member is not None else ""
 
 
 def _run_anti_entropy_round(board: Board, now: float, random: Random) -> Actions:
--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -331,7 +331,11 @@
     pause = _pause_seconds(board, event.scope)
     return (
         *decided,
-        actions.Emit(events.ObjectsReceived(kept, complete, push_count)),
+        actions.Emit(
+            events.ObjectsReceived(
+                kept, complete, push_count, is_current=not event.may_be_stale
+            )
+        ),
         *_set_call_timer(board, event.scope, now + pause),
     )
 
--- a/src/carawayhitch/core/_store_events.py
+++ b/src/carawayhitch/core/_store_events.py
@@ -77,12 +77,15 @@
         Revision up to which the store guarantees that no change is missing; -1 if it
         gives no guarantee.
     push_count : int
-        Number of peers to which changed objects are pushed.
+        Number of random peers to which changed objects are pushed.
+    is_current : bool
+        Whether the store answered with its latest state.
     """
 
     objects: tuple[StoredObject, ...]
     complete_revision: int
     push_count: int
+    is_current: bool = False
 
 
 class ObjectRead(NamedTuple):
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -421,10 +421,26 @@
 
 
 class PeerExchangeTest(unittest.TestCase):
+    def test_watcher_pushes_to_every_entry_of_its_zone(self):
+        """Guards against entries that random pushes miss while stale reads lag."""
+        entry = ready_entry()
+        zone = {f"a{index}" for index in range(9)}
+        entry.add_members(*zone)
+        entry.add_members(*(f"b{index}" for index in range(9)), zone="b")
+        changed = events.ObjectsChanged("store", 12, (account(12, 2.0),))
+        pushed = of_type(entry.feed(changed), actions.PullObjects)
+        self.assertLessEqual(zone, {action.peer_id for action in pushed})
+        self.assertLessEqual(len(pushed), len(zone) + 2)
+        stale = events.ObjectsChanged(
+            "store", 13, (account(13, 3.0),), may_be_stale=True
+        )
+        pushed = of_type(entry.feed(stale), actions.PullObjects)
+        self.assertEqual(len(pushed), 2)
+
     def test_change_is_pushed_once_to_some_peers(self):
         """Guards against a change that is not pushed, or that is pushed forever."""
         entry = ready_entry()
-        entry.add_members("n2", "n3", "n4", "n5")
+        entry.add_members("n2", "n3", "n4", "n5", zone="b")
         pushed = of_type(entry.changed(12, account(12, 2.0)), actions.PullObjects)
         self.assertEqual(len({action.peer_id for action in pushed}), 2)
         self.assertEqual(pushed[0].request.objects[0].version, 12)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -85,6 +85,13 @@
         self.assertLessEqual(set(store.slow_scopes), set(store.stale_scopes))
         self.assertLessEqual(set(store.stale_scopes), set(store.scopes))
 
+    def test_promises_do_not_rest_on_stale_reads_alone(self):
+        """Guards against late changes, since a stale read may be seconds old."""
+        store = self.settings.store
+        for scope in ("configuration", "upstreams"):
+            self.assertNotIn(scope, store.stale_scopes)
+        self.assertGreaterEqual(store.watchers_per_zone, 2)
+
 
 class BuildTest(unittest.TestCase):
     def test_role_refers_to_existing_files(self):
