Decline grants of upstreams that the entry knows to leave

Cause: an entry checked a grant against announcements in answers only, not against its own table of upstreams.

The entry declines such a grant and asks again without that upstream; a scheduler is told of a draining one, not of one whose registration is only missing. Orders to move generations there are refused.

--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -12,7 +12,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.controllers._upstreams import is_announced_leaving
+from carawayhitch.controllers._upstreams import is_known_to_leave
 from carawayhitch.core import actions, events, messages, result_codes, rows
 
 decide = new_controller()
@@ -104,7 +104,7 @@
         return (_send_report(board, move, event.attempt, "gone"),)
     if not row.response_started:
         return (_send_report(board, move, event.attempt, "not_started"),)
-    if is_announced_leaving(board, event.target_id) or is_backing_off(
+    if is_known_to_leave(board, event.target_id) or is_backing_off(
         board, board.node_id, event.target_id, now
     ):
         return (_send_report(board, move, event.attempt, "failed"),)
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 
 from carawayhitch.board import Board
@@ -23,7 +24,7 @@
     wait_deadline,
 )
 from carawayhitch.controllers._targets import admission_size, is_streamed
-from carawayhitch.controllers._upstreams import is_announced_leaving, leaving_notice
+from carawayhitch.controllers._upstreams import is_known_to_leave, leaving_notices
 from carawayhitch.core import actions, events, messages, result_codes, rows
 
 ASK_LIMIT = 6
@@ -378,12 +379,16 @@
             build_retry_log(row, result_codes.RETRY_GRANT_EXPIRED),
             actions.Emit(events.RequestAdmitted(row.request_id)),
         )
-    if is_announced_leaving(board, event.upstream_id):
-        notice: messages.PeerMessage = leaving_notice(board, event.upstream_id)
-        return _decline_grant(board, row, event, notice)
+    if is_known_to_leave(board, event.upstream_id):
+        # The scheduler may have stood still and grant by what it knew before.
+        excluded = (*row.excluded_upstream_ids, event.upstream_id)
+        row = row._replace(excluded_upstream_ids=excluded)
+        notices = leaving_notices(board, event.upstream_id)
+        return _decline_grant(board, row, event, notices)
     if is_backing_off(board, board.node_id, event.upstream_id, now):
-        notice = backoff_notice(board, event.upstream_id)
-        return _decline_grant(board, row, event, notice)
+        return _decline_grant(
+            board, row, event, [backoff_notice(board, event.upstream_id)]
+        )
     # Schedulers of an earlier release need the full row in every progress message.
     granted = row._replace(
         phase="claiming",
@@ -406,15 +411,15 @@
     board: Board,
     row: rows.RequestRow,
     grant: messages.AdmissionGrant,
-    notice: messages.PeerMessage,
+    notices: Sequence[messages.PeerMessage],
 ) -> Actions:
     """Return a grant of an upstream that wants no calls, and ask again.
 
-    The scheduler gets the notice first: it did not know of it when it granted.
+    The scheduler gets the notices first: it did not know of them when it granted.
     """
     board.requests_by_id[row.request_id] = row._replace(attempt=row.attempt + 1)
     return (
-        actions.Send(grant.sender_id, notice),
+        *(actions.Send(grant.sender_id, notice) for notice in notices),
         *_release_unused_grant(grant, board),
         actions.Count(result_codes.RETRY_GRANT_DECLINED, row.rank),
         build_retry_log(row, result_codes.RETRY_GRANT_DECLINED),
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -205,10 +205,30 @@
     return upstream_id in board.leaving_announcements_by_upstream_id
 
 
-def leaving_notice(board: Board, upstream_id: str) -> messages.LeavingSeen:
-    """Return the message that tells a scheduler of an announcement."""
-    row = board.leaving_announcements_by_upstream_id[upstream_id]
-    return messages.LeavingSeen(board.node_id, upstream_id, row.started_at)
+def is_known_to_leave(board: Board, upstream_id: str) -> bool:
+    """Return whether an upstream is leaving or gone by what this node itself knows.
+
+    An upstream that this node has not heard of yet is not: others may know it first.
+    """
+    known = board.upstreams_by_id.get(upstream_id)
+    if known is not None:
+        return known.leaving
+    key = (declarations.UPSTREAM_REGISTRATION, upstream_id)
+    registration = board.objects_by_key.get(key)
+    return registration is not None and registration.deleted
+
+
+def leaving_notices(board: Board, upstream_id: str) -> list[messages.LeavingSeen]:
+    """Return the message that tells a scheduler of an upstream's leaving, if any.
+
+    A removed registration is no reason for one, because it may only have lapsed.
+    """
+    known = board.upstreams_by_id.get(upstream_id)
+    if known is None or not known.leaving:
+        return []
+    if not (known.is_listed or is_announced_leaving(board, upstream_id)):
+        return []
+    return [messages.LeavingSeen(board.node_id, upstream_id, known.started_at)]
 
 
 @decide.register(events.LeavingAnnounced)
@@ -219,9 +239,12 @@
     if known is None or is_announced_leaving(board, event.upstream_id):
         return ()
     decided = _mark_announced_leaving(board, known, now)
-    notice = leaving_notice(board, event.upstream_id)
-    schedulers = other_schedulers(board, event.upstream_id)
-    return (*decided, *(actions.Send(node_id, notice) for node_id in schedulers))
+    notices = [
+        actions.Send(node_id, notice)
+        for node_id in other_schedulers(board, event.upstream_id)
+        for notice in leaving_notices(board, event.upstream_id)
+    ]
+    return (*decided, *notices)
 
 
 def _delete_expired_announcements(board: Board, now: float) -> None:
--- a/tests/controllers/test_leaving_announcements.py
+++ b/tests/controllers/test_leaving_announcements.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch import controllers
-from carawayhitch.core import actions, events, messages
+from carawayhitch.core import actions, declarations, events, messages, rows
 from tests.controllers.scheduling_world import (
     CELL,
     NODE,
@@ -107,13 +107,55 @@
             sent = [a for a in found if isinstance(a, actions.Send)]
             self.assertEqual([a.message for a in sent].count(expected), count)
 
+    def grant(self, upstream_id="engine-0"):
+        return messages.AdmissionGrant(
+            OTHER, "r1", 1, CELL, upstream_id, f"{upstream_id}:1", 0, 9.0
+        )
+
+    def test_grant_of_a_scheduler_with_old_knowledge_is_declined(self):
+        """Guards against calls that a scheduler that stood still sends to a server.
+
+        The entry knows from the store that the upstream leaves or is gone. A removed
+        registration may only have lapsed, so nobody is told that its upstream leaves.
+        """
+        known = self.board.upstreams_by_id["engine-0"]
+        leaving = known._replace(leaving=True)
+        cases = {
+            "draining": (leaving, True),
+            "unlisted": (leaving._replace(is_listed=False), False),
+            "removed": (None, False),
+        }
+        for name, (upstream, is_told) in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                if upstream is None:
+                    del self.board.upstreams_by_id["engine-0"]
+                    key = (declarations.UPSTREAM_REGISTRATION, "engine-0")
+                    row = rows.ObjectRow(key, 7, b"", deleted=True)
+                    self.board.objects_by_key[key] = row
+                else:
+                    self.board.upstreams_by_id["engine-0"] = upstream
+                found = self.feed(self.grant())
+                self.assertFalse(
+                    [a for a in found if isinstance(a, actions.OpenUpstream)]
+                )
+                sent = [a.message for a in found if isinstance(a, actions.Send)]
+                notice = messages.LeavingSeen(NODE, "engine-0", 0)
+                self.assertEqual(notice in sent, is_told)
+                (asked,) = [m for m in sent if isinstance(m, messages.AdmissionAsk)]
+                # Without the exclusion, the same grant would follow until the
+                # scheduler has read the store.
+                self.assertEqual(asked.excluded_upstream_ids, ("engine-0",))
+
+    def test_grant_of_an_unknown_upstream_is_used(self):
+        """Guards against new upstreams that stay unused until all entries know them."""
+        found = self.feed(self.grant("engine-9"))
+        self.assertEqual([a.upstream_id for a in opened(found)], ["engine-9"])
+
     def test_grant_of_an_announcing_upstream_is_declined(self):
         """Guards against a call that was granted before its entry learned of it."""
         self.feed(events.LeavingAnnounced("engine-0"))
-        grant = messages.AdmissionGrant(
-            OTHER, "r1", 1, CELL, "engine-0", "engine-0:1", 0, 9.0
-        )
-        found = self.feed(grant)
+        found = self.feed(self.grant())
         self.assertFalse([a for a in found if isinstance(a, actions.OpenUpstream)])
         sent = [a.message for a in found if isinstance(a, actions.Send)]
         released = [m for m in sent if isinstance(m, messages.Finished)]
--- a/tests/controllers/test_moves.py
+++ b/tests/controllers/test_moves.py
@@ -97,6 +97,15 @@
                 self.assertFalse(of_type(decided, actions.CopyMemory))
                 self.assertEqual(reports(decided), [outcome])
 
+    def test_order_to_a_target_that_leaves_is_rejected(self):
+        """Guards against a scheduler that moves streams by what it knew before."""
+        board = relaying_board()
+        target = board.upstreams_by_id["engine-2"]
+        board.upstreams_by_id["engine-2"] = target._replace(leaving=True)
+        decided = feed(board, ORDER)
+        self.assertFalse(of_type(decided, actions.CopyMemory))
+        self.assertEqual(reports(decided), ["failed"])
+
     def test_repeated_order_starts_no_second_move(self):
         """Guards against two concurrent moves of one generation."""
         board = relaying_board()
