Test that calls taken late in a stop are answered

Another operator's entries took requests late in the grace of a planned stop, passed them on and cut them at its end (LOST).

--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -173,7 +173,7 @@
 class StopWithWaitingCallsTest(unittest.TestCase):
     """A stop that ends before calls of the entry could be served."""
 
-    LIMIT_SECONDS = 2.0
+    LIMIT_SECONDS = 1.2
     # Slots of the only engine, in the configuration of the fleet.
     SLOTS = 8
     WAITING = 4
@@ -217,6 +217,40 @@
         runs = self.fleet.server_call_record("engine-1")["counts"]["runs"]
         self.assertEqual(runs, self.SLOTS)
 
+    def test_calls_on_kept_connections_late_in_a_stop_are_answered(self):
+        """Guards against calls that a stopping entry passes on and then cuts.
+
+        Work takes most of the time that the stop has left. Calls may not be repeated,
+        so each has to be answered, and a refused one must not have run.
+        """
+        # The callers have three times as many calls open as the server has slots.
+        self.fleet.start_server("plain-1", PLAIN_SERVICE, event_seconds=0.9)
+        self.fleet.start_gateway("entry-1")
+        callers = Callers(self.fleet.ports_by_name["entry-1"])
+
+        async def play():
+            running = asyncio.ensure_future(callers.run())
+            await asyncio.sleep(4.0)
+            await asyncio.to_thread(self.stop_entry)
+            callers.stopped = True
+            await running
+
+        asyncio.run(play())
+        passed_on = {
+            seen["headers"]["carawayhitch-request-id"]
+            for seen in self.fleet.server_call_record("plain-1")["seen"]
+        }
+        unanswered = [sent for sent in callers.sent if not sent.status]
+        self.assertGreater(len(callers.sent), 40)
+        self.assertEqual([s for s in unanswered if s.request_id in passed_on], [])
+        self.assertEqual([s for s in unanswered if s.seconds > CROSSING_SECONDS], [])
+        refused = {s.request_id for s in callers.sent if s.status in (429, 503)}
+        self.assertTrue(refused)
+        self.assertFalse(refused & passed_on, "refused calls have run")
+        # Work that began in time is not cut: no call is answered as interrupted.
+        statuses = {s.status for s in callers.sent}
+        self.assertLessEqual(statuses, {0, 200, 503})
+
     def test_call_at_work_is_answered_at_the_limit(self):
         """Guards against a reset of a call whose upstream is still at work."""
         self.fleet.start_server("plain-1", PLAIN_SERVICE, "a", 30.0)
