Bound the memory of request bodies and answers

Cause: nothing bounded the bytes that an entry holds. The body of a call was referenced three times until its answer had ended, and the platform's memoryMb was not read. Ruled out as a way on its own: refusing what does not fit; at 19 open streams with such bodies a machine would serve nobody else, so bodies of begun streams that cannot be repeated make room.

limits.memory_megabytes bounds bodies that are received or kept and answers that are received. Large bodies that do not fit are refused before the call begins. A stream whose body was dropped is not moved to another engine.

--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -20,6 +20,8 @@
 
 HANDLE_HEADER = "Kv-From"
 CRASH_STATUS = 70
+REQUEST_BYTES_LIMIT = 16_777_216
+ENDLESS_PART = bytes(65_536)
 
 
 class UnframedResponse(web.StreamResponse):
@@ -78,10 +80,11 @@
         self.crash_on = ""
         self.crash_on_part = ""
         self.unframed = False
+        self.endless = False
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
-        application = web.Application()
+        application = web.Application(client_max_size=REQUEST_BYTES_LIMIT)
         application.add_routes(
             [
                 web.get("/carawayhitch/report", self.report),
@@ -148,6 +151,8 @@
             self.failures -= 1
             return web.Response(status=500, headers=self._response_headers(request))
         events = int(request.query.get("events", "0"))
+        if not events and self.endless:
+            return await self._send_without_end(request)
         if not events:
             await asyncio.sleep(self.event_seconds)
             return web.Response(
@@ -155,6 +160,12 @@
             )
         return await self._stream(request, events)
 
+    async def _send_without_end(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._response_headers(request))
+        await response.prepare(request)
+        while True:
+            await response.write(ENDLESS_PART)
+
     async def _stream(self, request: web.Request, total: int) -> web.StreamResponse:
         request_id = request.headers.get("Carawayhitch-Request-Id", "")
         made = int(request.headers.get("Last-Event-Id", "0"))
@@ -266,7 +277,8 @@
         say that the server is leaving; ``crash_on``: part of the paths whose calls end
         the process as they begin to run, empty for none; ``crash_on_part``: id of the
         prompt part whose streams end the process after the head of the answer;
-        ``unframed``: whether streams have neither a length nor chunks.
+        ``unframed``: whether streams have neither a length nor chunks; ``endless``:
+        whether the bodies of other answers have no end.
         """
         faults = await request.json()
         self.failures = faults.get("failures", 0)
@@ -279,6 +291,7 @@
         self.crash_on = faults.get("crash_on", "")
         self.crash_on_part = faults.get("crash_on_part", "")
         self.unframed = faults.get("unframed", False)
+        self.endless = faults.get("endless", False)
         return web.json_response({})
 
     async def list_calls(self, request: web.Request) -> web.Response:
--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 from carawayhitch.backends._bodies import BodyTooLargeError, read_limited
+from carawayhitch.backends._body_memory import (
+    BodyMemory,
+    RequestBody,
+    new_body_memory,
+)
 from carawayhitch.backends._calls import (
     CONNECTION_HEADERS,
     CallContent,
@@ -42,10 +47,12 @@
     "CONNECTION_HEADERS",
     "FORWARD_PATH",
     "PROOF_HEADER",
+    "BodyMemory",
     "BodyTooLargeError",
     "CallContent",
     "Caller",
     "PeerSocket",
+    "RequestBody",
     "StoreClient",
     "Submit",
     "UpstreamCall",
@@ -57,6 +64,7 @@
     "exchange_objects",
     "forward_call",
     "load_peer_keys",
+    "new_body_memory",
     "new_call_failure",
     "open_session",
     "read_cache_events",
--- a/src/carawayhitch/backends/_bodies.py
+++ b/src/carawayhitch/backends/_bodies.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from carawayhitch.backends._body_memory import BodyMemory
 from carawayhitch.core import errors, result_codes
 
 
@@ -23,6 +24,7 @@
     response: aiohttp.ClientResponse,
     limit_bytes: int,
     handle_progress: Callable[[], None] = lambda: None,
+    memory: BodyMemory | None = None,
 ) -> bytes:
     """Return the complete body of a response.
 
@@ -30,18 +32,29 @@
     ----------
     handle_progress : callable
         Is called after each part of the body.
+    memory : BodyMemory, optional
+        Memory that the body takes while it is received.
 
     Raises
     ------
     BodyTooLargeError
-        If the body or its declared length exceeds the limit.
+        If the body or its declared length exceeds the limit or the memory.
     """
     if (response.content_length or 0) > limit_bytes:
         raise BodyTooLargeError(limit_bytes)
     body = bytearray()
-    async for part in response.content.iter_any():
-        body += part
-        if len(body) > limit_bytes:
-            raise BodyTooLargeError(limit_bytes)
-        handle_progress()
-    return bytes(body)
+    try:
+        async for part in response.content.iter_any():
+            body += part
+            if len(body) > limit_bytes:
+                raise BodyTooLargeError(limit_bytes)
+            if memory is not None:
+                # The size so far decides, so that parts of a large body count as large.
+                if memory.missing_bytes(len(body)):
+                    raise BodyTooLargeError(len(body) - len(part))
+                memory.held_bytes += len(part)
+            handle_progress()
+        return bytes(body)
+    finally:
+        if memory is not None:
+            memory.release(len(body))
--- a/src/carawayhitch/backends/_calls.py
+++ b/src/carawayhitch/backends/_calls.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from carawayhitch.backends._bodies import BodyTooLargeError, read_limited
+from carawayhitch.backends._body_memory import BodyMemory, RequestBody
 from carawayhitch.backends._sessions import EndlessResponseError
 from carawayhitch.core import errors, events, result_codes
 from carawayhitch.core import settings as settings_types
@@ -24,7 +25,7 @@
     path: str
     query: str
     content_type: str
-    body: bytes
+    body: RequestBody
     headers: tuple[tuple[str, str], ...] = ()
 
 
@@ -56,6 +57,7 @@
     session: aiohttp.ClientSession
     settings: settings_types.Settings
     submit: Submit
+    memory: BodyMemory | None = None
 
 
 # Headers that apply to one connection and are not forwarded.
@@ -136,4 +138,5 @@
             response,
             call.settings.limits.answer_bytes,
             lambda: limit.reschedule(loop.time() + stall_timeout),
+            call.memory,
         )
--- a/src/carawayhitch/backends/_engines.py
+++ b/src/carawayhitch/backends/_engines.py
@@ -28,7 +28,7 @@
 async def run_generation(call: UpstreamCall, action: actions.OpenUpstream) -> None:
     """Start a generation on an engine and submit its response as events."""
     url = f"http://{action.address}{call.content.path}"
-    body = encode_engine_request(call.content.body, action.priority)
+    body = encode_engine_request(call.content.body.data, action.priority)
     headers = {"Content-Type": "application/json"}
     with submit_failures(call):
         async with call.session.post(url, data=body, headers=headers) as response:
--- a/src/carawayhitch/backends/_forwards.py
+++ b/src/carawayhitch/backends/_forwards.py
@@ -44,7 +44,7 @@
         content.query,
         headers.get("idempotency-key", ""),
         headers.get("authorization", ""),
-        content.body,
+        content.body.data,
         time.time(),
     )
     headers[PROOF_HEADER] = codecs.sign_forwarded_call(proof, call.settings.peers.keys)
@@ -54,7 +54,7 @@
         async with call.session.request(
             target.method,
             URL(f"http://{action.address}{path}", encoded=True),
-            data=content.body or None,
+            data=content.body.data or None,
             headers=headers,
             allow_redirects=False,
             middlewares=(single_send_middleware(),),
--- a/src/carawayhitch/backends/_plain_services.py
+++ b/src/carawayhitch/backends/_plain_services.py
@@ -27,7 +27,7 @@
         async with call.session.request(
             target.method,
             url,
-            data=call.content.body or None,
+            data=call.content.body.data or None,
             headers=headers,
             allow_redirects=False,
             middlewares=() if target.idempotent else (single_send_middleware(),),
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -14,6 +14,7 @@
 from carawayhitch.controllers import (
     _admission,
     _backoffs,
+    _bodies,
     _changes,
     _configuration,
     _drain_waits,
@@ -100,6 +101,7 @@
     _journal_sync.decide,
     _retries.decide,
     _moves.decide,
+    _bodies.decide,
     _streams.decide,
     _admission.decide,
     _lifecycle.decide,
--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -219,6 +219,7 @@
         issued_key=event.issued_key,
         key_created_at=event.key_created_at,
         attempt_limit=admitted_call.attempt_limit,
+        body_bytes=event.body_bytes,
     )
     timers = [actions.SetTimer(row.deadline, events.WaitExpired(event.request_id))]
     if answer_seconds:
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -104,6 +104,9 @@
         return (_send_report(board, move, event.attempt, "gone"),)
     if not row.response_started:
         return (_send_report(board, move, event.attempt, "not_started"),)
+    if row.is_body_dropped:
+        # The request cannot be sent to the target.
+        return (_send_report(board, move, event.attempt, "failed"),)
     if is_known_to_leave(board, event.target_id) or is_backing_off(
         board, board.node_id, event.target_id, now
     ):
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -445,6 +445,12 @@
     """Close caller connections that have no open call."""
 
 
+class DropBody(NamedTuple):
+    """Free the body of a request, which is not sent again."""
+
+    request_id: str
+
+
 class StopProcess(NamedTuple):
     """Terminate the process; all of its work has ended."""
 
@@ -457,6 +463,7 @@
     | OpenUpstream
     | ResumeUpstream
     | CopyMemory
+    | DropBody
     | ReleaseMemory
     | CloseUpstream
     | CancelGeneration
--- a/src/carawayhitch/core/_call_events.py
+++ b/src/carawayhitch/core/_call_events.py
@@ -58,6 +58,19 @@
     issued_key: IssuedKey | None = None
     key_created_at: float | None = None
     forwarded: bool = False
+    body_bytes: int = 0
+
+
+class BodyMemoryNeeded(NamedTuple):
+    """A body could not be received because the open ones fill the memory for them.
+
+    Parameters
+    ----------
+    missing_bytes : int
+        Bytes by which the memory is too small.
+    """
+
+    missing_bytes: int
 
 
 class KeysRequested(NamedTuple):
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -4,6 +4,7 @@
 
 from carawayhitch.core._call_events import (
     AnswerReceived,
+    BodyMemoryNeeded,
     CallerGone,
     CallerPaused,
     CallerResumed,
@@ -89,6 +90,7 @@
     "AnswerReceived",
     "AskTimedOut",
     "BackoffRequested",
+    "BodyMemoryNeeded",
     "CacheChanged",
     "CallOverdue",
     "CallReceived",
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -160,6 +160,10 @@
         HTTP status of a complete answer that was forwarded; 0 for none.
     opened_at : float
         Time at which the call was first sent to an upstream; 0 before that.
+    body_bytes : int
+        Size of the request body that is kept for further attempts and moves.
+    is_body_dropped : bool
+        Whether the body is no longer kept, so that the call cannot be sent again.
     """
 
     request_id: str
@@ -207,6 +211,8 @@
     answer_headers: tuple[tuple[str, str], ...] = ()
     answer_status: int = 0
     opened_at: float = 0.0
+    body_bytes: int = 0
+    is_body_dropped: bool = False
 
 
 class MoveRow(NamedTuple):
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -229,6 +229,9 @@
     answer_bytes : int
         Size of an answer that is not streamed; it is held in memory until it is
         complete.
+    memory_megabytes : float
+        Memory that the process may use, in millions of bytes; 0 if it is not limited.
+        Large bodies are refused if the open ones fill a part of it.
     """
 
     body_bytes: Annotated[int, Meta(ge=1024)] = 4_194_304
@@ -238,6 +241,7 @@
     receiving_requests: Annotated[int, Meta(ge=1)] = 128
     receive_timeout_seconds: PositiveSeconds = 10.0
     default_deadline_seconds: PositiveSeconds = 600.0
+    memory_megabytes: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class DrainSettings(NamedTuple):
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -26,6 +26,7 @@
     malformed_request_error,
     receive_body,
     refuse_before_receiving_body,
+    take_body,
 )
 from carawayhitch.frontend._refusals import error_response, result_code_for_error
 from carawayhitch.frontend._sanic import (
@@ -155,6 +156,7 @@
             node.submit(events.CallerGone(request_id))
         _close_when_draining(node, request)
         node.calls_by_request_id.pop(request_id, None)
+        content.body.drop()
 
 
 def _call_content(request: Request, path: str) -> CallContent:
@@ -163,7 +165,7 @@
         path=path,
         query=request.query_string,
         content_type=request.headers.get("content-type", "application/octet-stream"),
-        body=request.body,
+        body=take_body(request),
         headers=tuple(request.headers.items()),
     )
 
@@ -187,6 +189,7 @@
         ),
         idempotency_key=headers.get(KEY_HEADER, ""),
         wait_seconds=_wait_seconds(headers.get(WAIT_HEADER, "")),
+        body_bytes=len(request.body),
     )
 
 
--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -14,7 +14,7 @@
 from carawayhitch.backends import CallContent
 from carawayhitch.core import actions, errors, events, result_codes
 from carawayhitch.frontend._caller import SanicCaller
-from carawayhitch.frontend._receiving import check_head, receive_body
+from carawayhitch.frontend._receiving import check_head, receive_body, take_body
 from carawayhitch.frontend._refusals import record_handler_error
 from carawayhitch.frontend._sanic import (
     close_connection_after_response,
@@ -203,6 +203,7 @@
     headers = tuple(request.headers.items())
     head = platform.CallHead(request.method, path, headers)
     event = platform.decode_call(head, request.body, uuid4().hex[:16])
+    event = event._replace(body_bytes=len(request.body))
     if event.request_id in node.calls_by_request_id:
         # A call with the same id is open on this entry. Each attempt is a separate
         # call, so this one gets an id with a suffix.
@@ -213,7 +214,7 @@
         path=path,
         query=query,
         content_type="",
-        body=request.body,
+        body=take_body(request),
         headers=headers,
     )
     caller = GatewayCaller(request, lambda: node.settings, time.time)
@@ -226,6 +227,7 @@
         node.submit(events.CallerGone(request_id))
         _close_when_draining(node, request)
         node.calls_by_request_id.pop(request_id, None)
+        content.body.drop()
 
 
 def _close_when_draining(node: Node, request: Request) -> None:
--- a/src/carawayhitch/frontend/_keys.py
+++ b/src/carawayhitch/frontend/_keys.py
@@ -10,7 +10,12 @@
 from sanic.response import HTTPResponse
 
 from carawayhitch import codecs
-from carawayhitch.backends import FORWARD_PATH, PROOF_HEADER, CallContent
+from carawayhitch.backends import (
+    FORWARD_PATH,
+    PROOF_HEADER,
+    CallContent,
+    RequestBody,
+)
 from carawayhitch.core import errors, events, result_codes
 from carawayhitch.frontend._receiving import check_head, receive_body
 from carawayhitch.node import Node
@@ -63,7 +68,7 @@
         return await serve(
             node,
             request,
-            CallContent("POST", request.path, "", "", b""),
+            CallContent("POST", request.path, "", "", RequestBody(b"")),
             lambda request_id: event._replace(request_id=request_id),
         )
 
--- a/src/carawayhitch/frontend/_receiving.py
+++ b/src/carawayhitch/frontend/_receiving.py
@@ -10,7 +10,8 @@
 from sanic import Request
 from sanic.exceptions import PayloadTooLarge
 
-from carawayhitch.core import errors, result_codes
+from carawayhitch.backends import RequestBody
+from carawayhitch.core import errors, events, result_codes
 from carawayhitch.node import Node
 
 # Headers that may occur only once: with two values, a proxy and this entry could each
@@ -77,7 +78,7 @@
 async def receive_body(
     node: Node, request: Request, limit_bytes: int | None = None
 ) -> None:
-    """Receive a body within the limits on size, time and concurrent requests.
+    """Receive a body within the limits on size, time, memory and concurrent requests.
 
     Parameters
     ----------
@@ -99,6 +100,14 @@
             result_codes.ENTRY_OVERLOADED,
             f"{context.receiving_count} request bodies are already being received",
         )
+    reserved_bytes = _largest_body_bytes(request, limit_bytes)
+    if not _reserve_memory(node, reserved_bytes):
+        await _discard_body(stream)
+        stream.keep_alive = False
+        raise errors.CallRefusedError(
+            result_codes.ENTRY_OVERLOADED,
+            f"no memory for a request body of up to {reserved_bytes} bytes",
+        )
     context.receiving_count += 1
     refusal: errors.CallRefusedError | None = errors.CallRefusedError(
         result_codes.REQUEST_TIMEOUT,
@@ -119,6 +128,10 @@
         stream.request_body = None
     finally:
         context.receiving_count -= 1
+        kept_bytes = 0 if refusal else len(request.body)
+        node.body_memory.release(reserved_bytes - kept_bytes)
+    if refusal is None:
+        request.ctx.kept_body = RequestBody(request.body, node.body_memory)
     if refusal is not None:
         stream.keep_alive = False
         raise refusal
@@ -128,6 +141,26 @@
         transport.resume_reading()
 
 
+def take_body(request: Request) -> RequestBody:
+    """Return the received body, if any, to which the request refers no longer."""
+    request.body = b""
+    return getattr(request.ctx, "kept_body", None) or RequestBody(b"")
+
+
+def _largest_body_bytes(request: Request, limit_bytes: int) -> int:
+    """Return the declared size of a body, or the limit if it is sent in chunks."""
+    declared = request.headers.get("content-length", "")
+    return min(int(declared), limit_bytes) if declared.isdecimal() else limit_bytes
+
+
+def _reserve_memory(node: Node, size: int) -> bool:
+    """Take memory for a body, after other bodies were dropped if need be."""
+    missing_bytes = node.body_memory.missing_bytes(size)
+    if missing_bytes:
+        node.submit(events.BodyMemoryNeeded(missing_bytes))
+    return node.body_memory.reserve(size)
+
+
 async def _discard_body(stream: Any) -> None:
     """Discard the rest of a body.
 
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -18,6 +18,7 @@
     CallContent,
     PeerSocket,
     UpstreamSessions,
+    new_body_memory,
     open_session,
 )
 from carawayhitch.board import Board, new_board
@@ -97,6 +98,7 @@
         self.log = log or structlog.get_logger()
         self.metrics: Metrics = new_metrics()
         self.calls_by_request_id: dict[str, OpenCall] = {}
+        self.body_memory = new_body_memory(settings)
         self.upstream_tasks_by_request_id: dict[str, asyncio.Task[None]] = {}
         self.operation_futures_by_id: dict[str, asyncio.Future[Any]] = {}
         self.stopped = asyncio.Event()
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -172,6 +172,7 @@
         session=node.sessions.fresh,
         settings=node.settings,
         submit=node.submit,
+        memory=node.body_memory,
     )
 
 
@@ -212,6 +213,13 @@
     )
 
 
+@perform.register(actions.DropBody)
+def _drop_body(action: actions.DropBody, node: Node) -> None:
+    open_call = node.calls_by_request_id.get(action.request_id)
+    if open_call is not None:
+        open_call.content.body.drop()
+
+
 @perform.register(actions.ReleaseMemory)
 def _release_memory(action: actions.ReleaseMemory, node: Node) -> None:
     assert node.sessions is not None
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -39,7 +39,7 @@
         async with call.session.request(
             content.method,
             url,
-            data=content.body or None,
+            data=content.body.data or None,
             headers=headers,
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             allow_redirects=False,
@@ -75,7 +75,8 @@
     if is_success and response.content_type == EVENT_STREAM:
         await _relay_stream(call, response, action.address)
         return
-    body = await read_limited(response, call.settings.limits.answer_bytes)
+    limit_bytes = call.settings.limits.answer_bytes
+    body = await read_limited(response, limit_bytes, memory=call.memory)
     call.submit(
         events.AnswerReceived(
             call.request_id,
--- /dev/null
+++ b/tests/backends/test_body_memory.py
@@ -0,0 +1,57 @@
+"""Memory of bodies within the limits of an entry."""
+
+from __future__ import annotations
+
+import unittest
+
+from carawayhitch.backends import BodyMemory, RequestBody, new_body_memory
+from carawayhitch.backends._body_memory import SMALL_BODY_BYTES
+from carawayhitch.core import settings as settings_types
+from tests.boards import new_settings
+
+LARGE = 1_000_000
+
+
+class BodyMemoryTest(unittest.TestCase):
+    def test_bodies_beyond_the_limit_are_not_taken(self):
+        """Guards against a process that is ended because of its memory."""
+        memory = BodyMemory(2.5 * LARGE)
+        self.assertEqual([memory.reserve(LARGE) for _ in range(3)], [True, True, False])
+        self.assertEqual(memory.missing_bytes(LARGE), LARGE // 2)
+        memory.release(LARGE)
+        self.assertTrue(memory.reserve(LARGE))
+
+    def test_small_bodies_are_always_taken(self):
+        """Guards against orders that are refused because of long prompts."""
+        memory = BodyMemory(LARGE)
+        memory.reserve(LARGE)
+        self.assertTrue(memory.reserve(SMALL_BODY_BYTES))
+
+    def test_memory_of_a_body_is_released_once(self):
+        """Guards against memory that leaks, or that is counted as free twice."""
+        memory = BodyMemory(LARGE)
+        memory.reserve(LARGE)
+        body = RequestBody(bytes(LARGE), memory)
+        body.drop()
+        body.drop()
+        self.assertEqual((memory.held_bytes, body.data), (0, b""))
+        memory.reserve(LARGE)
+        body = RequestBody(bytes(LARGE), memory)
+        # A request that is refused before its call begins drops nothing.
+        del body
+        self.assertEqual(memory.held_bytes, 0)
+
+    def test_limit_follows_from_the_memory_of_the_machine(self):
+        """Guards against bodies that fill a small machine, or a needless refusal."""
+        cases = ((0.0, float("inf")), (136.0, 36e6), (20.0, 2 * 4_194_304))
+        for megabytes, expected in cases:
+            limits = settings_types.LimitSettings(memory_megabytes=megabytes)
+            with self.subTest(megabytes=megabytes):
+                memory = new_body_memory(new_settings(limits=limits))
+                self.assertEqual(memory.limit_bytes, expected)
+                # Also without a limit.
+                self.assertTrue(memory.reserve(limits.body_bytes))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/backends/test_endless_answers.py
+++ b/tests/backends/test_endless_answers.py
@@ -11,6 +11,7 @@
 from carawayhitch import platform
 from carawayhitch.backends import (
     CallContent,
+    RequestBody,
     UpstreamCall,
     exchange_objects,
     forward_call,
@@ -133,7 +134,12 @@
             request_id="call-1",
             attempt=1,
             content=CallContent(
-                "GET", "/a", "", "", b"{}", (("Carawayhitch-Request-Id", "call-1"),)
+                "GET",
+                "/a",
+                "",
+                "",
+                RequestBody(b"{}"),
+                (("Carawayhitch-Request-Id", "call-1"),),
             ),
             caller=NonPausingCaller(),
             session=self.session,
--- a/tests/backends/test_plain_services.py
+++ b/tests/backends/test_plain_services.py
@@ -9,6 +9,7 @@
 
 from carawayhitch.backends import (
     CallContent,
+    RequestBody,
     UpstreamCall,
     open_session,
     run_service_call,
@@ -71,7 +72,9 @@
     async def send(self, session: aiohttp.ClientSession, method: str) -> object:
         """Make one call with `run_service_call` and return its event."""
         submitted: list[object] = []
-        content = CallContent(method, "/guides", "", "text/plain", b"lot 1")
+        content = CallContent(
+            method, "/guides", "", "text/plain", RequestBody(b"lot 1")
+        )
         call = UpstreamCall("r", 1, content, None, session, SETTINGS, submitted.append)
         action = actions.OpenUpstream("r", 1, "service-1", self.address, 0)
         target = rows.ServiceTarget("register", method, "/guides")
--- a/tests/platform/test_routed_calls.py
+++ b/tests/platform/test_routed_calls.py
@@ -10,7 +10,12 @@
 import uvloop
 
 from carawayhitch import codecs, platform
-from carawayhitch.backends import CallContent, UpstreamCall, open_session
+from carawayhitch.backends import (
+    CallContent,
+    RequestBody,
+    UpstreamCall,
+    open_session,
+)
 from carawayhitch.core import actions, events
 from tests.boards import new_settings
 
@@ -86,7 +91,7 @@
         call = UpstreamCall(
             request_id="call-1",
             attempt=1,
-            content=CallContent("GET", "/a/b", "q=1", "", b"", HEADERS),
+            content=CallContent("GET", "/a/b", "q=1", "", RequestBody(b""), HEADERS),
             caller=NonPausingCaller(),
             session=session,
             settings=settings,
