Check streams for stalls after a move

A caller whose stream was moved to an engine that then fell silent waited until it gave up by itself: the check of the attempt before ends with that attempt, and none was set for the new one.

The move sets the check of the new attempt. The test failed before ("no check of the stream is set").

--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -240,6 +240,9 @@
         attempt=continued.attempt, phase="opening", handle=event.handle
     )
     code = result_codes.RETRY_MOVED if copied else result_codes.MOVE_FAILED
+    # The check of the attempt before ends with it.
+    check = events.StallCheck(row.request_id, continued.attempt)
+    check_at = now + board.settings.streams.stall_timeout_seconds
     return (
         actions.CloseUpstream(row.request_id, cancel_generation=False),
         actions.Count(code, row.rank),
@@ -249,6 +252,7 @@
             continued.caller_deadline,
             f"{move.source_address}/{event.handle}",
         ),
+        actions.SetTimer(check_at, check),
         _send_report(board, move, continued.attempt, "moved" if copied else "failed"),
     )
 
--- a/tests/controllers/test_moves.py
+++ b/tests/controllers/test_moves.py
@@ -134,6 +134,21 @@
         self.assertEqual(opened.source, "engine-1:1/h2")
         self.assertEqual(reports(decided), ["failed"])
 
+    def test_stream_that_stalls_after_its_move_ends(self):
+        """Guards against a caller that waits forever for a silent target."""
+        board = relaying_board()
+        feed(board, ORDER)
+        feed(board, copied(False))
+        pending = of_type(feed(board, copied(True, handle="h2")), actions.SetTimer)
+        codes = []
+        while not codes:
+            checks = [a for a in pending if isinstance(a.event, events.StallCheck)]
+            self.assertTrue(checks, "no check of the stream is set")
+            decided = feed(board, checks[0].event, checks[0].deadline)
+            pending = of_type(decided, actions.SetTimer)
+            codes = [a.code.name for a in of_type(decided, actions.RefuseCall)]
+        self.assertEqual(codes, ["STREAM_LOST"])
+
     def test_unanswered_final_copy_ends_the_stream(self):
         """Guards against a caller that waits forever for a stopped stream."""
         board = relaying_board()
