Wait for changes of operators before a drain ends

An operator whose change still waited for the store when its entry stopped got no result: such a change is no open request, so the process stopped under it, timers no longer fired, and its connection was aborted at the limit of the drain.

The process stops after the last change; at the limit, open ones are answered with CHANGE_UNKNOWN. Both new tests failed before.

--- a/src/carawayhitch/controllers/_changes.py
+++ b/src/carawayhitch/controllers/_changes.py
@@ -13,6 +13,7 @@
 from carawayhitch.core import actions, events, result_codes, rows
 
 RETRY_TIMER = "change_retry"
+DRAIN_LIMIT_TIMER = "drain_limit"
 CHANGE_TIMEOUT_SECONDS = 8.0
 RETRY_BASE_DELAY_SECONDS = 0.2
 REWRITE_LIMIT = 5
@@ -126,15 +127,30 @@
 
 
 @decide.register(events.TimerFired)
-def _read_after_failure(
+def _handle_timer(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
+    if event.name == DRAIN_LIMIT_TIMER:
+        return _answer_before_stop(board)
     change = board.changes_by_operation_id.get(event.subject)
     if event.name != RETRY_TIMER or change is None:
         return ()
     return (_read_action(change),)
 
 
+def _answer_before_stop(board: Board) -> Actions:
+    """Answer the operators whose changes outlast the drain of the process."""
+    decided: list[actions.Action] = []
+    for change in list(board.changes_by_operation_id.values()):
+        message = (
+            f"{change.kind}/{change.name}: the entry stopped before an answer; "
+            f"change {change.change_id} may have been written, run diff to check"
+        )
+        code = result_codes.CHANGE_UNKNOWN
+        decided.extend(_answer_with_error(board, change, code, message))
+    return decided
+
+
 @decide.register(events.ObjectRead)
 def _resolve_write_outcome(
     event: events.ObjectRead, board: Board, now: float, random: Random
--- a/src/carawayhitch/controllers/_lifecycle.py
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers._changes import DRAIN_LIMIT_TIMER
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._drain_waits import (
     DRAIN_RETRY_AFTER_SECONDS,
@@ -14,8 +15,9 @@
 from carawayhitch.core import actions, events, result_codes
 
 DRAIN_GRACE_TIMER = "drain_grace"
-DRAIN_LIMIT_TIMER = "drain_limit"
 DRAIN_JOURNAL_TIMER = "drain_journal"
+DRAIN_CHANGES_TIMER = "drain_changes"
+CHANGES_CHECK_SECONDS = 0.1
 # Time in which the last answers reach their callers after the drain has ended.
 LAST_ANSWERS_SECONDS = 0.2
 
@@ -97,6 +99,8 @@
             deadline=now + LAST_ANSWERS_SECONDS
         )
         return (logged, *_end_unanswered_requests(board), *_stop_process(board))
+    if event.name == DRAIN_CHANGES_TIMER and lifecycle.state == "refusing":
+        return _stop_if_drained(board, now)
     if event.name == DRAIN_JOURNAL_TIMER and lifecycle.state != "stopped":
         return () if board.requests_by_id else _stop_process(board)
     return ()
@@ -116,9 +120,13 @@
 
 
 def _stop_if_drained(board: Board, now: float) -> Actions:
-    """Stop if no request is open and no answer is still to be written to the store."""
+    """Stop if no request or change is open and no answer is still to be written."""
     if board.requests_by_id:
         return ()
+    if board.changes_by_operation_id:
+        # Operators wait for the results of their changes.
+        timer = events.TimerFired(DRAIN_CHANGES_TIMER)
+        return (actions.SetTimer(now + CHANGES_CHECK_SECONDS, timer),)
     if any(shard.pending_keys for shard in board.journal_shards_by_name.values()):
         # Bounds the wait, so that an outage of the store does not block the drain.
         journal_deadline = now + board.settings.idempotency.claim_timeout_seconds
--- a/tests/controllers/test_drain_waits.py
+++ b/tests/controllers/test_drain_waits.py
@@ -112,6 +112,33 @@
         deadline = wait_timers(entry.stop())["retried"]
         self.assertEqual(entry.expire("retried", deadline), ["UPSTREAM_FAILED"])
 
+    def test_change_of_an_operator_is_answered_before_the_stop(self):
+        """Guards against operators whose connection ends without a result."""
+        entry = StoppingEntry()
+        requested = events.ChangeRequested("op", "c1", "binding", "b", b"{}", False, 0)
+        entry.feed(requested, STOPPED_AT)
+        entry.stop()
+        grace = events.TimerFired("drain_grace")
+        decided = entry.feed(grace, STOPPED_AT + DRAIN.readiness_grace_seconds)
+        self.assertFalse([a for a in decided if isinstance(a, actions.StopProcess)])
+        limit = events.TimerFired("drain_limit")
+        decided = entry.feed(limit, STOPPED_AT + LIMIT_SECONDS)
+        answers = [a for a in decided if isinstance(a, actions.AnswerChange)]
+        self.assertEqual([a.code.name for a in answers], ["CHANGE_UNKNOWN"])
+        self.assertTrue([a for a in decided if isinstance(a, actions.StopProcess)])
+
+    def test_drain_ends_with_the_last_change(self):
+        """Guards against a stop that waits for its limit after a change."""
+        entry = StoppingEntry()
+        requested = events.ChangeRequested("op", "c1", "binding", "b", b"{}", False, 0)
+        entry.feed(requested, STOPPED_AT)
+        entry.stop()
+        refusing_at = STOPPED_AT + DRAIN.readiness_grace_seconds
+        entry.feed(events.TimerFired("drain_grace"), refusing_at)
+        entry.feed(events.ObjectWritten("op", True, 7), refusing_at + 0.05)
+        decided = entry.feed(events.TimerFired("drain_changes"), refusing_at + 0.1)
+        self.assertTrue([a for a in decided if isinstance(a, actions.StopProcess)])
+
     def test_all_unanswered_calls_are_answered_at_the_limit(self):
         """Guards against connections that end without an answer to a whole request."""
         entry = StoppingEntry()
