Count parts of an answer before they are kept

A review of the diff found that read_limited released a part of an oversized answer that it had not counted, so that the memory for bodies counted as freer than it was, and that it compared the whole answer instead of the new part with the room left. The new test of every outcome covers both.

The name of the timer at the limit of a drain moves to _drain_waits, next to the waits that end before it.

--- a/src/carawayhitch/backends/_bodies.py
+++ b/src/carawayhitch/backends/_bodies.py
@@ -45,14 +45,11 @@
     body = bytearray()
     try:
         async for part in response.content.iter_any():
-            body += part
-            if len(body) > limit_bytes:
+            if len(body) + len(part) > limit_bytes:
                 raise BodyTooLargeError(limit_bytes)
-            if memory is not None:
-                # The size so far decides, so that parts of a large body count as large.
-                if memory.missing_bytes(len(body)):
-                    raise BodyTooLargeError(len(body) - len(part))
-                memory.held_bytes += len(part)
+            if memory is not None and not memory.extend(len(body), len(part)):
+                raise BodyTooLargeError(len(body))
+            body += part
             handle_progress()
         return bytes(body)
     finally:
--- a/src/carawayhitch/backends/_body_memory.py
+++ b/src/carawayhitch/backends/_body_memory.py
@@ -40,6 +40,23 @@
         self.held_bytes += size
         return True
 
+    def extend(self, held: int, added: int) -> bool:
+        """Take memory for a further part of a body, if there is enough.
+
+        Parameters
+        ----------
+        held : int
+            Bytes of the body that are already counted.
+        added : int
+            Bytes of the part.
+        """
+        if held + added > SMALL_BODY_BYTES and (
+            self.held_bytes + added > self.limit_bytes
+        ):
+            return False
+        self.held_bytes += added
+        return True
+
     def release(self, size: int) -> None:
         """Free memory that was reserved."""
         self.held_bytes -= size
--- a/src/carawayhitch/controllers/_changes.py
+++ b/src/carawayhitch/controllers/_changes.py
@@ -10,10 +10,10 @@
     validate_decoded_object,
 )
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._drain_waits import DRAIN_LIMIT_TIMER
 from carawayhitch.core import actions, events, result_codes, rows
 
 RETRY_TIMER = "change_retry"
-DRAIN_LIMIT_TIMER = "drain_limit"
 CHANGE_TIMEOUT_SECONDS = 8.0
 RETRY_BASE_DELAY_SECONDS = 0.2
 REWRITE_LIMIT = 5
--- a/src/carawayhitch/controllers/_drain_waits.py
+++ b/src/carawayhitch/controllers/_drain_waits.py
@@ -13,6 +13,8 @@
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.core import actions, events, rows
 
+# Timer of the end of a drain, at which everything that is still open is answered.
+DRAIN_LIMIT_TIMER = "drain_limit"
 # Requests in these phases have no upstream; nothing of them has been sent since their
 # last attempt.
 WAITING_PHASES = frozenset({"asking"})
--- a/src/carawayhitch/controllers/_lifecycle.py
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -5,9 +5,9 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._changes import DRAIN_LIMIT_TIMER
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._drain_waits import (
+    DRAIN_LIMIT_TIMER,
     DRAIN_RETRY_AFTER_SECONDS,
     WAITING_PHASES,
 )
--- a/tests/backends/test_body_memory.py
+++ b/tests/backends/test_body_memory.py
@@ -27,6 +27,16 @@
         memory.reserve(LARGE)
         self.assertTrue(memory.reserve(SMALL_BODY_BYTES))
 
+    def test_parts_of_a_large_body_count_as_large(self):
+        """Guards against bodies without end that come in small parts."""
+        memory = BodyMemory(LARGE)
+        memory.reserve(LARGE)
+        part = SMALL_BODY_BYTES // 2
+        taken = [memory.extend(index * part, part) for index in range(3)]
+        self.assertEqual(taken, [True, True, False])
+        memory.release(2 * part)
+        self.assertEqual(memory.held_bytes, LARGE)
+
     def test_memory_of_a_body_is_released_once(self):
         """Guards against memory that leaks, or that is counted as free twice."""
         memory = BodyMemory(LARGE)
--- a/tests/backends/test_endless_answers.py
+++ b/tests/backends/test_endless_answers.py
@@ -10,6 +10,7 @@
 
 from carawayhitch import platform
 from carawayhitch.backends import (
+    BodyMemory,
     CallContent,
     RequestBody,
     UpstreamCall,
@@ -254,6 +255,37 @@
             )
 
 
+class AnswerMemoryTest(EndlessAnswerTestCase):
+    async def test_memory_of_an_answer_is_free_after_every_outcome(self):
+        """Guards against memory that is counted as held, or as free, by mistake."""
+        honest = OK + IDENTITY + b"Content-Length: 200000\r\n\r\n" + bytes(200_000)
+        endless = OK + IDENTITY + b"Content-Length: 9000000000000\r\n\r\n"
+        cases = (
+            (honest, 1_000_000, events.AnswerReceived),
+            (honest, 100_000, events.UpstreamCallFailed),
+            (endless + bytes(6_000_000), 10_000_000, events.UpstreamCallFailed),
+            (honest[:-1], 1_000_000, events.UpstreamCallFailed),
+        )
+        for sent, limit_bytes, outcome in cases:
+            with self.subTest(limit_bytes=limit_bytes, size=len(sent)):
+                self.found.clear()
+                memory = BodyMemory(limit_bytes)
+
+                async def serve(reader, writer, sent=sent):
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(sent)
+                    writer.close()
+
+                server = await asyncio.start_server(serve, "127.0.0.1", 0)
+                host, port = server.sockets[0].getsockname()
+                action = actions.OpenUpstream("call-1", 1, "u", f"{host}:{port}", 3)
+                call = self.call._replace(memory=memory)
+                await platform.run_routed_call(call, action, time.monotonic)
+                server.close()
+                self.assertIsInstance(self.found[-1], outcome)
+                self.assertEqual(memory.held_bytes, 0)
+
+
 class ControlCallTest(EndlessAnswerTestCase):
     """Guards against reports and answers of peers that fill the memory."""
 
