Take small bodies without a length while memory is short

A review of the diff: a body in chunks reserved the largest size before its first byte, so an order in chunks was refused while eight large bodies were held or nine such orders were being received.

A body in chunks counts as small up to 16 KB and as the largest one beyond. Counting each part as it comes was tried first: 137.6 MB at the peak of the new test of large bodies in chunks, over the limit of 136, as many partly received bodies are held at once.

The test of a small body in chunks guards the case but passed before as well: bodies of begun streams had made room.

--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -4,6 +4,7 @@
 
 from carawayhitch.backends._bodies import BodyTooLargeError, read_limited
 from carawayhitch.backends._body_memory import (
+    SMALL_BODY_BYTES,
     BodyMemory,
     RequestBody,
     new_body_memory,
@@ -47,6 +48,7 @@
     "CONNECTION_HEADERS",
     "FORWARD_PATH",
     "PROOF_HEADER",
+    "SMALL_BODY_BYTES",
     "BodyMemory",
     "BodyTooLargeError",
     "CallContent",
--- a/src/carawayhitch/frontend/_receiving.py
+++ b/src/carawayhitch/frontend/_receiving.py
@@ -10,7 +10,7 @@
 from sanic import Request
 from sanic.exceptions import PayloadTooLarge
 
-from carawayhitch.backends import RequestBody
+from carawayhitch.backends import SMALL_BODY_BYTES, RequestBody
 from carawayhitch.core import errors, events, result_codes
 from carawayhitch.node import Node
 
@@ -100,15 +100,13 @@
             result_codes.ENTRY_OVERLOADED,
             f"{context.receiving_count} request bodies are already being received",
         )
-    reserved_bytes = _largest_body_bytes(request, limit_bytes)
-    if not _reserve_memory(node, reserved_bytes):
+    counted_bytes = _declared_body_bytes(request, limit_bytes)
+    if not _take_memory(node, 0, counted_bytes):
         await _discard_body(stream)
         stream.keep_alive = False
-        raise errors.CallRefusedError(
-            result_codes.ENTRY_OVERLOADED,
-            f"no memory for a request body of up to {reserved_bytes} bytes",
-        )
+        raise _no_memory_error(counted_bytes)
     context.receiving_count += 1
+    body = bytearray()
     refusal: errors.CallRefusedError | None = errors.CallRefusedError(
         result_codes.REQUEST_TIMEOUT,
         f"request body was not received within {limits.receive_timeout_seconds} s",
@@ -116,8 +114,21 @@
     try:
         async with asyncio.timeout(limits.receive_timeout_seconds):
             try:
-                await request.receive_body()
-                refusal = None
+                async for part in stream:
+                    size = len(body) + len(part)
+                    if size > counted_bytes:
+                        # A body in chunks counts as small or as the largest one, so
+                        # that no part of it is received in vain.
+                        size = size if size <= SMALL_BODY_BYTES else limit_bytes
+                        if not _take_memory(node, counted_bytes, size - counted_bytes):
+                            refusal = _no_memory_error(size)
+                            break
+                        counted_bytes = size
+                    body += part
+                else:
+                    refusal = None
+                if refusal is not None:
+                    await _discard_body(stream)
             except PayloadTooLarge:
                 refusal = errors.CallRefusedError(
                     result_codes.BODY_TOO_LARGE,
@@ -128,13 +139,13 @@
         stream.request_body = None
     finally:
         context.receiving_count -= 1
-        kept_bytes = 0 if refusal else len(request.body)
-        node.body_memory.release(reserved_bytes - kept_bytes)
-    if refusal is None:
-        request.ctx.kept_body = RequestBody(request.body, node.body_memory)
+        kept_bytes = 0 if refusal else len(body)
+        node.body_memory.release(counted_bytes - kept_bytes)
     if refusal is not None:
         stream.keep_alive = False
         raise refusal
+    request.body = bytes(body)
+    request.ctx.kept_body = RequestBody(request.body, node.body_memory)
     # sanic pauses reading at 64 KB and would then not detect that the caller has
     # disconnected.
     if transport is not None:
@@ -147,18 +158,25 @@
     return getattr(request.ctx, "kept_body", None) or RequestBody(b"")
 
 
-def _largest_body_bytes(request: Request, limit_bytes: int) -> int:
-    """Return the declared size of a body, or the limit if it is sent in chunks."""
+def _declared_body_bytes(request: Request, limit_bytes: int) -> int:
+    """Return the declared size of a body; 0 if it is sent in chunks."""
     declared = request.headers.get("content-length", "")
-    return min(int(declared), limit_bytes) if declared.isdecimal() else limit_bytes
+    return min(int(declared), limit_bytes) if declared.isdecimal() else 0
+
+
+def _no_memory_error(size: int) -> errors.CallRefusedError:
+    return errors.CallRefusedError(
+        result_codes.ENTRY_OVERLOADED, f"no memory for a request body of {size} bytes"
+    )
 
 
-def _reserve_memory(node: Node, size: int) -> bool:
-    """Take memory for a body, after other bodies were dropped if need be."""
-    missing_bytes = node.body_memory.missing_bytes(size)
-    if missing_bytes:
-        node.submit(events.BodyMemoryNeeded(missing_bytes))
-    return node.body_memory.reserve(size)
+def _take_memory(node: Node, counted: int, added: int) -> bool:
+    """Take memory for a part of a body, after others were dropped if need be."""
+    memory = node.body_memory
+    if memory.extend(counted, added):
+        return True
+    node.submit(events.BodyMemoryNeeded(memory.missing_bytes(counted + added)))
+    return memory.extend(counted, added)
 
 
 async def _discard_body(stream: Any) -> None:
--- a/tests/test_body_memory_processes.py
+++ b/tests/test_body_memory_processes.py
@@ -9,7 +9,13 @@
 import unittest
 from pathlib import Path
 
-from fakes.platform_fleet import MODEL_SERVICE, PLAIN_SERVICE, PlatformFleet
+from fakes.platform_fleet import (
+    HOST,
+    KEY,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    PlatformFleet,
+)
 
 # Memory of a machine of the smallest deployment.
 LIMIT_MEGABYTES = 136
@@ -39,13 +45,29 @@
             self.peak_megabytes = max(self.peak_megabytes, int(size) / 1000)
             time.sleep(0.02)
 
+    def send_chunks(self, path, parts):
+        """Make a call whose body has no length; return its status and answer."""
+        port = self.fleet.ports_by_name["entry-1"]
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=30.0)
+        headers = {"Host": HOST, "Authorization": f"Bearer {KEY}"}
+        connection.request(
+            "POST", path, body=iter(parts), headers=headers, encode_chunked=True
+        )
+        answer = connection.getresponse()
+        received = (answer.status, answer.read())
+        connection.close()
+        return received
+
     def call_in_turn(self, path, body, interval_seconds=0.0):
         """Make overlapping calls and return the number of answers by status."""
         statuses = collections.Counter()
 
         def call():
             try:
-                statuses[self.fleet.ask("entry-1", path, body=body)[0]] += 1
+                if isinstance(body, list):
+                    statuses[self.send_chunks(path, body)[0]] += 1
+                else:
+                    statuses[self.fleet.ask("entry-1", path, body=body)[0]] += 1
             except (OSError, http.client.HTTPException) as error:
                 statuses[type(error).__name__] += 1
 
@@ -80,6 +102,30 @@
         self.assertLessEqual(set(statuses), {200, 503})
         self.assertTrue(statuses[200])
 
+    def test_small_bodies_without_a_length_are_taken_beside_large_ones(self):
+        """Guards against orders in chunks that count as if they were large."""
+        self.fleet.start_server("plain-1", PLAIN_SERVICE, "a", 0.3)
+        self.fleet.start_server("engine-1", MODEL_SERVICE, "a", 0.05)
+        self.fleet.start_gateway("entry-1")
+        large = threading.Thread(
+            target=self.call_in_turn, args=("/draft/1?events=60", bytes(BODY_BYTES))
+        )
+        large.start()
+        time.sleep(1.0)
+        received = self.send_chunks("/order/1", [b"an ", b"order"])
+        large.join()
+        self.assertEqual(received, (200, b"an order"))
+
+    def test_large_bodies_without_a_length_do_not_exceed_the_memory(self):
+        """Guards against bodies in chunks that are not counted."""
+        self.fleet.start_server("engine-1", MODEL_SERVICE, "a", 0.05)
+        self.fleet.start_gateway("entry-1")
+        part = bytes(BODY_BYTES // 16)
+        statuses = self.call_in_turn("/draft/1?events=40", [part] * 16)
+        self.assertLess(self.peak_megabytes, LIMIT_MEGABYTES)
+        self.assertLessEqual(set(statuses), {200, 503})
+        self.assertTrue(statuses[200])
+
     def test_answers_without_end_do_not_exceed_the_memory(self):
         """Guards against a process that a faulty server ends by endless bodies."""
         self.fleet.start_server("plain-1", PLAIN_SERVICE, "a", 0.0)
