--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -213,41 +213,11 @@
     decided: Actions = ()
     if evacuation.moving_request_id and now >= evacuation.order_deadline:
         decided = _end_unsuccessful_order(board, evacuation, retry_later=False, now=now)
-    elif evacuation.moving_request_id:
-        decided = _repeat_order(board, evacuation)
     elif not evacuation.moving_request_id:
         decided = _order_next_move(board, event.subject, now)
     return (*decided, _set_check_timer(event.subject, now))
 
 
-def _repeat_order(board: Board, evacuation: rows.EvacuationRow) -> Actions:
-    """Repeat an order without a report, as its datagram may be lost.
-
-    The entry ignores the repetition of an order that it carries out.
-    """
-    grant = board.grants_by_request_id.get(evacuation.moving_request_id)
-    if grant is None or grant.upstream_id not in board.upstreams_by_id:
-        return ()
-    return (actions.Send(grant.entry_id, _move_order(board, evacuation, grant)),)
-
-
-def _move_order(
-    board: Board, evacuation: rows.EvacuationRow, grant: rows.GrantRow
-) -> messages.MoveOrder:
-    """Return the order to move a generation to the engine that its grant names."""
-    target = board.upstreams_by_id[grant.upstream_id]
-    return messages.MoveOrder(
-        board.node_id,
-        grant.request_id,
-        grant.attempt,
-        grant.cell_id,
-        evacuation.upstream_id,
-        target.upstream_id,
-        target.address,
-        evacuation.deadline,
-    )
-
-
 def _order_next_move(board: Board, upstream_id: str, now: float) -> Actions:
     evacuation = board.evacuations_by_upstream_id[upstream_id]
     chosen = _choose_move(board, evacuation, now)
@@ -255,7 +225,7 @@
         return ()
     grant, target = chosen.grant, chosen.target
     # The move occupies memory and a slot at the target from the first copy on.
-    reassigned = _reassign_grant(board, grant, target.upstream_id, now)
+    _reassign_grant(board, grant, target.upstream_id, now)
     board.evacuations_by_upstream_id[upstream_id] = evacuation._replace(
         moving_request_id=grant.request_id,
         order_deadline=now
@@ -263,6 +233,16 @@
         + MOVE_OVERHEAD_SECONDS
         + MOVE_REPORT_TOLERANCE_SECONDS,
     )
+    order = messages.MoveOrder(
+        board.node_id,
+        grant.request_id,
+        grant.attempt,
+        grant.cell_id,
+        upstream_id,
+        target.upstream_id,
+        target.address,
+        evacuation.deadline,
+    )
     fields = {
         "request_id": grant.request_id,
         "upstream": upstream_id,
@@ -273,7 +253,7 @@
     }
     return (
         actions.Log("info", "move ordered", fields),
-        actions.Send(grant.entry_id, _move_order(board, evacuation, reassigned)),
+        actions.Send(grant.entry_id, order),
     )
 
 
--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -230,20 +230,6 @@
         found = feed(board, timer, NOW + _evacuation.EVACUATION_CHECK_INTERVAL_SECONDS)
         self.assertEqual(sent(found, messages.MoveOrder), ordered)
 
-    def test_repetition_that_crosses_a_report_changes_nothing(self):
-        """Guards against a moved generation that counts at its source again.
-
-        The entry answers a late repetition that it no longer runs such an attempt.
-        """
-        board = evacuation_board(engine_count=2)
-        source = start_generation(board, "first")
-        ((moved, target),) = orders(announce_leaving(board, source))
-        feed(board, move_report(moved, target, "moved"), NOW + 0.05)
-        feed(board, move_report(moved, source, "gone", attempt=1), NOW + 0.06)
-        self.assertEqual(board.grants_by_request_id[moved].upstream_id, target)
-        timer = events.TimerFired(_evacuation.EVACUATION_TIMER, source)
-        self.assertEqual(orders(feed(board, timer, NOW + 0.1)), [])
-
     def test_deadline_is_read_from_a_report_after_the_notice(self):
         """Guards against a deadline taken from a load report before the notice."""
         board = evacuation_board(engine_count=2)
