Keep one count of the memory of a body

Found in a review of the diff. BodyMemory had three methods that compared a body with the limit in their own ways: reserve was used by tests only, and the size that the front end asked to free counted the part of a body twice that was counted before, so that it dropped more bodies than it needed. reserve and missing_bytes now take the size and what is counted of it; RequestBody keeps its own count, which replaces the arithmetic of receive_body in two places.

The discarding of a body that memory has no room for ran outside the time limit for receiving and was not counted among the bodies being received; both refusals now go the same way. Answers of forwarded calls count toward the memory as all others do.

is_body_dropped alone says whether a body is kept; body_bytes stays its size.

--- a/src/carawayhitch/backends/_bodies.py
+++ b/src/carawayhitch/backends/_bodies.py
@@ -45,9 +45,10 @@
     body = bytearray()
     try:
         async for part in response.content.iter_any():
-            if len(body) + len(part) > limit_bytes:
+            size = len(body) + len(part)
+            if size > limit_bytes:
                 raise BodyTooLargeError(limit_bytes)
-            if memory is not None and not memory.extend(len(body), len(part)):
+            if memory is not None and not memory.reserve(size, len(body)):
                 raise BodyTooLargeError(len(body))
             body += part
             handle_progress()
--- a/src/carawayhitch/backends/_body_memory.py
+++ b/src/carawayhitch/backends/_body_memory.py
@@ -27,34 +27,25 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
 
-    def missing_bytes(self, size: int) -> int:
-        """Return the bytes that have to be freed before a body can be taken."""
-        if size <= SMALL_BODY_BYTES:
-            return 0
-        return int(max(0.0, self.held_bytes + size - self.limit_bytes))
-
-    def reserve(self, size: int) -> bool:
-        """Take memory for a body, if there is enough."""
-        if self.missing_bytes(size):
-            return False
-        self.held_bytes += size
-        return True
-
-    def extend(self, held: int, added: int) -> bool:
-        """Take memory for a further part of a body, if there is enough.
+    def missing_bytes(self, size: int, counted: int = 0) -> int:
+        """Return the bytes that have to be freed before a body can be taken.
 
         Parameters
         ----------
-        held : int
-            Bytes of the body that are already counted.
-        added : int
-            Bytes of the part.
+        size : int
+            Bytes of the body.
+        counted : int
+            Bytes of it for which memory is already taken.
         """
-        if held + added > SMALL_BODY_BYTES and (
-            self.held_bytes + added > self.limit_bytes
-        ):
+        if size <= SMALL_BODY_BYTES:
+            return 0
+        return int(max(0.0, self.held_bytes + size - counted - self.limit_bytes))
+
+    def reserve(self, size: int, counted: int = 0) -> bool:
+        """Take the memory that a body still needs, if there is enough."""
+        if self.missing_bytes(size, counted):
             return False
-        self.held_bytes += added
+        self.held_bytes += size - counted
         return True
 
     def release(self, size: int) -> None:
@@ -68,24 +59,41 @@
     Parameters
     ----------
     data : bytes
-        The whole body.
+        The whole body, if it has been received.
     memory : BodyMemory, optional
         Where ``len(data)`` bytes are reserved for it.
     """
 
-    def __init__(self, data: bytes, memory: BodyMemory | None = None) -> None:
+    def __init__(self, data: bytes = b"", memory: BodyMemory | None = None) -> None:
         self.data = data
-        self._memory = memory
+        self._memory = BodyMemory(float("inf")) if memory is None else memory
+        self._counted_bytes = len(data)
 
     def __del__(self) -> None:
         # Covers requests that are refused before their call begins.
         self.drop()
 
+    def missing_bytes(self, size: int) -> int:
+        """Return the bytes that have to be freed before the body can be this large."""
+        return self._memory.missing_bytes(size, self._counted_bytes)
+
+    def reserve(self, size: int) -> bool:
+        """Take the memory for a body of this size, if there is enough."""
+        if not self._memory.reserve(size, self._counted_bytes):
+            return False
+        self._counted_bytes = size
+        return True
+
+    def fill(self, data: bytes) -> None:
+        """Keep the received body and free what was reserved beyond it."""
+        self._memory.release(self._counted_bytes - len(data))
+        self._counted_bytes = len(data)
+        self.data = data
+
     def drop(self) -> None:
         """Free the body; a call without it cannot be sent again."""
-        if self._memory is not None:
-            self._memory.release(len(self.data))
-            self._memory = None
+        self._memory.release(self._counted_bytes)
+        self._counted_bytes = 0
         self.data = b""
 
 
--- a/src/carawayhitch/backends/_forwards.py
+++ b/src/carawayhitch/backends/_forwards.py
@@ -59,7 +59,8 @@
             allow_redirects=False,
             middlewares=(single_send_middleware(),),
         ) as response:
-            body = await read_limited(response, call.settings.limits.answer_bytes)
+            limit_bytes = call.settings.limits.answer_bytes
+            body = await read_limited(response, limit_bytes, memory=call.memory)
     except (BodyTooLargeError, EndlessResponseError) as error:
         call.submit(new_call_failure(call, "oversized", True, error))
         return
--- a/src/carawayhitch/controllers/_bodies.py
+++ b/src/carawayhitch/controllers/_bodies.py
@@ -29,9 +29,7 @@
         if freed >= event.missing_bytes:
             break
         freed += row.body_bytes
-        board.requests_by_id[row.request_id] = row._replace(
-            body_bytes=0, is_body_dropped=True
-        )
+        board.requests_by_id[row.request_id] = row._replace(is_body_dropped=True)
         decided.append(actions.DropBody(row.request_id))
     return decided
 
@@ -39,6 +37,7 @@
 def _may_drop(board: Board, row: rows.RequestRow) -> bool:
     return (
         row.body_bytes > 0
+        and not row.is_body_dropped
         and row.response_started
         and not can_continue(row.target)
         and row.request_id not in board.moves_by_request_id
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -161,7 +161,7 @@
     opened_at : float
         Time at which the call was first sent to an upstream; 0 before that.
     body_bytes : int
-        Size of the request body that is kept for further attempts and moves.
+        Size of the request body.
     is_body_dropped : bool
         Whether the body is no longer kept, so that the call cannot be sent again.
     """
--- a/src/carawayhitch/frontend/_keys.py
+++ b/src/carawayhitch/frontend/_keys.py
@@ -68,7 +68,7 @@
         return await serve(
             node,
             request,
-            CallContent("POST", request.path, "", "", RequestBody(b"")),
+            CallContent("POST", request.path, "", "", RequestBody()),
             lambda request_id: event._replace(request_id=request_id),
         )
 
--- a/src/carawayhitch/frontend/_receiving.py
+++ b/src/carawayhitch/frontend/_receiving.py
@@ -100,52 +100,27 @@
             result_codes.ENTRY_OVERLOADED,
             f"{context.receiving_count} request bodies are already being received",
         )
-    counted_bytes = _declared_body_bytes(request, limit_bytes)
-    if not _take_memory(node, 0, counted_bytes):
-        await _discard_body(stream)
-        stream.keep_alive = False
-        raise _no_memory_error(counted_bytes)
     context.receiving_count += 1
-    body = bytearray()
+    body = RequestBody(memory=node.body_memory)
     refusal: errors.CallRefusedError | None = errors.CallRefusedError(
         result_codes.REQUEST_TIMEOUT,
         f"request body was not received within {limits.receive_timeout_seconds} s",
     )
     try:
         async with asyncio.timeout(limits.receive_timeout_seconds):
-            try:
-                async for part in stream:
-                    size = len(body) + len(part)
-                    if size > counted_bytes:
-                        # A body in chunks counts as small or as the largest one, so
-                        # that no part of it is received in vain.
-                        size = size if size <= SMALL_BODY_BYTES else limit_bytes
-                        if not _take_memory(node, counted_bytes, size - counted_bytes):
-                            refusal = _no_memory_error(size)
-                            break
-                        counted_bytes = size
-                    body += part
-                else:
-                    refusal = None
-                if refusal is not None:
-                    await _discard_body(stream)
-            except PayloadTooLarge:
-                refusal = errors.CallRefusedError(
-                    result_codes.BODY_TOO_LARGE,
-                    f"request body exceeds the limit of {limit_bytes} bytes",
-                )
+            refusal = await _read_body(node, request, body, limit_bytes)
+            if refusal is not None:
                 await _discard_body(stream)
     except TimeoutError:
         stream.request_body = None
     finally:
         context.receiving_count -= 1
-        kept_bytes = 0 if refusal else len(body)
-        node.body_memory.release(counted_bytes - kept_bytes)
     if refusal is not None:
+        body.drop()
         stream.keep_alive = False
         raise refusal
-    request.body = bytes(body)
-    request.ctx.kept_body = RequestBody(request.body, node.body_memory)
+    request.body = body.data
+    request.ctx.kept_body = body
     # sanic pauses reading at 64 KB and would then not detect that the caller has
     # disconnected.
     if transport is not None:
@@ -155,13 +130,36 @@
 def take_body(request: Request) -> RequestBody:
     """Return the received body, if any, to which the request refers no longer."""
     request.body = b""
-    return getattr(request.ctx, "kept_body", None) or RequestBody(b"")
+    return getattr(request.ctx, "kept_body", None) or RequestBody()
 
 
-def _declared_body_bytes(request: Request, limit_bytes: int) -> int:
-    """Return the declared size of a body; 0 if it is sent in chunks."""
+async def _read_body(
+    node: Node, request: Request, body: RequestBody, limit_bytes: int
+) -> errors.CallRefusedError | None:
+    """Read a body within its limit and the memory; return its refusal, if any."""
+    stream: Any = request.stream
     declared = request.headers.get("content-length", "")
-    return min(int(declared), limit_bytes) if declared.isdecimal() else 0
+    expected_bytes = min(int(declared), limit_bytes) if declared.isdecimal() else 0
+    if not _reserve_memory(node, body, expected_bytes):
+        return _no_memory_error(expected_bytes)
+    received = bytearray()
+    try:
+        async for part in stream:
+            size = len(received) + len(part)
+            if size > expected_bytes:
+                # A body in chunks counts as small or as the largest one, so that it is
+                # not refused after most of it has been received.
+                expected_bytes = size if size <= SMALL_BODY_BYTES else limit_bytes
+                if not _reserve_memory(node, body, expected_bytes):
+                    return _no_memory_error(expected_bytes)
+            received += part
+    except PayloadTooLarge:
+        return errors.CallRefusedError(
+            result_codes.BODY_TOO_LARGE,
+            f"request body exceeds the limit of {limit_bytes} bytes",
+        )
+    body.fill(bytes(received))
+    return None
 
 
 def _no_memory_error(size: int) -> errors.CallRefusedError:
@@ -170,13 +168,12 @@
     )
 
 
-def _take_memory(node: Node, counted: int, added: int) -> bool:
-    """Take memory for a part of a body, after others were dropped if need be."""
-    memory = node.body_memory
-    if memory.extend(counted, added):
-        return True
-    node.submit(events.BodyMemoryNeeded(memory.missing_bytes(counted + added)))
-    return memory.extend(counted, added)
+def _reserve_memory(node: Node, body: RequestBody, size: int) -> bool:
+    """Take memory for a body, after others were dropped if need be."""
+    missing_bytes = body.missing_bytes(size)
+    if missing_bytes:
+        node.submit(events.BodyMemoryNeeded(missing_bytes))
+    return body.reserve(size)
 
 
 async def _discard_body(stream: Any) -> None:
--- a/tests/backends/test_body_memory.py
+++ b/tests/backends/test_body_memory.py
@@ -32,7 +32,8 @@
         memory = BodyMemory(LARGE)
         memory.reserve(LARGE)
         part = SMALL_BODY_BYTES // 2
-        taken = [memory.extend(index * part, part) for index in range(3)]
+        sizes = [(part, 0), (2 * part, part), (3 * part, 2 * part)]
+        taken = [memory.reserve(size, counted) for size, counted in sizes]
         self.assertEqual(taken, [True, True, False])
         memory.release(2 * part)
         self.assertEqual(memory.held_bytes, LARGE)
