Share what drains, moves and notices of leaving repeat

Found in a review of the diff; no behaviour changes. The condition of a move that is being stopped stood twice in _moves, the states of a drain as a literal in three controllers, the time for the last answers as two constants, and the handlers of drain waits checked the state that wait_deadline checks. An announcement builds its notice directly again, since it always has one.

--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -493,10 +493,10 @@
 
     The store usually delivers the change before the timer fires.
     """
-    since = board.object_set.behind_since
+    behind_since = board.object_set.behind_since
     if not board.settings.store.stale_watches:
         return ()
-    if since and now < since + CATCH_UP_TIMEOUT_SECONDS:
+    if behind_since and now < behind_since + CATCH_UP_TIMEOUT_SECONDS:
         return ()
     _update_object_set(board, behind_since=now, behind_peer_id=peer_id)
     timer = events.TimerFired(CATCH_UP_TIMER, peer_id)
@@ -545,13 +545,15 @@
     """List the latest state of all scopes whose objects entries exchange."""
     _update_object_set(board, behind_since=0.0)
     store = board.settings.store
-    fields = {"scopes": [s for s in store.scopes if s not in store.slow_scopes]}
+    scopes = [scope for scope in store.scopes if scope not in store.slow_scopes]
+    lists = [
+        actions.ListObjects(CATCH_UP_OPERATION, scope, may_be_stale=False)
+        for scope in scopes
+    ]
+    fields = {"scopes": scopes}
     return (
         actions.Log("info", "reading the latest state of the store", fields),
-        *(
-            actions.ListObjects(CATCH_UP_OPERATION, scope, may_be_stale=False)
-            for scope in fields["scopes"]
-        ),
+        *lists,
     )
 
 
--- a/src/carawayhitch/controllers/_drain_waits.py
+++ b/src/carawayhitch/controllers/_drain_waits.py
@@ -24,8 +24,8 @@
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 DEVIATION_COUNT = 4.0
-# Time in which a refusal reaches its caller before the process exits.
-REFUSAL_SECONDS = 0.2
+# Time in which the last answers reach their callers.
+LAST_ANSWERS_SECONDS = 0.2
 # Another entry can take the request at once: the fleet need not be overloaded.
 DRAIN_RETRY_AFTER_SECONDS = 0.1
 
@@ -50,7 +50,7 @@
         return row.deadline
     # The rest of a stream that has begun takes an unknown part of the usual time.
     seconds = 0.0 if row.response_started else _expected_seconds(board, row.binding)
-    reserved = max(seconds, REFUSAL_SECONDS)
+    reserved = max(seconds, LAST_ANSWERS_SECONDS)
     return min(row.deadline, board.lifecycle.deadline - reserved)
 
 
@@ -89,8 +89,6 @@
     event: events.LifecycleChanged, board: Board, now: float, random: Random
 ) -> Actions:
     """Set the end of the waits of all requests when a drain begins."""
-    if board.lifecycle.state not in DRAINING_STATES:
-        return ()
     return [
         timer
         for row in board.requests_by_id.values()
@@ -104,9 +102,7 @@
     event: events.RequestAdmitted, board: Board, now: float, random: Random
 ) -> Actions:
     row = board.requests_by_id.get(event.request_id)
-    if row is None or board.lifecycle.state not in DRAINING_STATES:
-        return ()
-    return _wait_timers(board, row)
+    return _wait_timers(board, row) if row is not None else ()
 
 
 def _wait_timers(board: Board, row: rows.RequestRow) -> Actions:
--- a/src/carawayhitch/controllers/_lifecycle.py
+++ b/src/carawayhitch/controllers/_lifecycle.py
@@ -9,6 +9,8 @@
 from carawayhitch.controllers._drain_waits import (
     DRAIN_LIMIT_TIMER,
     DRAIN_RETRY_AFTER_SECONDS,
+    DRAINING_STATES,
+    LAST_ANSWERS_SECONDS,
     WAITING_PHASES,
 )
 from carawayhitch.controllers._placement import end_request
@@ -18,8 +20,6 @@
 DRAIN_JOURNAL_TIMER = "drain_journal"
 DRAIN_CHANGES_TIMER = "drain_changes"
 CHANGES_CHECK_SECONDS = 0.1
-# Time in which the last answers reach their callers after the drain has ended.
-LAST_ANSWERS_SECONDS = 0.2
 
 decide = new_controller()
 
@@ -62,9 +62,7 @@
         # An expired deadline keeps the shutdown from waiting.
         board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(deadline=now)
         return _stop_process(board)
-    if lifecycle.state == "stopped":
-        return ()
-    if lifecycle.state in ("draining", "refusing"):
+    if lifecycle.state in (*DRAINING_STATES, "stopped"):
         return ()
     drain = board.settings.drain
     board.lifecycle_by_node_id[board.node_id] = lifecycle._replace(
--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -8,6 +8,7 @@
 from carawayhitch.controllers._configuration import format_object_set_digest
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._crash_records import merge_crashes
+from carawayhitch.controllers._drain_waits import DRAINING_STATES
 from carawayhitch.controllers._member_table import (
     FULL_ROW_UNITS,
     SUSPICION_TIMER,
@@ -54,7 +55,7 @@
     lifecycle = board.lifecycle.state
     if lifecycle == "stopped":
         return "left"
-    if lifecycle in ("draining", "refusing"):
+    if lifecycle in DRAINING_STATES:
         return "leaving"
     # A node without cells does not schedule yet; it would refuse every request for
     # admission.
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -20,8 +20,14 @@
 
 def is_stopping_for_move(board: Board, row: rows.RequestRow) -> bool:
     """Return whether the stream at the source ends because its generation moves."""
-    move = board.moves_by_request_id.get(row.request_id)
-    return move is not None and move.phase == "stopping" and move.attempt == row.attempt
+    return _stopping_move(board, row.request_id, row.attempt) is not None
+
+
+def _stopping_move(board: Board, request_id: str, attempt: int) -> rows.MoveRow | None:
+    move = board.moves_by_request_id.get(request_id)
+    if move is None or move.phase != "stopping" or move.attempt != attempt:
+        return None
+    return move
 
 
 def open_upstream(
@@ -172,8 +178,8 @@
     random: Random,
 ) -> Actions:
     """Record the end of a stream that is being stopped until its copy is known."""
-    move = board.moves_by_request_id.get(event.request_id)
-    if move is None or move.phase != "stopping" or move.attempt != event.attempt:
+    move = _stopping_move(board, event.request_id, event.attempt)
+    if move is None:
         return ()
     is_closed = isinstance(event, events.StreamEnded)
     board.moves_by_request_id[event.request_id] = move._replace(
@@ -240,7 +246,7 @@
         attempt=continued.attempt, phase="opening", handle=event.handle
     )
     code = result_codes.RETRY_MOVED if copied else result_codes.MOVE_FAILED
-    # The check of the attempt before ends with it.
+    # The check of the previous attempt ends with that attempt.
     check = events.StallCheck(row.request_id, continued.attempt)
     check_at = now + board.settings.streams.stall_timeout_seconds
     return (
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -228,7 +228,11 @@
         return []
     if not (known.is_listed or is_announced_leaving(board, upstream_id)):
         return []
-    return [messages.LeavingSeen(board.node_id, upstream_id, known.started_at)]
+    return [_leaving_notice(board, known)]
+
+
+def _leaving_notice(board: Board, known: rows.UpstreamRow) -> messages.LeavingSeen:
+    return messages.LeavingSeen(board.node_id, known.upstream_id, known.started_at)
 
 
 @decide.register(events.LeavingAnnounced)
@@ -239,12 +243,9 @@
     if known is None or is_announced_leaving(board, event.upstream_id):
         return ()
     decided = _mark_announced_leaving(board, known, now)
-    notices = [
-        actions.Send(node_id, notice)
-        for node_id in other_schedulers(board, event.upstream_id)
-        for notice in leaving_notices(board, event.upstream_id)
-    ]
-    return (*decided, *notices)
+    notice = _leaving_notice(board, known)
+    schedulers = other_schedulers(board, event.upstream_id)
+    return (*decided, *(actions.Send(node_id, notice) for node_id in schedulers))
 
 
 def _delete_expired_announcements(board: Board, now: float) -> None:
