--- a/fakes/platform_store.py
+++ b/fakes/platform_store.py
@@ -143,22 +143,18 @@
             for (object_kind, name), stored in self.objects_by_key.items()
             if object_kind == kind
         }
-        unseen = {
-            c.name
-            for c in self.history
-            if c.kind == kind and c.changed_at > known_until
-        }
+        changes = [change for change in self.history if change.kind == kind]
+        unseen = {c.name for c in changes if c.changed_at > known_until}
+        if not unseen:
+            return objects
         for name in unseen:
             objects.pop(name, None)
-        for change in self.history:
-            if (
-                change.kind == kind
-                and change.name in unseen
-                and change.changed_at <= known_until
-            ):
-                objects.pop(change.name, None)
-                if not change.deleted:
-                    objects[change.name] = change.stored
+        for change in changes:
+            if change.name not in unseen or change.changed_at > known_until:
+                continue
+            objects.pop(change.name, None)
+            if not change.deleted:
+                objects[change.name] = change.stored
         return objects
 
     async def list_or_watch(self, request: web.Request) -> web.Response:
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -6,7 +6,6 @@
 from random import Random
 
 from carawayhitch import controllers
-from carawayhitch.board import new_board
 from carawayhitch.controllers import _store_watch
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
@@ -303,28 +302,18 @@
         store = self.board.settings.store._replace(
             stale_watches=True, stale_scopes=("entries",), watchers_per_zone=1
         )
-        self.board.settings_by_name["in_force"] = self.board.settings._replace(
-            store=store
-        )
-        self.listed()
-        for name in ("n2", "n3", "n4"):
-            self.board.members_by_id[name] = rows.MemberRow(
-                name, 1, "alive", "127.0.0.1", 1, 2, "a", "r1"
-            )
+        names = ("n1", "n2", "n3", "n4")
         exact = []
-        for node_id in ("node-1", "n2", "n3", "n4"):
-            node = self.board.settings.node._replace(id=node_id)
-            other = new_board(self.board.settings._replace(node=node), 1)
-            other.members_by_id.update(self.board.members_by_id)
-            other.members_by_id.pop(node_id, None)
-            if node_id != "node-1":
-                other.members_by_id["node-1"] = rows.MemberRow(
-                    "node-1", 1, "alive", "127.0.0.1", 1, 2, "a", "r1"
-                )
-            other.store_scopes_by_name.update(self.board.store_scopes_by_name)
-            self.board, watched = other, self.board
-            exact += [node_id] if not self.next_call().may_be_stale else []
-            self.board = watched
+        for own_name in names:
+            self.board = ready_board(own_name, store=store)
+            for name in names:
+                if name != own_name:
+                    self.board.members_by_id[name] = rows.MemberRow(
+                        name, 1, "alive", "127.0.0.1", 1, 2, "a", "r1"
+                    )
+            self.listed()
+            if not self.next_call().may_be_stale:
+                exact.append(own_name)
         self.assertEqual(len(exact), 1)
 
     def test_stale_answer_reverts_nothing(self):
--- a/tests/test_stop_under_load.py
+++ b/tests/test_stop_under_load.py
@@ -118,6 +118,15 @@
         ).encode()
 
 
+def passed_on_ids(fleet, servers):
+    """Return the ids of the requests that some servers began to run."""
+    return {
+        seen["headers"]["carawayhitch-request-id"]
+        for server in servers
+        for seen in fleet.server_call_record(server)["seen"]
+    }
+
+
 class StopUnderLoadTest(unittest.TestCase):
     def setUp(self):
         self.fleet = PlatformFleet()
@@ -129,11 +138,7 @@
         self.fleet.start_gateway("entry-1")
 
     def passed_on(self):
-        return {
-            seen["headers"]["carawayhitch-request-id"]
-            for index in range(4)
-            for seen in self.fleet.server_call_record(f"plain-{index}")["seen"]
-        }
+        return passed_on_ids(self.fleet, [f"plain-{index}" for index in range(4)])
 
     async def stop_under_load(self, callers):
         running = asyncio.ensure_future(callers.run())
@@ -236,10 +241,7 @@
             await running
 
         asyncio.run(play())
-        passed_on = {
-            seen["headers"]["carawayhitch-request-id"]
-            for seen in self.fleet.server_call_record("plain-1")["seen"]
-        }
+        passed_on = passed_on_ids(self.fleet, ["plain-1"])
         unanswered = [sent for sent in callers.sent if not sent.status]
         self.assertGreater(len(callers.sent), 40)
         self.assertEqual([s for s in unanswered if s.request_id in passed_on], [])
