Repeat an order to move a generation as it was sent

A scheduler sent the order to move a generation off a leaving engine once.

The evacuation now keeps the order itself. An entry that has completed the move answers the repetition with its report instead of "gone", because the first report may be the datagram that was lost; otherwise the scheduler would count the generation at the source.

--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -205,19 +205,31 @@
     if now >= evacuation.deadline:
         # The row stays until the engine is removed, so that no move is ordered again.
         board.evacuations_by_upstream_id[event.subject] = evacuation._replace(
-            moving_request_id=""
+            pending_order=None
         )
         running_count = len(board.grant_ids_by_upstream_id.get(event.subject, ()))
         fields = {"upstream": event.subject, "running": running_count}
         return (actions.Log("info", "evacuation ends", fields),)
-    decided: Actions = ()
-    if evacuation.moving_request_id and now >= evacuation.order_deadline:
-        decided = _end_unsuccessful_order(board, evacuation, retry_later=False, now=now)
-    elif not evacuation.moving_request_id:
+    decided: Actions
+    order = evacuation.pending_order
+    if order is None:
         decided = _order_next_move(board, event.subject, now)
+    elif now >= evacuation.order_deadline:
+        decided = _end_unsuccessful_order(board, evacuation, retry_later=False, now=now)
+    else:
+        decided = _repeat_order(board, order)
     return (*decided, _set_check_timer(event.subject, now))
 
 
+def _repeat_order(board: Board, order: messages.MoveOrder) -> Actions:
+    """Repeat an order whose report is due, because its datagram may be lost.
+
+    An entry ignores the repetition of an order that it carries out.
+    """
+    grant = board.grants_by_request_id.get(order.request_id)
+    return (actions.Send(grant.entry_id, order),) if grant is not None else ()
+
+
 def _order_next_move(board: Board, upstream_id: str, now: float) -> Actions:
     evacuation = board.evacuations_by_upstream_id[upstream_id]
     chosen = _choose_move(board, evacuation, now)
@@ -226,13 +238,6 @@
     grant, target = chosen.grant, chosen.target
     # The move occupies memory and a slot at the target from the first copy on.
     _reassign_grant(board, grant, target.upstream_id, now)
-    board.evacuations_by_upstream_id[upstream_id] = evacuation._replace(
-        moving_request_id=grant.request_id,
-        order_deadline=now
-        + chosen.seconds
-        + MOVE_OVERHEAD_SECONDS
-        + MOVE_REPORT_TOLERANCE_SECONDS,
-    )
     order = messages.MoveOrder(
         board.node_id,
         grant.request_id,
@@ -243,6 +248,13 @@
         target.address,
         evacuation.deadline,
     )
+    board.evacuations_by_upstream_id[upstream_id] = evacuation._replace(
+        pending_order=order,
+        order_deadline=now
+        + chosen.seconds
+        + MOVE_OVERHEAD_SECONDS
+        + MOVE_REPORT_TOLERANCE_SECONDS,
+    )
     fields = {
         "request_id": grant.request_id,
         "upstream": upstream_id,
@@ -371,7 +383,8 @@
         (
             row
             for row in board.evacuations_by_upstream_id.values()
-            if row.moving_request_id == event.request_id
+            if row.pending_order is not None
+            and row.pending_order.request_id == event.request_id
         ),
         None,
     )
@@ -385,9 +398,7 @@
     if evacuation is None:
         return ()
     if event.outcome == "moved":
-        return _mark_tried_and_order_next(
-            board, evacuation, evacuation.moving_request_id, now
-        )
+        return _mark_tried_and_order_next(board, evacuation, event.request_id, now)
     retry_later = event.outcome == "not_started"
     if event.outcome == "failed" and grant is not None:
         board.grants_by_request_id[event.request_id] = grant._replace(
@@ -400,14 +411,15 @@
     board: Board, evacuation: rows.EvacuationRow, retry_later: bool, now: float
 ) -> Actions:
     """End an order without a move; the generation still runs at the source."""
-    request_id = evacuation.moving_request_id
+    assert evacuation.pending_order is not None
+    request_id = evacuation.pending_order.request_id
     grant = board.grants_by_request_id.get(request_id)
     if grant is not None and grant.upstream_id != evacuation.upstream_id:
         _reassign_grant(board, grant, evacuation.upstream_id, now)
     if retry_later:
         # The check timer considers the generation again, after the others.
         board.evacuations_by_upstream_id[evacuation.upstream_id] = evacuation._replace(
-            moving_request_id=""
+            pending_order=None
         )
         return ()
     return _mark_tried_and_order_next(board, evacuation, request_id, now)
@@ -417,7 +429,7 @@
     board: Board, evacuation: rows.EvacuationRow, tried_id: str, now: float
 ) -> Actions:
     board.evacuations_by_upstream_id[evacuation.upstream_id] = evacuation._replace(
-        moving_request_id="",
+        pending_order=None,
         attempted_request_ids=(*evacuation.attempted_request_ids, tried_id),
     )
     return _order_next_move(board, evacuation.upstream_id, now)
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -101,6 +101,9 @@
     if event.request_id in board.moves_by_request_id:
         # The order is a repetition; the report of the running move answers it.
         return ()
+    if row is not None and _was_moved(row, event):
+        # The report of the completed move may be lost.
+        return (_send_report(board, move, row.attempt, "moved"),)
     if (
         row is None
         or upstream is None
@@ -121,6 +124,11 @@
     return (_copy_memory(move, is_final=False),)
 
 
+def _was_moved(row: rows.RequestRow, order: messages.MoveOrder) -> bool:
+    """Return whether an order was carried out and its generation runs at the target."""
+    return row.upstream_id == order.target_id and row.attempt == order.attempt + 1
+
+
 def _copy_memory(move: rows.MoveRow, is_final: bool) -> actions.CopyMemory:
     return actions.CopyMemory(
         move.request_id,
--- a/src/carawayhitch/core/_scheduling_rows.py
+++ b/src/carawayhitch/core/_scheduling_rows.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from carawayhitch.core._messages import MoveOrder
 
 
 class AskRow(NamedTuple):
@@ -115,8 +118,9 @@
     ----------
     deadline : float
         Time at which the engine shuts down (seconds of the node clock).
-    moving_request_id : str
-        Request whose generation is being moved; empty if there is none.
+    pending_order : MoveOrder or None
+        Order whose report is due. It is kept as sent, because reports of progress may
+        set the grant back to the leaving engine meanwhile.
     order_deadline : float
         Time after which the move order is considered lost.
     attempted_request_ids : tuple of str
@@ -126,7 +130,7 @@
     upstream_id: str
     cell_id: str
     deadline: float
-    moving_request_id: str = ""
+    pending_order: MoveOrder | None = None
     order_deadline: float = 0.0
     attempted_request_ids: tuple[str, ...] = ()
 
--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -230,6 +230,19 @@
         found = feed(board, timer, NOW + _evacuation.EVACUATION_CHECK_INTERVAL_SECONDS)
         self.assertEqual(sent(found, messages.MoveOrder), ordered)
 
+    def test_repeated_order_keeps_its_target(self):
+        """Guards against an order to move a generation to the engine that leaves."""
+        board = evacuation_board(engine_count=2)
+        source = start_generation(board, "first")
+        ordered = sent(announce_leaving(board, source), messages.MoveOrder)
+        # A report from before the order sets the grant back to the leaving engine.
+        feed(board, running_on(source, "first"), NOW + 0.05)
+        self.assertEqual(board.grants_by_request_id["first"].upstream_id, source)
+        timer = events.TimerFired(_evacuation.EVACUATION_TIMER, source)
+        self.assertEqual(
+            sent(feed(board, timer, NOW + 0.1), messages.MoveOrder), ordered
+        )
+
     def test_deadline_is_read_from_a_report_after_the_notice(self):
         """Guards against a deadline taken from a load report before the notice."""
         board = evacuation_board(engine_count=2)
--- a/tests/controllers/test_moves.py
+++ b/tests/controllers/test_moves.py
@@ -112,6 +112,16 @@
         feed(board, ORDER)
         self.assertEqual(feed(board, ORDER), [])
 
+    def test_repeated_order_of_a_completed_move_is_reported_again(self):
+        """Guards against a scheduler that counts a moved generation at the source."""
+        board = relaying_board()
+        for event in (ORDER, copied(False), copied(True)):
+            feed(board, event)
+        feed(board, events.ChunkReceived("r1", 2, 8, 8, b"x"))
+        decided = feed(board, ORDER)
+        self.assertFalse(of_type(decided, actions.CopyMemory))
+        self.assertEqual(reports(decided), ["moved"])
+
     def test_failed_first_copy_does_not_interrupt_the_stream(self):
         """Guards against a stream that is stopped although no copy exists."""
         for outcome, reported in (("refused", "failed"), ("gone", "gone")):
