Limit requests to cold upstreams to a share of their bound

Cause: the platform bounds the requests that a cold server gets in one second over all entries, and the server crashes well above that rate.

Each possible scheduler of a cell has its own share of the bound, a half, a quarter and an eighth in failover order, so that a lost or a second scheduler needs no message. Entries that choose plain servers by themselves divide half of the bound among them. A grant counts until its request can no longer arrive. Servers count as cold by registration, report, answer, restart, outage or an old report, never longer than the declared warm-up. Off unless the settings and the declaration ask for it.

Ruled out: a token bucket, a shared count, a limit at warm servers too (docs/design/cold-servers.md).

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -73,6 +73,9 @@
     retry_budgets_by_group: dict[str, rows.RetryBudgetRow]
     leases_by_group: dict[str, rows.LeaseRow]
     engine_states_by_upstream_id: dict[str, rows.EngineStateRow]
+    cold_starts_by_upstream_id: dict[str, rows.ColdStartRow]
+    cold_grant_deadlines_by_upstream_id: dict[str, tuple[float, ...]]
+    cold_shares_by_upstream_id: dict[str, rows.SchedulerShareRow | rows.EntryShareRow]
 
     @property
     def settings(self) -> settings_types.Settings:
@@ -183,4 +186,7 @@
         retry_budgets_by_group={},
         leases_by_group={},
         engine_states_by_upstream_id={},
+        cold_starts_by_upstream_id={},
+        cold_grant_deadlines_by_upstream_id={},
+        cold_shares_by_upstream_id={},
     )
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -37,6 +37,7 @@
     _streams,
     _suspects,
     _upstreams,
+    cold_start,
 )
 from carawayhitch.controllers._admission import find_refusal
 from carawayhitch.controllers._chain import run_chain
@@ -88,6 +89,7 @@
     _changes.decide,
     _upstreams.decide,
     _backoffs.decide,
+    cold_start.decide,
     _health.decide,
     _leases.decide,
     _orders.decide,
--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -15,7 +15,7 @@
 from typing import NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _lengths, _memory, _rebuild
+from carawayhitch.controllers import _lengths, _memory, _rebuild, cold_start
 from carawayhitch.controllers._backoffs import load_polls
 from carawayhitch.controllers._cells import engine_capacity
 from carawayhitch.controllers._controller import Actions, new_controller
@@ -226,6 +226,7 @@
     grant, target = chosen.grant, chosen.target
     # The move occupies memory and a slot at the target from the first copy on.
     _reassign_grant(board, grant, target.upstream_id, now)
+    cold_start.record_grant(board, target.upstream_id, now)
     board.evacuations_by_upstream_id[upstream_id] = evacuation._replace(
         moving_request_id=grant.request_id,
         order_deadline=now
@@ -347,6 +348,7 @@
         and upstream_id != source.upstream_id
         and is_usable(board, upstream, now)
         and has_slot(board, upstream, 1.0)
+        and cold_start.has_room(board, upstream_id, now)
         and _memory.peak_with(board, upstream_id, memory)
         + _memory.ledger(board, upstream_id).unattributed_tokens
         <= _memory.memory_limit(board, upstream, now)
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -13,6 +13,7 @@
     _prefill,
     _queue,
     _rebuild,
+    cold_start,
 )
 from carawayhitch.controllers._call_logs import build_ask_log
 from carawayhitch.controllers._controller import Actions, new_controller
@@ -321,6 +322,7 @@
     _queue.remove_ask(board, ask.request_id)
     _fairness.charge_tokens(board, grant, grant.prompt_tokens, now, grants=1)
     _affinity.record_cached_blocks(board, upstream_id, ask.prefix_blocks)
+    cold_start.record_grant(board, upstream_id, now)
     return [logged, *_grant_messages(board, grant)]
 
 
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -5,7 +5,13 @@
 from typing import Any, Literal, NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _affinity, _memory, _prefill, _suspects
+from carawayhitch.controllers import (
+    _affinity,
+    _memory,
+    _prefill,
+    _suspects,
+    cold_start,
+)
 from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._cells import rendezvous_score
 from carawayhitch.controllers._health import is_ejected
@@ -135,6 +141,8 @@
     """Return whether slots and predicted memory allow one more request."""
     if not has_slot(board, upstream, requirement.share):
         return False
+    if not cold_start.has_room(board, upstream.upstream_id, now):
+        return False
     if upstream.kind != "engine":
         return True
     if requirement.settling and (not upstream.reported_at or upstream.waiting_count):
--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -57,6 +57,10 @@
         Whether the scheduler of the cell chooses upstreams for all entries, or each
         entry for its own calls. The latter suits plain services that run far below
         their capacity, because a call needs no message to another entry.
+    warm_up_seconds : float
+        Longest time for which an upstream is cold after it has started.
+    cold_requests_per_second : float
+        Rate that a cold upstream tolerates; 0 if it tolerates any rate.
     """
 
     name: str
@@ -64,6 +68,8 @@
     model: str = ""
     engine: EngineCapacity | None = None
     scheduler: Literal["cell", "entry"] = "cell"
+    warm_up_seconds: Annotated[float, Meta(ge=0)] = 0.0
+    cold_requests_per_second: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class RankClass(NamedTuple):
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -75,6 +75,7 @@
 from carawayhitch.core._upstream_events import (
     BackoffRequested,
     CacheChanged,
+    ColdAnnounced,
     EngineStateRead,
     LeavingAnnounced,
     ListeningChecked,
@@ -102,6 +103,7 @@
     "ChunkReceived",
     "ClaimGranted",
     "ClaimTimedOut",
+    "ColdAnnounced",
     "ConfigurationChanged",
     "DecodedObject",
     "EngineStateRead",
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -155,6 +155,10 @@
     affinity_bound : float
         Largest difference in load to the least loaded upstream at which the upstream
         with the longest cached prefix is still chosen.
+    cold_overage, cold_slack : float
+        In any second, all entries together may send a cold upstream its declared rate
+        times the overage plus the slack. With an overage of 0, requests to cold
+        upstreams are not limited.
     """
 
     cell_size: Annotated[int, Meta(ge=1)] = 12
@@ -172,6 +176,8 @@
     prefill_limit_seconds: PositiveSeconds = 0.4
     cache_events: bool = True
     affinity_bound: UnitFraction = 0.1
+    cold_overage: Annotated[float, Meta(ge=0)] = 0.0
+    cold_slack: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class StreamSettings(NamedTuple):
--- a/src/carawayhitch/core/_upstream_events.py
+++ b/src/carawayhitch/core/_upstream_events.py
@@ -22,6 +22,8 @@
         successive upstreams with the same id; 0 if not listed.
     http_port : int
         Port of an entry's HTTP interface; 0 for upstreams.
+    cold_left_seconds : float
+        Time for which the upstream was still cold when it wrote its registration.
     """
 
     vm_id: str
@@ -34,6 +36,7 @@
     running_limit: int = 0
     started_at: int = 0
     http_port: int = 0
+    cold_left_seconds: float = 0.0
 
 
 class VmListReceived(NamedTuple):
@@ -68,6 +71,9 @@
         Start of the engine as recorded in its registration; 0 if not reported.
     leaves_at : float
         Time at which the engine shuts down (seconds of the node clock); 0 if unknown.
+    cold_until : float
+        Time until which the engine says it is cold (seconds of the node clock); 0 if
+        it does not say so.
     """
 
     upstream_id: str
@@ -84,6 +90,7 @@
     polled_at: float = 0.0
     incarnation: int = 0
     leaves_at: float = 0.0
+    cold_until: float = 0.0
 
 
 class LoadUnavailable(NamedTuple):
@@ -113,6 +120,13 @@
     upstream_id: str
 
 
+class ColdAnnounced(NamedTuple):
+    """An upstream announced in an answer until when it is cold."""
+
+    upstream_id: str
+    cold_until: float
+
+
 class BackoffRequested(NamedTuple):
     """An upstream refused a call and wants no further ones for some time.
 
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -76,6 +76,62 @@
     deadline: float
 
 
+class ColdStartRow(NamedTuple):
+    """When an upstream is cold, if its serving group limits the rate while it is.
+
+    Parameters
+    ----------
+    address, started_at : str and int
+        The newest known instance of the upstream.
+    cold_until : float
+        Time until which the upstream counts as cold (seconds of the node clock).
+    report_deadline : float
+        Time from which the last load report of an engine is too old to show that it
+        has not become cold since; 0 before the first report.
+    announced_seconds : float
+        Remaining time in the last registration that was taken into account; the same
+        registration is read many times.
+    """
+
+    upstream_id: str
+    address: str
+    started_at: int
+    cold_until: float
+    report_deadline: float = 0.0
+    announced_seconds: float = 0.0
+
+
+class SchedulerShareRow(NamedTuple):
+    """Share of a cold upstream that this node has as a possible scheduler of its cell.
+
+    Parameters
+    ----------
+    bound : int
+        Requests that all entries may send to the upstream within one second.
+    position : int
+        Position of this node among the possible schedulers, in failover order.
+    """
+
+    bound: int
+    position: int
+
+
+class EntryShareRow(NamedTuple):
+    """Share of a cold upstream that each entry chooses for its own calls.
+
+    Parameters
+    ----------
+    bound : int
+        Requests that all entries may send to the upstream within one second.
+    position, entry_count : int
+        Position of this node among the entries, and their number.
+    """
+
+    bound: int
+    position: int
+    entry_count: int
+
+
 class HealthRow(NamedTuple):
     """Failures of an upstream observed by any entry, and its ejections.
 
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.exposition import generate_latest
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import cold_start
 from carawayhitch.node._logs import process_log_output
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0, 300.0)
@@ -27,6 +28,7 @@
     configuration_age: Gauge
     store_contact_age: Gauge
     upstreams: Gauge
+    cold_upstreams: Gauge
     members: Gauge
     peer_messages: Counter
     peer_bytes: Counter
@@ -96,6 +98,13 @@
             ["state"],
             registry=registry,
         ),
+        cold_upstreams=Gauge(
+            "carawayhitch_cold_upstreams",
+            "Cold upstreams in cells scheduled here, by whether they have room for a"
+            " request (free, used_up).",
+            ["room"],
+            registry=registry,
+        ),
         members=Gauge(
             "carawayhitch_members",
             "Entries by membership state.",
@@ -132,6 +141,8 @@
     for upstream in board.upstreams_by_id.values():
         state = "usable" if upstream.accepts_new_requests(now) else "unusable"
         metrics.upstreams.labels(state).inc()
+    for room, count in cold_start.count_cold_upstreams(board, now).items():
+        metrics.cold_upstreams.labels(room).set(count)
     for reason, count in process_log_output().dropped_by_reason.items():
         metrics.dropped_log_lines.labels(reason).set(count)
     metrics.members.clear()
--- a/src/carawayhitch/platform/_declarations.py
+++ b/src/carawayhitch/platform/_declarations.py
@@ -70,6 +70,8 @@
 
     name: str
     engine: NotRequired[EngineBody | None]
+    warmupS: NotRequired[_names.Count | None]
+    coldPerS: NotRequired[_names.Count | None]
 
 
 class LimitsBody(TypedDict):
@@ -248,6 +250,8 @@
         selector={declarations.SERVICE_LABEL: body["name"]},
         engine=capacity,
         scheduler="cell" if capacity else "entry",
+        warm_up_seconds=body.get("warmupS") or 0.0,
+        cold_requests_per_second=body.get("coldPerS") or 0.0,
     )
 
 
@@ -313,6 +317,7 @@
         leaving=body["state"] == _names.DRAINING,
         running_limit=int(body.get("slots", 0)),
         started_at=body.get("born", 0),
+        cold_left_seconds=max(0.0, body.get("coldLeftMs", 0.0)) / 1000.0,
     )
 
 
--- a/src/carawayhitch/platform/_engines.py
+++ b/src/carawayhitch/platform/_engines.py
@@ -34,6 +34,7 @@
     state: NotRequired[str]
     # Time until the engine stops, in milliseconds.
     leaves_ms: NotRequired[_names.Milliseconds | None]
+    coldLeftMs: NotRequired[_names.Milliseconds | None]
     runs: NotRequired[list[Any]]
 
 
@@ -49,6 +50,7 @@
         async with session.get(url, timeout=REPORT_TIMEOUT) as response:
             response.raise_for_status()
             announces_leaving = _notices.announces_leaving(response)
+            cold_seconds = _notices.announced_cold_seconds(response)
             body = _report_decoder.decode(
                 await read_limited(response, BODY_BYTES_LIMIT)
             )
@@ -74,6 +76,7 @@
         polled_at=now,
         incarnation=body.get("born", 0),
         leaves_at=_stop_time(body, now),
+        cold_until=_end_of_cold_time(body, cold_seconds, now),
     )
 
 
@@ -85,6 +88,16 @@
     return now - REPORT_LAG_SECONDS + leaves_ms / 1000.0
 
 
+def _end_of_cold_time(body: ReportBody, header_seconds: float, now: float) -> float:
+    """Return the end of the time for which the engine is cold; 0 if it is not.
+
+    The header is as old as the response, the body as old as the other values.
+    """
+    body_seconds = (body.get("coldLeftMs") or 0.0) / 1000.0 - REPORT_LAG_SECONDS
+    cold_seconds = max(header_seconds, body_seconds)
+    return now + cold_seconds if cold_seconds > 0 else 0.0
+
+
 class MoveResponseBody(TypedDict):
     """Response to a move request.
 
--- a/src/carawayhitch/platform/_names.py
+++ b/src/carawayhitch/platform/_names.py
@@ -25,6 +25,8 @@
 NOT_EXECUTED = "Carawayhitch-Not-Executed"
 # Value "1" in all answers of an upstream that is leaving.
 LEAVING = "Server-Leaving"
+# Time in milliseconds for which an upstream remains cold.
+COLD = "Carawayhitch-Cold-Ms"
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_COUNT = "Carawayhitch-Token-Count"
 PROMPT_PARTS = "Carawayhitch-Prompt-Prefix"
--- a/src/carawayhitch/platform/_notices.py
+++ b/src/carawayhitch/platform/_notices.py
@@ -9,8 +9,8 @@
 from carawayhitch.core import events
 from carawayhitch.platform import _names
 
-# Seconds, also fractions of them.
-SECONDS_PATTERN = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?", re.ASCII)
+# Seconds or milliseconds, also fractions of them.
+TIME_PATTERN = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?", re.ASCII)
 
 
 def announces_leaving(response: aiohttp.ClientResponse) -> bool:
@@ -31,6 +31,12 @@
     text = response.headers.get(_names.RETRY_AFTER, "").strip()
     if response.status != _names.UNAVAILABLE_STATUS:
         return None
-    if not SECONDS_PATTERN.fullmatch(text):
+    if not TIME_PATTERN.fullmatch(text):
         return None
     return events.BackoffRequested(upstream_id, now + float(text))
+
+
+def announced_cold_seconds(response: aiohttp.ClientResponse) -> float:
+    """Return the time for which the upstream is still cold; 0 if it names none."""
+    text = response.headers.get(_names.COLD, "").strip()
+    return float(text) / 1000.0 if TIME_PATTERN.fullmatch(text) else 0.0
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -95,6 +95,9 @@
     """Submit what an upstream says about itself beside its answer."""
     if _notices.announces_leaving(response):
         call.submit(events.LeavingAnnounced(upstream_id))
+    cold_seconds = _notices.announced_cold_seconds(response)
+    if cold_seconds:
+        call.submit(events.ColdAnnounced(upstream_id, now + cold_seconds))
     backoff = _notices.requested_backoff(response, upstream_id, now)
     if backoff is not None:
         call.submit(backoff)
--- a/tests/platform/test_declarations.py
+++ b/tests/platform/test_declarations.py
@@ -48,7 +48,13 @@
     "limits": {"headerBytes": 16000.5, "bodyBytes": 1e6, "idleTimeoutMs": 1500.5},
     "tenants": [{"name": "hotel", "apiKeys": ["key"], "priority": 1.5}],
 }
-REPORT = {"queued": 0.5, "active": 3.2, "kvUsed": 10.9, "kvTotal": 90000.1}
+REPORT = {
+    "coldLeftMs": 740.5,
+    "queued": 0.5,
+    "active": 3.2,
+    "kvUsed": 10.9,
+    "kvTotal": 90000.1,
+}
 
 
 def decode(kind, spec, name="u1"):
@@ -56,6 +62,26 @@
     return decode_object(stored, {"a": "r1"})
 
 
+class ColdTimeTest(unittest.TestCase):
+    def test_declared_rate_and_remaining_time(self):
+        """Guards against cold servers that are sent any rate of requests."""
+        service = {"name": "model", "warmupS": 1.5, "coldPerS": 22.5}
+        for body, expected in (
+            (service, (1.5, 22.5)),
+            ({"name": "model"}, (0.0, 0.0)),
+            ({**service, "warmupS": None, "coldPerS": None}, (0.0, 0.0)),
+        ):
+            spec = {**CONFIGURATION, "services": [body]}
+            decoded = decode(declarations.DECLARATION_SET, spec, "main")
+            group = decoded.declaration.declarations[1]
+            found = (group.warm_up_seconds, group.cold_requests_per_second)
+            self.assertEqual(found, expected)
+        for value, expected in ((740.5, 0.7405), (0, 0.0), (-5, 0.0)):
+            spec = {**REGISTRATION, "coldLeftMs": value}
+            decoded = decode(declarations.UPSTREAM_REGISTRATION, spec)
+            self.assertEqual(decoded.declaration.cold_left_seconds, expected)
+
+
 class FractionsTest(unittest.IsolatedAsyncioTestCase):
     """Guards against rejecting an object because a number in it is a fraction.
 
@@ -63,6 +89,8 @@
     whole.
     """
 
+    headers: dict[str, str] = {}
+
     def test_configuration_may_contain_fractions(self):
         decoded = decode(declarations.DECLARATION_SET, CONFIGURATION, "main")
         self.assertEqual(decoded.problem, "")
@@ -92,9 +120,17 @@
             )
         self.assertIsInstance(found, events.LoadReported)
         self.assertEqual((found.running_count, found.memory_used), (3, 10))
+        # Values in the body are half a second old; the header is not.
+        self.assertEqual(round(found.cold_until, 4), 9.2405)
+        self.headers = {"Carawayhitch-Cold-Ms": "900.5"}
+        async with aiohttp.ClientSession() as session:
+            found = await read_report(
+                session, "u1", f"{server.host}:{server.port}", 9.0
+            )
+        self.assertEqual(found.cold_until, 9.9005)
 
     async def answer(self):
-        return web.json_response(REPORT)
+        return web.json_response(REPORT, headers=self.headers)
 
 
 class OddRegistrationTest(unittest.TestCase):
--- a/tests/platform/test_routed_calls.py
+++ b/tests/platform/test_routed_calls.py
@@ -259,6 +259,18 @@
                 # The calls that follow this answer must see the announcement.
                 self.assertEqual(announced, found[: len(announced)])
 
+    async def test_announced_cold_time_is_reported(self):
+        """Guards against a full rate at a server that says that it is cold."""
+        head = b"HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS
+        cases = {b"740.5": True, b"0": False, b"-1": False, b"soon": False}
+        for value, expected in cases.items():
+            header = b"Carawayhitch-Cold-Ms: " + value + b"\r\n"
+            with self.subTest(value):
+                answer = head + header + b"Content-Length: 0\r\n\r\n"
+                found = await Upstream(answer).call()
+                announced = [e for e in found if isinstance(e, events.ColdAnnounced)]
+                self.assertEqual(len(announced), expected)
+
     async def test_named_time_without_calls_is_reported(self):
         """Guards against calls within the time that a refusal names."""
         length = b"Content-Length: 0\r\n\r\n"
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -70,6 +70,14 @@
         self.assertEqual(self.settings.store.url, "http://10.200.1.7:8742")
         self.assertEqual(self.settings.retries.fleet_limit, 113)
 
+    def test_cold_servers_are_limited_where_a_bound_says_so(self):
+        """Guards against a limit on deployments without the bound, or without it."""
+        self.assertEqual(self.settings.scheduling.cold_overage, 0.0)
+        bounds = {**TEMPLATE_FIELDS["bounds"], "coldOverage": 1.5, "coldSlack": 0}
+        settings = read_rendered_settings({**TEMPLATE_FIELDS, "bounds": bounds})
+        self.assertEqual(settings.scheduling.cold_overage, 1.5)
+        self.assertEqual(settings.scheduling.cold_slack, 0.0)
+
     def test_timeouts_are_within_platform_bounds(self):
         """Guards against timeouts too long to keep the bounds of the platform."""
         store, bounds = self.settings.store, TEMPLATE_FIELDS["bounds"]
