--- a/tests/controllers/test_cold_start.py
+++ b/tests/controllers/test_cold_start.py
@@ -16,6 +16,14 @@
     load,
     scheduling_board,
 )
+from tests.controllers.test_evacuation import (
+    NOW,
+    announce_leaving,
+    evacuation_board,
+    move_report,
+    orders,
+    running_on,
+)
 
 GROUP = "quotes"
 WARM_UP_SECONDS = 1.0
@@ -308,3 +316,27 @@
         self.entry.feed(events.VmListReceived((registration("engine-9"),)), now)
         self.assertEqual(list(self.board.cold_starts_by_upstream_id), ["engine-9"])
         self.assertEqual(self.board.cold_grant_deadlines_by_upstream_id, {})
+
+
+class MoveTest(unittest.TestCase):
+    def test_moves_count_at_a_cold_target(self):
+        """Guards against generations that are moved together to a cold engine."""
+        board = evacuation_board(engine_count=2)
+        scheduling = board.settings.scheduling._replace(cold_overage=1.0)
+        board.settings_by_name["in_force"] = board.settings._replace(
+            scheduling=scheduling
+        )
+        groups = board.configuration.serving_groups_by_name
+        groups[GROUP] = groups[GROUP]._replace(
+            warm_up_seconds=5.0, cold_requests_per_second=3.0
+        )
+        board.cold_starts_by_upstream_id["engine-1"] = rows.ColdStartRow(
+            "engine-1", "engine-1:1", 0, cold_until=NOW + 5.0
+        )
+        for request_id in ("doc-1", "doc-2"):
+            feed(board, running_on("engine-0", request_id), NOW - 0.1)
+        # The share of the scheduler is one request, of a bound of three.
+        ((moved_id, target_id),) = orders(announce_leaving(board, "engine-0"))
+        self.assertEqual(target_id, "engine-1")
+        report = move_report(moved_id, target_id, "moved")
+        self.assertEqual(orders(feed(board, report, NOW + 0.3)), [])
