Decide by price and share when calls leave their zone

Engines were chosen regardless of the zone of the entry that asks, and plain servers by a fixed preference for the own zone, however full it was. Bytes between zones were paid for nothing in the first case, and callers of a zone with too few servers waited while others were idle in the second.

With `locality.enabled`, the scheduler of a cell adds the price of leaving to the load of engines in other zones. Each entry derives the share of its calls to plain services that leaves from usable slots, entries and its own rate, which do not depend on where earlier calls went.

Ruled out: a comparison of answer times alone, by which all entries move to the same zone at once; shedding the excess over the own capacity, by which two full zones send to each other.

Off by default, and not set in deploy/settings.toml. Not measured over real processes yet.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -73,6 +73,8 @@
     retry_budgets_by_group: dict[str, rows.RetryBudgetRow]
     leases_by_group: dict[str, rows.LeaseRow]
     engine_states_by_upstream_id: dict[str, rows.EngineStateRow]
+    zone_demands_by_cell_id: dict[str, rows.ZoneDemandRow]
+    zone_reasons_by_request_id: dict[str, str]
 
     @property
     def settings(self) -> settings_types.Settings:
@@ -183,4 +185,6 @@
         retry_budgets_by_group={},
         leases_by_group={},
         engine_states_by_upstream_id={},
+        zone_demands_by_cell_id={},
+        zone_reasons_by_request_id={},
     )
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -37,6 +37,7 @@
     _streams,
     _suspects,
     _upstreams,
+    locality,
 )
 from carawayhitch.controllers._admission import find_refusal
 from carawayhitch.controllers._chain import run_chain
@@ -103,6 +104,7 @@
     _moves.decide,
     _bodies.decide,
     _streams.decide,
+    locality.decide,
     _admission.decide,
     _lifecycle.decide,
     _registration.decide,
--- a/src/carawayhitch/controllers/_call_logs.py
+++ b/src/carawayhitch/controllers/_call_logs.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import locality
 from carawayhitch.controllers._targets import admission_size
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
@@ -83,6 +84,13 @@
         fields["running"] = len(running)
         if upstream.reported_at:
             fields["report_age"] = round(now - upstream.reported_at, 3)
+        if board.settings.locality.enabled:
+            entry_zone = locality.find_entry_zone(board, ask.entry_id)
+            fields["zone"] = upstream.zone
+            fields["entry_zone"] = entry_zone
+            fields["zone_reason"] = locality.find_zone_reason(
+                board, ask.cell_id, entry_zone, upstream_id, now
+            )
     return actions.Log("info", "ask refused" if code else "ask granted", fields)
 
 
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -5,7 +5,7 @@
 from typing import Any, Literal, NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _affinity, _memory, _prefill, _suspects
+from carawayhitch.controllers import _affinity, _memory, _prefill, _suspects, locality
 from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._cells import rendezvous_score
 from carawayhitch.controllers._health import is_ejected
@@ -237,6 +237,8 @@
         / first_token_seconds
         for upstream in allowed
     }
+    if board.settings.locality.enabled:
+        return locality.order_upstreams(board, allowed, ask, loads, now)
     own_zone = board.settings.node.zone
     bound = min(loads.values(), default=0.0) + board.settings.scheduling.affinity_bound
 
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -429,6 +429,23 @@
     seconds: float
 
 
+class CountZoneCall(NamedTuple):
+    """Count a call and its bytes by pair of availability zones and reason.
+
+    Parameters
+    ----------
+    reason : {"own_zone", "none_usable", "less_wait", "unknown"}
+        Why the upstream is in this zone.
+    byte_count : float
+        Bytes of request and answer, estimated from the numbers of tokens.
+    """
+
+    entry_zone: str
+    upstream_zone: str
+    reason: str
+    byte_count: float
+
+
 class Log(NamedTuple):
     """Write one structured log line."""
 
@@ -494,6 +511,7 @@
     | AnswerExchange
     | AnswerChange
     | Count
+    | CountZoneCall
     | Observe
     | Log
     | OpenLog
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -69,6 +69,8 @@
     UnansweredRequestRow,
     UpstreamRow,
     VmKind,
+    ZoneAnswerTimeRow,
+    ZoneDemandRow,
 )
 
 __all__ = [
@@ -128,4 +130,6 @@
     "UnansweredRequestRow",
     "UpstreamRow",
     "VmKind",
+    "ZoneAnswerTimeRow",
+    "ZoneDemandRow",
 ]
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -289,6 +289,41 @@
     drain_settle_seconds: PositiveSeconds = 4.0
 
 
+class LocalitySettings(NamedTuple):
+    """When calls leave the availability zone of the entry that received them.
+
+    Parameters
+    ----------
+    enabled : bool
+        Whether the zone of an upstream counts as described in docs/design/locality.md.
+        If not, engines are chosen regardless of their zone, and a server of a plain
+        service in the entry's zone comes first among equally loaded ones.
+    round_trip_seconds : float
+        Time that a message takes to another zone and back.
+    seconds_per_megabyte : float
+        Longest additional wait that is accepted to keep one million bytes within the
+        zone; 0 if bytes between zones cost nothing. At 1, a call of 3,000 prompt tokens
+        and 1,760 answer tokens may wait 65 ms longer, about one occupied slot of 24 at
+        a first-token target of 1.8 s. Loads differ in steps of a slot, so much smaller
+        values change no choice of an engine.
+    prompt_token_bytes, answer_token_bytes : float
+        Bytes on the network for each token of a prompt and of an answer. The default
+        of an answer is an event of 120 bytes with four tokens.
+    call_bytes : float
+        Bytes of a call to a plain service and of its answer.
+    rate_window_seconds : float
+        Time over which an entry smooths its rate of calls to plain services.
+    """
+
+    enabled: bool = False
+    round_trip_seconds: Annotated[float, Meta(ge=0)] = 0.003
+    seconds_per_megabyte: Annotated[float, Meta(ge=0)] = 1.0
+    prompt_token_bytes: Annotated[float, Meta(ge=0)] = 4.0
+    answer_token_bytes: Annotated[float, Meta(ge=0)] = 30.0
+    call_bytes: Annotated[float, Meta(ge=0)] = 1500.0
+    rate_window_seconds: PositiveSeconds = 5.0
+
+
 class LogSettings(NamedTuple):
     """Structured logs and the trace of recorded events.
 
@@ -335,3 +370,4 @@
     logs: LogSettings = LogSettings()
     admin: AdminSettings = AdminSettings()
     gateway: GatewaySettings = GatewaySettings()
+    locality: LocalitySettings = LocalitySettings()
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -121,6 +121,41 @@
     deadline: float
 
 
+class ZoneAnswerTimeRow(NamedTuple):
+    """Smoothed answer time of a plain service's servers in one availability zone.
+
+    Parameters
+    ----------
+    seconds : float
+        Mean time from sending a call to the end of its answer.
+    updated_at : float
+        Time of the last answer (seconds of the node clock).
+    """
+
+    zone: str
+    seconds: float
+    updated_at: float
+
+
+class ZoneDemandRow(NamedTuple):
+    """Calls of this entry to a cell whose upstreams each entry chooses by itself.
+
+    Parameters
+    ----------
+    calls : float
+        Exponentially decayed number of granted calls as of ``updated_at``.
+    reference_seconds : float
+        Usual answer time, which follows a rising answer time only slowly; 0 if unknown.
+    answer_times : tuple of ZoneAnswerTimeRow
+        Answer times by zone, at most one for each zone.
+    """
+
+    calls: float = 0.0
+    updated_at: float = 0.0
+    reference_seconds: float = 0.0
+    answer_times: tuple[ZoneAnswerTimeRow, ...] = ()
+
+
 class LoadReconciliationRow(NamedTuple):
     """Reconciliation of an engine's load reports with this scheduler's grants.
 
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -30,6 +30,8 @@
     members: Gauge
     peer_messages: Counter
     peer_bytes: Counter
+    zone_calls: Counter
+    zone_bytes: Counter
 
 
 def new_metrics() -> Metrics:
@@ -114,6 +116,19 @@
             ["direction", "type"],
             registry=registry,
         ),
+        zone_calls=Counter(
+            "carawayhitch_zone_calls",
+            "Calls by zone of the entry and of the upstream, and by reason; only with"
+            " locality.enabled.",
+            ["entry_zone", "upstream_zone", "reason"],
+            registry=registry,
+        ),
+        zone_bytes=Counter(
+            "carawayhitch_zone_estimated_bytes",
+            "Bytes of these calls and their answers, estimated from token counts.",
+            ["entry_zone", "upstream_zone", "reason"],
+            registry=registry,
+        ),
     )
 
 
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -452,6 +452,13 @@
     stage.observe(action.seconds)
 
 
+@perform.register(actions.CountZoneCall)
+def _count_zone_call(action: actions.CountZoneCall, node: Node) -> None:
+    labels = (action.entry_zone, action.upstream_zone, action.reason)
+    node.metrics.zone_calls.labels(*labels).inc()
+    node.metrics.zone_bytes.labels(*labels).inc(action.byte_count)
+
+
 @perform.register(actions.Log)
 def _log(action: actions.Log, node: Node) -> None:
     getattr(node.log, action.level)(action.event, **action.fields)
