Compare answer times of zones with a slow mean, not a minimum

The usual answer time was the shortest mean seen lately, and the mean of a zone began with its first answer. A single short answer then made the own zone look slow: with all zones full, up to 0.45 of a zone's calls left in a span of 2 s, and a zone with 100 calls/s for 75 sent up to 0.7.

The usual time is now a mean over some hundred answers, and the mean of a zone starts there.

--- a/src/carawayhitch/controllers/locality/_demand.py
+++ b/src/carawayhitch/controllers/locality/_demand.py
@@ -15,10 +15,13 @@
 # Weight of an answer in the smoothed answer time of a zone. Single answer times vary by
 # half of their mean; the mean of about ten answers is steady enough for a share.
 ANSWER_WEIGHT = 0.1
-# Growth of the reference time with each answer while answers take longer. Servers that
-# become three times slower are noticed for some hundred calls, during which calls to
-# other zones show whether those are faster.
-REFERENCE_GROWTH = 1.005
+PRIOR_ANSWERS = 3
+# Weight of an answer in the usual answer time. Servers that become three times slower
+# stay above it for some fifty calls, during which calls to other zones show whether
+# those are faster.
+REFERENCE_WEIGHT = 0.01
+# Older answer times say nothing about a zone, because faults end within seconds.
+ANSWER_TIME_LIFETIME_SECONDS = 10.0
 
 decide = new_controller()
 
@@ -28,6 +31,17 @@
     return demand.calls * exp(-max(0.0, now - demand.updated_at) / window) / window
 
 
+def recent_answer_times(
+    demand: rows.ZoneDemandRow, now: float
+) -> dict[str, rows.ZoneAnswerTimeRow]:
+    """Return the answer times by zone that are not too old to count."""
+    return {
+        times.zone: times
+        for times in demand.answer_times
+        if now - times.updated_at <= ANSWER_TIME_LIFETIME_SECONDS
+    }
+
+
 @decide.register(events.UpstreamGranted)
 def _count_granted_call(
     event: events.UpstreamGranted, board: Board, now: float, random: Random
@@ -73,15 +87,22 @@
     if demand is None:
         return
     seconds = now - row.opened_at
-    known = next((times for times in demand.answer_times if times.zone == zone), None)
-    if known is not None:
-        seconds = known.seconds + ANSWER_WEIGHT * (seconds - known.seconds)
-    reference = demand.reference_seconds * REFERENCE_GROWTH
+    # A single answer says little about a zone. Its mean therefore starts at the usual
+    # time, which counts as `PRIOR_ANSWERS` answers.
+    prior = rows.ZoneAnswerTimeRow(zone, demand.reference_seconds or seconds, now, 0)
+    known = recent_answer_times(demand, now).get(zone, prior)
+    zone_count = known.answer_count + 1
+    weight = max(1.0 / (zone_count + PRIOR_ANSWERS), ANSWER_WEIGHT)
+    mean = known.seconds + weight * (seconds - known.seconds)
+    count = demand.answer_count + 1
+    error = seconds - demand.reference_seconds
     board.zone_demands_by_cell_id[row.cell_id] = demand._replace(
-        reference_seconds=min(seconds, reference) if reference else seconds,
+        reference_seconds=demand.reference_seconds
+        + max(1.0 / count, REFERENCE_WEIGHT) * error,
+        answer_count=count,
         answer_times=(
             *(times for times in demand.answer_times if times.zone != zone),
-            rows.ZoneAnswerTimeRow(zone, seconds, now),
+            rows.ZoneAnswerTimeRow(zone, mean, now, zone_count),
         ),
     )
 
--- a/src/carawayhitch/controllers/locality/_order.py
+++ b/src/carawayhitch/controllers/locality/_order.py
@@ -2,34 +2,18 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Any
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _affinity
-from carawayhitch.controllers._cells import (
-    UPSTREAM_CHOOSING_STATES,
-    entry_scheduled_groups,
-    rendezvous_score,
-)
+from carawayhitch.controllers._cells import entry_scheduled_groups, rendezvous_score
 from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.controllers.locality._costs import leaving_seconds
-from carawayhitch.controllers.locality._demand import calls_per_second
+from carawayhitch.controllers.locality._entry_shares import own_zone_shares
 from carawayhitch.controllers.locality._reasons import find_entry_zone
-from carawayhitch.controllers.locality._shares import (
-    UTILISATION_LIMIT,
-    ZoneLoad,
-    target_utilisation,
-    zone_shares,
-)
 from carawayhitch.core import rows
 
-# Answer times of a zone vary by a fifth of their mean around it. Below this factor a
-# zone does not count as slower than another one.
-SLOW_FACTOR = 1.5
-# Older answer times say nothing about a zone, because faults end within seconds.
-ANSWER_TIME_LIFETIME_SECONDS = 10.0
 SCORE_RANGE = float(2**64)
 
 
@@ -101,7 +85,7 @@
     does not send a call further away than needed.
     """
     own_zone = board.settings.node.zone
-    zone = _choose_zone(_own_zone_shares(board, allowed, ask, now), own_zone, ask)
+    zone = _choose_zone(own_zone_shares(board, allowed, ask, now), own_zone, ask)
 
     def order(upstream: rows.UpstreamRow) -> tuple[Any, ...]:
         upstream_id = upstream.upstream_id
@@ -126,78 +110,3 @@
         if position < 0:
             return zone
     return own_zone
-
-
-def _own_zone_shares(
-    board: Board, allowed: Sequence[rows.UpstreamRow], ask: rows.AskRow, now: float
-) -> dict[str, float]:
-    own_zone = board.settings.node.zone
-    capacities_by_zone: Counter[str] = Counter()
-    for upstream in allowed:
-        capacities_by_zone[upstream.zone] += upstream.running_limit
-    demand = board.zone_demands_by_cell_id.get(ask.cell_id, rows.ZoneDemandRow())
-    reference_seconds = demand.reference_seconds
-    # Callers reach the entries of their zone evenly. Each entry therefore takes its own
-    # rate as that of every other entry, and the mean over the entries is right.
-    entry_demand = reference_seconds * calls_per_second(
-        demand, board.settings.locality.rate_window_seconds, now
-    )
-    entry_counts_by_zone = Counter(
-        member.zone
-        for member in board.members_by_id.values()
-        if member.state in UPSTREAM_CHOOSING_STATES and member.node_id != board.node_id
-    )
-    entry_counts_by_zone[own_zone] += 1
-    price_seconds = leaving_seconds(board, ask, is_engine=False)
-    # Answer times include waits for a slot. If all zones together are full, they show
-    # where calls wait and not which servers are slow.
-    are_full = entry_demand * entry_counts_by_zone.total() > (
-        UTILISATION_LIMIT * capacities_by_zone.total()
-    )
-    speeds_by_zone = {
-        zone: 1.0
-        if are_full
-        else _relative_speed(demand, zone, capacities_by_zone, price_seconds, now)
-        for zone in sorted(capacities_by_zone.keys() | entry_counts_by_zone.keys())
-    }
-    zones = [
-        ZoneLoad(
-            zone,
-            capacities_by_zone[zone] * speed,
-            entry_demand * entry_counts_by_zone[zone],
-        )
-        for zone, speed in speeds_by_zone.items()
-    ]
-    target = target_utilisation(
-        float(capacities_by_zone[own_zone]), reference_seconds, price_seconds
-    )
-    return zone_shares(zones, own_zone, target, speeds_by_zone[own_zone])
-
-
-def _relative_speed(
-    demand: rows.ZoneDemandRow,
-    zone: str,
-    capacities_by_zone: Mapping[str, int],
-    price_seconds: float,
-    now: float,
-) -> float:
-    """Return the speed of a zone's servers as a share of the fastest other zone's.
-
-    Differences within `SLOW_FACTOR`, or below the price of leaving, count as none. A
-    slow zone keeps this share of its calls, which shows when it is fast again.
-    """
-    seconds_by_zone = {
-        times.zone: times.seconds
-        for times in demand.answer_times
-        if now - times.updated_at <= ANSWER_TIME_LIFETIME_SECONDS
-    }
-    seconds = seconds_by_zone.pop(zone, 0.0)
-    if not seconds:
-        return 1.0
-    others = (
-        other_seconds
-        for other_zone, other_seconds in seconds_by_zone.items()
-        if capacities_by_zone[other_zone]
-    )
-    fastest = min(others, default=demand.reference_seconds)
-    return min(1.0, max(fastest + price_seconds, fastest * SLOW_FACTOR) / seconds)
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -130,11 +130,14 @@
         Mean time from sending a call to the end of its answer.
     updated_at : float
         Time of the last answer (seconds of the node clock).
+    answer_count : int
+        Number of answers from which it was computed.
     """
 
     zone: str
     seconds: float
     updated_at: float
+    answer_count: int = 1
 
 
 class ZoneDemandRow(NamedTuple):
@@ -145,7 +148,9 @@
     calls : float
         Exponentially decayed number of granted calls as of ``updated_at``.
     reference_seconds : float
-        Usual answer time, which follows a rising answer time only slowly; 0 if unknown.
+        Usual answer time, which follows changes only slowly; 0 if unknown.
+    answer_count : int
+        Number of answers from which it was computed.
     answer_times : tuple of ZoneAnswerTimeRow
         Answer times by zone, at most one for each zone.
     """
@@ -153,6 +158,7 @@
     calls: float = 0.0
     updated_at: float = 0.0
     reference_seconds: float = 0.0
+    answer_count: int = 0
     answer_times: tuple[ZoneAnswerTimeRow, ...] = ()
 
 
--- a/tests/controllers/locality/test_entry_shares.py
+++ b/tests/controllers/locality/test_entry_shares.py
@@ -212,7 +212,7 @@
         for board in model.boards.values():
             # Before the fault, answers took the usual time.
             board.zone_demands_by_cell_id[CELL] = rows.ZoneDemandRow(
-                reference_seconds=SERVICE_SECONDS
+                reference_seconds=SERVICE_SECONDS, answer_count=100
             )
         calls = model.run(30.0, {"a": 4.0, "b": 4.0, "c": 4.0})
         shares = left_shares(calls, "a", 5.0, since=15.0)
