--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -76,6 +76,8 @@
     cold_starts_by_upstream_id: dict[str, rows.ColdStartRow]
     cold_grant_deadlines_by_upstream_id: dict[str, tuple[float, ...]]
     cold_shares_by_upstream_id: dict[str, rows.SchedulerShareRow | rows.EntryShareRow]
+    zone_demands_by_cell_id: dict[str, rows.ZoneDemandRow]
+    zone_reasons_by_request_id: dict[str, str]
 
     @property
     def settings(self) -> settings_types.Settings:
@@ -189,4 +191,6 @@
         cold_starts_by_upstream_id={},
         cold_grant_deadlines_by_upstream_id={},
         cold_shares_by_upstream_id={},
+        zone_demands_by_cell_id={},
+        zone_reasons_by_request_id={},
     )
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -38,6 +38,7 @@
     _suspects,
     _upstreams,
     cold_start,
+    locality,
 )
 from carawayhitch.controllers._admission import find_refusal
 from carawayhitch.controllers._chain import run_chain
@@ -105,6 +106,7 @@
     _moves.decide,
     _bodies.decide,
     _streams.decide,
+    locality.decide,
     _admission.decide,
     _lifecycle.decide,
     _registration.decide,
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -11,6 +11,7 @@
     _prefill,
     _suspects,
     cold_start,
+    locality,
 )
 from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._cells import rendezvous_score
@@ -245,6 +246,8 @@
         / first_token_seconds
         for upstream in allowed
     }
+    if board.settings.locality.enabled:
+        return locality.order_upstreams(board, allowed, ask, loads, now)
     own_zone = board.settings.node.zone
     bound = min(loads.values(), default=0.0) + board.settings.scheduling.affinity_bound
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -72,6 +72,8 @@
     UnansweredRequestRow,
     UpstreamRow,
     VmKind,
+    ZoneAnswerTimeRow,
+    ZoneDemandRow,
 )
 
 __all__ = [
@@ -134,4 +136,6 @@
     "UnansweredRequestRow",
     "UpstreamRow",
     "VmKind",
+    "ZoneAnswerTimeRow",
+    "ZoneDemandRow",
 ]
