Send nothing new to zones that operators take out of use

Cause: objects of the platform's kind for zones out of use were read nowhere, so calls went on to the servers of such a zone.

Entries read them as one more scope of the store where the platform gives a bound for it: consistently at the watchers, which push changes to their zone, and in the first list of each entry. Schedulers and entries each check the zone: for new grants, waiting asks, grants that arrive or are not used yet, retries, continued streams and targets of moves. Calls that only drained zones could serve are refused at once (ZONE_DRAINED).

Routes and accounts may also name the regions of their calls.

Ruled out: marking the upstreams as leaving (they would be evacuated, and leaving is never taken back), and dividing cells again (all schedulers of a group would change in a burst).

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -73,6 +73,7 @@
     retry_budgets_by_group: dict[str, rows.RetryBudgetRow]
     leases_by_group: dict[str, rows.LeaseRow]
     engine_states_by_upstream_id: dict[str, rows.EngineStateRow]
+    zone_drains_by_name: dict[str, rows.ZoneDrainRow]
 
     @property
     def settings(self) -> settings_types.Settings:
@@ -183,4 +184,5 @@
         retry_budgets_by_group={},
         leases_by_group={},
         engine_states_by_upstream_id={},
+        zone_drains_by_name={},
     )
--- a/src/carawayhitch/codecs/_settings_file.py
+++ b/src/carawayhitch/codecs/_settings_file.py
@@ -27,9 +27,20 @@
         ) from None
     settings = record_from_mapping(settings_types.Settings, mapping, path)
     _validate_peer_keys(settings, path)
+    _validate_consistent_scopes(settings.store, path)
     return settings
 
 
+def _validate_consistent_scopes(store: settings_types.StoreSettings, path: str) -> None:
+    for scope in store.consistent_scopes:
+        if scope not in store.scopes or scope in store.stale_scopes:
+            raise errors.InvalidValueError(
+                result_codes.INVALID_SETTING,
+                f"{path}: key 'store.consistent_scopes': expected scopes that are in"
+                f" 'store.scopes' and not in 'store.stale_scopes', found {scope!r}",
+            )
+
+
 def _validate_peer_keys(settings: settings_types.Settings, path: str) -> None:
     ids = [key.id for key in settings.peers.keys]
     if not ids and settings.gateway.address:
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -37,6 +37,7 @@
     _streams,
     _suspects,
     _upstreams,
+    zones,
 )
 from carawayhitch.controllers._admission import find_refusal
 from carawayhitch.controllers._chain import run_chain
@@ -87,6 +88,7 @@
     _configuration.decide,
     _changes.decide,
     _upstreams.decide,
+    zones.decide,
     _backoffs.decide,
     _health.decide,
     _leases.decide,
--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import zones
 from carawayhitch.controllers._call_logs import (
     build_admission_log,
     build_refusal_log,
@@ -53,6 +54,8 @@
     attempt_limit : int
         Maximum number of upstreams on which the call may run; 0 leaves only the limit
         of the settings.
+    allowed_regions : tuple of str
+        Regions whose upstreams may get the call; empty for all.
     """
 
     account: str
@@ -64,6 +67,7 @@
     answer_seconds: float = 0.0
     goal_seconds: float = 0.0
     attempt_limit: int = 0
+    allowed_regions: tuple[str, ...] = ()
 
 
 def find_refusal(board: Board) -> result_codes.ResultCode | None:
@@ -123,6 +127,9 @@
     account = configuration.accounts_by_token_sha256.get(event.token_sha256)
     if account is None and not route.public:
         return result_codes.UNKNOWN_ACCOUNT
+    allowed_regions = zones.common_regions(route, account)
+    if allowed_regions is None:
+        return result_codes.NO_ALLOWED_REGION
     priority = route.priority
     if account is not None and account.priority is not None:
         priority = account.priority
@@ -148,6 +155,7 @@
         answer_seconds=route.timeout_seconds,
         goal_seconds=route.goal_seconds,
         attempt_limit=route.attempt_limit,
+        allowed_regions=allowed_regions,
     )
 
 
@@ -220,6 +228,7 @@
         key_created_at=event.key_created_at,
         attempt_limit=admitted_call.attempt_limit,
         body_bytes=event.body_bytes,
+        allowed_regions=admitted_call.allowed_regions,
     )
     timers = [actions.SetTimer(row.deadline, events.WaitExpired(event.request_id))]
     if answer_seconds:
--- a/src/carawayhitch/controllers/_backoffs.py
+++ b/src/carawayhitch/controllers/_backoffs.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import zones
 from carawayhitch.controllers._cells import other_schedulers
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.core import actions, events, messages, rows
@@ -49,7 +50,9 @@
         for cell in board.cells_by_id.values()
         if cell.group == group
         for upstream_id in cell.upstream_ids
-        if (upstream := board.upstreams_by_id.get(upstream_id)) and not upstream.leaving
+        if (upstream := board.upstreams_by_id.get(upstream_id))
+        and not upstream.leaving
+        and zones.accepts_work(board, upstream)
     ]
     earliest = min(deadlines, default=0.0)
     return earliest if now < earliest else 0.0
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -317,7 +317,7 @@
         vms = registered_vms(board)
         if vms:
             decided.append(actions.Emit(events.VmListReceived(vms)))
-    if changed - declarations.REGISTRATION_KINDS or board.configuration is None:
+    if changed - declarations.STANDALONE_KINDS or board.configuration is None:
         decided += _activate_configuration(board, now)
     return decided
 
@@ -355,7 +355,7 @@
     decoded = [
         entry
         for entry in board.decoded_objects_by_key.values()
-        if entry.kind not in declarations.REGISTRATION_KINDS
+        if entry.kind not in declarations.STANDALONE_KINDS
     ]
     problems = find_object_problems(decoded)
     if problems:
@@ -397,7 +397,7 @@
     return all(
         key in decoded and decoded[key].version == row.version
         for key, row in board.objects_by_key.items()
-        if key[0] not in declarations.REGISTRATION_KINDS
+        if key[0] not in declarations.STANDALONE_KINDS
     )
 
 
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import zones
 from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._upstreams import is_known_to_leave
@@ -113,8 +114,10 @@
     if row.is_body_dropped:
         # The request cannot be sent to the target.
         return (_send_report(board, move, event.attempt, "failed"),)
-    if is_known_to_leave(board, event.target_id) or is_backing_off(
-        board, board.node_id, event.target_id, now
+    if (
+        is_known_to_leave(board, event.target_id)
+        or is_backing_off(board, board.node_id, event.target_id, now)
+        or zones.is_drained(board, event.target_id)
     ):
         return (_send_report(board, move, event.attempt, "failed"),)
     board.moves_by_request_id[row.request_id] = move
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import zones
 from carawayhitch.controllers._backoffs import (
     backoff_notice,
     is_backing_off,
@@ -61,14 +62,20 @@
 
 
 def choose_cell(
-    board: Board, group: str, now: float, random: Random
+    board: Board,
+    group: str,
+    now: float,
+    random: Random,
+    allowed_regions: Sequence[str] = (),
 ) -> rows.CellRow | None:
     """Return a cell of the group, in this entry's region if there is one.
 
+    Cells that only have upstreams in zones out of use are left out.
+
     The less loaded of two random cells is chosen. An unknown load is assumed to be the
     mean of the known loads, so that the cell is neither overloaded nor left unused.
     """
-    candidates = _candidate_cells(board, group)
+    candidates = _candidate_cells(board, group, allowed_regions)
     if len(candidates) < 2:
         return candidates[0] if candidates else None
     loads_by_cell_id = {
@@ -83,8 +90,24 @@
     )
 
 
-def _candidate_cells(board: Board, group: str) -> list[rows.CellRow]:
-    cells = [cell for cell in board.cells_by_id.values() if cell.group == group]
+def _allowed_cells(
+    board: Board, group: str, allowed_regions: Sequence[str]
+) -> list[rows.CellRow]:
+    return [
+        cell
+        for cell in board.cells_by_id.values()
+        if cell.group == group and zones.is_allowed_region(allowed_regions, cell.region)
+    ]
+
+
+def _candidate_cells(
+    board: Board, group: str, allowed_regions: Sequence[str]
+) -> list[rows.CellRow]:
+    cells = [
+        cell
+        for cell in _allowed_cells(board, group, allowed_regions)
+        if not zones.has_only_drained_upstreams(board, cell)
+    ]
     region = board.settings.node.region
     return [cell for cell in cells if cell.region == region] or cells
 
@@ -257,9 +280,9 @@
         # Every upstream has named a time that is too late for this call.
         retry_after = available_at - now
         return end_request(row, result_codes.UPSTREAM_REFUSED, retry_after)
-    cell = choose_cell(board, row.group, now, random)
+    cell = choose_cell(board, row.group, now, random, row.allowed_regions)
     if cell is None:
-        return end_request(row, result_codes.NO_UPSTREAM, retry_after=1.0)
+        return _refuse_unplaceable(board, row, now)
     _add_own_request_to_load(board, cell)
     scheduler_id = choose_scheduler(board, cell.cell_id, 0, now)
     row = row._replace(
@@ -268,6 +291,16 @@
     return _send_ask(board, row, now)
 
 
+def _refuse_unplaceable(board: Board, row: rows.RequestRow, now: float) -> Actions:
+    """End a request for which no cell of its group can be chosen."""
+    if _allowed_cells(board, row.group, row.allowed_regions):
+        retry_after = zones.retry_after_seconds(board, now)
+        return end_request(row, result_codes.ZONE_DRAINED, retry_after)
+    if _allowed_cells(board, row.group, ()):
+        return end_request(row, result_codes.NO_ALLOWED_REGION, retry_after=1.0)
+    return end_request(row, result_codes.NO_UPSTREAM, retry_after=1.0)
+
+
 @decide.register(events.AskTimedOut)
 def _retry_timed_out_ask(
     event: events.AskTimedOut, board: Board, now: float, random: Random
@@ -385,6 +418,9 @@
         row = row._replace(excluded_upstream_ids=excluded)
         notices = leaving_notices(board, event.upstream_id)
         return _decline_grant(board, row, event, notices)
+    if zones.is_drained(board, event.upstream_id):
+        row = _without_drained_upstreams(board, row, event.cell_id)
+        return _decline_grant(board, row, event, (), result_codes.RETRY_ZONE_DRAINED)
     if is_backing_off(board, board.node_id, event.upstream_id, now):
         return _decline_grant(
             board, row, event, [backoff_notice(board, event.upstream_id)]
@@ -412,6 +448,7 @@
     row: rows.RequestRow,
     grant: messages.AdmissionGrant,
     notices: Sequence[messages.PeerMessage],
+    code: result_codes.ResultCode = result_codes.RETRY_GRANT_DECLINED,
 ) -> Actions:
     """Return a grant of an upstream that wants no calls, and ask again.
 
@@ -421,12 +458,54 @@
     return (
         *(actions.Send(grant.sender_id, notice) for notice in notices),
         *_release_unused_grant(grant, board),
-        actions.Count(result_codes.RETRY_GRANT_DECLINED, row.rank),
-        build_retry_log(row, result_codes.RETRY_GRANT_DECLINED),
+        actions.Count(code, row.rank),
+        build_retry_log(row._replace(upstream_id=grant.upstream_id), code),
+        actions.Emit(events.RequestAdmitted(row.request_id)),
+    )
+
+
+def _without_drained_upstreams(
+    board: Board, row: rows.RequestRow, cell_id: str
+) -> rows.RequestRow:
+    """Return a request that excludes the upstreams of a cell in zones out of use.
+
+    Without this, a scheduler that does not know of the drain could grant one of them
+    after the other.
+    """
+    excluded = (*row.excluded_upstream_ids, *zones.drained_upstream_ids(board, cell_id))
+    return row._replace(excluded_upstream_ids=tuple(dict.fromkeys(excluded)))
+
+
+def return_grant_of_drained_zone(board: Board, row: rows.RequestRow) -> Actions:
+    """Give back the accepted but unused grant of a request, and ask again."""
+    code = result_codes.RETRY_ZONE_DRAINED
+    finished = finished_message(board, row, complete=False, upstream_failed=False)
+    board.requests_by_id[row.request_id] = _without_drained_upstreams(
+        board, row, row.cell_id
+    )._replace(phase="asking", attempt=row.attempt + 1, upstream_id="", scheduler_id="")
+    return (
+        actions.Send(row.scheduler_id, finished),
+        actions.Count(code, row.rank),
+        build_retry_log(row, code),
         actions.Emit(events.RequestAdmitted(row.request_id)),
     )
 
 
+@decide.register(events.ZoneDrainsChanged)
+def _place_waiting_requests_again(
+    event: events.ZoneDrainsChanged, board: Board, now: float, random: Random
+) -> Actions:
+    """Place or refuse the requests that wait in cells without upstreams in use."""
+    decided: list[actions.Action] = []
+    for row in list(board.requests_by_id.values()):
+        cell = board.cells_by_id.get(row.cell_id)
+        if row.phase not in WAITING_PHASES or not row.scheduler_id or cell is None:
+            continue
+        if zones.has_only_drained_upstreams(board, cell):
+            decided.extend(_place_again(board, row))
+    return decided
+
+
 def _release_unused_grant(event: messages.AdmissionGrant, board: Board) -> Actions:
     """Release a grant unless it repeats the one that the request uses."""
     current = board.requests_by_id.get(event.request_id)
@@ -774,10 +853,18 @@
 
 def _leave_removed_cell(board: Board, row: rows.RequestRow) -> Actions:
     """Place a waiting request again if its cell is gone and the group has others."""
-    if row.cell_id in board.cells_by_id or not _candidate_cells(board, row.group):
+    if row.cell_id in board.cells_by_id:
+        return ()
+    if not _candidate_cells(board, row.group, row.allowed_regions):
         return ()
+    return _place_again(board, row)
+
+
+def _place_again(board: Board, row: rows.RequestRow) -> Actions:
     # With a new attempt number, late answers for the old cell are ignored.
-    board.requests_by_id[row.request_id] = row._replace(attempt=row.attempt + 1)
+    board.requests_by_id[row.request_id] = row._replace(
+        attempt=row.attempt + 1, scheduler_id=""
+    )
     return (
         *_withdraw_ask(board, row, ""),
         actions.Emit(events.RequestAdmitted(row.request_id)),
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -421,6 +421,14 @@
     return decided
 
 
+@decide.register(events.ZoneDrainsChanged)
+def _grant_after_zone_drains(
+    event: events.ZoneDrainsChanged, board: Board, now: float, random: Random
+) -> Actions:
+    """Grant the asks for which upstreams of a zone that was taken back have room."""
+    return _grant_waiting_asks_of_all_cells(board, now) if event.ended else ()
+
+
 @decide.register(events.CacheChanged)
 def _apply_cache_event(
     event: events.CacheChanged, board: Board, now: float, random: Random
--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -113,7 +113,8 @@
             _update_scope(board, scope, call="")
             return ()
         may_be_stale = True
-    if position >= 0 and not scope_row.list_after:
+    needs_own_list = scope in store.consistent_scopes and scope_row.position < 0
+    if position >= 0 and not scope_row.list_after and not needs_own_list:
         # The watch continues from the peer's revision, so no initial list is needed.
         scope_row = _update_scope(
             board,
@@ -137,10 +138,13 @@
 ) -> bool:
     """Return whether a list of a scope may be seconds old.
 
-    A first list may be, since the watch that follows finds newer changes. Later lists
-    have to find changes that a watch skipped, except in slow scopes, whose changes
-    also reach the entries in another way.
+    A first list may be, since the watch that follows finds newer changes, unless an
+    object of the scope binds the entry from its start. Later lists have to find changes
+    that a watch skipped, except in slow scopes, whose changes also reach the entries in
+    another way.
     """
+    if scope in store.consistent_scopes:
+        return False
     if position < 0:
         return store.stale_watches or scope in store.stale_scopes
     return scope in store.slow_scopes and scope in store.stale_scopes
@@ -152,11 +156,13 @@
     Bounds of the platform limit it; a connection that has failed silently is noticed
     when a watch times out.
     """
-    limits = (
+    limits = [
         store.contact_milliseconds / 1000.0 - store.timeout_seconds,
         store.configuration_milliseconds / 1000.0,
         store.leaving_milliseconds / 1000.0,
-    )
+    ]
+    if store.zone_drain_milliseconds:
+        limits.append(store.zone_drain_milliseconds / 1000.0 - store.timeout_seconds)
     if min(limits) <= BOUND_MARGIN_SECONDS:
         return store.watch_timeout_seconds
     return min(limits) - BOUND_MARGIN_SECONDS
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -5,7 +5,7 @@
 from typing import Any, Literal, NamedTuple
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _affinity, _memory, _prefill, _suspects
+from carawayhitch.controllers import _affinity, _memory, _prefill, _suspects, zones
 from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._cells import rendezvous_score
 from carawayhitch.controllers._health import is_ejected
@@ -64,6 +64,8 @@
     """Return whether an upstream accepts new work, regardless of its load."""
     if not upstream.accepts_new_requests(now):
         return False
+    if not zones.accepts_work(board, upstream):
+        return False
     return _suspects.may_receive_work(board, upstream)
 
 
@@ -201,8 +203,10 @@
     now: float,
 ) -> list[rows.UpstreamRow]:
     excluded = set(ask.excluded_upstream_ids)
-    # A retry may reuse an upstream only after it has tried all upstreams of the cell.
-    if excluded.issuperset(cell.upstream_ids):
+    # A retry may reuse an upstream only after it has tried all upstreams of the cell
+    # whose zones are in use.
+    drained = zones.drained_upstream_ids(board, cell.cell_id)
+    if excluded.issuperset(set(cell.upstream_ids).difference(drained)):
         excluded.clear()
     candidates = [
         row
--- a/src/carawayhitch/core/_decided_events.py
+++ b/src/carawayhitch/core/_decided_events.py
@@ -85,6 +85,19 @@
     """The lifecycle state of this process changed."""
 
 
+class ZoneDrainsChanged(NamedTuple):
+    """Availability zones were taken out of use or back.
+
+    Parameters
+    ----------
+    begun, ended : tuple of str
+        Names of the zones.
+    """
+
+    begun: tuple[str, ...]
+    ended: tuple[str, ...]
+
+
 class ConfigurationChanged(NamedTuple):
     """A different configuration came into force."""
 
--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -98,6 +98,9 @@
     ----------
     priority : int or None
         Priority of the account's calls on HTTP routes; None for the route's priority.
+    allowed_regions : tuple of str
+        Regions whose upstreams may get the account's calls on HTTP routes; empty for
+        all.
     """
 
     name: str
@@ -106,6 +109,7 @@
     quota_weight: Annotated[float, Meta(gt=0)] = 1.0
     queue_limit: Annotated[int, Meta(ge=1)] = 500
     priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class Binding(NamedTuple):
@@ -210,6 +214,8 @@
         Upstreams on which one call may run.
     public : bool
         Whether calls are accepted without a client account's token.
+    allowed_regions : tuple of str
+        Regions whose upstreams may get the calls; empty for all.
     """
 
     name: str
@@ -224,6 +230,7 @@
     patience_seconds: Annotated[float, Meta(ge=0)] = 0.0
     attempt_limit: Annotated[int, Meta(ge=1)] = 1
     public: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 class CallerLimits(NamedTuple):
@@ -263,6 +270,22 @@
 # nor exchanged between peers.
 UNSHARED_KINDS = frozenset({ENTRY_REGISTRATION})
 DECLARATION_SET = "declaration_set"
+# Kind of the objects with which operators take availability zones out of use.
+ZONE_DRAIN = "zone_drain"
+# Objects of these kinds take effect one by one and are no part of the configuration.
+STANDALONE_KINDS = REGISTRATION_KINDS | {ZONE_DRAIN}
+
+
+class ZoneDrain(NamedTuple):
+    """Request of an operator to send nothing more to the upstreams of a zone.
+
+    Parameters
+    ----------
+    name : str
+        Name of the availability zone. The drain lasts until the object is removed.
+    """
+
+    name: str
 
 
 class DeclarationSet(NamedTuple):
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -43,6 +43,7 @@
     UpstreamLeaving,
     UpstreamsChanged,
     WaitExpired,
+    ZoneDrainsChanged,
 )
 from carawayhitch.core._process_events import (
     ProcessStarted,
@@ -158,4 +159,5 @@
     "VmListed",
     "WaitExpired",
     "WatchExpired",
+    "ZoneDrainsChanged",
 ]
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -164,6 +164,8 @@
         Size of the request body.
     is_body_dropped : bool
         Whether the body is no longer kept, so that the call cannot be sent again.
+    allowed_regions : tuple of str
+        Regions whose upstreams may get the call; empty for all.
     """
 
     request_id: str
@@ -213,6 +215,7 @@
     opened_at: float = 0.0
     body_bytes: int = 0
     is_body_dropped: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 class MoveRow(NamedTuple):
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -96,6 +96,12 @@
 NO_ROUTE = ResultCode(
     1022, "NO_ROUTE", "no", 404, "No HTTP route matches the host and the path."
 )
+ZONE_DRAINED = ResultCode(
+    1023, "ZONE_DRAINED", "no", 503, "All upstreams are in zones out of use."
+)
+NO_ALLOWED_REGION = ResultCode(
+    1024, "NO_ALLOWED_REGION", "no", 503, "No upstream is in a region that is allowed."
+)
 REQUEST_TIMEOUT = ResultCode(
     1041, "REQUEST_TIMEOUT", "no", 408, "The request did not arrive in time."
 )
@@ -185,6 +191,9 @@
 RETRY_GRANT_DECLINED = ResultCode(
     3014, "RETRY_GRANT_DECLINED", "no", 0, "The granted upstream wants no calls."
 )
+RETRY_ZONE_DRAINED = ResultCode(
+    3015, "RETRY_ZONE_DRAINED", "no", 0, "The granted upstream's zone is out of use."
+)
 MOVE_FAILED = ResultCode(
     3013, "MOVE_FAILED", "yes", 0, "A generation could not be moved."
 )
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -69,6 +69,7 @@
     UnansweredRequestRow,
     UpstreamRow,
     VmKind,
+    ZoneDrainRow,
 )
 
 __all__ = [
@@ -128,4 +129,5 @@
     "UnansweredRequestRow",
     "UpstreamRow",
     "VmKind",
+    "ZoneDrainRow",
 ]
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -92,6 +92,12 @@
         has to stay: for regaining contact after connections have failed, for taking
         over a configuration and for leaving an upstream. If any is 0,
         ``watch_timeout_seconds`` alone limits that time.
+    zone_drain_milliseconds : float
+        Bound of the platform for taking an availability zone out of use; 0 if it has
+        none.
+    consistent_scopes : tuple of str
+        Scopes whose first list is consistent and made by every entry itself, because
+        a stale one may lack an object by which the entry is already bound.
     retry_limit_seconds : float
         Longest delay between retries of failed calls.
     lapse_grace_seconds : float
@@ -117,6 +123,8 @@
     contact_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
     configuration_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
     leaving_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
+    zone_drain_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
+    consistent_scopes: tuple[str, ...] = ()
 
 
 class PlatformSettings(NamedTuple):
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -58,6 +58,19 @@
         return not (self.leaving or self.draining) and now >= available_at
 
 
+class ZoneDrainRow(NamedTuple):
+    """An availability zone whose upstreams get no new work.
+
+    Parameters
+    ----------
+    since : float
+        Time at which this entry learned of it (seconds of the node clock).
+    """
+
+    zone: str
+    since: float
+
+
 class LeavingAnnouncementRow(NamedTuple):
     """Announcement of one instance of an upstream that it is leaving.
 
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -27,6 +27,7 @@
     configuration_age: Gauge
     store_contact_age: Gauge
     upstreams: Gauge
+    drained_upstreams: Gauge
     members: Gauge
     peer_messages: Counter
     peer_bytes: Counter
@@ -96,6 +97,12 @@
             ["state"],
             registry=registry,
         ),
+        drained_upstreams=Gauge(
+            "carawayhitch_drained_upstreams",
+            "Upstreams in availability zones out of use, by zone.",
+            ["zone"],
+            registry=registry,
+        ),
         members=Gauge(
             "carawayhitch_members",
             "Entries by membership state.",
@@ -129,9 +136,13 @@
         age = now - scope.contacted_at if scope.contacted_at else float("nan")
         metrics.store_contact_age.labels(scope.scope).set(age)
     metrics.upstreams.clear()
+    metrics.drained_upstreams.clear()
     for upstream in board.upstreams_by_id.values():
-        state = "usable" if upstream.accepts_new_requests(now) else "unusable"
-        metrics.upstreams.labels(state).inc()
+        is_drained = upstream.zone in board.zone_drains_by_name
+        if is_drained:
+            metrics.drained_upstreams.labels(upstream.zone).inc()
+        is_usable = upstream.accepts_new_requests(now) and not is_drained
+        metrics.upstreams.labels("usable" if is_usable else "unusable").inc()
     for reason, count in process_log_output().dropped_by_reason.items():
         metrics.dropped_log_lines.labels(reason).set(count)
     metrics.members.clear()
--- a/src/carawayhitch/platform/_declarations.py
+++ b/src/carawayhitch/platform/_declarations.py
@@ -52,6 +52,7 @@
     maxAttempts: NotRequired[_names.Count]
     public: NotRequired[bool]
     resumable: NotRequired[bool]
+    allowedRegions: NotRequired[list[str] | None]
 
 
 class EngineBody(TypedDict):
@@ -87,6 +88,7 @@
     name: str
     apiKeys: NotRequired[list[str]]
     priority: NotRequired[_names.Count | None]
+    allowedRegions: NotRequired[list[str] | None]
 
 
 class ConfigurationBody(TypedDict):
@@ -114,6 +116,8 @@
 
 _configuration_decoder = msgspec.json.Decoder(ConfigurationBody)
 _registration_decoder = msgspec.json.Decoder(RegistrationBody)
+# The name of the object says everything; fields of its value are ignored.
+_zone_drain_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 def decode_object(
@@ -143,6 +147,9 @@
                 declaration = codecs.decode_entry_registration(
                     stored.name, stored.value
                 )
+            elif stored.kind == declarations.ZONE_DRAIN:
+                _zone_drain_decoder.decode(stored.value)
+                declaration = declarations.ZoneDrain(stored.name)
         except (
             msgspec.MsgspecError,
             RecursionError,
@@ -212,6 +219,7 @@
         patience_seconds=_abandonment_seconds(work, goal_seconds, gap_goal_seconds),
         attempt_limit=max(1, int(body.get("maxAttempts", 1))),
         public=is_public_by_default or body.get("public", False),
+        allowed_regions=tuple(body.get("allowedRegions") or ()),
     )
 
 
@@ -262,6 +270,7 @@
         ),
         queue_limit=ACCOUNT_QUEUE_LIMIT,
         priority=None if priority is None else int(priority),
+        allowed_regions=tuple(body.get("allowedRegions") or ()),
     )
 
 
--- a/src/carawayhitch/platform/_names.py
+++ b/src/carawayhitch/platform/_names.py
@@ -75,6 +75,9 @@
 UNAVAILABLE_STATUS = 503
 RETRY_AFTER = "Retry-After"
 
+# Kind of the objects that name zones whose servers get no more requests.
+ZONE_DRAIN_KIND = "evacuations"
+
 READINESS_PATH = "/carawayhitch/readiness"
 OBJECTS_PATH = "/carawayhitch/objects"
 REPORT_PATH = "/carawayhitch/report"
--- a/src/carawayhitch/platform/_store.py
+++ b/src/carawayhitch/platform/_store.py
@@ -19,16 +19,19 @@
 CONFIGURATION_SCOPE = "configuration"
 UPSTREAM_SCOPE = "upstreams"
 ENTRY_SCOPE = "entries"
+ZONE_DRAIN_SCOPE = "zone_drains"
 # Kind names of each scope: in the platform's protocol, and in this system.
 PLATFORM_KINDS = {
     CONFIGURATION_SCOPE: "config",
     UPSTREAM_SCOPE: "servers",
     ENTRY_SCOPE: "carawayhitch-entries",
+    ZONE_DRAIN_SCOPE: _names.ZONE_DRAIN_KIND,
 }
 KINDS_BY_SCOPE = {
     CONFIGURATION_SCOPE: declarations.DECLARATION_SET,
     UPSTREAM_SCOPE: declarations.UPSTREAM_REGISTRATION,
     ENTRY_SCOPE: declarations.ENTRY_REGISTRATION,
+    ZONE_DRAIN_SCOPE: declarations.ZONE_DRAIN,
 }
 PLATFORM_KINDS_BY_KIND = {
     kind: PLATFORM_KINDS[scope] for scope, kind in KINDS_BY_SCOPE.items()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -86,6 +86,17 @@
         self.assertLessEqual(set(store.slow_scopes), set(store.stale_scopes))
         self.assertLessEqual(set(store.stale_scopes), set(store.scopes))
 
+    def test_zone_drains_are_read_where_the_platform_bounds_them(self):
+        """Guards against a bound without its scope, and calls where there is none."""
+        self.assertNotIn("zone_drains", self.settings.store.scopes)
+        self.assertEqual(self.settings.store.zone_drain_milliseconds, 0.0)
+        bounds = {**TEMPLATE_FIELDS["bounds"], "evacuateMs": 5000}
+        store = read_rendered_settings({**TEMPLATE_FIELDS, "bounds": bounds}).store
+        self.assertEqual(store.scopes[-1], "zone_drains")
+        self.assertEqual(store.consistent_scopes, ("zone_drains",))
+        self.assertNotIn("zone_drains", store.stale_scopes + store.slow_scopes)
+        self.assertEqual(store.zone_drain_milliseconds, 5000)
+
     def test_promises_do_not_rest_on_stale_reads_alone(self):
         """Guards against late changes, since a stale read may be seconds old."""
         store = self.settings.store
