--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -78,6 +78,7 @@
     cold_shares_by_upstream_id: dict[str, rows.SchedulerShareRow | rows.EntryShareRow]
     zone_demands_by_cell_id: dict[str, rows.ZoneDemandRow]
     zone_reasons_by_request_id: dict[str, str]
+    zone_drains_by_name: dict[str, rows.ZoneDrainRow]
 
     @property
     def settings(self) -> settings_types.Settings:
@@ -193,4 +194,5 @@
         cold_shares_by_upstream_id={},
         zone_demands_by_cell_id={},
         zone_reasons_by_request_id={},
+        zone_drains_by_name={},
     )
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -39,6 +39,7 @@
     _upstreams,
     cold_start,
     locality,
+    zones,
 )
 from carawayhitch.controllers._admission import find_refusal
 from carawayhitch.controllers._chain import run_chain
@@ -89,6 +90,7 @@
     _configuration.decide,
     _changes.decide,
     _upstreams.decide,
+    zones.decide,
     _backoffs.decide,
     cold_start.decide,
     _health.decide,
--- a/src/carawayhitch/core/_events.py
+++ b/src/carawayhitch/core/_events.py
@@ -43,6 +43,7 @@
     UpstreamLeaving,
     UpstreamsChanged,
     WaitExpired,
+    ZoneDrainsChanged,
 )
 from carawayhitch.core._process_events import (
     ProcessStarted,
@@ -160,4 +161,5 @@
     "VmListed",
     "WaitExpired",
     "WatchExpired",
+    "ZoneDrainsChanged",
 ]
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -74,6 +74,7 @@
     VmKind,
     ZoneAnswerTimeRow,
     ZoneDemandRow,
+    ZoneDrainRow,
 )
 
 __all__ = [
@@ -138,4 +139,5 @@
     "VmKind",
     "ZoneAnswerTimeRow",
     "ZoneDemandRow",
+    "ZoneDrainRow",
 ]
