Give back a drained grant before its claim counts as running

The check stood at ClaimGranted, after the claim had become running: a keyed call whose zone was taken out during its claim would have ended with OUTCOME_UNKNOWN. Found by reading; calls on HTTP routes have no claims. It now stands where expired grants are given back, and the claim holds.

--- a/src/carawayhitch/controllers/_idempotency.py
+++ b/src/carawayhitch/controllers/_idempotency.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import zones
 from carawayhitch.controllers._call_logs import build_retry_log
 from carawayhitch.controllers._claim_tables import (
     find_shard,
@@ -26,7 +27,11 @@
     build_journal_record,
     find_unexpired_record,
 )
-from carawayhitch.controllers._placement import end_request, finished_message
+from carawayhitch.controllers._placement import (
+    end_request,
+    finished_message,
+    without_drained_upstreams,
+)
 from carawayhitch.controllers._targets import needs_claim, service_name
 from carawayhitch.core import actions, events, result_codes, rows
 
@@ -258,18 +263,26 @@
 def _send_claimed_call(
     board: Board, claim: rows.ClaimRow, row: rows.RequestRow, now: float
 ) -> Actions:
-    """Send the call of a granted claim, or request a new grant if it has expired."""
-    if now >= row.grant_deadline:
+    """Send the call of a granted claim, or request a new grant if it may not be used.
+
+    The claim may have taken seconds since the grant.
+    """
+    is_drained = zones.is_drained(board, row.upstream_id)
+    if is_drained or now >= row.grant_deadline:
+        code = result_codes.RETRY_GRANT_EXPIRED
         put_claim(board, claim._replace(state="granted"))
         release_actions = _release_grant(board, row)
         requeued_row = board.requests_by_id[row.request_id]._replace(
             phase="asking", attempt=row.attempt + 1
         )
+        if is_drained:
+            code = result_codes.RETRY_ZONE_DRAINED
+            requeued_row = without_drained_upstreams(board, requeued_row, row.cell_id)
         board.requests_by_id[row.request_id] = requeued_row
         return (
             *release_actions,
-            actions.Count(result_codes.RETRY_GRANT_EXPIRED, row.rank),
-            build_retry_log(row, result_codes.RETRY_GRANT_EXPIRED),
+            actions.Count(code, row.rank),
+            build_retry_log(row, code),
             actions.Emit(events.RequestAdmitted(row.request_id)),
         )
     put_claim(board, claim._replace(state="running"))
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -419,7 +419,7 @@
         notices = leaving_notices(board, event.upstream_id)
         return _decline_grant(board, row, event, notices)
     if zones.is_drained(board, event.upstream_id):
-        row = _without_drained_upstreams(board, row, event.cell_id)
+        row = without_drained_upstreams(board, row, event.cell_id)
         return _decline_grant(board, row, event, (), result_codes.RETRY_ZONE_DRAINED)
     if is_backing_off(board, board.node_id, event.upstream_id, now):
         return _decline_grant(
@@ -464,7 +464,7 @@
     )
 
 
-def _without_drained_upstreams(
+def without_drained_upstreams(
     board: Board, row: rows.RequestRow, cell_id: str
 ) -> rows.RequestRow:
     """Return a request that excludes the upstreams of a cell in zones out of use.
@@ -476,21 +476,6 @@
     return row._replace(excluded_upstream_ids=tuple(dict.fromkeys(excluded)))
 
 
-def return_grant_of_drained_zone(board: Board, row: rows.RequestRow) -> Actions:
-    """Give back the accepted but unused grant of a request, and ask again."""
-    code = result_codes.RETRY_ZONE_DRAINED
-    finished = finished_message(board, row, complete=False, upstream_failed=False)
-    board.requests_by_id[row.request_id] = _without_drained_upstreams(
-        board, row, row.cell_id
-    )._replace(phase="asking", attempt=row.attempt + 1, upstream_id="", scheduler_id="")
-    return (
-        actions.Send(row.scheduler_id, finished),
-        actions.Count(code, row.rank),
-        build_retry_log(row, code),
-        actions.Emit(events.RequestAdmitted(row.request_id)),
-    )
-
-
 @decide.register(events.ZoneDrainsChanged)
 def _place_waiting_requests_again(
     event: events.ZoneDrainsChanged, board: Board, now: float, random: Random
--- a/src/carawayhitch/controllers/_streams.py
+++ b/src/carawayhitch/controllers/_streams.py
@@ -5,7 +5,6 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import zones
 from carawayhitch.controllers._call_logs import (
     build_failure_log,
     build_retry_log,
@@ -18,7 +17,6 @@
 from carawayhitch.controllers._moves import is_stopping_for_move, open_upstream
 from carawayhitch.controllers._placement import (
     end_request,
-    return_grant_of_drained_zone,
     send_upstream_answer,
 )
 from carawayhitch.controllers._retries import may_retry
@@ -75,9 +73,6 @@
     row = board.requests_by_id.get(event.request_id)
     if row is None or row.phase != "claiming":
         return ()
-    if zones.is_drained(board, row.upstream_id):
-        # The claim of the call may have taken seconds since the grant.
-        return return_grant_of_drained_zone(board, row)
     row = row._replace(
         phase="opening", last_chunk_at=now, opened_at=row.opened_at or now
     )
--- a/tests/controllers/zones/test_drains.py
+++ b/tests/controllers/zones/test_drains.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch import controllers, platform
-from carawayhitch.controllers import _store_watch
+from carawayhitch.controllers import _idempotency, _store_watch
 from carawayhitch.core import actions, declarations, events, messages, rows
 from carawayhitch.core import settings as settings_types
 from tests.controllers.scheduling_world import (
@@ -343,19 +343,32 @@
         # All of the zone are excluded, so that the scheduler grants none of them.
         self.assertEqual(set(again.excluded_upstream_ids), {"engine-0", "engine-1"})
 
-    def test_unused_grant_is_given_back(self):
-        """Guards against a call that is sent after its claim took seconds."""
+    def test_grant_is_given_back_when_its_claim_took_seconds(self):
+        """Guards against a call sent to the zone, or lost, after a slow claim."""
         row = self.board.requests_by_id["r1"]
-        self.board.requests_by_id["r1"] = row._replace(
-            phase="claiming", upstream_id="engine-0", grant_deadline=60.0
+        row = row._replace(
+            target=rows.ServiceTarget("orders", "POST", "/"),
+            idempotency_key="key",
+            phase="claiming",
+            upstream_id="engine-0",
+            grant_deadline=60.0,
         )
+        self.board.requests_by_id["r1"] = row
+        key = _idempotency.claim_key(row)
+        claim = rows.ClaimRow(key, "", "nonce", "granted", 60.0, 60.0, "r1")
+        self.board.claims_by_key[key] = claim
         self.drain("zone-2")
-        found = feed_chain(self.board, events.ClaimGranted("r1"))
+        found = feed_chain(self.board, events.UpstreamGranted("r1"))
         self.assertEqual(opened(found), [])
         (ended,) = sent(found, messages.Finished)
         self.assertEqual((ended.attempt, ended.upstream_failed), (1, False))
         (again,) = sent(found, messages.AdmissionAsk)
         self.assertEqual(again.attempt, 2)
+        self.assertEqual(set(again.excluded_upstream_ids), {"engine-0", "engine-1"})
+        # The claim still holds for the next grant.
+        grant = self.grant._replace(attempt=2, upstream_id="engine-2")
+        (call,) = opened(feed_chain(self.board, grant))
+        self.assertEqual(call.upstream_id, "engine-2")
 
     def test_waiting_request_is_refused_when_the_last_zone_is_drained(self):
         """Guards against a wait until the deadline, also if the scheduler is lost."""
