Pass over servers of a plain service that stop answering

With zones before loads, an entry kept sending calls to a slow server of its zone until its answer times showed it.

A server at which a call of this entry is open for three times the usual answer time now comes last until that call ends. Ruled out: own loads before zones, as without the feature. An entry then leaves its zone with every second call that overlaps another one, however idle the servers are.

--- a/src/carawayhitch/controllers/locality/_order.py
+++ b/src/carawayhitch/controllers/locality/_order.py
@@ -15,6 +15,10 @@
 from carawayhitch.core import rows
 
 SCORE_RANGE = float(2**64)
+# A call that is open for longer than this multiple of the usual answer time shows that
+# its server is slow or silent, seconds before answer times do. About one call in a
+# hundred takes so long at a sound server.
+OVERDUE_FACTOR = 3.0
 
 
 def order_upstreams(
@@ -82,14 +86,19 @@
     """Put the servers of the zone first whose share the call falls into.
 
     The own zone comes next, so that a server that is full of this entry's own calls
-    does not send a call further away than needed.
+    does not send a call further away than needed. Servers with an overdue call of this
+    entry come last.
     """
     own_zone = board.settings.node.zone
     zone = _choose_zone(own_zone_shares(board, allowed, ask, now), own_zone, ask)
 
+    demand = board.zone_demands_by_cell_id.get(ask.cell_id, rows.ZoneDemandRow())
+    usual_seconds = demand.reference_seconds
+
     def order(upstream: rows.UpstreamRow) -> tuple[Any, ...]:
         upstream_id = upstream.upstream_id
         return (
+            _has_overdue_call(board, upstream_id, usual_seconds, now),
             upstream.zone != zone,
             upstream.zone != own_zone,
             loads_by_id[upstream_id],
@@ -99,6 +108,17 @@
     return sorted(allowed, key=order)
 
 
+def _has_overdue_call(
+    board: Board, upstream_id: str, usual_seconds: float, now: float
+) -> bool:
+    """Return whether a call of this entry to a server takes unusually long."""
+    return usual_seconds > 0 and any(
+        now - board.grants_by_request_id[request_id].granted_at
+        > OVERDUE_FACTOR * usual_seconds
+        for request_id in board.grant_ids_by_upstream_id.get(upstream_id, ())
+    )
+
+
 def _choose_zone(
     shares_by_zone: Mapping[str, float], own_zone: str, ask: rows.AskRow
 ) -> str:
--- a/tests/controllers/locality/test_entry_shares.py
+++ b/tests/controllers/locality/test_entry_shares.py
@@ -235,6 +235,26 @@
         self.assertEqual(first_zones[True], {"a": 40})
         self.assertGreater(min(first_zones[False][zone] for zone in "bc"), 10)
 
+    def test_server_with_an_overdue_call_is_passed_over_at_once(self):
+        # Guards against calls that follow others to a server which stopped answering,
+        # until the answer times show it.
+        servers = servers_by_zone(a=1, b=1)
+        board = entry_board("entry-a0", "a", thirty_entries(), servers)
+        board.zone_demands_by_cell_id[CELL] = rows.ZoneDemandRow(
+            reference_seconds=SERVICE_SECONDS, answer_count=100
+        )
+        board.grants_by_request_id["open"] = rows.GrantRow(
+            "open", 1, "entry-a0", CELL, "portal", "hotel", "r", "b", "", "a0",
+            0, 0, 0, 1.0, 3.0,
+        )  # fmt: skip
+        board.grant_ids_by_upstream_id["a0"] = {"open": None}
+        ask, loads = new_ask("r1", "entry-a0"), {"a0": 0.17, "b0": 0.0}
+        first_ids = [
+            locality.order_upstreams(board, servers, ask, loads, now)[0].upstream_id
+            for now in (1.1, 1.2, 1.3)
+        ]
+        self.assertEqual(first_ids, ["a0", "a0", "b0"])
+
     def test_accounts_leave_in_equal_shares(self):
         # Guards against a flooding account that keeps the zone and pushes others out.
         model = ServiceModel(servers_by_zone(a=1, b=2, c=2), thirty_entries())
