Price engines by expected wait instead of load

The order of engines added load times the first-token target to the price of leaving.

Load now counts as the expected wait of a queue at that utilisation, as for plain services, which is negligible up to half of the slots. A cached prefix counts with the prefill time that it saves, and the bytes of an answer token are those of a stream event of 400 bytes. Suspected engines and the prefill backlog keep their weight.

--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -238,7 +238,13 @@
         for upstream in allowed
     }
     if board.settings.locality.enabled:
-        return locality.order_upstreams(board, allowed, ask, loads, now)
+        suspect_seconds = {
+            upstream_id: SUSPECT_PENALTY * first_token_seconds
+            for upstream_id in suspects
+        }
+        return locality.order_upstreams(
+            board, allowed, ask, loads, suspect_seconds, now
+        )
     own_zone = board.settings.node.zone
     bound = min(loads.values(), default=0.0) + board.settings.scheduling.affinity_bound
 
--- a/src/carawayhitch/controllers/locality/_costs.py
+++ b/src/carawayhitch/controllers/locality/_costs.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _lengths
+from carawayhitch.controllers import _affinity, _lengths, _prefill
 from carawayhitch.core import rows
 
 
@@ -33,3 +33,12 @@
         locality.round_trip_seconds
         + byte_count / 1_000_000 * locality.seconds_per_megabyte
     )
+
+
+def cached_prefix_seconds(board: Board, ask: rows.AskRow, upstream_id: str) -> float:
+    """Return the prefill time that an engine's cached part of a prompt saves."""
+    if not ask.prefix_blocks:
+        return 0.0
+    cached = _affinity.cached_prefix_length(board, upstream_id, ask.prefix_blocks)
+    tokens = cached * board.settings.locality.prefix_block_tokens
+    return _prefill.prefill_seconds(board, min(ask.prompt_tokens, int(tokens)))
--- a/src/carawayhitch/controllers/locality/_order.py
+++ b/src/carawayhitch/controllers/locality/_order.py
@@ -6,15 +6,21 @@
 from typing import Any
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _affinity
+from carawayhitch.controllers import _prefill
 from carawayhitch.controllers._cells import entry_scheduled_groups, rendezvous_score
 from carawayhitch.controllers._ranks import rank_class
-from carawayhitch.controllers.locality._costs import leaving_seconds
+from carawayhitch.controllers.locality._costs import (
+    cached_prefix_seconds,
+    leaving_seconds,
+)
 from carawayhitch.controllers.locality._entry_shares import own_zone_shares
 from carawayhitch.controllers.locality._reasons import find_entry_zone
+from carawayhitch.controllers.locality._shares import expected_wait_seconds
 from carawayhitch.core import rows
 
 SCORE_RANGE = float(2**64)
+# Utilisation of a full upstream, for which the expected wait is not defined.
+OCCUPIED_LIMIT = 0.99
 # A call that is open for longer than this multiple of the usual answer time shows that
 # its server is slow or silent, seconds before answer times do. About one call in a
 # hundred takes so long at a sound server.
@@ -26,6 +32,7 @@
     allowed: Sequence[rows.UpstreamRow],
     ask: rows.AskRow,
     loads_by_id: Mapping[str, float],
+    suspect_seconds_by_id: Mapping[str, float],
     now: float,
 ) -> list[rows.UpstreamRow]:
     """Return the upstreams in the order in which an ask should use them.
@@ -33,12 +40,15 @@
     Parameters
     ----------
     loads_by_id : dict of str to float
-        Loads by upstream id. A load of 1 costs as much as a wait for the first-token
-        target of the rank.
+        Loads by upstream id: occupied share of slots or memory, plus prefill backlog
+        and the next parameter as parts of the rank's first-token target.
+    suspect_seconds_by_id : dict of str to float
+        Wait that is accepted to keep a call away from an upstream that runs a request
+        with a crash record.
     """
     if ask.group in entry_scheduled_groups(board):
         return _order_by_share(board, allowed, ask, loads_by_id, now)
-    return _order_by_cost(board, allowed, ask, loads_by_id)
+    return _order_by_cost(board, allowed, ask, loads_by_id, suspect_seconds_by_id, now)
 
 
 def _order_by_cost(
@@ -46,31 +56,38 @@
     allowed: Sequence[rows.UpstreamRow],
     ask: rows.AskRow,
     loads_by_id: Mapping[str, float],
+    suspect_seconds_by_id: Mapping[str, float],
+    now: float,
 ) -> list[rows.UpstreamRow]:
-    """Order by the sum of load, leaving the zone and cached prefix, in seconds.
+    """Order by the sum of expected wait, leaving the zone and cached prefix.
 
     The scheduler of a cell knows the loads of all its upstreams. Calls therefore leave
-    a zone one by one once its upstreams are busier by the price of leaving, and the
-    loads stay that far apart.
+    a zone one by one once the wait there is longer by the price of leaving, and the
+    waits stay that far apart.
     """
     entry_zone = find_entry_zone(board, ask.entry_id)
     target_seconds = rank_class(board, ask.rank).first_token_target_seconds
     is_engine = bool(allowed) and allowed[0].kind == "engine"
     price_seconds = leaving_seconds(board, ask, is_engine)
-    # The load that a cached prefix is worth without regard to zones.
-    prefix_seconds = board.settings.scheduling.affinity_bound * target_seconds
+    # A cached prefix does not outweigh a load that is further above the lowest one, so
+    # that calls with the same prefix do not all go to one engine.
+    load_bound = min(loads_by_id.values(), default=0.0)
+    load_bound += board.settings.scheduling.affinity_bound
 
     def order(upstream: rows.UpstreamRow) -> tuple[Any, ...]:
         upstream_id = upstream.upstream_id
-        seconds = loads_by_id[upstream_id] * target_seconds
+        load = loads_by_id[upstream_id]
+        delay = _prefill.prefill_backlog_seconds(board, upstream_id, now)
+        delay += suspect_seconds_by_id.get(upstream_id, 0.0)
+        occupied = min(OCCUPIED_LIMIT, max(0.0, load - delay / target_seconds))
+        seconds = delay + expected_wait_seconds(
+            occupied, upstream.running_limit, target_seconds
+        )
         in_other_zone = bool(entry_zone) and upstream.zone != entry_zone
         if in_other_zone:
             seconds += price_seconds
-        if ask.prefix_blocks:
-            cached = _affinity.cached_prefix_length(
-                board, upstream_id, ask.prefix_blocks
-            )
-            seconds -= prefix_seconds * cached / len(ask.prefix_blocks)
+        if load <= load_bound:
+            seconds -= cached_prefix_seconds(board, ask, upstream_id)
         return (seconds, in_other_zone, upstream_id)
 
     return sorted(allowed, key=order)
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -303,12 +303,14 @@
     seconds_per_megabyte : float
         Longest additional wait that is accepted to keep one million bytes within the
         zone; 0 if bytes between zones cost nothing. At 1, a call of 3,000 prompt tokens
-        and 1,760 answer tokens may wait 65 ms longer, about one occupied slot of 24 at
-        a first-token target of 1.8 s. Loads differ in steps of a slot, so much smaller
-        values change no choice of an engine.
+        and 1,760 answer tokens may wait 0.19 s longer, a tenth of a first-token target
+        of 1.8 s.
     prompt_token_bytes, answer_token_bytes : float
         Bytes on the network for each token of a prompt and of an answer. The default
-        of an answer is an event of 120 bytes with four tokens.
+        of an answer is a stream event of 400 bytes with four tokens.
+    prefix_block_tokens : float
+        Tokens of one shareable part of a prompt, for the prefill time that an engine
+        saves which has it in its cache.
     call_bytes : float
         Bytes of a call to a plain service and of its answer.
     rate_window_seconds : float
@@ -319,7 +321,8 @@
     round_trip_seconds: Annotated[float, Meta(ge=0)] = 0.003
     seconds_per_megabyte: Annotated[float, Meta(ge=0)] = 1.0
     prompt_token_bytes: Annotated[float, Meta(ge=0)] = 4.0
-    answer_token_bytes: Annotated[float, Meta(ge=0)] = 30.0
+    answer_token_bytes: Annotated[float, Meta(ge=0)] = 100.0
+    prefix_block_tokens: Annotated[float, Meta(ge=0)] = 100.0
     call_bytes: Annotated[float, Meta(ge=0)] = 1500.0
     rate_window_seconds: PositiveSeconds = 5.0
 
