--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -75,6 +75,7 @@
         self.drain_limit_seconds = drain_limit_seconds
         self.gateways_by_name: dict[str, dict[str, int]] = {}
         self.version = 0
+        self.slots = 8
 
     def start_store(self) -> None:
         """Start the store."""
@@ -105,7 +106,7 @@
                     "healthPath": "/health",
                     "maxConns": 100,
                     "engine": {
-                        "slots": 8,
+                        "slots": self.slots,
                         "kvCapacityTokens": 100_000,
                         "kvTokenBytes": 1000,
                         "linkMbps": 10_000.0,
@@ -168,7 +169,7 @@
             "address": f"127.0.0.1:{self.server_port(name)}",
             "zone": zone,
             "version": "v1",
-            "slots": 8,
+            "slots": self.slots,
             "state": state,
             "sequence": 1,
             "coldLeftMs": 0,
--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -1,8 +1,9 @@
 """Fake server of the users' platform: plain service or model engine.
 
-An engine streams ``events`` events, one per ``--event-seconds``, and can move running
-generations to other engines. Paths below ``/fake/`` inject faults and list the calls
-received.
+An engine streams ``events`` events, one per ``--event-seconds``, each with ``padding``
+bytes more, and can move running generations to other engines. Another answer has
+``bytes`` bytes, or repeats the body of its call. Paths below ``/fake/`` inject faults
+and list the calls received.
 """
 
 from __future__ import annotations
@@ -155,8 +156,10 @@
             return await self._send_without_end(request)
         if not events:
             await asyncio.sleep(self.event_seconds)
+            size = int(request.query.get("bytes", "0"))
             return web.Response(
-                body=body or b"answer", headers=self._response_headers(request)
+                body=bytes(size) or body or b"answer",
+                headers=self._response_headers(request),
             )
         return await self._stream(request, events)
 
@@ -179,6 +182,7 @@
             total = copied[2]
             self.counts["continued"] += 1
         generation = self.generations_by_id[request_id] = RunningGeneration(made, total)
+        padding = "x" * int(request.query.get("padding", "0"))
         headers = {
             **self._response_headers(request),
             "Content-Type": "text/event-stream",
@@ -203,7 +207,7 @@
                     break
                 except TimeoutError:
                     generation.made += 1
-                data = f"id: {generation.made}\ndata: {request_id}\n\n"
+                data = f"id: {generation.made}\ndata: {request_id}{padding}\n\n"
                 await response.write(data.encode())
                 if self.cut_after and generation.made >= self.cut_after:
                     self.cut_after = 0
