Play zones out of use in the soak; tell the load of upstreams in use

A scheduler told the load of a cell per upstream including those of drained zones, so entries with several cells preferred the one that lost most. It now counts upstreams in use only.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -14,6 +14,7 @@
 KEY = "key-of-hotel"
 MODEL_SERVICE, PLAIN_SERVICE = "model", "orders"
 OBJECTS = "/carawayhitch/objects"
+ZONE_DRAIN_KIND = "evacuations"
 # Every entry watches the store by itself, with short pauses.
 STORE_TEXT = """
 scopes = ["configuration", "upstreams", "entries"]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -52,13 +52,18 @@
     parser.add_argument("--services", type=int, default=2)
     parser.add_argument("--fault-seconds", type=float, default=16.0)
     parser.add_argument("--keep", default="", help="folder for logs of failed runs")
+    parser.add_argument(
+        "--zone-drains", action="store_true", help="take zones out of use as well"
+    )
     options = parser.parse_args()
     shared = {
         name: getattr(options, name)
         for name in ("entries", "engines", "services", "fault_seconds", "keep")
     }
     if options.one is not None:
-        result = run_seed(RunOptions(options.one, **shared))
+        result = run_seed(
+            RunOptions(options.one, **shared, zone_drains=options.zone_drains)
+        )
         print(
             f"seed {result.seed}: {result.calls} calls, {result.runs} runs, "
             f"{result.faults} faults, {len(result.violations)} violations"
@@ -69,6 +74,8 @@
     arguments = [
         f"--{name.replace('_', '-')}={value}" for name, value in shared.items()
     ]
+    if options.zone_drains:
+        arguments.append("--zone-drains")
     with ThreadPoolExecutor(options.jobs) as pool:
         passed = list(
             pool.map(lambda seed: _run_in_subprocess(seed, arguments), options.seeds)
--- a/soak/_board.py
+++ b/soak/_board.py
@@ -9,6 +9,7 @@
 RECONNECT_SECONDS = 3.0
 DRAIN_NOTICE_SECONDS = 2.0
 CONFIGURATION_APPLY_SECONDS = 2.0
+ZONE_DRAIN_APPLY_SECONDS = 5.0
 STOP_GRACE_SECONDS = 8.0
 RECOVERY_SECONDS = 12.0
 
@@ -72,7 +73,10 @@
 
 
 class ValidityRow(NamedTuple):
-    """When the store acknowledged that a route or API key was added and removed."""
+    """When the store acknowledged that an object was added and removed.
+
+    The object is a route, an API key or the drain of a zone.
+    """
 
     name: str
     added_at: float
@@ -94,6 +98,8 @@
         self.runs_by_request_id: dict[str, list[RunRow]] = {}
         self.disturbances: list[DisturbanceRow] = []
         self.drained_at_by_server: dict[str, float] = {}
+        self.zones_by_server: dict[str, str] = {}
+        self.zone_drains: list[ValidityRow] = []
         self.routes_by_name: dict[str, ValidityRow] = {}
         self.keys_by_text: dict[str, ValidityRow] = {}
         self.ready_entries: set[str] = set()
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -12,6 +12,7 @@
     DRAIN_NOTICE_SECONDS,
     RECONNECT_SECONDS,
     STORE,
+    ZONE_DRAIN_APPLY_SECONDS,
     CallRow,
     RunRow,
     SoakBoard,
@@ -128,6 +129,27 @@
                 yield Violation("drained servers", run.request_id, detail)
 
 
+@checks.append
+def drained_zones_get_no_calls(board: SoakBoard) -> Iterator[Violation]:
+    """Find runs that began in a zone out of use after the bound."""
+    for runs in board.runs_by_request_id.values():
+        for run in runs:
+            call = board.calls_by_id.get(run.request_id)
+            for drain in board.zone_drains:
+                due_at = drain.added_at + ZONE_DRAIN_APPLY_SECONDS
+                late = run.began_at - due_at
+                if (
+                    call is None
+                    or board.zones_by_server.get(run.server) != drain.name
+                    or late <= CLOCK_SLACK_SECONDS
+                    or run.began_at >= drain.removed_at
+                ):
+                    continue
+                if board.time_bounds_apply(call.entry, call.sent_at, run.began_at):
+                    detail = f"{late:.2f} s too late at {run.server} by {call.entry}"
+                    yield Violation("drained zones", run.request_id, detail)
+
+
 @checks.append
 def configuration_is_in_force(board: SoakBoard) -> Iterator[Violation]:
     """Find calls served by removed routes or keys, or refused by current ones."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -17,6 +17,8 @@
 FAULTS_PER_SECOND = 0.7
 PLANNED_ONLY_SHARE = 0.25
 REPEAT_SHARE = 0.3
+# Longer than the bound within which a zone has to be out of use.
+ZONE_DRAIN_SECONDS = (7.0, 9.0)
 
 
 class PauseEntry(NamedTuple):
@@ -86,6 +88,13 @@
     failures: int
 
 
+class TakeOutZone(NamedTuple):
+    """Takes an availability zone out of use and back later."""
+
+    zone: str
+    seconds: float
+
+
 class ChangeConfiguration(NamedTuple):
     """Adds a route and a key, and removes those that the previous change added."""
 
@@ -102,6 +111,7 @@
     | ReplaceServer
     | FailServer
     | ChangeConfiguration
+    | TakeOutZone
 )
 
 
@@ -172,3 +182,20 @@
             plan.append(ScheduledFault(repeated_at, fault))
         at += random.expovariate(FAULTS_PER_SECOND)
     return tuple(sorted(plan, key=lambda scheduled: scheduled.at))
+
+
+def draw_zone_drains(
+    seed: int, seconds: float, zones: str
+) -> tuple[ScheduledFault, ...]:
+    """Return one drain of each of two zones, which may overlap.
+
+    Separate from the other faults, so that these stay the same for a seed.
+    """
+    random = Random(f"{seed}/zones")
+    return tuple(
+        ScheduledFault(
+            random.uniform(0.0, seconds / 2),
+            TakeOutZone(zone, random.uniform(*ZONE_DRAIN_SECONDS)),
+        )
+        for zone in random.sample(zones, 2)
+    )
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -16,9 +16,9 @@
 from soak._board import RECOVERY_SECONDS, ProblemRow, SoakBoard
 from soak._callers import run_clients
 from soak._checks import Violation, find_violations
-from soak._faults import ScheduledFault, draw_plan
+from soak._faults import ScheduledFault, draw_plan, draw_zone_drains
 from soak._steps import Step, perform
-from soak._world import SoakFleet
+from soak._world import ZONES, SoakFleet
 
 # Calls in this final period show whether service has recovered.
 RECOVERY_WINDOW_SECONDS = 3.0
@@ -34,6 +34,8 @@
         Period in which faults begin.
     keep : str
         Folder for the logs of a run with violations; empty to discard them.
+    zone_drains : bool
+        Whether zones are taken out of use and back as well.
     """
 
     seed: int
@@ -42,6 +44,7 @@
     services: int = 2
     fault_seconds: float = 16.0
     keep: str = ""
+    zone_drains: bool = False
 
 
 class RunResult(NamedTuple):
@@ -57,7 +60,7 @@
 def run_seed(options: RunOptions) -> RunResult:
     """Run one seed and return its result."""
     board = SoakBoard()
-    fleet = SoakFleet(board)
+    fleet = SoakFleet(board, options.zone_drains)
     try:
         fleet.start_all(options.entries, options.engines, options.services)
         plan = draw_plan(
@@ -66,6 +69,8 @@
             list(fleet.gateways_by_name),
             list(fleet.services_by_server),
         )
+        if options.zone_drains:
+            plan += draw_zone_drains(options.seed, options.fault_seconds, ZONES)
         _execute_plan(fleet, plan, options)
         fleet.read_runs()
         _find_problems(fleet)
--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -18,6 +18,7 @@
     STOP_GRACE_SECONDS,
     STORE,
     ProblemRow,
+    ValidityRow,
 )
 from soak._world import SoakFleet
 
@@ -77,6 +78,12 @@
     server: str
 
 
+class TakeBackZone(NamedTuple):
+    """Takes a zone back into use, and retries until the store has accepted it."""
+
+    zone: str
+
+
 class RemoveServer(NamedTuple):
     """Deregisters and kills a server that was drained."""
 
@@ -316,3 +323,25 @@
         fleet.board.record_disturbance(action.server, "failing", now, RECONNECT_SECONDS)
         fleet.server_faults(action.server, failures=action.failures)
     return ()
+
+
+@perform.register
+def _take_out_zone(action: faults.TakeOutZone, fleet: SoakFleet, now: float) -> Steps:
+    if not _is_store_available(fleet, now) or not fleet.take_out_zone(action.zone):
+        return (Step(now + POLL_SECONDS, action),)
+    fleet.board.zone_drains.append(ValidityRow(action.zone, time.time()))
+    return (Step(now + action.seconds, TakeBackZone(action.zone)),)
+
+
+@perform.register
+def _take_back_zone(action: TakeBackZone, fleet: SoakFleet, now: float) -> Steps:
+    sent_at = time.time()
+    if not _is_store_available(fleet, now) or not fleet.take_back_zone(action.zone):
+        return (Step(now + POLL_SECONDS, action),)
+    fleet.board.zone_drains[:] = [
+        row._replace(removed_at=min(row.removed_at, sent_at))
+        if row.name == action.zone
+        else row
+        for row in fleet.board.zone_drains
+    ]
+    return ()
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -11,12 +11,18 @@
     MODEL_SERVICE,
     OBJECTS,
     PLAIN_SERVICE,
+    STORE_TEXT,
+    ZONE_DRAIN_KIND,
     PlatformFleet,
     route,
 )
 from soak._board import RunRow, SoakBoard, ValidityRow
 
 EVENT_SECONDS = 0.05
+ZONES = "ab"
+STORE_TEXT_WITH_ZONE_DRAINS = STORE_TEXT.replace(
+    '"entries"]', '"entries", "zone_drains"]\nconsistent_scopes = ["zone_drains"]'
+)
 SERVING_LOG_FIELD = '"event": "serving"'
 # Routes that exist for the whole run. Clients wait longer than their timeouts.
 PERMANENT_ROUTES = (
@@ -30,11 +36,19 @@
 
 
 class SoakFleet(PlatformFleet):
-    """Fleet with a link to each server, and one between each entry and the store."""
+    """Fleet with a link to each server, and one between each entry and the store.
+
+    Parameters
+    ----------
+    uses_zones : bool
+        Whether servers are in several zones, which may be taken out of use.
+    """
 
-    def __init__(self, board: SoakBoard) -> None:
-        super().__init__()
+    def __init__(self, board: SoakBoard, uses_zones: bool = False) -> None:
+        store_text = STORE_TEXT_WITH_ZONE_DRAINS if uses_zones else STORE_TEXT
+        super().__init__(store_text=store_text)
         self.board = board
+        self.uses_zones = uses_zones
         self.links_by_subject: dict[str, FakeLink] = {}
         self.services_by_server: dict[str, str] = {}
         self.started_at_ms_by_server: dict[str, int] = {}
@@ -54,7 +68,7 @@
         names = [f"entry-{index}" for index in range(entry_count)]
         for index, name in enumerate(names):
             self.links_by_subject[name] = FakeLink(self.ports_by_name["store"])
-            self.zones_by_entry[name] = "ab"[index % 2]
+            self.zones_by_entry[name] = ZONES[index % 2]
             self.launch_gateway(name)
         for name in names:
             self.wait_gateway(name)
@@ -93,12 +107,15 @@
         self.server_count += 1
         name = f"{service}-{self.server_count}"
         self.services_by_server[name] = service
+        zone = ZONES[self.server_count % 2] if self.uses_zones else "a"
+        self.board.zones_by_server[name] = zone
         self.restart_server(name)
 
     def restart_server(self, name: str) -> None:
         """Start a server under a known id, without any earlier state."""
         self.started_at_ms_by_server[name] = int(time.time() * 1000)
-        self.start_server(name, self.services_by_server[name], "a", EVENT_SECONDS)
+        zone = self.board.zones_by_server[name]
+        self.start_server(name, self.services_by_server[name], zone, EVENT_SECONDS)
 
     def launch_gateway(self, name: str) -> None:
         """Start an entry; record how often its log already reports that it serves."""
@@ -142,10 +159,22 @@
 
     def drain_server(self, name: str) -> bool:
         """Mark a server as draining; return whether the store accepted it."""
-        self.register(name, self.services_by_server[name], state="draining")
+        zone = self.board.zones_by_server[name]
+        self.register(name, self.services_by_server[name], zone, state="draining")
         status, stored = self.store_call("GET", f"{OBJECTS}/servers/{name}")
         return status == 200 and stored["spec"]["state"] == "draining"
 
+    def take_out_zone(self, zone: str) -> bool:
+        """Take a zone out of use; return whether the store accepted it."""
+        body = {"metadata": {"name": zone}, "spec": {}}
+        path = f"{OBJECTS}/{ZONE_DRAIN_KIND}"
+        return self.store_call("POST", path, body)[0] in (200, 201, 409)
+
+    def take_back_zone(self, zone: str) -> bool:
+        """Take a zone back into use; return whether the store accepted it."""
+        path = f"{OBJECTS}/{ZONE_DRAIN_KIND}/{zone}"
+        return self.store_call("DELETE", path)[0] in (200, 204, 404)
+
     def read_runs(self) -> None:
         """Read the run files of all servers into the board."""
         for name in self.services_by_server:
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -5,7 +5,7 @@
 from math import exp, sqrt
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _fairness
+from carawayhitch.controllers import _fairness, zones
 from carawayhitch.controllers._call_logs import build_ask_log
 from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.core import actions, messages, result_codes, rows
@@ -28,10 +28,14 @@
 
 
 def load_percent(board: Board, cell_id: str) -> int:
-    """Return waiting and granted requests per upstream of a cell, as a percentage."""
+    """Return waiting and granted requests per upstream of a cell, as a percentage.
+
+    Upstreams in zones out of use take no part of the load that waits.
+    """
     cell = board.cells_by_id.get(cell_id)
     if cell is None or not cell.upstream_ids:
         return 0
+    upstream_ids = zones.upstream_ids_in_use(board, cell) or cell.upstream_ids
     waiting = sum(
         queue.length
         for (queue_cell_id, _), queue in board.queue_lengths_by_rank.items()
@@ -39,9 +43,9 @@
     )
     running = sum(
         len(board.grant_ids_by_upstream_id.get(upstream_id, ()))
-        for upstream_id in cell.upstream_ids
+        for upstream_id in upstream_ids
     )
-    return 100 * (waiting + running) // len(cell.upstream_ids)
+    return 100 * (waiting + running) // len(upstream_ids)
 
 
 def account_queue(
--- a/src/carawayhitch/controllers/_upstream_choice.py
+++ b/src/carawayhitch/controllers/_upstream_choice.py
@@ -205,8 +205,7 @@
     excluded = set(ask.excluded_upstream_ids)
     # A retry may reuse an upstream only after it has tried all upstreams of the cell
     # whose zones are in use.
-    drained = zones.drained_upstream_ids(board, cell.cell_id)
-    if excluded.issuperset(set(cell.upstream_ids).difference(drained)):
+    if excluded.issuperset(zones.upstream_ids_in_use(board, cell)):
         excluded.clear()
     candidates = [
         row
--- a/src/carawayhitch/controllers/zones/__init__.py
+++ b/src/carawayhitch/controllers/zones/__init__.py
@@ -9,6 +9,7 @@
     has_only_drained_upstreams,
     is_drained,
     retry_after_seconds,
+    upstream_ids_in_use,
 )
 from carawayhitch.controllers.zones._homes import common_regions, is_allowed_region
 
@@ -21,4 +22,5 @@
     "is_allowed_region",
     "is_drained",
     "retry_after_seconds",
+    "upstream_ids_in_use",
 ]
--- a/src/carawayhitch/controllers/zones/_drains.py
+++ b/src/carawayhitch/controllers/zones/_drains.py
@@ -43,6 +43,13 @@
     return tuple(name for name in upstream_ids if is_drained(board, name))
 
 
+def upstream_ids_in_use(board: Board, cell: rows.CellRow) -> tuple[str, ...]:
+    """Return the upstreams of a cell without those in zones out of use."""
+    if not board.zone_drains_by_name:
+        return cell.upstream_ids
+    return tuple(name for name in cell.upstream_ids if not is_drained(board, name))
+
+
 def has_only_drained_upstreams(board: Board, cell: rows.CellRow) -> bool:
     """Return whether a cell cannot serve calls until a zone is taken back.
 
--- a/tests/controllers/zones/test_drains.py
+++ b/tests/controllers/zones/test_drains.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch import controllers, platform
-from carawayhitch.controllers import _idempotency, _store_watch
+from carawayhitch.controllers import _idempotency, _queue, _store_watch
 from carawayhitch.core import actions, declarations, events, messages, rows
 from carawayhitch.core import settings as settings_types
 from tests.controllers.scheduling_world import (
@@ -426,6 +426,16 @@
         back = granted(deliver(self.board, drain("b", 21, deleted=True)))
         self.assertEqual(set(back.values()), {"engine-1"})
 
+    def test_load_of_a_cell_counts_upstreams_in_use(self):
+        """Guards against entries that prefer the cell with most drained upstreams."""
+        for request_id in ("r1", "r2"):
+            self.ask(request_id)
+        self.assertEqual(_queue.load_percent(self.board, CELL), 100)
+        deliver(self.board, drain("b"))
+        # One request runs at the upstream in use, and the next one adds to it.
+        self.ask("r3")
+        self.assertEqual(_queue.load_percent(self.board, CELL), 200)
+
     def test_new_scheduler_knows_the_drain(self):
         """Guards against grants in the zone after its scheduler was lost.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -96,6 +96,26 @@
         board.record_disturbance("entry-0", "paused", 21.0, 0.5)
         self.assertEqual(self.violated_guarantees(board), set())
 
+    def test_run_in_a_zone_out_of_use(self):
+        """Guards against a check that misses late calls or reports others."""
+        cases = (
+            (25.5, "a", {"drained zones"}),
+            (24.5, "a", set()),
+            (25.5, "b", set()),
+            (31.0, "a", set()),
+        )
+        for began_at, zone, expected in cases:
+            with self.subTest(began_at=began_at, zone=zone):
+                runs = (run_of("a", began_at=began_at, ended_at=began_at + 0.1),)
+                call = new_call("a", sent_at=began_at - 0.1)
+                board = new_board(call, runs=runs)
+                board.zones_by_server["orders-1"] = zone
+                drain = ValidityRow("a", 20.0, removed_at=30.0)
+                board.zone_drains.append(drain)
+                self.assertEqual(self.violated_guarantees(board), expected)
+                board.record_disturbance("entry-0", "paused", 23.0, 0.5)
+                self.assertEqual(self.violated_guarantees(board), set())
+
     def test_outdated_configuration(self):
         """Guards against removed routes still served and new ones still refused."""
         served = new_call("a", "extra-1", sent_at=13.0)
--- a/tests/test_zone_drains.py
+++ b/tests/test_zone_drains.py
@@ -8,7 +8,13 @@
 import time
 import unittest
 
-from fakes.platform_fleet import MODEL_SERVICE, OBJECTS, PLAIN_SERVICE, PlatformFleet
+from fakes.platform_fleet import (
+    MODEL_SERVICE,
+    OBJECTS,
+    PLAIN_SERVICE,
+    ZONE_DRAIN_KIND,
+    PlatformFleet,
+)
 from fakes.processes import call
 from tests.test_deploy import TEMPLATE_FIELDS, read_rendered_settings
 from tests.test_platform_path import becomes_true_within
@@ -22,7 +28,7 @@
 ENTRIES = {"entry-0": "a", "entry-1": "a", "entry-2": "a", "entry-3": "b"}
 SERVERS = {"plain-a": "a", "plain-b": "b"}
 CALL_INTERVAL_SECONDS = 0.02
-DRAIN = f"{OBJECTS}/evacuations"
+DRAIN = f"{OBJECTS}/{ZONE_DRAIN_KIND}"
 
 
 def deployed_store_text() -> str:
