End waits for a cell whose last upstream in use leaves in a drain

Found in a review of the diff: waiting requests were placed again or refused when a drain began, not when the last upstream outside the drained zones left later. They waited for their deadline. The test fails without the change. tests.(controllers|core), test_traces and test_deploy pass.

--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -480,8 +480,14 @@
 def _place_waiting_requests_again(
     event: events.ZoneDrainsChanged, board: Board, now: float, random: Random
 ) -> Actions:
+    return _leave_cells_out_of_use(board)
+
+
+def _leave_cells_out_of_use(board: Board) -> list[actions.Action]:
     """Place or refuse the requests that wait in cells without upstreams in use."""
     decided: list[actions.Action] = []
+    if not board.zone_drains_by_name:
+        return decided
     for row in list(board.requests_by_id.values()):
         cell = board.cells_by_id.get(row.cell_id)
         if row.phase not in WAITING_PHASES or not row.scheduler_id or cell is None:
@@ -749,18 +755,20 @@
 ) -> Actions:
     """Report the progress of a leaving engine's generations before the next round.
 
-    The scheduler chooses by the token counts which generations to move first.
+    The scheduler chooses by the token counts which generations to move first. The
+    upstream may also have been the last one in use of its cell.
     """
     cells = {
         row.cell_id
         for row in board.requests_by_id.values()
         if row.upstream_id == event.upstream_id and row.scheduler_id
     }
-    return tuple(
+    reports = [
         actions.Send(scheduler_id, message)
         for scheduler_id, message in progress_messages(board)
         if message.cell_id in cells
-    )
+    ]
+    return (*reports, *_leave_cells_out_of_use(board))
 
 
 @decide.register(messages.ProgressAck)
@@ -833,7 +841,7 @@
     for row in list(board.requests_by_id.values()):
         if row.scheduler_id and row.phase in WAITING_PHASES:
             decided.extend(_leave_removed_cell(board, row))
-    return decided
+    return (*decided, *_leave_cells_out_of_use(board))
 
 
 def _leave_removed_cell(board: Board, row: rows.RequestRow) -> Actions:
--- a/tests/controllers/zones/test_drains.py
+++ b/tests/controllers/zones/test_drains.py
@@ -377,6 +377,14 @@
         self.assertEqual(refused(found), "ZONE_DRAINED")
         self.assertEqual(len(sent(found, messages.AskWithdrawn)), 1)
 
+    def test_waiting_request_is_refused_when_the_last_upstream_leaves(self):
+        """Guards against a wait for upstreams that left during the drain."""
+        self.drain("zone-2")
+        upstream = self.board.upstreams_by_id["engine-2"]
+        self.board.upstreams_by_id["engine-2"] = upstream._replace(leaving=True)
+        found = feed_chain(self.board, events.UpstreamLeaving("engine-2"))
+        self.assertEqual(refused(found), "ZONE_DRAINED")
+
     def test_waiting_request_moves_to_a_cell_in_use(self):
         """Guards against a refusal although another cell of the group has upstreams."""
         cell = rows.CellRow("quotes/region-1/1", "quotes", "region-1", ("engine-9",))
