--- a/tests/controllers/zones/test_drains.py
+++ b/tests/controllers/zones/test_drains.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch import controllers, platform
-from carawayhitch.controllers import _idempotency, _store_watch
+from carawayhitch.controllers import _idempotency, _queue, _store_watch
 from carawayhitch.core import actions, declarations, events, messages, rows
 from carawayhitch.core import settings as settings_types
 from tests.controllers.scheduling_world import (
@@ -377,6 +377,14 @@
         self.assertEqual(refused(found), "ZONE_DRAINED")
         self.assertEqual(len(sent(found, messages.AskWithdrawn)), 1)
 
+    def test_waiting_request_is_refused_when_the_last_upstream_leaves(self):
+        """Guards against a wait for upstreams that left during the drain."""
+        self.drain("zone-2")
+        upstream = self.board.upstreams_by_id["engine-2"]
+        self.board.upstreams_by_id["engine-2"] = upstream._replace(leaving=True)
+        found = feed_chain(self.board, events.UpstreamLeaving("engine-2"))
+        self.assertEqual(refused(found), "ZONE_DRAINED")
+
     def test_waiting_request_moves_to_a_cell_in_use(self):
         """Guards against a refusal although another cell of the group has upstreams."""
         cell = rows.CellRow("quotes/region-1/1", "quotes", "region-1", ("engine-9",))
@@ -426,6 +434,16 @@
         back = granted(deliver(self.board, drain("b", 21, deleted=True)))
         self.assertEqual(set(back.values()), {"engine-1"})
 
+    def test_load_of_a_cell_counts_upstreams_in_use(self):
+        """Guards against entries that prefer the cell with most drained upstreams."""
+        for request_id in ("r1", "r2"):
+            self.ask(request_id)
+        self.assertEqual(_queue.load_percent(self.board, CELL), 100)
+        deliver(self.board, drain("b"))
+        # One request runs at the upstream in use, and the next one adds to it.
+        self.ask("r3")
+        self.assertEqual(_queue.load_percent(self.board, CELL), 200)
+
     def test_new_scheduler_knows_the_drain(self):
         """Guards against grants in the zone after its scheduler was lost.
 
