Give duties to strong VMs by weighted rendezvous hashing

A node derives a strength from 1 to 8 from its settings; it travels in its member row (1 if absent, also from earlier releases) and weighs schedulers, watchers, order leases and the shares of cold upstreams that follow the schedulers. Logarithms are integers, so that all entries compute the same order.

Ruled out: weights in proportion (58% of the cells stay on weak VMs), classes (one stronger VM takes all), virtual nodes (another order for equal strengths), float logarithms (differ between C libraries).

The strategies of test_peer_messages generate strengths within the range; values beyond it have a test of their own.

--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -539,6 +539,10 @@
     return str(value)
 
 
+def _decode_strength(value: int, now: float) -> int:
+    return min(max(value, rows.MINIMUM_STRENGTH), rows.MAXIMUM_STRENGTH)
+
+
 def _decode_outcome(value: Any, now: float) -> str:
     return _outcomes_by_wire_name[str(value)]
 
@@ -569,6 +573,7 @@
     "code": _decode_code,
     "state": _decode_state,
     "outcome": _decode_outcome,
+    "strength": _decode_strength,
     "running": _list_decoder(messages.RunningRequest),
     "counts": _list_decoder(messages.RunningCount),
     "failures": _list_decoder(messages.UpstreamFailures),
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -197,6 +197,8 @@
   region @7 :Text;
   revision @8 :UInt64;
   configurationDigest @9 :Text;
+  strength @10 :UInt8 = 1;
+  # Entries of earlier releases do not send it.
 }
 
 struct Crash {
--- a/src/carawayhitch/controllers/_cells.py
+++ b/src/carawayhitch/controllers/_cells.py
@@ -1,8 +1,8 @@
-"""Assignment of upstreams to cells and of cells to schedulers by rendezvous hashing."""
+"""Assignment of upstreams to cells by rendezvous hashing."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from hashlib import blake2b
 from random import Random
 
@@ -98,34 +98,6 @@
     )
 
 
-def derive_schedulers(
-    cells: Mapping[str, rows.CellRow],
-    members: Iterable[rows.MemberRow],
-    node_id: str,
-    entry_scheduled_groups: frozenset[str] = frozenset(),
-) -> dict[str, tuple[str, ...]]:
-    """Return for each cell the entries that schedule it, in failover order.
-
-    Entries of other regions are candidates only if the cell's region has none. A node
-    that knows no schedulable member returns itself.
-    """
-    eligible = [member for member in members if member.state in SCHEDULING_STATES]
-    ids_by_region: dict[str, list[str]] = {}
-    for member in eligible:
-        ids_by_region.setdefault(member.region, []).append(member.node_id)
-    all_ids = [member.node_id for member in eligible] or [node_id]
-    return {
-        cell.cell_id: (node_id,)
-        if cell.group in entry_scheduled_groups
-        else tuple(
-            order_by_rendezvous(
-                cell.cell_id, ids_by_region.get(cell.region) or all_ids
-            )[:SCHEDULER_CANDIDATE_LIMIT]
-        )
-        for cell in cells.values()
-    }
-
-
 def other_schedulers(board: Board, upstream_id: str) -> list[str]:
     """Return the other entries that schedule the cells of an upstream."""
     schedulers = {
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._cells import order_by_rendezvous
+from carawayhitch.controllers import duties
 from carawayhitch.controllers._configuration_checks import (
     find_object_problems,
     validate_decoded_object,
@@ -137,7 +137,8 @@
     zone = board.settings.node.zone
     in_zone = {row.node_id for row in live if row.zone == zone} | {board.node_id}
     count = board.settings.store.watchers_per_zone
-    return board.node_id in order_by_rendezvous(f"watch/{zone}", in_zone)[:count]
+    order = duties.order_members(board, f"watch/{zone}", in_zone)
+    return board.node_id in order[:count]
 
 
 @decide.register(events.ProcessStarted)
--- a/src/carawayhitch/controllers/_leases.py
+++ b/src/carawayhitch/controllers/_leases.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._cells import order_by_rendezvous
+from carawayhitch.controllers import duties
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.core import actions, events, result_codes, rows
 
@@ -50,7 +50,7 @@
         group
         for group in sorted(groups)
         if board.node_id
-        in order_by_rendezvous(f"orders/{group}", candidate_ids)[
+        in duties.order_members(board, f"orders/{group}", candidate_ids)[
             :LEASE_CANDIDATES_PER_GROUP
         ]
     ]
--- a/src/carawayhitch/controllers/_member_table.py
+++ b/src/carawayhitch/controllers/_member_table.py
@@ -58,11 +58,11 @@
     )
 
 
-def _scheduling_region(row: rows.MemberRow | None) -> str | None:
-    """Return the region in which a member can schedule, or None if it cannot."""
+def _scheduling_weight(row: rows.MemberRow | None) -> tuple[str, int] | None:
+    """Return region and strength of a member that can schedule, or None."""
     if row is None or row.state not in SCHEDULING_STATES:
         return None
-    return row.region
+    return row.region, row.strength
 
 
 def present_peers(board: Board) -> list[rows.MemberRow]:
@@ -103,7 +103,7 @@
         level = "debug" if row.state in ("joining", "alive") else "info"
         fields = {"member": row.node_id, "state": row.state, "zone": row.zone}
         decided.append(actions.Log(level, "member state", fields))
-    if _scheduling_region(known) != _scheduling_region(row):
+    if _scheduling_weight(known) != _scheduling_weight(row):
         decided.append(actions.Emit(events.MembershipChanged()))
     return decided
 
@@ -255,6 +255,13 @@
             insert_into_probe_round(board, row.node_id, random)
         return put_member(board, row, now)
     same_process = row.incarnation == known.incarnation
+    decided: list[actions.Action] = []
+    if same_process and from_subject and row.strength != known.strength:
+        # The known row came through an entry of a release that does not relay it.
+        known = known._replace(strength=row.strength)
+        board.members_by_id[row.node_id] = known
+        if known.state in SCHEDULING_STATES:
+            decided.append(actions.Emit(events.MembershipChanged()))
     if same_process and (
         row.revision > known.revision
         or (from_subject and row.revision == known.revision)
@@ -266,8 +273,8 @@
             seen = events.PeerRevisionSeen(
                 row.node_id, row.revision, row.configuration_digest
             )
-            return (actions.Emit(seen),)
-    return ()
+            decided.append(actions.Emit(seen))
+    return decided
 
 
 def _refute_report(board: Board, row: rows.MemberRow, now: float) -> Actions:
--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import duties
 from carawayhitch.controllers._configuration import format_object_set_digest
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._crash_records import merge_crashes
@@ -98,6 +99,7 @@
         http_port=node.http_port,
         zone=node.zone,
         region=node.region,
+        strength=duties.strength_of(node),
     )
     board.probe_round_by_node_id[node.id] = rows.ProbeRoundRow(
         node.id, (), random.randrange(1, SEQUENCE_MODULUS // 2), 0, now
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import zones
+from carawayhitch.controllers import duties, zones
 from carawayhitch.controllers._backoffs import (
     backoff_notice,
     is_backing_off,
@@ -17,7 +17,7 @@
     build_retry_log,
     build_stage_observation,
 )
-from carawayhitch.controllers._cells import derive_schedulers, entry_scheduled_groups
+from carawayhitch.controllers._cells import entry_scheduled_groups
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._drain_waits import (
     DRAIN_RETRY_AFTER_SECONDS,
@@ -834,7 +834,7 @@
     now: float,
     random: Random,
 ) -> Actions:
-    derived = derive_schedulers(
+    derived = duties.derive_schedulers(
         board.cells_by_id,
         board.members_by_id.values(),
         board.node_id,
--- a/src/carawayhitch/controllers/cold_start/_limits.py
+++ b/src/carawayhitch/controllers/cold_start/_limits.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import duties
 from carawayhitch.controllers._cells import order_by_rendezvous
 from carawayhitch.core import declarations, rows
 
@@ -82,8 +83,8 @@
     )
 
 
-def _ordered_entries(board: Board, subject: str, region: str) -> list[str]:
-    """Return all entries that may give grants, those of the region first.
+def _regions_by_entry(board: Board) -> dict[str, str]:
+    """Return all entries that may give grants, with their regions.
 
     Dead members count while the platform lists them: they may only be out of reach,
     and their grants may still be in use.
@@ -95,7 +96,12 @@
         and (row.state != "dead" or row.node_id in board.listed_entries_by_vm_id)
     }
     regions_by_id.setdefault(board.node_id, board.settings.node.region)
-    order = order_by_rendezvous(subject, regions_by_id)
+    return regions_by_id
+
+
+def _region_first(
+    order: list[str], regions_by_id: dict[str, str], region: str
+) -> list[str]:
     return sorted(order, key=lambda node_id: regions_by_id[node_id] != region)
 
 
@@ -107,11 +113,15 @@
     if cell is None or group is None:
         return rows.SchedulerShareRow(bound=0, position=0)
     bound = _request_bound(board, group)
+    regions_by_id = _regions_by_entry(board)
     if group.scheduler == "cell":
-        order = _ordered_entries(board, cell.cell_id, cell.region)
+        # The order in which they schedule the cell.
+        order = duties.order_members(board, cell.cell_id, regions_by_id)
+        order = _region_first(order, regions_by_id, cell.region)
         return rows.SchedulerShareRow(bound, order.index(board.node_id))
     # By upstream, so that an entry without a share of one has a share of another.
-    order = _ordered_entries(board, upstream_id, cell.region)
+    order = order_by_rendezvous(upstream_id, regions_by_id)
+    order = _region_first(order, regions_by_id, cell.region)
     return rows.EntryShareRow(bound, order.index(board.node_id), len(order))
 
 
--- a/src/carawayhitch/core/_member_rows.py
+++ b/src/carawayhitch/core/_member_rows.py
@@ -5,6 +5,11 @@
 from typing import Literal, NamedTuple
 
 MemberState = Literal["joining", "alive", "suspect", "leaving", "left", "dead"]
+# Strengths of members. Beyond two cores and half a gigabyte, a single-threaded process
+# gains little for the work of a duty, and an unbounded strength would let one large VM
+# take every duty.
+MINIMUM_STRENGTH = 1
+MAXIMUM_STRENGTH = 8
 LifecycleState = Literal["starting", "ready", "draining", "refusing", "stopped"]
 
 
@@ -15,13 +20,16 @@
     ----------
     incarnation : int
         Start of the process in microseconds of Unix time, plus the number of times
-        that it refuted a false report about itself.
+        that it refuted a false report about itself or changed its strength.
     state : MemberState
         ``joining`` until the process knows the cells that it could schedule.
     state_deadline : float
         Time at which a suspected member is declared dead, or at which the row of a
         dead or departed member is removed (seconds of the node clock); 0 if the state
         has no deadline.
+    strength : int
+        Weight of the member where duties are given, 1 for the weakest or unknown. It
+        changes only together with the incarnation.
     """
 
     node_id: str
@@ -35,6 +43,7 @@
     revision: int = 0
     configuration_digest: str = ""
     state_deadline: float = 0.0
+    strength: int = MINIMUM_STRENGTH
 
 
 class MemberUpdateRow(NamedTuple):
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -10,6 +10,8 @@
     LayoutRow,
 )
 from carawayhitch.core._member_rows import (
+    MAXIMUM_STRENGTH,
+    MINIMUM_STRENGTH,
     LifecycleRow,
     LifecycleState,
     MemberRow,
@@ -78,6 +80,8 @@
 )
 
 __all__ = [
+    "MAXIMUM_STRENGTH",
+    "MINIMUM_STRENGTH",
     "AccountUsageRow",
     "AnswerTimesRow",
     "AskRow",
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -12,7 +12,16 @@
 
 
 class NodeSettings(NamedTuple):
-    """Identity and addresses of this process."""
+    """Identity and addresses of this process, and resources of its VM.
+
+    Parameters
+    ----------
+    processor_share, processor_cores : float
+        The process may use this share of the time of a processor that is this number
+        of times as fast as one core; a share of 0 if unknown.
+    memory_megabytes, link_megabits : float
+        Memory, and megabits a second, of the VM; 0 if unknown.
+    """
 
     id: str
     zone: str
@@ -20,6 +29,10 @@
     address: str = "127.0.0.1"
     http_port: Port = 8080
     peer_port: Port = 8081
+    processor_share: Annotated[float, Meta(ge=0)] = 0.0
+    processor_cores: Annotated[float, Meta(gt=0)] = 1.0
+    memory_megabytes: Annotated[float, Meta(ge=0)] = 0.0
+    link_megabits: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class PeerKey(NamedTuple):
--- a/tests/codecs/test_peer_messages.py
+++ b/tests/codecs/test_peer_messages.py
@@ -45,6 +45,8 @@
     "revision": st.integers(0, 2**64 - 1),
     "peer_port": st.integers(0, 65535),
     "http_port": st.integers(0, 65535),
+    # Values beyond the range have their own test.
+    "strength": st.integers(rows.MINIMUM_STRENGTH, rows.MAXIMUM_STRENGTH),
 }
 
 
@@ -120,6 +122,18 @@
         received = codecs.decode_message(datagram, RECEIVER, (OLD_KEY,), 50.0)
         self.assertEqual(received.message.deadline, 52.0)
 
+    def test_strength_without_value_or_beyond_range(self):
+        """Guards against a member row that no arithmetic on strengths expects."""
+        for sent, expected in ((0, 1), (255, rows.MAXIMUM_STRENGTH)):
+            row = rows.MemberRow("n", 1, "alive", "a", 1, 2, "z", "r", strength=sent)
+            probe = messages.Probe("n", 1, (row,), ())
+            self.assertEqual(
+                decode(encode(probe)).message.members[0].strength, expected
+            )
+        # Earlier releases do not send the field.
+        sent = _peer_messages._schema.Member.new_message(nodeId="n")
+        self.assertEqual(sent.strength, rows.MINIMUM_STRENGTH)
+
     def test_goal_deadline_at_the_current_time_is_kept(self):
         """Guards against asks that lose goal deadline and rank when it is reached."""
         ask = messages.AdmissionAsk(
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -413,6 +413,7 @@
                 "region-1",
                 123_456,
                 "0123456789abcdef",
+                strength=rows.MAXIMUM_STRENGTH,
             )
             state = ("leaving", "suspect", "dead")[index % 3] if index > 20 else "alive"
             row = row._replace(state=state)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -31,7 +31,7 @@
         "budgetWindowS": 10,
     },
     "platform": {"address": "10.200.1.7:8742"},
-    "limits": {"memoryMb": 136},
+    "limits": {"cpuShare": 0.717, "cores": 3, "memoryMb": 136, "linkMbps": 100.0},
 }
 
 
@@ -47,6 +47,16 @@
     def setUp(self):
         self.settings = read_rendered_settings(TEMPLATE_FIELDS)
 
+    def test_resources_of_the_vm(self):
+        """Guards against duties given without regard to the strength of VMs."""
+        node = self.settings.node
+        self.assertAlmostEqual(node.processor_share * node.processor_cores, 2.151)
+        self.assertEqual((node.memory_megabytes, node.link_megabits), (136, 100))
+        unknown = read_rendered_settings(
+            {**TEMPLATE_FIELDS, "limits": {"memoryMb": 136}}
+        )
+        self.assertEqual(unknown.node.processor_share, 0)
+
     def test_bounds_may_be_fractions(self):
         """Guards against an entry that exits because a bound is not a whole number.
 
