Count servers as cold when their zone is taken back into use

An evacuated zone may have become cold shortly before it is taken back, and its registrations tell that only with the next heartbeat. The parts for zone drains and for cold servers did not know of each other: a burst could go to the whole zone at the moment of its return.

The servers of a zone that is taken back now count as cold for their declared warm-up. Ruled out: waiting for the next report, which is up to a poll interval late.

--- a/src/carawayhitch/controllers/cold_start/_decisions.py
+++ b/src/carawayhitch/controllers/cold_start/_decisions.py
@@ -203,3 +203,20 @@
     # The upstream gets no requests before that time.
     returns_at = max(now, upstream.unreachable_until)
     return _begin_whole_warm_up(board, upstream_id, "unreachable", returns_at)
+
+
+@decide.register(events.ZoneDrainsChanged)
+def _expect_cold_upstreams_of_returned_zones(
+    event: events.ZoneDrainsChanged, board: Board, now: float, random: Random
+) -> Actions:
+    """Count the upstreams of a zone that is taken back as cold.
+
+    They may have become cold while they got no requests.
+    """
+    decided: list[actions.Action] = []
+    for upstream in list(board.upstreams_by_id.values()):
+        if upstream.zone in event.ended:
+            decided += _begin_whole_warm_up(
+                board, upstream.upstream_id, "zone taken back", now
+            )
+    return decided
--- a/tests/controllers/test_cold_start.py
+++ b/tests/controllers/test_cold_start.py
@@ -275,6 +275,20 @@
         self.entry.list_upstreams(now + 1.0)
         self.assertTrue(self.is_cold(now + 1.5))
 
+    def test_zone_that_is_taken_back(self):
+        """Guards against a rush to servers that became cold while their zone rested."""
+        entry = Entry(engines(2))
+        at = entry.warm()
+        drained = events.ZoneDrainsChanged(("zone-1",), ())
+        self.assertFalse(entry.feed(drained, at))
+        self.assertFalse(cold_start.is_cold(entry.board, "engine-0", at))
+        entry.feed(events.ZoneDrainsChanged((), ("zone-2",)), at)
+        self.assertFalse(cold_start.is_cold(entry.board, "engine-0", at))
+        entry.feed(events.ZoneDrainsChanged((), ("zone-1",)), at)
+        entry.ask(200, at)
+        for name in entry.names:
+            self.assertEqual(len(entry.granted_at[name]), BOUND // 2)
+
     def test_absurd_remaining_time_is_bounded(self):
         """Guards against a server that stays cold because its clock is wrong."""
         now = self.entry.warm()
