Close clients that hold much and move little when memory is short

Cause: only the bodies of calls were counted, and only while they were received. sanic received bodies itself on routes without a stream (operators, exchange, readiness); an answer left the count when it was complete, then waited twice in the write buffer; a stream that nobody read took 0.8 MB.

One count now covers bodies at all listeners, answers until they are sent, write buffers and bytes sent ahead. A survey of the connections is decided on by a controller: who holds most and moves least is closed first. Bodies have a time limit for each 64 kB instead of one for the whole. Connections of clients leave descriptors for files and upstreams. Each refusal or close has a result code and counter.

Ruled out: the resident size as measure, because it doesn't fall when memory is freed; a fixed estimate of 0.4 MB for each unread stream, because a link that stalls for a hundred small streams would close them.

--- a/src/carawayhitch/backends/__init__.py
+++ b/src/carawayhitch/backends/__init__.py
@@ -8,9 +8,11 @@
     BodyMemory,
     RequestBody,
     new_body_memory,
+    write_buffer_bytes,
 )
 from carawayhitch.backends._calls import (
     CONNECTION_HEADERS,
+    STREAM_READ_BYTES,
     CallContent,
     Caller,
     Submit,
@@ -49,6 +51,7 @@
     "FORWARD_PATH",
     "PROOF_HEADER",
     "SMALL_BODY_BYTES",
+    "STREAM_READ_BYTES",
     "BodyMemory",
     "BodyTooLargeError",
     "CallContent",
@@ -80,4 +83,5 @@
     "send_order",
     "single_send_middleware",
     "submit_failures",
+    "write_buffer_bytes",
 ]
--- a/src/carawayhitch/backends/_bodies.py
+++ b/src/carawayhitch/backends/_bodies.py
@@ -9,6 +9,10 @@
 from carawayhitch.backends._body_memory import BodyMemory
 from carawayhitch.core import errors, result_codes
 
+# Longer than callers that do not read their answers keep their memory; servers cut off
+# what nobody reads for seconds.
+MEMORY_WAIT_SECONDS = 4.0
+
 
 class BodyTooLargeError(errors.MalformedMessageError):
     """A response body exceeds its limit and was not read to its end."""
@@ -48,7 +52,9 @@
             size = len(body) + len(part)
             if size > limit_bytes:
                 raise BodyTooLargeError(limit_bytes)
-            if memory is not None and not memory.reserve(size, len(body)):
+            if memory is not None and not await memory.reserve_in_time(
+                size, len(body), MEMORY_WAIT_SECONDS
+            ):
                 raise BodyTooLargeError(len(body))
             body += part
             handle_progress()
--- a/src/carawayhitch/backends/_calls.py
+++ b/src/carawayhitch/backends/_calls.py
@@ -15,6 +15,9 @@
 from carawayhitch.core import errors, events, result_codes
 from carawayhitch.core import settings as settings_types
 
+# Bounds what is written at once for a caller that does not read.
+STREAM_READ_BYTES = 32_768
+
 Submit = Callable[[Any], None]
 
 
--- a/src/carawayhitch/backends/_engines.py
+++ b/src/carawayhitch/backends/_engines.py
@@ -8,6 +8,7 @@
 
 from carawayhitch.backends._bodies import BodyTooLargeError
 from carawayhitch.backends._calls import (
+    STREAM_READ_BYTES,
     UpstreamCall,
     new_call_failure,
     read_body,
@@ -87,7 +88,7 @@
     received_chunk = partial(events.ChunkReceived, call.request_id, call.attempt)
     pending = b""
     try:
-        while received := await response.content.readany():
+        while received := await response.content.read(STREAM_READ_BYTES):
             block, pending = split_events(pending + received if pending else received)
             if block is None:
                 continue
--- a/src/carawayhitch/backends/_sessions.py
+++ b/src/carawayhitch/backends/_sessions.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from contextlib import suppress
 from functools import partial
 from typing import Any
 
@@ -12,6 +14,9 @@
 from carawayhitch.core import settings as settings_types
 
 READ_BUFFER_BYTES = 65536
+SMALL_READ_BUFFER_BYTES = 16_384
+# uvloop reads up to 256 kB at once of what the kernel holds; the kernel doubles this.
+RECEIVE_BUFFER_BYTES = 32_768
 # Default of aiohttp.
 DEFAULT_IDLE_SECONDS = 15.0
 
@@ -124,6 +129,18 @@
         self._factory = factory
 
 
+def _open_small_socket(address: Any) -> socket.socket:
+    """Return a socket that takes little of an answer in advance.
+
+    What is received and not yet read counts toward the memory of a machine.
+    """
+    family, kind, protocol, *_ = address
+    opened = socket.socket(family, kind, protocol)
+    with suppress(OSError):
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return opened
+
+
 def open_session(
     settings: settings_types.Settings,
     fresh_connections: bool,
@@ -142,13 +159,19 @@
         Time after which an idle connection is closed instead of reused.
     """
     # aiohttp rejects keepalive_timeout together with force_close.
-    keepalive_options = {} if fresh_connections else {"keepalive_timeout": idle_seconds}
+    options: dict[str, Any] = (
+        {} if fresh_connections else {"keepalive_timeout": idle_seconds}
+    )
+    read_buffer_bytes = READ_BUFFER_BYTES
+    if settings.limits.memory_megabytes:
+        read_buffer_bytes = SMALL_READ_BUFFER_BYTES
+        options["socket_factory"] = _open_small_socket
     connector = StrictConnector(
         limit=0,
         limit_per_host=0,
         force_close=fresh_connections,
         ttl_dns_cache=None,
-        **keepalive_options,
+        **options,
     )
     timeout = aiohttp.ClientTimeout(
         total=None, sock_connect=settings.streams.connect_timeout_seconds
@@ -157,7 +180,7 @@
         connector=connector,
         timeout=timeout,
         auto_decompress=False,
-        read_bufsize=READ_BUFFER_BYTES,
+        read_bufsize=read_buffer_bytes,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
 
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -451,6 +451,13 @@
     request_id: str
 
 
+class CloseConnection(NamedTuple):
+    """Close the connection of a client; a body in receipt is refused with the code."""
+
+    connection_id: int
+    code: ResultCode
+
+
 class StopProcess(NamedTuple):
     """Terminate the process; all of its work has ended."""
 
@@ -464,6 +471,7 @@
     | ResumeUpstream
     | CopyMemory
     | DropBody
+    | CloseConnection
     | ReleaseMemory
     | CloseUpstream
     | CancelGeneration
--- a/src/carawayhitch/core/_call_events.py
+++ b/src/carawayhitch/core/_call_events.py
@@ -6,6 +6,7 @@
 
 from carawayhitch.core._declarations import Labels
 from carawayhitch.core._rows import (
+    ConnectionUse,
     GenerationTarget,
     IssuedKey,
     RoutedTarget,
@@ -68,9 +69,28 @@
     ----------
     missing_bytes : int
         Bytes by which the memory is too small.
+    connections : tuple of ConnectionUse
+        Connections that hold memory.
+    is_urgent : bool
+        Whether the memory is exceeded, so that also clients that move have to go.
     """
 
     missing_bytes: int
+    connections: tuple[ConnectionUse, ...] = ()
+    is_urgent: bool = False
+
+
+class ConnectionsNeeded(NamedTuple):
+    """A client cannot connect because too many connections are open.
+
+    Parameters
+    ----------
+    missing_count : int
+        Connections that should be closed.
+    """
+
+    missing_count: int
+    connections: tuple[ConnectionUse, ...]
 
 
 class KeysRequested(NamedTuple):
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -261,6 +261,28 @@
     deviation_seconds: float
 
 
+ConnectionStage = Literal["idle", "receiving", "running", "sending"]
+
+
+class ConnectionUse(NamedTuple):
+    """What the connection of a client holds when memory or connections are short.
+
+    Parameters
+    ----------
+    stage : {"idle", "receiving", "running", "sending"}
+        ``"running"`` if the client waits for its answer and is not to blame.
+    held_bytes : int
+        Bytes that a close of the connection frees.
+    progressed_at : float
+        Time at which the client had last sent or read the bytes that count as progress.
+    """
+
+    connection_id: int
+    stage: ConnectionStage
+    held_bytes: int
+    progressed_at: float
+
+
 class RetryBudgetRow(NamedTuple):
     """Retry budget of one serving group, as a token bucket."""
 
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -96,6 +96,12 @@
 NO_ROUTE = ResultCode(
     1022, "NO_ROUTE", "no", 404, "No HTTP route matches the host and the path."
 )
+CLIENT_STALLED = ResultCode(
+    1023, "CLIENT_STALLED", "no", 503, "The body did not move while memory was short."
+)
+CONNECTION_DISPLACED = ResultCode(
+    1024, "CONNECTION_DISPLACED", "no", 0, "An idle connection made room for others."
+)
 REQUEST_TIMEOUT = ResultCode(
     1041, "REQUEST_TIMEOUT", "no", 408, "The request did not arrive in time."
 )
@@ -145,6 +151,9 @@
 ANSWER_TOO_LARGE = ResultCode(
     2043, "ANSWER_TOO_LARGE", "unknown", 502, "The answer exceeds the size limit."
 )
+ANSWER_NOT_READ = ResultCode(
+    2044, "ANSWER_NOT_READ", "unknown", 0, "The caller did not read its answer."
+)
 FORWARD_REFUSED = ResultCode(
     2009, "FORWARD_REFUSED", "unknown", 403, "The forwarded call was not signed."
 )
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -27,6 +27,8 @@
 )
 from carawayhitch.core._request_rows import (
     AnswerTimesRow,
+    ConnectionStage,
+    ConnectionUse,
     ForwardTarget,
     GenerationTarget,
     IssuedKey,
@@ -81,6 +83,8 @@
     "ChangeRow",
     "ClaimRow",
     "ClaimState",
+    "ConnectionStage",
+    "ConnectionUse",
     "CrashRow",
     "EndedRequestRow",
     "EngineFailureRow",
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -232,6 +232,16 @@
     memory_megabytes : float
         Memory that the process may use, in millions of bytes; 0 if it is not limited.
         Large bodies are refused if the open ones fill a part of it.
+    descriptors : int
+        File descriptors that the process may open, of which 200 are left for files;
+        0 for the limit of the operating system.
+    progress_bytes, progress_seconds : int, float
+        A client that sends or reads fewer bytes in this time is closed before others
+        if memory or connections are short.
+    receive_timeout_seconds : float
+        Time in which a body has to bring twice ``progress_bytes`` or its end.
+    unread_timeout_seconds : float
+        Longest time in which a client takes nothing of an answer that waits for it.
     """
 
     body_bytes: Annotated[int, Meta(ge=1024)] = 4_194_304
@@ -242,6 +252,10 @@
     receive_timeout_seconds: PositiveSeconds = 10.0
     default_deadline_seconds: PositiveSeconds = 600.0
     memory_megabytes: Annotated[float, Meta(ge=0)] = 0.0
+    descriptors: Annotated[int, Meta(ge=0)] = 0
+    progress_bytes: Annotated[int, Meta(ge=1)] = 32_768
+    progress_seconds: PositiveSeconds = 2.0
+    unread_timeout_seconds: PositiveSeconds = 30.0
 
 
 class DrainSettings(NamedTuple):
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -96,6 +96,7 @@
     application.add_route(_health_handler(node), "/healthz", name="healthz")
     application.add_route(_metrics_handler(node), "/metrics", name="metrics")
     application.add_route(_status_handler(node), "/status", name="status")
+    application.exception(Exception)(_error_handler(node))
     return application
 
 
--- a/src/carawayhitch/frontend/_caller.py
+++ b/src/carawayhitch/frontend/_caller.py
@@ -11,6 +11,7 @@
 from sanic.response import HTTPResponse, raw
 
 from carawayhitch import codecs
+from carawayhitch.backends import SMALL_BODY_BYTES, STREAM_READ_BYTES
 from carawayhitch.core import actions, result_codes
 from carawayhitch.core import settings as settings_types
 from carawayhitch.frontend._refusals import refusal_response
@@ -49,6 +50,8 @@
 
     def answer(self, action: actions.SendAnswer) -> None:
         """Send a complete response."""
+        if not self._outcome.done() and len(action.body) > SMALL_BODY_BYTES:
+            self._protocol.hold_answer(len(action.body))
         self._set_outcome(action)
 
     def refuse(self, action: actions.RefuseCall) -> None:
@@ -97,7 +100,23 @@
 
     async def respond(self) -> HTTPResponse | None:
         """Send the outcome; return the response, or None if it was streamed."""
-        return await _respond(await self._outcome, self)
+        action = await self._outcome
+        try:
+            return await _respond(action, self)
+        finally:
+            self._protocol.release_answer()
+
+    async def respond_complete(self, response: HTTPResponse) -> HTTPResponse | None:
+        """Send a large body in parts, so that no copy of it waits for the caller."""
+        body = response.body or b""
+        if len(body) <= STREAM_READ_BYTES or self.request.method == "HEAD":
+            return response
+        response.body = None
+        response.headers["content-length"] = str(len(body))
+        response = await self.request.respond(response)
+        for start in range(0, len(body), STREAM_READ_BYTES):
+            await response.send(body[start : start + STREAM_READ_BYTES])
+        return None
 
     async def open_stream(self, action: actions.StartStream) -> Any:
         """Send the status line and the headers of a stream; return its response."""
@@ -129,10 +148,15 @@
         response = await self.open_stream(action)
         await response.send(b"")
         self._transport = self.request.transport
+        self._protocol.relays_stream = True
         unsent_chunks, self._unsent_chunks = self._unsent_chunks, []
         for data in unsent_chunks:
             self.write(data)
-        if await self._stream_completion:
+        try:
+            is_complete = await self._stream_completion
+        finally:
+            self._protocol.relays_stream = False
+        if is_complete:
             await response.eof()
             return
         stream: Any = self.request.stream
@@ -152,11 +176,13 @@
 async def _respond_complete(
     action: actions.SendAnswer, caller: SanicCaller
 ) -> HTTPResponse | None:
-    return raw(
-        action.body,
-        action.status,
-        headers=dict(action.headers),
-        content_type=action.content_type,
+    return await caller.respond_complete(
+        raw(
+            action.body,
+            action.status,
+            headers=dict(action.headers),
+            content_type=action.content_type,
+        )
     )
 
 
--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -51,9 +51,13 @@
             await self.respond_stream(action)
             return None
         if isinstance(action, actions.SendAnswer):
-            return RelayedResponse(
+            response = RelayedResponse(
                 action.body, action.status, headers=Header(action.headers)
             )
+            try:
+                return await self.respond_complete(response)
+            finally:
+                self._protocol.release_answer()
         return refusal_response(action)
 
     async def open_stream(self, action: actions.StartStream) -> Any:
@@ -244,4 +248,5 @@
         return empty(200 if node.board.lifecycle.state == "ready" else 503)
 
     application.add_route(handle_readiness, platform.READINESS_PATH, name="readiness")
+    application.exception(Exception)(_error_handler(node))
     return application
--- a/src/carawayhitch/frontend/_receiving.py
+++ b/src/carawayhitch/frontend/_receiving.py
@@ -11,7 +11,8 @@
 from sanic.exceptions import PayloadTooLarge
 
 from carawayhitch.backends import SMALL_BODY_BYTES, RequestBody
-from carawayhitch.core import errors, events, result_codes
+from carawayhitch.core import errors, result_codes
+from carawayhitch.core import settings as settings_types
 from carawayhitch.node import Node
 
 # Headers that may occur only once: with two values, a proxy and this entry could each
@@ -31,6 +32,8 @@
 AMBIGUOUS_HEAD_PATTERN = re.compile(
     rb"(?<!\r)\n|\r(?!\n)|\x00|\r\n[ \t]|\r\n[^:\r]*[ \t]:|\r\n:"
 )
+# Time in which a displaced body is given up.
+PLACE_WAIT_SECONDS = 0.01
 # Bytes of an oversized body that are read and discarded so that the caller receives the
 # refusal.
 DISCARDED_BODY_LIMIT_BYTES = 64 * 1024 * 1024
@@ -94,27 +97,24 @@
     if not stream.request_body:
         return
     context = request.app.ctx
-    if context.receiving_count >= limits.receiving_requests:
-        stream.keep_alive = False
-        raise errors.CallRefusedError(
-            result_codes.ENTRY_OVERLOADED,
-            f"{context.receiving_count} request bodies are already being received",
-        )
+    if not _is_received(request):
+        await _wait_for_place(node, request)
+    protocol: Any = request.protocol
     context.receiving_count += 1
     body = RequestBody(memory=node.body_memory)
-    refusal: errors.CallRefusedError | None = errors.CallRefusedError(
-        result_codes.REQUEST_TIMEOUT,
-        f"request body was not received within {limits.receive_timeout_seconds} s",
-    )
+    refusal: errors.CallRefusedError | None = None
     try:
-        async with asyncio.timeout(limits.receive_timeout_seconds):
-            refusal = await _read_body(node, request, body, limit_bytes)
+        async with asyncio.timeout(limits.receive_timeout_seconds) as limit:
+            protocol.begin_receiving(body, limit)
+            refusal = await _read_body(node, request, body, limit_bytes, limit)
             if refusal is not None:
                 await _discard_body(stream)
     except TimeoutError:
         stream.request_body = None
+        refusal = refusal or _timeout_error(protocol.displaced_code, limits)
     finally:
         context.receiving_count -= 1
+        protocol.end_receiving()
     if refusal is not None:
         body.drop()
         stream.keep_alive = False
@@ -127,6 +127,41 @@
         transport.resume_reading()
 
 
+def _is_received(request: Request) -> bool:
+    """Return whether a small body came together with its head."""
+    stream: Any = request.stream
+    declared = request.headers.get("content-length", "")
+    received = min(len(stream.recv_buffer), SMALL_BODY_BYTES)
+    return declared.isdecimal() and int(declared) <= received
+
+
+async def _wait_for_place(node: Node, request: Request) -> None:
+    """Refuse a body if too many that move are being received."""
+    context, limit = request.app.ctx, node.settings.limits.receiving_requests
+    if context.receiving_count >= limit:
+        node.make_room_for_connection(1, is_receiving=True)
+        await asyncio.sleep(PLACE_WAIT_SECONDS)
+    if context.receiving_count >= limit:
+        stream: Any = request.stream
+        stream.keep_alive = False
+        raise errors.CallRefusedError(
+            result_codes.ENTRY_OVERLOADED,
+            f"{context.receiving_count} request bodies are already being received",
+        )
+
+
+def _timeout_error(
+    displaced_code: result_codes.ResultCode | None,
+    limits: settings_types.LimitSettings,
+) -> errors.CallRefusedError:
+    if displaced_code is not None:
+        return errors.CallRefusedError(displaced_code, displaced_code.meaning)
+    return errors.CallRefusedError(
+        result_codes.REQUEST_TIMEOUT,
+        f"request body was not received within {limits.receive_timeout_seconds} s",
+    )
+
+
 def take_body(request: Request) -> RequestBody:
     """Return the received body, if any, to which the request refers no longer."""
     request.body = b""
@@ -134,15 +169,21 @@
 
 
 async def _read_body(
-    node: Node, request: Request, body: RequestBody, limit_bytes: int
+    node: Node,
+    request: Request,
+    body: RequestBody,
+    limit_bytes: int,
+    limit: asyncio.Timeout,
 ) -> errors.CallRefusedError | None:
     """Read a body within its limit and the memory; return its refusal, if any."""
     stream: Any = request.stream
     declared = request.headers.get("content-length", "")
     expected_bytes = min(int(declared), limit_bytes) if declared.isdecimal() else 0
-    if not _reserve_memory(node, body, expected_bytes):
+    if not await body.reserve_in_time(expected_bytes, 0.0):
         return _no_memory_error(expected_bytes)
     received = bytearray()
+    limits, loop = node.settings.limits, asyncio.get_running_loop()
+    window_bytes = 0
     try:
         async for part in stream:
             size = len(received) + len(part)
@@ -150,9 +191,13 @@
                 # A body in chunks counts as small or as the largest one, so that it is
                 # not refused after most of it has been received.
                 expected_bytes = size if size <= SMALL_BODY_BYTES else limit_bytes
-                if not _reserve_memory(node, body, expected_bytes):
+                if not await body.reserve_in_time(expected_bytes, 0.0):
                     return _no_memory_error(expected_bytes)
             received += part
+            window_bytes += len(part)
+            if window_bytes >= 2 * limits.progress_bytes and not limit.expired():
+                window_bytes = 0
+                limit.reschedule(loop.time() + limits.receive_timeout_seconds)
     except PayloadTooLarge:
         return errors.CallRefusedError(
             result_codes.BODY_TOO_LARGE,
@@ -168,14 +213,6 @@
     )
 
 
-def _reserve_memory(node: Node, body: RequestBody, size: int) -> bool:
-    """Take memory for a body, after others were dropped if need be."""
-    missing_bytes = body.missing_bytes(size)
-    if missing_bytes:
-        node.submit(events.BodyMemoryNeeded(missing_bytes))
-    return body.reserve(size)
-
-
 async def _discard_body(stream: Any) -> None:
     """Discard the rest of a body.
 
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -22,7 +22,7 @@
     open_session,
 )
 from carawayhitch.board import Board, new_board
-from carawayhitch.core import actions, events, result_codes
+from carawayhitch.core import actions, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
 from carawayhitch.node._metrics import Metrics, new_metrics
 from carawayhitch.node._performers import perform
@@ -33,6 +33,9 @@
 # Connections of watches are reused without a pause. Any other idle connection must not
 # be reused, or the call that follows a timeout would time out on it as well.
 STORE_IDLE_TIMEOUT_SECONDS = 0.5
+# A survey of a thousand connections takes about a millisecond.
+SURVEY_INTERVAL_SECONDS = 0.1
+URGENT_SURVEY_INTERVAL_SECONDS = 0.02
 # The event loop rounds delays to this resolution and may run a callback early by as
 # much. A shorter delay would be rounded down to zero.
 TIMER_RESOLUTION_SECONDS = 0.001
@@ -64,6 +67,16 @@
         """Send an error response, or abort a stream that has started."""
 
 
+class ClientConnection(Protocol):
+    """Connection of a client at any listener, implemented by the front end."""
+
+    def describe_use(self) -> rows.ConnectionUse:
+        """Return what the connection holds."""
+
+    def close_for(self, code: result_codes.ResultCode) -> None:
+        """Close the connection to make room for others."""
+
+
 class OpenCall(NamedTuple):
     """Request content and caller connection, which are not kept on the board."""
 
@@ -99,6 +112,9 @@
         self.metrics: Metrics = new_metrics()
         self.calls_by_request_id: dict[str, OpenCall] = {}
         self.body_memory = new_body_memory(settings)
+        self.body_memory.handle_shortage = self._handle_memory_shortage
+        self.connections_by_id: dict[int, ClientConnection] = {}
+        self._survey_at = self._urgent_survey_at = 0.0
         self.upstream_tasks_by_request_id: dict[str, asyncio.Task[None]] = {}
         self.operation_futures_by_id: dict[str, asyncio.Future[Any]] = {}
         self.stopped = asyncio.Event()
@@ -193,6 +209,39 @@
             perform(action, self)
         recorder.record(now, event, decided)
 
+    def _handle_memory_shortage(self, missing_bytes: int, is_urgent: bool) -> None:
+        connections = self._survey_connections(is_urgent)
+        self.submit(events.BodyMemoryNeeded(missing_bytes, connections, is_urgent))
+
+    def make_room_for_connection(
+        self, missing_count: int, is_receiving: bool = False
+    ) -> None:
+        """Let connections that hold much and move little be closed.
+
+        Parameters
+        ----------
+        is_receiving : bool
+            Whether only connections are chosen from which a body is received.
+        """
+        connections = tuple(
+            use
+            for use in self._survey_connections(False)
+            if not is_receiving or use.stage == "receiving"
+        )
+        if connections:
+            self.submit(events.ConnectionsNeeded(missing_count, connections))
+
+    def _survey_connections(self, is_urgent: bool) -> tuple[rows.ConnectionUse, ...]:
+        """Return the use of all connections, or nothing soon after the last survey."""
+        now = self.now()
+        if now < (self._urgent_survey_at if is_urgent else self._survey_at):
+            return ()
+        self._survey_at = now + SURVEY_INTERVAL_SECONDS
+        self._urgent_survey_at = now + URGENT_SURVEY_INTERVAL_SECONDS
+        return tuple(
+            connection.describe_use() for connection in self.connections_by_id.values()
+        )
+
     def find_refusal(self) -> result_codes.ResultCode | None:
         """Return the result code with which all new calls are refused, or None."""
         return controllers.find_refusal(self.board)
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -220,6 +220,13 @@
         open_call.content.body.drop()
 
 
+@perform.register(actions.CloseConnection)
+def _close_connection(action: actions.CloseConnection, node: Node) -> None:
+    connection = node.connections_by_id.get(action.connection_id)
+    if connection is not None:
+        connection.close_for(action.code)
+
+
 @perform.register(actions.ReleaseMemory)
 def _release_memory(action: actions.ReleaseMemory, node: Node) -> None:
     assert node.sessions is not None
--- a/src/carawayhitch/platform/_upstreams.py
+++ b/src/carawayhitch/platform/_upstreams.py
@@ -10,6 +10,7 @@
 
 from carawayhitch import codecs
 from carawayhitch.backends import (
+    STREAM_READ_BYTES,
     UpstreamCall,
     new_call_failure,
     read_limited,
@@ -130,7 +131,7 @@
     )
     received_chunk = partial(events.ChunkReceived, call.request_id, call.attempt)
     pending = b""
-    while received := await response.content.readany():
+    while received := await response.content.read(STREAM_READ_BYTES):
         block, pending = codecs.split_events(pending + received)
         if block is None:
             continue
--- a/tests/backends/test_body_memory.py
+++ b/tests/backends/test_body_memory.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
-from carawayhitch.backends import BodyMemory, RequestBody, new_body_memory
+from carawayhitch.backends import (
+    BodyMemory,
+    RequestBody,
+    new_body_memory,
+    write_buffer_bytes,
+)
 from carawayhitch.backends._body_memory import SMALL_BODY_BYTES
 from carawayhitch.core import settings as settings_types
 from tests.boards import new_settings
@@ -63,6 +69,54 @@
                 # Also without a limit.
                 self.assertTrue(memory.reserve(limits.body_bytes))
 
+    def test_bytes_that_are_there_let_others_make_room(self):
+        """Guards against answers that fill the memory without a consequence."""
+        memory = BodyMemory(8 * LARGE)
+        asked = []
+        memory.handle_shortage = lambda missing, urgent: asked.append((missing, urgent))
+        memory.take(8 * LARGE)
+        self.assertEqual(asked, [])
+        memory.take(LARGE)
+        memory.take(2 * LARGE)
+        self.assertEqual(asked, [(2 * LARGE, False), (4 * LARGE, True)])
+
+    def test_abandoned_body_takes_no_more_memory(self):
+        """Guards against a body that goes on after it was displaced."""
+        memory = BodyMemory(2 * LARGE)
+        body = RequestBody(memory=memory)
+        self.assertTrue(asyncio.run(body.reserve_in_time(LARGE, 0.0)))
+        body.abandon()
+        self.assertEqual(memory.held_bytes, 0)
+        self.assertFalse(asyncio.run(body.reserve_in_time(LARGE, 0.0)))
+
+    def test_wait_ends_when_memory_is_freed(self):
+        """Guards against answers that fail although callers read theirs."""
+
+        async def wait():
+            memory = BodyMemory(LARGE)
+            memory.reserve(LARGE)
+            waiting = asyncio.create_task(memory.reserve_in_time(LARGE, 0, 60.0))
+            await asyncio.sleep(0)
+            memory.release(LARGE)
+            taken = await waiting
+            refused = await memory.reserve_in_time(LARGE, 0, 0.01)
+            return taken, refused, memory.held_bytes
+
+        self.assertEqual(asyncio.run(wait()), (True, False, LARGE))
+
+    def test_write_buffers_of_all_connections_fit(self):
+        """Guards against answers that wait a little each on many connections."""
+        for megabytes, connections, expected in (
+            (0.0, 4096, 65_536),
+            (136.0, 1001, 17_982),
+            (136.0, 10, 65_536),
+            (70.0, 4096, 8192),
+        ):
+            limits = settings_types.LimitSettings(memory_megabytes=megabytes)
+            settings = new_settings(limits=limits)
+            with self.subTest(megabytes=megabytes, connections=connections):
+                self.assertEqual(write_buffer_bytes(settings, connections), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/controllers/test_bodies.py
+++ b/tests/controllers/test_bodies.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import unittest
+from random import Random
 
+from carawayhitch.controllers._bodies import decide as bodies_decide
 from carawayhitch.core import actions, events, messages, rows
 from tests.controllers.test_moves import ORDER, feed, of_type, relaying_board, reports
 
@@ -57,5 +59,62 @@
         self.assertEqual(reports(decided), ["failed"])
 
 
+NOW = 100.0
+
+
+def use(connection_id, stage, held_bytes, seconds):
+    """Return a connection whose client has not moved for some seconds."""
+    return rows.ConnectionUse(connection_id, stage, held_bytes, NOW - seconds)
+
+
+def closed(event):
+    """Return the ids and the codes of the connections that are closed."""
+    decided = bodies_decide(event, relaying_board(), NOW, Random(1))
+    chosen = of_type(decided, actions.CloseConnection)
+    return [(action.connection_id, action.code.name) for action in chosen]
+
+
+class CloseTest(unittest.TestCase):
+    def test_who_holds_most_and_moves_least_is_closed_first(self):
+        """Guards against small and moving clients that are closed for large ones."""
+        uses = (
+            use(1, "receiving", 1000, 3.0),
+            use(2, "sending", SIZE, 4.0),
+            use(3, "receiving", SIZE, 9.0),
+            use(4, "receiving", SIZE, 1.9),
+            use(5, "running", SIZE, 50.0),
+            use(6, "idle", 0, 50.0),
+        )
+        for missing_bytes, expected in (
+            (SIZE, [(3, "CLIENT_STALLED")]),
+            (SIZE + 1, [(3, "CLIENT_STALLED"), (2, "ANSWER_NOT_READ")]),
+        ):
+            event = events.BodyMemoryNeeded(missing_bytes, uses)
+            with self.subTest(missing_bytes=missing_bytes):
+                self.assertEqual(closed(event), expected)
+        event = events.BodyMemoryNeeded(9 * SIZE, uses)
+        self.assertEqual([chosen for chosen, _ in closed(event)], [3, 2, 1])
+
+    def test_moving_clients_go_when_the_memory_is_exceeded(self):
+        """Guards against a process that ends because all of its clients move."""
+        uses = (use(1, "sending", SIZE, 0.1), use(2, "running", SIZE, 9.0))
+        self.assertEqual(closed(events.BodyMemoryNeeded(SIZE, uses)), [])
+        event = events.BodyMemoryNeeded(SIZE, uses, is_urgent=True)
+        self.assertEqual(closed(event), [(1, "ANSWER_NOT_READ")])
+
+    def test_idle_connections_make_room_and_running_calls_stay(self):
+        """Guards against connections without a call that keep out callers."""
+        uses = (
+            use(1, "idle", 0, 3.0),
+            use(2, "running", 0, 60.0),
+            use(3, "idle", 0, 12.0),
+            use(4, "idle", 0, 1.0),
+        )
+        event = events.ConnectionsNeeded(1, uses)
+        self.assertEqual(closed(event), [(3, "CONNECTION_DISPLACED")])
+        event = events.ConnectionsNeeded(9, uses)
+        self.assertEqual([chosen for chosen, _ in closed(event)], [3, 1])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -31,7 +31,7 @@
         "budgetWindowS": 10,
     },
     "platform": {"address": "10.200.1.7:8742"},
-    "limits": {"memoryMb": 136},
+    "limits": {"memoryMb": 136, "maxFds": 1535},
 }
 
 
