--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -102,6 +102,12 @@
 NO_ALLOWED_REGION = ResultCode(
     1024, "NO_ALLOWED_REGION", "no", 503, "No upstream is in a region that is allowed."
 )
+CLIENT_STALLED = ResultCode(
+    1025, "CLIENT_STALLED", "no", 503, "The body did not move while memory was short."
+)
+CONNECTION_DISPLACED = ResultCode(
+    1026, "CONNECTION_DISPLACED", "no", 0, "An idle connection made room for others."
+)
 REQUEST_TIMEOUT = ResultCode(
     1041, "REQUEST_TIMEOUT", "no", 408, "The request did not arrive in time."
 )
@@ -151,6 +157,9 @@
 ANSWER_TOO_LARGE = ResultCode(
     2043, "ANSWER_TOO_LARGE", "unknown", 502, "The answer exceeds the size limit."
 )
+ANSWER_NOT_READ = ResultCode(
+    2044, "ANSWER_NOT_READ", "unknown", 0, "The caller did not read its answer."
+)
 FORWARD_REFUSED = ResultCode(
     2009, "FORWARD_REFUSED", "unknown", 403, "The forwarded call was not signed."
 )
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -29,6 +29,8 @@
 )
 from carawayhitch.core._request_rows import (
     AnswerTimesRow,
+    ConnectionStage,
+    ConnectionUse,
     ForwardTarget,
     GenerationTarget,
     IssuedKey,
@@ -92,6 +94,8 @@
     "ClaimRow",
     "ClaimState",
     "ColdStartRow",
+    "ConnectionStage",
+    "ConnectionUse",
     "CrashRow",
     "EndedRequestRow",
     "EngineFailureRow",
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -31,7 +31,13 @@
         "budgetWindowS": 10,
     },
     "platform": {"address": "10.200.1.7:8742"},
-    "limits": {"cpuShare": 0.717, "cores": 3, "memoryMb": 136, "linkMbps": 100.0},
+    "limits": {
+        "cpuShare": 0.717,
+        "cores": 3,
+        "memoryMb": 136,
+        "linkMbps": 100.0,
+        "maxFds": 1535,
+    },
 }
 
 
