Lower the strength of a scheduler that is late

A VM that is strong by its settings can be slow for other reasons, and all entries then wait for it. While a node schedules cells in a fleet of uneven strengths, it measures how late its own timer is; if 4 of 8 ticks of 0.5 s are later than the ask timeout, it announces half its strength for at least 30 s, doubled up to 240 s when it is choked again soon. One step only: further ones would send the cells of a choked fleet to weaker VMs. Equal fleets have no timer and no row, since the next candidate there is as likely to be late and a change of schedulers costs its settle time.

The strength goes out with a higher incarnation of the own member row.

Status, metrics and the log line "duties changed" tell the duties of a node; is_watcher moves to the package duties so that they can.

Ruled out: several steps, a fixed time, the queue of received datagrams (the lateness of the event loop contains it).

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -79,6 +79,8 @@
     zone_demands_by_cell_id: dict[str, rows.ZoneDemandRow]
     zone_reasons_by_request_id: dict[str, str]
     zone_drains_by_name: dict[str, rows.ZoneDrainRow]
+    duties_by_kind: dict[str, tuple[str, ...]]
+    duty_loads_by_node_id: dict[str, rows.DutyLoadRow]
 
     @property
     def settings(self) -> settings_types.Settings:
@@ -195,4 +197,6 @@
         zone_demands_by_cell_id={},
         zone_reasons_by_request_id={},
         zone_drains_by_name={},
+        duties_by_kind={},
+        duty_loads_by_node_id={},
     )
--- a/src/carawayhitch/cli/_declarations.py
+++ b/src/carawayhitch/cli/_declarations.py
@@ -283,6 +283,9 @@
     for cell_id, scheduler_id in status.get("schedulers_by_cell_id", {}).items():
         print(f"cell {cell_id}: scheduled by {scheduler_id}")
     print(f"open requests: {status.get('open_request_count', 0)}")
+    print(f"strength: {status.get('strength', 1)}")
+    for kind, subjects in status.get("duties", {}).items():
+        print(f"duty {kind}: {' '.join(subjects) or '-'}")
     for rank, count in status.get("waiting_by_rank", {}).items():
         print(f"waiting requests of rank {rank}: {count}")
     for upstream in status["upstreams"]:
--- a/src/carawayhitch/codecs/_operators.py
+++ b/src/carawayhitch/codecs/_operators.py
@@ -98,6 +98,8 @@
     schedulers_by_cell_id: NotRequired[dict[str, str]]
     waiting_by_rank: NotRequired[dict[str, int]]
     open_request_count: NotRequired[int]
+    strength: NotRequired[int]
+    duties: NotRequired[dict[str, list[str]]]
     members: list[MemberStatusBody]
     upstreams: list[UpstreamStatusBody]
 
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -38,6 +38,7 @@
     _suspects,
     _upstreams,
     cold_start,
+    duties,
     locality,
     zones,
 )
@@ -46,7 +47,6 @@
 from carawayhitch.controllers._configuration import (
     build_configuration,
     format_object_set_digest,
-    is_watcher,
 )
 from carawayhitch.controllers._configuration_checks import (
     find_declaration_problems,
@@ -58,6 +58,7 @@
 from carawayhitch.controllers._routes import find_route
 from carawayhitch.controllers._selectors import selector_matches
 from carawayhitch.controllers._settings import peer_key_ids
+from carawayhitch.controllers.duties import is_watcher, own_duties, own_strength
 from carawayhitch.core import actions
 
 __all__ = [
@@ -74,6 +75,8 @@
     "is_watcher",
     "kind_of",
     "merge_crashes",
+    "own_duties",
+    "own_strength",
     "peer_key_ids",
     "selector_matches",
 ]
@@ -83,6 +86,7 @@
 # _suspects reads the grants of a failed upstream before _scheduling removes them.
 # _admission removes the row of an ended request, so it runs after all controllers
 # that read the row and before _lifecycle, which counts the remaining rows.
+# duties reads the schedulers that _placement derives.
 # _membership announces the state that the other controllers set, so it runs last.
 CONTROLLERS = (
     _settings.decide,
@@ -101,6 +105,7 @@
     _evacuation.decide,
     _drain_waits.decide,
     _placement.decide,
+    duties.decide,
     _journal_layout.decide,
     _idempotency.decide,
     _journal_sync.decide,
--- a/src/carawayhitch/controllers/_cells.py
+++ b/src/carawayhitch/controllers/_cells.py
@@ -13,6 +13,7 @@
 
 SCHEDULER_CANDIDATE_LIMIT = 3
 SCHEDULING_STATES = frozenset({"alive", "suspect"})
+LIVE_STATES = frozenset({"joining", "alive", "suspect"})
 # Membership states in which entries still choose upstreams.
 UPSTREAM_CHOOSING_STATES = frozenset({"alive", "suspect", "leaving"})
 # Entries to which an observation about upstreams is sent at once.
--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import duties
+from carawayhitch.controllers._cells import LIVE_STATES
 from carawayhitch.controllers._configuration_checks import (
     find_object_problems,
     validate_decoded_object,
@@ -59,7 +59,6 @@
 ISOLATION_TIMEOUT_SECONDS = 6.0
 
 # Joining entries do not schedule yet, but already exchange objects.
-LIVE_STATES = frozenset({"joining", "alive", "suspect"})
 
 decide = new_controller()
 
@@ -123,24 +122,6 @@
     return row
 
 
-def is_watcher(board: Board, now: float) -> bool:
-    """Return whether this node watches the store for its zone.
-
-    An isolated node watches regardless of the ranking in its zone. A node whose peers
-    have all left is isolated immediately. A node that has not discovered any peer yet
-    only counts as isolated after `ISOLATION_TIMEOUT_SECONDS` without an answer.
-    """
-    live = [row for row in board.members_by_id.values() if row.state in LIVE_STATES]
-    if not any(row.node_id != board.node_id for row in live):
-        has_met_peers = bool(board.members_by_id.keys() - {board.node_id})
-        return has_met_peers or now >= board.object_set.isolated_after
-    zone = board.settings.node.zone
-    in_zone = {row.node_id for row in live if row.zone == zone} | {board.node_id}
-    count = board.settings.store.watchers_per_zone
-    order = duties.order_members(board, f"watch/{zone}", in_zone)
-    return board.node_id in order[:count]
-
-
 @decide.register(events.ProcessStarted)
 def _start_anti_entropy(
     event: events.ProcessStarted, board: Board, now: float, random: Random
--- a/src/carawayhitch/controllers/_membership.py
+++ b/src/carawayhitch/controllers/_membership.py
@@ -123,11 +123,27 @@
     changed = board.members_by_id.get(board.node_id)
     if own is None or changed is None or changed.state == own.state:
         return decided
+    return (*decided, *_send_own_row(board, random))
+
+
+def _send_own_row(board: Board, random: Random) -> Actions:
     recipients = sample_members(random, present_peers(board), STATE_CHANGE_FANOUT)
-    for row in recipients:
-        message = _probe_message(board, row.node_id, random)
-        decided.append(actions.Send(row.node_id, message))
-    return decided
+    return [
+        actions.Send(row.node_id, _probe_message(board, row.node_id, random))
+        for row in recipients
+    ]
+
+
+@decide.register(events.StrengthChanged)
+def _announce_strength(
+    event: events.StrengthChanged, board: Board, now: float, random: Random
+) -> Actions:
+    own = board.members_by_id.get(board.node_id)
+    if own is None or own.strength == event.strength:
+        return ()
+    # A higher incarnation makes this row take precedence wherever it arrives.
+    own = own._replace(incarnation=own.incarnation + 1, strength=event.strength)
+    return (*put_member(board, own, now), *_send_own_row(board, random))
 
 
 @decide.register(events.PeerKeysRead)
--- a/src/carawayhitch/controllers/_store_watch.py
+++ b/src/carawayhitch/controllers/_store_watch.py
@@ -17,13 +17,13 @@
 from typing import Any
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import duties
 from carawayhitch.controllers._cells import entry_scheduled_groups
 from carawayhitch.controllers._configuration import (
     ANTI_ENTROPY_TIMER,
     CATCH_UP_OPERATION,
     PUSH_FANOUT,
     exchange_peers,
-    is_watcher,
     report_outdated_answer,
 )
 from carawayhitch.controllers._controller import Actions, new_controller
@@ -108,7 +108,7 @@
     position = _known_revision(board, scope_row)
     store = board.settings.store
     may_be_stale = scope in store.stale_scopes
-    if position >= 0 and not may_be_stale and not is_watcher(board, now):
+    if position >= 0 and not may_be_stale and not duties.is_watcher(board, now):
         if not store.stale_watches:
             _update_scope(board, scope, call="")
             return ()
@@ -239,7 +239,7 @@
 
 def _watch_idle_scopes(board: Board, now: float, random: Random) -> Actions:
     idle = [row.scope for row in board.store_scopes_by_name.values() if not row.call]
-    if not idle or not is_watcher(board, now):
+    if not idle or not duties.is_watcher(board, now):
         return ()
     decided: list[actions.Action] = []
     for scope in idle:
--- a/src/carawayhitch/controllers/duties/__init__.py
+++ b/src/carawayhitch/controllers/duties/__init__.py
@@ -4,16 +4,20 @@
 
 from carawayhitch.controllers.duties._assignment import (
     derive_schedulers,
+    is_watcher,
     order_members,
+    own_duties,
 )
-from carawayhitch.controllers.duties._strength import (
-    is_strength_known,
-    strength_of,
-)
+from carawayhitch.controllers.duties._choking import decide, own_strength
+from carawayhitch.controllers.duties._strength import is_strength_known, strength_of
 
 __all__ = [
+    "decide",
     "derive_schedulers",
     "is_strength_known",
+    "is_watcher",
     "order_members",
+    "own_duties",
+    "own_strength",
     "strength_of",
 ]
--- a/src/carawayhitch/controllers/duties/_assignment.py
+++ b/src/carawayhitch/controllers/duties/_assignment.py
@@ -6,12 +6,19 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._cells import (
+    LIVE_STATES,
     SCHEDULER_CANDIDATE_LIMIT,
     SCHEDULING_STATES,
+    entry_scheduled_groups,
 )
 from carawayhitch.controllers.duties._order import order_by_strength
 from carawayhitch.core import rows
 
+# Kinds of duties.
+SCHEDULER = "scheduler"
+WATCHER = "watcher"
+LEASE_HOLDER = "lease_holder"
+
 
 def derive_schedulers(
     cells: Mapping[str, rows.CellRow],
@@ -58,3 +65,46 @@
         for node_id in node_ids
     }
     return order_by_strength(subject, strengths_by_id)
+
+
+def is_watcher(board: Board, now: float) -> bool:
+    """Return whether this node watches the store for its zone.
+
+    An isolated node watches regardless of the ranking in its zone. A node whose peers
+    have all left is isolated immediately. A node that has not discovered any peer yet
+    only counts as isolated after `ObjectSetRow.isolated_after`.
+    """
+    live = [row for row in board.members_by_id.values() if row.state in LIVE_STATES]
+    if not any(row.node_id != board.node_id for row in live):
+        has_met_peers = bool(board.members_by_id.keys() - {board.node_id})
+        return has_met_peers or now >= board.object_set.isolated_after
+    zone = board.settings.node.zone
+    in_zone = {row.node_id for row in live if row.zone == zone} | {board.node_id}
+    count = board.settings.store.watchers_per_zone
+    order = order_members(board, f"watch/{zone}", in_zone)
+    return board.node_id in order[:count]
+
+
+def own_duties(board: Board, now: float) -> dict[str, tuple[str, ...]]:
+    """Return the subjects of the duties of this node by kind of duty.
+
+    Cells that each entry schedules by itself are no duty.
+    """
+    entry_scheduled = entry_scheduled_groups(board)
+    cell_ids = (
+        cell.cell_id
+        for cell in board.cells_by_id.values()
+        if cell.group not in entry_scheduled
+        and board.schedulers_by_cell_id.get(cell.cell_id, ())[:1] == (board.node_id,)
+    )
+    zones = (board.settings.node.zone,) if is_watcher(board, now) else ()
+    groups = (
+        group
+        for group, lease in board.leases_by_group.items()
+        if lease.held and now < lease.deadline
+    )
+    return {
+        SCHEDULER: tuple(sorted(cell_ids)),
+        WATCHER: zones,
+        LEASE_HOLDER: tuple(sorted(groups)),
+    }
--- a/src/carawayhitch/core/_decided_events.py
+++ b/src/carawayhitch/core/_decided_events.py
@@ -81,6 +81,12 @@
     """The set of entries that can act as schedulers changed."""
 
 
+class StrengthChanged(NamedTuple):
+    """The strength that the node announces to its peers has to change."""
+
+    strength: int
+
+
 class LifecycleChanged(NamedTuple):
     """The lifecycle state of this process changed."""
 
--- a/src/carawayhitch/core/_member_rows.py
+++ b/src/carawayhitch/core/_member_rows.py
@@ -123,6 +123,32 @@
     avoid_deadline: float = 0.0
 
 
+class DutyLoadRow(NamedTuple):
+    """Lateness of this node while it has a duty on which other entries wait.
+
+    Parameters
+    ----------
+    tick_deadline : float
+        Time of the next measurement (seconds of the node clock).
+    late_ticks : tuple of bool
+        Whether each of the latest measurements was late, the oldest first.
+    choked_deadline : float
+        Time until which the node counts as weaker (seconds of the node clock); 0 if it
+        does not.
+    choked_count : int
+        How often it was choked without a calm time between.
+    calm_deadline : float
+        Time at which that number starts at 0 again (seconds of the node clock).
+    """
+
+    node_id: str
+    tick_deadline: float
+    late_ticks: tuple[bool, ...] = ()
+    choked_deadline: float = 0.0
+    choked_count: int = 0
+    calm_deadline: float = 0.0
+
+
 class LifecycleRow(NamedTuple):
     """Lifecycle state of this process.
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -12,6 +12,7 @@
 from carawayhitch.core._member_rows import (
     MAXIMUM_STRENGTH,
     MINIMUM_STRENGTH,
+    DutyLoadRow,
     LifecycleRow,
     LifecycleState,
     MemberRow,
@@ -93,6 +94,7 @@
     "ClaimState",
     "ColdStartRow",
     "CrashRow",
+    "DutyLoadRow",
     "EndedRequestRow",
     "EngineFailureRow",
     "EngineStateRow",
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -8,7 +8,7 @@
 from prometheus_client.exposition import generate_latest
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import cold_start
+from carawayhitch.controllers import cold_start, own_duties, own_strength
 from carawayhitch.node._logs import process_log_output
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0, 300.0)
@@ -31,6 +31,8 @@
     cold_upstreams: Gauge
     drained_upstreams: Gauge
     members: Gauge
+    strength: Gauge
+    duties: Gauge
     peer_messages: Counter
     peer_bytes: Counter
     zone_calls: Counter
@@ -120,6 +122,17 @@
             ["state"],
             registry=registry,
         ),
+        strength=Gauge(
+            "carawayhitch_strength",
+            "Strength of this node where duties are given, 1 if unknown.",
+            registry=registry,
+        ),
+        duties=Gauge(
+            "carawayhitch_duties",
+            "Duties of this node for the fleet, by kind.",
+            ["duty"],
+            registry=registry,
+        ),
         peer_messages=Counter(
             "carawayhitch_peer_messages",
             "Datagrams between entries, by direction and type of message.",
@@ -174,4 +187,7 @@
     metrics.members.clear()
     for member in board.members_by_id.values():
         metrics.members.labels(member.state).inc()
+    metrics.strength.set(own_strength(board))
+    for duty, subjects in own_duties(board, now).items():
+        metrics.duties.labels(duty).set(len(subjects))
     return generate_latest(metrics.registry)
--- a/src/carawayhitch/node/_status.py
+++ b/src/carawayhitch/node/_status.py
@@ -46,6 +46,11 @@
             Counter(ask.rank for ask in board.asks_by_request_id.values())
         ),
         "open_request_count": len(board.requests_by_id),
+        "strength": controllers.own_strength(board),
+        "duties": {
+            kind: list(subjects)
+            for kind, subjects in controllers.own_duties(board, now).items()
+        },
         "members": _member_statuses(board),
         "upstreams": [
             _upstream_status(upstream, board)
--- a/tests/controllers/duties/test_gossip.py
+++ b/tests/controllers/duties/test_gossip.py
@@ -9,6 +9,7 @@
 from carawayhitch.core import actions, events
 from tests.boards import ready_board
 from tests.controllers.duties.fleets import member
+from tests.controllers.test_membership import Faults, Fleet
 
 
 class MemberTableTest(unittest.TestCase):
@@ -49,3 +50,24 @@
         brief = member("b", state="suspect", address="", region="", zone="")
         self.assertFalse(self.reassigns(self.merge("c", brief)))
         self.assertEqual(self.strength(), 8)
+
+
+class FleetTest(unittest.TestCase):
+    """96 nodes over a network that loses a tenth of the messages."""
+
+    def test_lowered_strength_is_known_everywhere_within_seconds(self):
+        """Guards against entries that use the order from before for minutes."""
+        fleet = Fleet(96, Faults(lost=0.1))
+        fleet.run(60.0)
+        for strength in (8, 4):
+            fleet.feed("node-5", events.StrengthChanged(strength))
+            began = fleet.now
+            while not self.known_everywhere(fleet, strength):
+                self.assertLess(fleet.now - began, 8.0)
+                fleet.run(0.5)
+
+    def known_everywhere(self, fleet, strength):
+        return all(
+            board.members_by_id["node-5"].strength == strength
+            for board in fleet.boards.values()
+        )
