--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -12,6 +12,7 @@
 from carawayhitch.core._member_rows import (
     MAXIMUM_STRENGTH,
     MINIMUM_STRENGTH,
+    DutyLoadRow,
     LifecycleRow,
     LifecycleState,
     MemberRow,
@@ -97,6 +98,7 @@
     "ConnectionStage",
     "ConnectionUse",
     "CrashRow",
+    "DutyLoadRow",
     "EndedRequestRow",
     "EngineFailureRow",
     "EngineStateRow",
