Parse a response again only after a pause

Cause: aiohttp 3.14 calls resume_reading after every read of a body, and passes an empty block through the parser each time. A stream brings one event a read, so each event took two passes and a check of the framing bytes.

Nothing changes for a connection that is paused, and the framing limit cannot be exceeded by fewer bytes than it allows.

--- a/src/carawayhitch/backends/_sessions.py
+++ b/src/carawayhitch/backends/_sessions.py
@@ -80,13 +80,21 @@
             return
         self._received_bytes += len(data)
         super().data_received(data)
-        if self._has_ended():
+        if self._received_bytes <= FRAMING_BYTES_LIMIT or self._has_ended():
             return
         body_bytes = self._payload.total_bytes if self._payload is not None else 0
         allowed = FRAMING_BYTES_LIMIT + FRAMING_BYTES_PER_BODY_BYTE * body_bytes
         if self._received_bytes - body_bytes > allowed:
             self._end_with(f"more than {allowed} bytes beside a body of {body_bytes}")
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resume reading, if it is paused.
+
+        aiohttp calls this after every read of a body and would parse again each time.
+        """
+        if self._reading_paused or self._buffer_paused:
+            super().resume_reading(resume_parser)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the response, with an error if the connection was not closed cleanly."""
         if exc is not None:
