--- a/experiments/control_cost.py
+++ b/experiments/control_cost.py
@@ -15,12 +15,12 @@
 import time
 from collections import Counter
 from collections.abc import Coroutine
-from pathlib import Path
 from statistics import mean
 from typing import Any, NamedTuple
 
 import aiohttp
 
+from experiments._processes import cpu_seconds, resident_bytes
 from fakes.processes import ACCOUNT_TOKENS, Fleet, call
 
 START_BATCH = 8
@@ -53,17 +53,14 @@
 def read_usage(fleet: Fleet, name: str) -> Usage:
     """Return the counters of an entry from /proc and its metrics."""
     pid = fleet.processes_by_name[name].pid
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
     text = call("GET", fleet.url(name) + "/metrics")[1].decode()
     sent: Counter[tuple[str, str]] = Counter()
     for kind, message_type, value in COUNTER.findall(text):
         sent[kind, message_type] += float(value)  # type: ignore[assignment]
     return Usage(
         time.monotonic(),
-        ticks / os.sysconf("SC_CLK_TCK"),
-        pages * os.sysconf("SC_PAGE_SIZE"),
+        cpu_seconds(pid),
+        resident_bytes(pid),
         sent,
     )
 
--- a/experiments/relay_cost.py
+++ b/experiments/relay_cost.py
@@ -10,14 +10,13 @@
 import asyncio
 import json
 import multiprocessing
-import os
 import re
 import time
-from pathlib import Path
 from typing import Any
 
 import uvloop
 
+from experiments._processes import cpu_seconds, resident_bytes
 from fakes.processes import ACCOUNT_TOKENS, Fleet, call, token_hash
 
 INTERVAL_SECONDS = 0.035
@@ -25,7 +24,6 @@
 # of their account, which is 500.
 CALLER_INTERVAL_SECONDS = 0.005
 SETTINGS = "[limits]\nopen_requests = 4000\n[streams]\nstall_timeout_seconds = 30.0\n"
-CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 AUTHORIZATION = f"Authorization: Bearer {ACCOUNT_TOKENS['hotel']}\r\n"
 QUEUED_TOKEN = "queued-token"
 WHOLE = json.dumps(
@@ -251,7 +249,8 @@
             self.port = self.fleet.reserve_port()
             self.copy = multiprocessing.Process(target=run_copy, args=(self.port, port))
             self.copy.start()
-            self.pid = self.copy.pid
+            assert self.copy.pid is not None
+            self.pid: int = self.copy.pid
             time.sleep(1.0)
             return
         self.fleet.add_vm_to_list("engine-1", "engine", {"model": "quotes"}, "a")
@@ -305,15 +304,11 @@
 
     def entry_cpu_seconds(self) -> float:
         """Return user and system time of the entry so far."""
-        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(") ", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_SECOND
+        return cpu_seconds(self.pid)
 
     def resident_megabytes(self) -> float:
         """Return the resident memory of the entry."""
-        status = Path(f"/proc/{self.pid}/status").read_text()
-        found = re.search(r"VmRSS:\s+(\d+) kB", status)
-        assert found is not None
-        return int(found[1]) / 1024
+        return resident_bytes(self.pid) / 2**20
 
     def idle_share(self, seconds: float) -> float:
         """Return the share of a core that the entry uses without calls."""
--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -15,7 +15,7 @@
 import urllib.request
 from hashlib import sha256
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Self
 
 PEER_SECRET = "loopback-only-secret-of-the-stand-ins"
 ACCOUNT_TOKENS = {"hotel": "hotel-token", "inspection": "inspection-token"}
@@ -124,7 +124,7 @@
         self.entry_ports: dict[str, tuple[int, int]] = {}
         self.port_holders: list[socket.socket] = []
 
-    def __enter__(self) -> Fleet:
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *_: object) -> None:
