Notice slow servers of a plain service sooner

A server is now passed over after 1.5 times the usual answer time, and an answer has at least a weight of 0.2. Ruled out again: own loads before zones.

--- a/src/carawayhitch/controllers/locality/_demand.py
+++ b/src/carawayhitch/controllers/locality/_demand.py
@@ -12,9 +12,9 @@
 from carawayhitch.controllers.locality._reasons import find_zone_reason
 from carawayhitch.core import actions, events, rows
 
-# Weight of an answer in the smoothed answer time of a zone. Single answer times vary by
-# half of their mean; the mean of about ten answers is steady enough for a share.
-ANSWER_WEIGHT = 0.1
+# Least weight of an answer in the smoothed answer time of a zone. Single answer times
+# vary by half of their mean, their mean with this weight by a sixth.
+ANSWER_WEIGHT = 0.2
 PRIOR_ANSWERS = 3
 # Weight of an answer in the usual answer time. Servers that become three times slower
 # stay above it for some fifty calls, during which calls to other zones show whether
--- a/src/carawayhitch/controllers/locality/_order.py
+++ b/src/carawayhitch/controllers/locality/_order.py
@@ -21,10 +21,10 @@
 SCORE_RANGE = float(2**64)
 # Utilisation of a full upstream, for which the expected wait is not defined.
 OCCUPIED_LIMIT = 0.99
-# A call that is open for longer than this multiple of the usual answer time shows that
-# its server is slow or silent, seconds before answer times do. About one call in a
-# hundred takes so long at a sound server.
-OVERDUE_FACTOR = 3.0
+# A call that is open for longer than this multiple of the usual answer time may show
+# that its server is slow or silent, long before answer times do. One call in eight
+# takes so long at a sound server, but few others arrive in the rest of its time.
+OVERDUE_FACTOR = 1.5
 
 
 def order_upstreams(
