Keep the weighted scores of duties instead of computing them again

Cause: entries derive the order of 96 members for each cell and zone at every change of membership, and a weighted score takes a hash, a logarithm and a division on large integers. Found by reading the change.

Ruled out: an order kept by the set of members, which each change of one member empties. The scores are a pure function of subject, member and strength, so they are cached; the orders stay the same (tests of duties).

--- a/src/carawayhitch/controllers/duties/_order.py
+++ b/src/carawayhitch/controllers/duties/_order.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from functools import lru_cache
 
 from carawayhitch.controllers._cells import order_by_rendezvous, rendezvous_score
 
@@ -28,6 +29,8 @@
 # duty. With a cube, eight members of strength 8 beside 88 of strength 1 own 98% of the
 # duties; with shares in proportion to strength they would own 42%.
 WEIGHT_EXPONENT = 3
+# Enough for the cells and zones of a fleet of a few hundred entries, about 3 MB.
+CACHED_SCORE_LIMIT = 8192
 
 
 def _log2_of_ratio(numerator: int, denominator: int) -> int:
@@ -68,19 +71,27 @@
     return ((SCORE_BITS - exponent) << FRACTION_BITS) - fraction
 
 
+@lru_cache(maxsize=CACHED_SCORE_LIMIT)
+def _weighted_score(subject: str, candidate: str, strength: int) -> tuple[int, int]:
+    """Return the sort key of a candidate; orders are derived again and again."""
+    score = rendezvous_score(subject, candidate)
+    weight = strength**WEIGHT_EXPONENT
+    return (negative_log2(score) << QUOTIENT_BITS) // weight, -score
+
+
 def order_by_weight(subject: str, strengths_by_id: Mapping[str, int]) -> list[str]:
     """Return the candidates by weighted rendezvous score, the owner first.
 
     Of equal weights, the higher rendezvous score goes first even if its logarithm
     rounds to the same value.
     """
-
-    def sort_key(candidate: str) -> tuple[int, int, str]:
-        score = rendezvous_score(subject, candidate)
-        weight = strengths_by_id[candidate] ** WEIGHT_EXPONENT
-        return (negative_log2(score) << QUOTIENT_BITS) // weight, -score, candidate
-
-    return sorted(strengths_by_id, key=sort_key)
+    return sorted(
+        strengths_by_id,
+        key=lambda candidate: (
+            *_weighted_score(subject, candidate, strengths_by_id[candidate]),
+            candidate,
+        ),
+    )
 
 
 def order_by_strength(subject: str, strengths_by_id: Mapping[str, int]) -> list[str]:
