Answer a repeated order to move a generation with the same report

Orders are repeated every 0.1 s until their report arrives. If a move failed at once, for example because the target had no room, the repetition could cross the report; the entry kept nothing of the failed move and began it a second time, beside the next move that the scheduler had ordered.

The entry keeps the last order that it answered, with the report, until the request ends, and answers a repetition with it. This also covers lost reports of completed moves, for which there was a rule of its own. "not_started" is not kept, because the scheduler orders such a move again.

test_failed_move_is_not_begun_again_by_a_repetition fails before and passes after: python -m unittest tests.controllers.test_moves.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -56,6 +56,7 @@
     prefill_check_times_by_cell_id: dict[str, float]
     evacuations_by_upstream_id: dict[str, rows.EvacuationRow]
     moves_by_request_id: dict[str, rows.MoveRow]
+    answered_moves_by_request_id: dict[str, rows.AnsweredMoveRow]
     crashes_by_fingerprint: dict[str, rows.CrashRow]
     answered_until_by_prefix_block: dict[str, float]
     last_failures_by_upstream_id: dict[
@@ -174,6 +175,7 @@
         prefill_check_times_by_cell_id={},
         evacuations_by_upstream_id={},
         moves_by_request_id={},
+        answered_moves_by_request_id={},
         crashes_by_fingerprint={},
         answered_until_by_prefix_block={},
         last_failures_by_upstream_id={},
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -65,6 +65,10 @@
         move.target_id if outcome == "moved" else move.source_id,
         outcome,
     )
+    if outcome != "not_started" and move.request_id in board.requests_by_id:
+        board.answered_moves_by_request_id[move.request_id] = rows.AnsweredMoveRow(
+            move.request_id, move.order, report
+        )
     return actions.Send(move.scheduler_id, report)
 
 
@@ -98,13 +102,15 @@
         target_id=event.target_id,
         target_address=event.target_address,
         deadline=event.deadline,
+        order=event,
     )
     if event.request_id in board.moves_by_request_id:
         # The order is a repetition; the report of the running move answers it.
         return ()
-    if row is not None and _was_moved(row, event):
-        # The report of the completed move may be lost.
-        return (_send_report(board, move, row.attempt, "moved"),)
+    answered = board.answered_moves_by_request_id.get(event.request_id)
+    if answered is not None and _is_repetition(event, answered.order):
+        # The report may be lost, or may have crossed the repetition of its order.
+        return (actions.Send(event.sender_id, answered.report),)
     if (
         row is None
         or upstream is None
@@ -127,9 +133,9 @@
     return (_copy_memory(move, is_final=False),)
 
 
-def _was_moved(row: rows.RequestRow, order: messages.MoveOrder) -> bool:
-    """Return whether an order was carried out and its generation runs at the target."""
-    return row.upstream_id == order.target_id and row.attempt == order.attempt + 1
+def _is_repetition(order: messages.MoveOrder, earlier: messages.MoveOrder) -> bool:
+    """Return whether an order is a repetition, which may have another deadline."""
+    return order._replace(deadline=earlier.deadline) == earlier
 
 
 def _copy_memory(move: rows.MoveRow, is_final: bool) -> actions.CopyMemory:
@@ -295,9 +301,12 @@
     random: Random,
 ) -> Actions:
     move = board.moves_by_request_id.pop(event.request_id, None)
-    if move is None or move.phase == "opening":
-        return ()
-    return (
-        *_release_copy((move.source_address, move.target_address), move.handle),
-        _send_report(board, move, move.attempt, "gone"),
-    )
+    decided: Actions = ()
+    if move is not None and move.phase != "opening":
+        decided = (
+            *_release_copy((move.source_address, move.target_address), move.handle),
+            _send_report(board, move, move.attempt, "gone"),
+        )
+    if isinstance(event, events.RequestEnded):
+        board.answered_moves_by_request_id.pop(event.request_id, None)
+    return decided
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Literal, NamedTuple
+from typing import TYPE_CHECKING, Literal, NamedTuple
+
+if TYPE_CHECKING:
+    from carawayhitch.core._messages import MoveOrder, MoveReport
 
 RequestPhase = Literal["asking", "claiming", "opening", "relaying", "finished"]
 MovePhase = Literal["copying", "stopping", "opening"]
@@ -227,6 +230,8 @@
         Scheduler that ordered the move.
     deadline : float
         Time at which the source engine shuts down (seconds of the node clock).
+    order : MoveOrder
+        The order of the scheduler, as received.
     phase : MovePhase
         ``copying`` while the generation still runs at the source, ``stopping`` while
         the remainder is copied, ``opening`` until the target sends its first event.
@@ -246,11 +251,24 @@
     target_id: str
     target_address: str
     deadline: float
+    order: MoveOrder
     phase: MovePhase = "copying"
     handle: str = ""
     source_end: MoveSourceEnd = ""
 
 
+class AnsweredMoveRow(NamedTuple):
+    """The last order to move a generation that was answered, and the report.
+
+    A repetition of the order gets the same report, so that a move that failed is not
+    begun again.
+    """
+
+    request_id: str
+    order: MoveOrder
+    report: MoveReport
+
+
 class AnswerTimesRow(NamedTuple):
     """Smoothed time from sending a call of a binding to the end of its answer.
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -29,6 +29,7 @@
     StoreScopeRow,
 )
 from carawayhitch.core._request_rows import (
+    AnsweredMoveRow,
     AnswerTimesRow,
     ConnectionStage,
     ConnectionUse,
@@ -87,6 +88,7 @@
     "MINIMUM_STRENGTH",
     "AccountUsageRow",
     "AnswerTimesRow",
+    "AnsweredMoveRow",
     "AskRow",
     "CacheCursorRow",
     "CellLoadRow",
--- a/tests/controllers/test_moves.py
+++ b/tests/controllers/test_moves.py
@@ -122,6 +122,20 @@
         self.assertFalse(of_type(decided, actions.CopyMemory))
         self.assertEqual(reports(decided), ["moved"])
 
+    def test_failed_move_is_not_begun_again_by_a_repetition(self):
+        """Guards against a second copy when a repeated order crosses its report."""
+        board = relaying_board()
+        feed(board, ORDER)
+        self.assertEqual(reports(feed(board, copied(False, "refused"))), ["failed"])
+        decided = feed(board, ORDER._replace(deadline=12.1))
+        self.assertFalse(of_type(decided, actions.CopyMemory))
+        self.assertEqual(reports(decided), ["failed"])
+        # Another target is a new order.
+        other = ORDER._replace(target_id="engine-3", target_address="engine-3:1")
+        self.assertTrue(of_type(feed(board, other), actions.CopyMemory))
+        feed(board, events.RequestEnded("r1", True, None))
+        self.assertFalse(board.answered_moves_by_request_id)
+
     def test_failed_first_copy_does_not_interrupt_the_stream(self):
         """Guards against a stream that is stopped although no copy exists."""
         for outcome, reported in (("refused", "failed"), ("gone", "gone")):
