Choose the watchers of the store without the strengths of VMs

Cause: with weights, the two strong VMs of a zone became its watchers and the schedulers of its cells. A scheduler takes every change of an upstream at once, and a watcher reads consistently, at ten times the price of a stale read; together they read every heartbeat of all servers consistently.

Ruled out: watchers drawn among the strong VMs that schedule nothing. On the deployments with uneven VMs two or three a zone are strong, and all of them schedule.

test_strong_members_watch_the_store asserted the choice that is taken back; test_watchers_do_not_follow_the_schedulers takes its place and pins the unweighted order. It fails with the weights.

--- a/src/carawayhitch/controllers/duties/_assignment.py
+++ b/src/carawayhitch/controllers/duties/_assignment.py
@@ -10,6 +10,7 @@
     SCHEDULER_CANDIDATE_LIMIT,
     SCHEDULING_STATES,
     entry_scheduled_groups,
+    order_by_rendezvous,
 )
 from carawayhitch.controllers.duties._order import order_by_strength
 from carawayhitch.core import rows
@@ -81,7 +82,10 @@
     zone = board.settings.node.zone
     in_zone = {row.node_id for row in live if row.zone == zone} | {board.node_id}
     count = board.settings.store.watchers_per_zone
-    order = order_members(board, f"watch/{zone}", in_zone)
+    # Not weighted: a watcher that also schedules a cell would read every change of an
+    # upstream consistently and at once, which costs the store ten times as much as the
+    # stale reads of other schedulers.
+    order = order_by_rendezvous(f"watch/{zone}", in_zone)
     return board.node_id in order[:count]
 
 
