--- a/tests/controllers/duties/test_order.py
+++ b/tests/controllers/duties/test_order.py
@@ -120,7 +120,7 @@
         self.assertLess(max(strong.values()), 2 * len(CELLS) / 8)
 
     def test_watchers_do_not_follow_the_schedulers(self):
-        """Guards against schedulers that read every change of the store consistently."""
+        """Guards against schedulers that read all changes consistently."""
         for zone in ZONES:
             in_zone = [row for row in self.members.values() if row.zone == zone]
             watchers = []
