Spread the copies of engines that leave together over targets

Cause: engines that are reclaimed together are evacuated one copy at a time each, but all chose the least loaded target, an engine that had just started. Copies wait for each other on the link of their target, and the final copy, for which the run is stopped, stood behind the first copies of other engines until its source was gone.

A target that receives the copy of another evacuation now comes last. Ruled out: limits on slow readers, lost orders, a target that leaves.

test_engines_that_leave_together_copy_to_different_targets fails before and passes after: python -m unittest tests.controllers.test_evacuation.

--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections import Counter
 from random import Random
 from typing import NamedTuple
 
@@ -342,10 +343,17 @@
 ) -> rows.UpstreamRow | None:
     """Return the least loaded engine with room for a generation.
 
-    The target may leave as well and then has to be evacuated in as little time. If the
-    time does not suffice for all copies, engines in the source's availability zone come
-    first, because copies within a zone are faster.
+    The target may leave as well and then has to be evacuated in as little time. Engines
+    that receive the copy of another evacuation come last, because copies wait for each
+    other on the link of their target. If the time does not suffice for all copies,
+    engines in the source's availability zone come first, because copies within a zone
+    are faster.
     """
+    copies_by_target_id = Counter(
+        row.pending_order.target_id
+        for row in board.evacuations_by_upstream_id.values()
+        if row.pending_order is not None
+    )
     memory = _memory.predict_memory(
         board,
         grant.binding,
@@ -368,6 +376,7 @@
     return min(
         eligible,
         key=lambda upstream: (
+            copies_by_target_id[upstream.upstream_id],
             time_is_short and upstream.zone != source.zone,
             upstream_load(board, upstream),
             upstream.zone != source.zone,
--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -182,6 +182,22 @@
         decided = feed(board, timer, NOW + 0.1)
         self.assertEqual(orders(decided), [("first", others[1])])
 
+    def test_engines_that_leave_together_copy_to_different_targets(self):
+        """Guards against copies that wait for each other at the only idle engine."""
+        board = evacuation_board(engine_count=4)
+        sources = [
+            start_generation(board, name, prompt=prompt)
+            for name, prompt in (("a", 500), ("b", 500), ("c", 3000))
+        ]
+        self.assertEqual(len(set(sources)), 3)
+        idle = (board.upstreams_by_id.keys() - set(sources)).pop()
+        self.assertEqual(orders(announce_leaving(board, sources[0])), [("a", idle)])
+        second = orders(announce_leaving(board, sources[1]))
+        self.assertEqual(second, [("b", sources[2])])
+        # A copy that waits is better than none.
+        third = orders(announce_leaving(board, sources[2]))
+        self.assertEqual([target for _, target in third], [idle])
+
     def test_same_zone_engine_is_preferred_at_equal_load(self):
         """Guards against needless copies between zones, which take twice as long."""
         board = evacuation_board(engine_count=3)
