Use one set of live member states for retries and duties

Cause: moving the set to the module of cells left a second definition in the module of retries. Found by reading the change. Behaviour stays as it is: linter, type checks and 122 tests of retries, membership, configuration, scheduling, routed calls and traces pass.

--- a/src/carawayhitch/controllers/_retries.py
+++ b/src/carawayhitch/controllers/_retries.py
@@ -7,6 +7,7 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._call_logs import build_retry_log
+from carawayhitch.controllers._cells import LIVE_STATES
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._placement import (
     end_request,
@@ -17,7 +18,6 @@
 from carawayhitch.core import actions, events, result_codes, rows
 
 SAVED_RETRY_LIMIT = 20.0
-LIVE_STATES = frozenset({"joining", "alive", "suspect"})
 NOT_EXECUTED_CODES = frozenset({result_codes.RETRY_CONNECT, result_codes.RETRY_REFUSED})
 UPSTREAM_FAILURE_CODES = frozenset(
     {result_codes.RETRY_BEFORE_FIRST_TOKEN, result_codes.RETRY_CONTINUED}
