Log what the start of an entry took

`starting` and `serving` now have the elapsed time since the process was created, its processor time, and its page faults that read from a disk.

--- a/src/carawayhitch/frontend/_server.py
+++ b/src/carawayhitch/frontend/_server.py
@@ -23,7 +23,7 @@
     new_readiness_application,
 )
 from carawayhitch.frontend._protocol import CallerProtocol
-from carawayhitch.node import Node
+from carawayhitch.node import Node, read_start_costs
 
 FLUSH_POLL_INTERVAL_SECONDS = 0.02
 # Callers give up an attempt after a third of their time limit of 1 s or less, so a
@@ -53,7 +53,12 @@
     process immediately. SIGHUP reloads the settings file.
     """
     node = Node(settings, log)
-    node.log.info("starting", version=__version__, incarnation=node.incarnation)
+    node.log.info(
+        "starting",
+        version=__version__,
+        incarnation=node.incarnation,
+        **read_start_costs()._asdict(),
+    )
     servers = [await _start_server(listener) for listener in _listeners(node)]
     node.close_idle_connections = lambda: _close_idle_connections(servers)
     _add_signal_handlers(node, settings_path)
@@ -67,6 +72,7 @@
         port=settings.node.http_port,
         gateway=settings.gateway.address,
         state=node.board.lifecycle.state,
+        **read_start_costs()._asdict(),
     )
     await node.stopped.wait()
     for server in servers:
