Have the soak play cold servers

The stand-ins write down the requests that reach them while they are cold, and crash at twice their bound. A check sums these requests over all entries.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -77,6 +77,7 @@
         self.gateways_by_name: dict[str, dict[str, int]] = {}
         self.version = 0
         self.slots = 8
+        self.warm_up_fields_by_service: dict[str, dict[str, float]] = {}
 
     def start_store(self) -> None:
         """Start the store."""
@@ -97,11 +98,17 @@
     ) -> bool:
         """Write the next configuration version; return whether it was accepted."""
         self.version += 1
+        warm_up_fields = self.warm_up_fields_by_service
         spec = {
             "version": self.version,
             "routes": list(routes),
             "services": [
-                {"name": PLAIN_SERVICE, "healthPath": "/health", "maxConns": 100},
+                {
+                    "name": PLAIN_SERVICE,
+                    "healthPath": "/health",
+                    "maxConns": 100,
+                    **warm_up_fields.get(PLAIN_SERVICE, {}),
+                },
                 {
                     "name": MODEL_SERVICE,
                     "healthPath": "/health",
@@ -114,6 +121,7 @@
                         "moves": True,
                         "stride": 1,
                     },
+                    **warm_up_fields.get(MODEL_SERVICE, {}),
                 },
             ],
             "limits": {
@@ -148,6 +156,10 @@
         """Return additional command-line options of a server, set by subclasses."""
         return ()
 
+    def cold_seconds(self, name: str) -> float:
+        """Return for how long a server is cold, set by subclasses."""
+        return 0.0
+
     def server_port(self, name: str) -> int:
         """Return the port through which entries reach a server."""
         return self.ports_by_name[name]
@@ -173,7 +185,7 @@
             "slots": self.slots,
             "state": state,
             "sequence": 1,
-            "coldLeftMs": 0,
+            "coldLeftMs": self.cold_seconds(name) * 1000.0,
             "born": born,
         }
         if service == MODEL_SERVICE:
--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -11,7 +11,7 @@
 import asyncio
 import os
 import time
-from collections import Counter
+from collections import Counter, deque
 from typing import Any, TextIO
 from uuid import uuid4
 
@@ -21,6 +21,7 @@
 
 HANDLE_HEADER = "Kv-From"
 CRASH_STATUS = 70
+ARRIVAL_SECONDS = 1.0
 REQUEST_BYTES_LIMIT = 16_777_216
 ENDLESS_PART = bytes(65_536)
 
@@ -53,7 +54,10 @@
     born : int
         Start time as registered, in Unix milliseconds.
     run_file : TextIO, optional
-        Receives the start and end of each run, so that these survive a kill.
+        Receives the start and end of each run, and each request that arrives while
+        the server is cold, so that these survive a kill.
+    cold_limit : int
+        While the server is cold, it crashes on more requests than that in a second.
     """
 
     def __init__(
@@ -62,8 +66,12 @@
         event_seconds: float,
         born: int,
         run_file: TextIO | None = None,
+        cold_limit: int = 0,
     ) -> None:
         self.name = name
+        self.cold_limit = cold_limit
+        self.cold_until = 0.0
+        self.arrivals: deque[float] = deque()
         self.run_file = run_file
         self.born = born
         self.event_seconds = event_seconds
@@ -114,6 +122,7 @@
         expected = request.headers.get("Carawayhitch-Expect-Instance", self.name)
         if expected != self.name:
             return web.Response(status=421)
+        self._count_arrival(request)
         if self.refusals:
             self.refusals -= 1
             self.counts["refusals"] += 1
@@ -138,6 +147,18 @@
         finally:
             self._write_run_event("end", request)
 
+    def _count_arrival(self, request: web.Request) -> None:
+        """Count a request to a cold server, which crashes on too many of them."""
+        now = time.time()
+        if now >= self.cold_until:
+            return
+        self._write_run_event("cold", request)
+        self.arrivals.append(now)
+        while self.arrivals[0] <= now - ARRIVAL_SECONDS:
+            self.arrivals.popleft()
+        if len(self.arrivals) > self.cold_limit:
+            os._exit(CRASH_STATUS)
+
     def _write_run_event(self, what: str, request: web.Request) -> None:
         if self.run_file is None:
             return
@@ -266,6 +287,7 @@
                 "kvTotal": 100_000,
                 "state": self.state,
                 "born": self.born,
+                "coldLeftMs": max(0.0, self.cold_until - time.time()) * 1000.0,
                 "runs": [],
             }
         )
@@ -282,7 +304,8 @@
         the process as they begin to run, empty for none; ``crash_on_part``: id of the
         prompt part whose streams end the process after the head of the answer;
         ``unframed``: whether streams have neither a length nor chunks; ``endless``:
-        whether the bodies of other answers have no end.
+        whether the bodies of other answers have no end; ``cold_seconds``: time for
+        which the server is cold from now on.
         """
         faults = await request.json()
         self.failures = faults.get("failures", 0)
@@ -296,6 +319,8 @@
         self.crash_on_part = faults.get("crash_on_part", "")
         self.unframed = faults.get("unframed", False)
         self.endless = faults.get("endless", False)
+        if "cold_seconds" in faults:
+            self.cold_until = time.time() + faults["cold_seconds"]
         return web.json_response({})
 
     async def list_calls(self, request: web.Request) -> web.Response:
@@ -318,13 +343,20 @@
     parser.add_argument("--event-seconds", type=float, default=0.02)
     parser.add_argument("--born", type=int, default=1000)
     parser.add_argument("--run-file", default="")
+    parser.add_argument("--cold-seconds", type=float, default=0.0)
+    parser.add_argument("--cold-limit", type=int, default=0)
     arguments = parser.parse_args()
     run_file = (
         open(arguments.run_file, "a", buffering=1) if arguments.run_file else None
     )
     server = FakePlatformServer(
-        arguments.name, arguments.event_seconds, arguments.born, run_file
+        arguments.name,
+        arguments.event_seconds,
+        arguments.born,
+        run_file,
+        arguments.cold_limit,
     )
+    server.cold_until = time.time() + arguments.cold_seconds
     application = server.application()
     application.cleanup_ctx.append(_open_session)
     serve(application, arguments.port)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -55,6 +55,11 @@
     parser.add_argument(
         "--zone-drains", action="store_true", help="take zones out of use as well"
     )
+    parser.add_argument(
+        "--cold-servers",
+        action="store_true",
+        help="have servers that start tolerate few requests for some time",
+    )
     options = parser.parse_args()
     shared = {
         name: getattr(options, name)
@@ -62,7 +67,12 @@
     }
     if options.one is not None:
         result = run_seed(
-            RunOptions(options.one, **shared, zone_drains=options.zone_drains)
+            RunOptions(
+                options.one,
+                **shared,
+                zone_drains=options.zone_drains,
+                cold_servers=options.cold_servers,
+            )
         )
         print(
             f"seed {result.seed}: {result.calls} calls, {result.runs} runs, "
@@ -76,6 +86,8 @@
     ]
     if options.zone_drains:
         arguments.append("--zone-drains")
+    if options.cold_servers:
+        arguments.append("--cold-servers")
     with ThreadPoolExecutor(options.jobs) as pool:
         passed = list(
             pool.map(lambda seed: _run_in_subprocess(seed, arguments), options.seeds)
--- a/soak/_board.py
+++ b/soak/_board.py
@@ -10,6 +10,7 @@
 DRAIN_NOTICE_SECONDS = 2.0
 CONFIGURATION_APPLY_SECONDS = 2.0
 ZONE_DRAIN_APPLY_SECONDS = 5.0
+COLD_OVERAGE, COLD_SLACK = 1.5, 2.0
 STOP_GRACE_SECONDS = 8.0
 RECOVERY_SECONDS = 12.0
 
@@ -100,6 +101,9 @@
         self.drained_at_by_server: dict[str, float] = {}
         self.zones_by_server: dict[str, str] = {}
         self.zone_drains: list[ValidityRow] = []
+        self.cold_arrivals_by_server: dict[str, list[float]] = {}
+        self.cold_bounds_by_server: dict[str, int] = {}
+        self.burst_ends_at = 0.0
         self.routes_by_name: dict[str, ValidityRow] = {}
         self.keys_by_text: dict[str, ValidityRow] = {}
         self.ready_entries: set[str] = set()
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -18,6 +18,7 @@
 # Gives about 40 calls per second, few enough that calls do not fail because the machine
 # is saturated.
 MEAN_PAUSE_SECONDS = 0.3
+BURST_PAUSE_SECONDS = 0.1
 READINESS_INTERVAL_SECONDS = 0.5
 # The balancer takes an entry out of rotation after this many failed checks in a row.
 READINESS_FAILURE_LIMIT = 2
@@ -111,7 +112,9 @@
                     plan = _draw_call_plan(self.random, self.board)
                     reusable = await self._call(session, entry, plan)
                     reusable = reusable and self.random.random() < KEEP_CONNECTION_SHARE
-                    pause = self.random.expovariate(1 / MEAN_PAUSE_SECONDS)
+                    in_burst = time.time() < self.board.burst_ends_at
+                    mean = BURST_PAUSE_SECONDS if in_burst else MEAN_PAUSE_SECONDS
+                    pause = self.random.expovariate(1 / mean)
                     await asyncio.sleep(min(pause, 1.0))
 
     async def _call(
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -29,6 +29,8 @@
 # The users' rules tolerate up to this many isolated cases.
 TOLERATED_CASES = 3
 ATTEMPT_LIMIT = 2
+ARRIVAL_SECONDS = 1.0
+DELAYING_LINK_KINDS = frozenset({"link one way", "link slow"})
 
 
 class Violation(NamedTuple):
@@ -150,6 +152,37 @@
                     yield Violation("drained zones", run.request_id, detail)
 
 
+def _link_held_requests_back(board: SoakBoard, server: str, at: float) -> bool:
+    """Return whether requests that arrive then may have been sent a second before."""
+    return any(
+        row.subject == server
+        and row.kind in DELAYING_LINK_KINDS
+        and row.began_at <= at <= row.ended_at + ARRIVAL_SECONDS
+        for row in board.disturbances
+    )
+
+
+@checks.append
+def cold_servers_get_few_requests(board: SoakBoard) -> Iterator[Violation]:
+    """Find cold servers that got more requests within a second than their bound.
+
+    Requests of all entries count, also of those that are cut off. The bound is on
+    requests that are sent and arrive within the same second.
+    """
+    for server, all_arrivals in board.cold_arrivals_by_server.items():
+        bound = board.cold_bounds_by_server[server]
+        arrivals = [
+            at
+            for at in sorted(all_arrivals)
+            if not _link_held_requests_back(board, server, at)
+        ]
+        for first, excess in zip(arrivals, arrivals[bound:], strict=False):
+            if excess - first < ARRIVAL_SECONDS:
+                detail = f"more than {bound} in a second from {first:.3f} at {server}"
+                yield Violation("cold servers", "", detail)
+                break
+
+
 @checks.append
 def configuration_is_in_force(board: SoakBoard) -> Iterator[Violation]:
     """Find calls served by removed routes or keys, or refused by current ones."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -19,6 +19,8 @@
 REPEAT_SHARE = 0.3
 # Longer than the bound within which a zone has to be out of use.
 ZONE_DRAIN_SECONDS = (7.0, 9.0)
+BURST_SECONDS = 6.0
+COLD_RETURN_COUNT = 3
 
 
 class PauseEntry(NamedTuple):
@@ -95,6 +97,25 @@
     seconds: float
 
 
+class ReturnServers(NamedTuple):
+    """Kills several servers at once; they return together, cold."""
+
+    servers: tuple[str, ...]
+    seconds: float
+
+
+class AddServer(NamedTuple):
+    """Starts another server of the service of a known one."""
+
+    server: str
+
+
+class BeginBurst(NamedTuple):
+    """Has the clients make shorter pauses."""
+
+    seconds: float
+
+
 class ChangeConfiguration(NamedTuple):
     """Adds a route and a key, and removes those that the previous change added."""
 
@@ -112,6 +133,9 @@
     | FailServer
     | ChangeConfiguration
     | TakeOutZone
+    | ReturnServers
+    | AddServer
+    | BeginBurst
 )
 
 
@@ -199,3 +223,25 @@
         )
         for zone in random.sample(zones, 2)
     )
+
+
+def draw_cold_returns(
+    seed: int, seconds: float, servers: list[str]
+) -> tuple[ScheduledFault, ...]:
+    """Return a burst, and in it servers that are added or return together, cold.
+
+    Separate from the other faults, so that these stay the same for a seed.
+    """
+    random = Random(f"{seed}/cold")
+    burst_at = random.uniform(0.0, seconds - BURST_SECONDS)
+    plan = [ScheduledFault(burst_at, BeginBurst(BURST_SECONDS))]
+    for _ in range(COLD_RETURN_COUNT):
+        returning = random.sample(servers, random.randint(2, len(servers)))
+        down_seconds = random.uniform(SHORTEST_FAULT_SECONDS, 2.0)
+        for fault in (
+            ReturnServers(tuple(returning), down_seconds),
+            AddServer(random.choice(servers)),
+        ):
+            at = burst_at + random.uniform(0.0, BURST_SECONDS)
+            plan.append(ScheduledFault(at, fault))
+    return tuple(plan)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -16,7 +16,12 @@
 from soak._board import RECOVERY_SECONDS, ProblemRow, SoakBoard
 from soak._callers import run_clients
 from soak._checks import Violation, find_violations
-from soak._faults import ScheduledFault, draw_plan, draw_zone_drains
+from soak._faults import (
+    ScheduledFault,
+    draw_cold_returns,
+    draw_plan,
+    draw_zone_drains,
+)
 from soak._steps import Step, perform
 from soak._world import ZONES, SoakFleet
 
@@ -36,6 +41,8 @@
         Folder for the logs of a run with violations; empty to discard them.
     zone_drains : bool
         Whether zones are taken out of use and back as well.
+    cold_servers : bool
+        Whether servers that start are cold for some time, and some return together.
     """
 
     seed: int
@@ -45,6 +52,7 @@
     fault_seconds: float = 16.0
     keep: str = ""
     zone_drains: bool = False
+    cold_servers: bool = False
 
 
 class RunResult(NamedTuple):
@@ -60,7 +68,7 @@
 def run_seed(options: RunOptions) -> RunResult:
     """Run one seed and return its result."""
     board = SoakBoard()
-    fleet = SoakFleet(board, options.zone_drains)
+    fleet = SoakFleet(board, options.zone_drains, options.cold_servers)
     try:
         fleet.start_all(options.entries, options.engines, options.services)
         plan = draw_plan(
@@ -71,6 +79,10 @@
         )
         if options.zone_drains:
             plan += draw_zone_drains(options.seed, options.fault_seconds, ZONES)
+        if options.cold_servers:
+            plan += draw_cold_returns(
+                options.seed, options.fault_seconds, list(fleet.services_by_server)
+            )
         _execute_plan(fleet, plan, options)
         fleet.read_runs()
         _find_problems(fleet)
@@ -150,6 +162,8 @@
         "disturbances": board.disturbances,
         "drained": board.drained_at_by_server,
         "routes": list(board.routes_by_name.values()),
+        "cold_arrivals": board.cold_arrivals_by_server,
+        "zone_drains": board.zone_drains,
         "calls": list(board.calls_by_id.values()),
     }
     (folder / "board.json").write_text(json.dumps(contents, indent=1))
--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -72,6 +72,12 @@
     server: str
 
 
+class StartServers(NamedTuple):
+    """Restarts several servers that were killed."""
+
+    servers: tuple[str, ...]
+
+
 class DrainServer(NamedTuple):
     """Marks a server as draining, and retries until the store has accepted it."""
 
@@ -335,8 +341,12 @@
 
 @perform.register
 def _take_back_zone(action: TakeBackZone, fleet: SoakFleet, now: float) -> Steps:
+    if not _is_store_available(fleet, now):
+        return (Step(now + POLL_SECONDS, action),)
+    # Servers may have become cold while they got no requests.
+    fleet.cool_zone(action.zone)
     sent_at = time.time()
-    if not _is_store_available(fleet, now) or not fleet.take_back_zone(action.zone):
+    if not fleet.take_back_zone(action.zone):
         return (Step(now + POLL_SECONDS, action),)
     fleet.board.zone_drains[:] = [
         row._replace(removed_at=min(row.removed_at, sent_at))
@@ -345,3 +355,37 @@
         for row in fleet.board.zone_drains
     ]
     return ()
+
+
+@perform.register
+def _return_servers(
+    action: faults.ReturnServers, fleet: SoakFleet, now: float
+) -> Steps:
+    killed = tuple(name for name in action.servers if fleet.is_in_service(name))
+    for name in killed:
+        _kill_process(name, action.seconds, StartServer(name), fleet, now)
+    return (Step(now + action.seconds, StartServers(killed)),)
+
+
+@perform.register
+def _start_servers(action: StartServers, fleet: SoakFleet, now: float) -> Steps:
+    if not _is_store_available(fleet, now):
+        return (Step(now + POLL_SECONDS, action),)
+    fleet.restart_servers(
+        [name for name in action.servers if not fleet.is_running(name)]
+    )
+    return ()
+
+
+@perform.register
+def _add_server(action: faults.AddServer, fleet: SoakFleet, now: float) -> Steps:
+    if not _is_store_available(fleet, now):
+        return (Step(now + POLL_SECONDS, action),)
+    fleet.start_additional_server(fleet.services_by_server[action.server])
+    return ()
+
+
+@perform.register
+def _begin_burst(action: faults.BeginBurst, fleet: SoakFleet, now: float) -> Steps:
+    fleet.board.burst_ends_at = now + action.seconds
+    return ()
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from fakes.link import FakeLink
@@ -16,13 +18,19 @@
     PlatformFleet,
     route,
 )
-from soak._board import RunRow, SoakBoard, ValidityRow
+from soak._board import COLD_OVERAGE, COLD_SLACK, RunRow, SoakBoard, ValidityRow
 
 EVENT_SECONDS = 0.05
 ZONES = "ab"
 STORE_TEXT_WITH_ZONE_DRAINS = STORE_TEXT.replace(
     '"entries"]', '"entries", "zone_drains"]\nconsistent_scopes = ["zone_drains"]'
 )
+WARM_UP_SECONDS = 4.0
+# Below the rate of the clients' calls, so that the limit of cold servers binds.
+COLD_RATES_BY_SERVICE = {PLAIN_SERVICE: 6, MODEL_SERVICE: 3}
+# A cold server crashes well above its bound.
+COLD_CRASH_FACTOR = 2
+COLD_SETTINGS_TEXT = f"cold_overage = {COLD_OVERAGE}\ncold_slack = {COLD_SLACK}\n"
 SERVING_LOG_FIELD = '"event": "serving"'
 # Routes that exist for the whole run. Clients wait longer than their timeouts.
 PERMANENT_ROUTES = (
@@ -42,11 +50,28 @@
     ----------
     uses_zones : bool
         Whether servers are in several zones, which may be taken out of use.
+    limits_cold_servers : bool
+        Whether servers that start during traffic are cold, and entries spare them.
     """
 
-    def __init__(self, board: SoakBoard, uses_zones: bool = False) -> None:
+    def __init__(
+        self,
+        board: SoakBoard,
+        uses_zones: bool = False,
+        limits_cold_servers: bool = False,
+    ) -> None:
         store_text = STORE_TEXT_WITH_ZONE_DRAINS if uses_zones else STORE_TEXT
-        super().__init__(store_text=store_text)
+        # The settings end with those of scheduling.
+        settings_text = COLD_SETTINGS_TEXT if limits_cold_servers else ""
+        super().__init__(settings_text, store_text=store_text)
+        if limits_cold_servers:
+            self.warm_up_fields_by_service = {
+                service: {"warmupS": WARM_UP_SECONDS, "coldPerS": rate}
+                for service, rate in COLD_RATES_BY_SERVICE.items()
+            }
+        self.limits_cold_servers = limits_cold_servers
+        self.has_traffic = False
+        self.cold_until_by_server: dict[str, float] = {}
         self.board = board
         self.uses_zones = uses_zones
         self.links_by_subject: dict[str, FakeLink] = {}
@@ -72,6 +97,7 @@
             self.launch_gateway(name)
         for name in names:
             self.wait_gateway(name)
+        self.has_traffic = True
 
     def store_url(self, entry: str) -> str:
         """Return the address of the link between an entry and the store."""
@@ -84,7 +110,16 @@
     def server_arguments(self, name: str) -> tuple[str, ...]:
         """Return the options for the run file and the start time of a server."""
         born = self.started_at_ms_by_server[name]
-        return "--run-file", str(self._run_file(name)), "--born", str(born)
+        bound = self.board.cold_bounds_by_server[name]
+        return (
+            *("--run-file", str(self._run_file(name)), "--born", str(born)),
+            *("--cold-seconds", str(self.cold_seconds(name))),
+            *("--cold-limit", str(COLD_CRASH_FACTOR * bound)),
+        )
+
+    def cold_seconds(self, name: str) -> float:
+        """Return for how long a server is cold from now on."""
+        return max(0.0, self.cold_until_by_server.get(name, 0.0) - time.time())
 
     def _run_file(self, name: str) -> Path:
         return Path(self.folder.name) / f"{name}.runs"
@@ -109,14 +144,34 @@
         self.services_by_server[name] = service
         zone = ZONES[self.server_count % 2] if self.uses_zones else "a"
         self.board.zones_by_server[name] = zone
+        rate = COLD_RATES_BY_SERVICE[service]
+        bound = math.floor(rate * COLD_OVERAGE + COLD_SLACK)
+        self.board.cold_bounds_by_server[name] = bound
         self.restart_server(name)
 
     def restart_server(self, name: str) -> None:
         """Start a server under a known id, without any earlier state."""
         self.started_at_ms_by_server[name] = int(time.time() * 1000)
+        if self.limits_cold_servers and self.has_traffic:
+            self.cold_until_by_server[name] = time.time() + WARM_UP_SECONDS
         zone = self.board.zones_by_server[name]
         self.start_server(name, self.services_by_server[name], zone, EVENT_SECONDS)
 
+    def restart_servers(self, names: list[str]) -> None:
+        """Start several servers at the same time."""
+        with ThreadPoolExecutor() as pool:
+            list(pool.map(self.restart_server, names))
+
+    def cool_zone(self, zone: str) -> None:
+        """Have all servers of a zone become cold, and say so in their registrations."""
+        if not self.limits_cold_servers:
+            return
+        for name, service in self.services_by_server.items():
+            if self.board.zones_by_server[name] == zone and self.is_in_service(name):
+                self.cold_until_by_server[name] = time.time() + WARM_UP_SECONDS
+                self.server_faults(name, cold_seconds=WARM_UP_SECONDS)
+                self.register(name, service, zone)
+
     def launch_gateway(self, name: str) -> None:
         """Start an entry; record how often its log already reports that it serves."""
         if name in self.processes_by_name:
@@ -185,6 +240,10 @@
         runs_by_id = self.board.runs_by_request_id
         for line in text.splitlines():
             at, event_kind, request_id = line.split(" ")
+            if event_kind == "cold":
+                arrivals = self.board.cold_arrivals_by_server.setdefault(name, [])
+                arrivals.append(float(at))
+                continue
             runs = runs_by_id.setdefault(request_id, [])
             if event_kind != "end":
                 continued = event_kind == "continue"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -116,6 +116,26 @@
                 board.record_disturbance("entry-0", "paused", 23.0, 0.5)
                 self.assertEqual(self.violated_guarantees(board), set())
 
+    def test_requests_to_a_cold_server(self):
+        """Guards against a check that misses a rush or reports what is allowed."""
+        cases = (
+            ("as many as the bound", (20.0, 20.1, 20.9), "", set()),
+            ("one more", (20.0, 20.1, 20.2, 20.9), "", {"cold servers"}),
+            ("over more than a second", (20.0, 20.1, 20.2, 21.0), "", set()),
+            ("held back", (20.0, 20.1, 20.2, 20.9), "link one way", set()),
+            ("server killed", (20.0, 20.1, 20.2, 20.9), "killed", {"cold servers"}),
+        )
+        for name, arrivals, kind, expected in cases:
+            with self.subTest(name):
+                board = new_board()
+                board.cold_bounds_by_server["orders-1"] = 3
+                board.cold_arrivals_by_server["orders-1"] = list(arrivals)
+                if kind:
+                    board.record_disturbance("orders-1", kind, 18.0, 3.0)
+                # An entry that is cut off is bound as well.
+                board.record_disturbance("entry-0", "paused", 15.0, 6.0)
+                self.assertEqual(self.violated_guarantees(board), expected)
+
     def test_outdated_configuration(self):
         """Guards against removed routes still served and new ones still refused."""
         served = new_call("a", "extra-1", sent_at=13.0)
