Count drains of unknown zones, ignore them in Retry-After

Retry-After of calls that zone drains turn away follows the youngest drain. A drain of a misspelt zone, which no upstream is in, was taken for one and brought the time back to 1 s. Only drains of zones with upstreams count now.

Such a drain is counted as ZONE_UNKNOWN (4013), once for its first version. It holds its row, because an upstream may register there later.

--- a/src/carawayhitch/controllers/zones/_drains.py
+++ b/src/carawayhitch/controllers/zones/_drains.py
@@ -66,8 +66,19 @@
 
 
 def retry_after_seconds(board: Board, now: float) -> float:
-    """Return after what time a call refused because of drains may be tried again."""
-    since = max((row.since for row in board.zone_drains_by_name.values()), default=now)
+    """Return after what time a call refused because of drains may be tried again.
+
+    Zones without upstreams have no effect: their names may be misspelt.
+    """
+    occupied = {upstream.zone for upstream in board.upstreams_by_id.values()}
+    since = max(
+        (
+            row.since
+            for row in board.zone_drains_by_name.values()
+            if row.zone in occupied
+        ),
+        default=now,
+    )
     age = now - since
     return min(
         RETRY_AFTER_MAXIMUM_SECONDS, max(RETRY_AFTER_MINIMUM_SECONDS, round(age, 1))
@@ -138,8 +149,10 @@
     begin = actions.Log("info", "zone drain begins", fields)
     if upstreams or zone in board.settings.gateway.regions_by_zone:
         return (begin,)
-    unknown = actions.Log("warning", "zone drain of an unknown zone", {"zone": zone})
-    return (begin, unknown)
+    code = result_codes.ZONE_UNKNOWN
+    fields = {"code": code.name, "zone": zone, "revision": decoded.version}
+    unknown = actions.Log("warning", "zone drain of an unknown zone", fields)
+    return (begin, actions.Count(code), unknown)
 
 
 def _end_log(
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -243,6 +243,9 @@
 STORE_OBJECT_UNREADABLE = ResultCode(
     4012, "STORE_OBJECT_UNREADABLE", "no", 0, "An object of the store is unreadable."
 )
+ZONE_UNKNOWN = ResultCode(
+    4013, "ZONE_UNKNOWN", "no", 0, "A zone drain names a zone without upstreams."
+)
 PEER_UNREACHABLE = ResultCode(
     4020, "PEER_UNREACHABLE", "no", 0, "A message to an entry could not be sent."
 )
--- a/tests/controllers/zones/test_drains.py
+++ b/tests/controllers/zones/test_drains.py
@@ -112,6 +112,10 @@
         """Guards against a misspelt zone that the operator takes for drained."""
         found = deliver(self.board, drain(zone="nowhere"))
         self.assertIn("zone drain of an unknown zone", log_messages(found))
+        counted = [a.code.name for a in found if isinstance(a, actions.Count)]
+        self.assertEqual(counted, ["ZONE_UNKNOWN"])
+        again = deliver(self.board, drain(zone="nowhere"), drain("nowhere", 21))
+        self.assertEqual(log_messages(again), [])
 
     def test_late_decoding_does_not_bring_a_drain_back(self):
         """Guards against an older version that is decoded after a newer one."""
@@ -294,6 +298,11 @@
         found = self.entry.call("order", request_id="later")
         (refusal,) = (a for a in found if isinstance(a, actions.RefuseCall))
         self.assertEqual(refusal.retry_after, 6.0)
+        # A misspelt zone does not bring the end of the others nearer.
+        self.drain("nowhere")
+        found = self.entry.call("order", request_id="after a misspelt zone")
+        (refusal,) = (a for a in found if isinstance(a, actions.RefuseCall))
+        self.assertEqual(refusal.retry_after, 6.0)
 
     def test_only_the_zone_in_use_counts_for_a_requested_pause(self):
         """Guards against calls that wait because a drained upstream wants no pause."""
