--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -276,7 +276,7 @@
             if self.is_ready(name):
                 return
             time.sleep(0.05)
-        raise RuntimeError(f"{name} is not ready:\n{self.log_text(name)}")
+        raise RuntimeError(self.describe_failed_start(name, "is not ready"))
 
     def ask(
         self,
--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -13,6 +13,7 @@
 import time
 import urllib.error
 import urllib.request
+from datetime import UTC, datetime
 from hashlib import sha256
 from pathlib import Path
 from typing import Any, NamedTuple, Self
@@ -119,6 +120,7 @@
         self.admin_token = ADMIN_TOKEN
         self.folder = tempfile.TemporaryDirectory(prefix="carawayhitch-")
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.spawned_at_by_name: dict[str, float] = {}
         self.ports_by_name: dict[str, int] = {}
         self.vms: list[dict[str, Any]] = []
         self.entry_ports: dict[str, tuple[int, int]] = {}
@@ -155,6 +157,7 @@
 
     def _spawn(self, name: str, command: list[str], output: int | None = None) -> None:
         root = Path(__file__).parent.parent
+        self.spawned_at_by_name[name] = time.time()
         with (Path(self.folder.name) / f"{name}.log").open("ab") as log:
             self.processes_by_name[name] = subprocess.Popen(
                 command, cwd=root, stdout=output or log, stderr=log
@@ -169,7 +172,20 @@
             if self.processes_by_name[name].poll() is not None:
                 break
             time.sleep(0.03)
-        raise RuntimeError(f"{name} does not listen:\n{self.log_text(name)}")
+        raise RuntimeError(self.describe_failed_start(name, "does not listen"))
+
+    def describe_failed_start(self, name: str, failure: str) -> str:
+        """Return why a process is of no use: its exit or the time that it took."""
+        spawned_at = self.spawned_at_by_name[name]
+        seconds = time.time() - spawned_at
+        status = self.processes_by_name[name].poll()
+        state = "runs" if status is None else f"exited with status {status}"
+        spawned = datetime.fromtimestamp(spawned_at, UTC).isoformat()
+        load, _, _ = os.getloadavg()
+        return (
+            f"{name} {failure} {seconds:.1f} s after its start at {spawned}, {state}, "
+            f"load average {load:.1f}:\n{self.log_text(name)}"
+        )
 
     def start_platform(self, vm_list_lag_seconds: float = 0.2) -> None:
         """Start the object store and the VM list."""
@@ -344,7 +360,7 @@
             if status == 200:
                 return
             time.sleep(0.05)
-        raise RuntimeError(f"{name} is not ready:\n{self.log_text(name)}")
+        raise RuntimeError(self.describe_failed_start(name, "is not ready"))
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process of this fleet."""
--- a/tests/fakes/test_processes.py
+++ b/tests/fakes/test_processes.py
@@ -57,6 +57,15 @@
         self.assertEqual([len(ports) for ports in reserved], [RESERVATIONS] * 2)
         self.assertFalse(reserved[0] & reserved[1])
 
+    def test_failed_start_tells_an_exit_from_a_slow_start(self):
+        """Guards against failures of which the time and the exit are unknown."""
+        with Fleet() as fleet:
+            with self.assertRaisesRegex(RuntimeError, r"exited with status 1, load"):
+                fleet.start_module("absent", "fakes.absent")
+            fleet.start_module("store", "fakes.object_store")
+            described = fleet.describe_failed_start("store", "is not ready")
+            self.assertRegex(described, r"is not ready \d+\.\d s after .*, runs, load")
+
     def test_process_restarts_on_its_reserved_port(self):
         """Guards against a reservation that keeps its own process from listening."""
         with Fleet() as fleet:
