Kill entries in the soak while servers are cold

After each joint return of servers another entry is killed, so that the scheduler of cold servers is lost.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -226,22 +226,26 @@
 
 
 def draw_cold_returns(
-    seed: int, seconds: float, servers: list[str]
+    seed: int, seconds: float, entries: list[str], servers: list[str]
 ) -> tuple[ScheduledFault, ...]:
     """Return a burst, and in it servers that are added or return together, cold.
 
-    Separate from the other faults, so that these stay the same for a seed.
+    After each return another entry is killed, so that the scheduler of cold servers is
+    lost. Separate from the other faults, so that these stay the same for a seed.
     """
     random = Random(f"{seed}/cold")
     burst_at = random.uniform(0.0, seconds - BURST_SECONDS)
     plan = [ScheduledFault(burst_at, BeginBurst(BURST_SECONDS))]
-    for _ in range(COLD_RETURN_COUNT):
+    order = random.sample(entries, len(entries))
+    for entry in order[:COLD_RETURN_COUNT]:
         returning = random.sample(servers, random.randint(2, len(servers)))
         down_seconds = random.uniform(SHORTEST_FAULT_SECONDS, 2.0)
-        for fault in (
-            ReturnServers(tuple(returning), down_seconds),
-            AddServer(random.choice(servers)),
-        ):
-            at = burst_at + random.uniform(0.0, BURST_SECONDS)
-            plan.append(ScheduledFault(at, fault))
+        down_at = burst_at + random.uniform(0.0, BURST_SECONDS)
+        added_at = burst_at + random.uniform(0.0, BURST_SECONDS)
+        lost_at = min(seconds, down_at + down_seconds + random.uniform(0.5, 2.0))
+        plan += (
+            ScheduledFault(down_at, ReturnServers(tuple(returning), down_seconds)),
+            ScheduledFault(added_at, AddServer(random.choice(servers))),
+            ScheduledFault(lost_at, KillEntry(entry, SHORTEST_FAULT_SECONDS)),
+        )
     return tuple(plan)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -81,7 +81,10 @@
             plan += draw_zone_drains(options.seed, options.fault_seconds, ZONES)
         if options.cold_servers:
             plan += draw_cold_returns(
-                options.seed, options.fault_seconds, list(fleet.services_by_server)
+                options.seed,
+                options.fault_seconds,
+                list(fleet.gateways_by_name),
+                list(fleet.services_by_server),
             )
         _execute_plan(fleet, plan, options)
         fleet.read_runs()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 from soak._board import STORE, CallRow, RunRow, SoakBoard, ValidityRow
 from soak._callers import find_stream_fault
 from soak._checks import find_violations
-from soak._faults import draw_plan
+from soak._faults import KillEntry, draw_cold_returns, draw_plan
 from soak._run import RunOptions, run_seed
 from soak._steps import AwaitExit, perform
 
@@ -196,6 +196,10 @@
         random.random()
         self.assertEqual(draw_plan(7, 16.0, *names), first)
         self.assertNotEqual(draw_plan(8, 16.0, *names), first)
+        cold = draw_cold_returns(7, 16.0, *names)
+        self.assertEqual(draw_cold_returns(7, 16.0, *names), cold)
+        killed = {s.fault.entry for s in cold if isinstance(s.fault, KillEntry)}
+        self.assertEqual(killed, set(names[0]))
 
 
 class EntryStopTest(unittest.TestCase):
@@ -215,6 +219,13 @@
 
 
 class SoakTest(unittest.TestCase):
+    def test_cold_servers_beside_zone_drains(self):
+        """Guards against rushes to cold servers, which this seed can show."""
+        options = RunOptions(102, zone_drains=True, cold_servers=True)
+        result = run_seed(options)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.runs, 100)
+
     def test_regression_seeds(self):
         """Guards against regressions of the faults that the soak has found."""
         for seed in REGRESSION_SEEDS:
