--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -143,9 +143,13 @@
     name: str, seconds: float, restart: Any, fleet: SoakFleet, now: float
 ) -> Steps:
     """Kill a process and schedule the action that restarts it."""
+    _kill(name, seconds, fleet, now)
+    return (Step(now + seconds, restart),)
+
+
+def _kill(name: str, seconds: float, fleet: SoakFleet, now: float) -> None:
     fleet.board.record_disturbance(name, "killed", now, seconds + STARTUP_SECONDS)
     fleet.kill(name)
-    return (Step(now + seconds, restart),)
 
 
 @perform.register
@@ -363,7 +367,7 @@
 ) -> Steps:
     killed = tuple(name for name in action.servers if fleet.is_in_service(name))
     for name in killed:
-        _kill_process(name, action.seconds, StartServer(name), fleet, now)
+        _kill(name, action.seconds, fleet, now)
     return (Step(now + action.seconds, StartServers(killed)),)
 
 
--- a/src/carawayhitch/controllers/zones/_drains.py
+++ b/src/carawayhitch/controllers/zones/_drains.py
@@ -70,21 +70,20 @@
 
     Zones without upstreams have no effect: their names may be misspelt.
     """
-    occupied = {upstream.zone for upstream in board.upstreams_by_id.values()}
-    since = max(
-        (
-            row.since
-            for row in board.zone_drains_by_name.values()
-            if row.zone in occupied
-        ),
-        default=now,
-    )
+    drains = list(board.zone_drains_by_name.values())
+    if len(drains) > 1:
+        drains = [row for row in drains if _has_upstreams(board, row.zone)]
+    since = max((row.since for row in drains), default=now)
     age = now - since
     return min(
         RETRY_AFTER_MAXIMUM_SECONDS, max(RETRY_AFTER_MINIMUM_SECONDS, round(age, 1))
     )
 
 
+def _has_upstreams(board: Board, zone: str) -> bool:
+    return any(upstream.zone == zone for upstream in board.upstreams_by_id.values())
+
+
 @decide.register(events.ObjectsDecoded)
 def _apply_decoded_drains(
     event: events.ObjectsDecoded, board: Board, now: float, random: Random
