--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 from soak._board import STORE, CallRow, RunRow, SoakBoard, ValidityRow
 from soak._callers import find_stream_fault
 from soak._checks import find_violations
-from soak._faults import draw_plan
+from soak._faults import KillEntry, draw_cold_returns, draw_plan
 from soak._run import RunOptions, run_seed
 from soak._steps import AwaitExit, perform
 
@@ -116,6 +116,26 @@
                 board.record_disturbance("entry-0", "paused", 23.0, 0.5)
                 self.assertEqual(self.violated_guarantees(board), set())
 
+    def test_requests_to_a_cold_server(self):
+        """Guards against a check that misses a rush or reports what is allowed."""
+        cases = (
+            ("as many as the bound", (20.0, 20.1, 20.9), "", set()),
+            ("one more", (20.0, 20.1, 20.2, 20.9), "", {"cold servers"}),
+            ("over more than a second", (20.0, 20.1, 20.2, 21.0), "", set()),
+            ("held back", (20.0, 20.1, 20.2, 20.9), "link one way", set()),
+            ("server killed", (20.0, 20.1, 20.2, 20.9), "killed", {"cold servers"}),
+        )
+        for name, arrivals, kind, expected in cases:
+            with self.subTest(name):
+                board = new_board()
+                board.cold_bounds_by_server["orders-1"] = 3
+                board.cold_arrivals_by_server["orders-1"] = list(arrivals)
+                if kind:
+                    board.record_disturbance("orders-1", kind, 18.0, 3.0)
+                # An entry that is cut off is bound as well.
+                board.record_disturbance("entry-0", "paused", 15.0, 6.0)
+                self.assertEqual(self.violated_guarantees(board), expected)
+
     def test_outdated_configuration(self):
         """Guards against removed routes still served and new ones still refused."""
         served = new_call("a", "extra-1", sent_at=13.0)
@@ -176,6 +196,10 @@
         random.random()
         self.assertEqual(draw_plan(7, 16.0, *names), first)
         self.assertNotEqual(draw_plan(8, 16.0, *names), first)
+        cold = draw_cold_returns(7, 16.0, *names)
+        self.assertEqual(draw_cold_returns(7, 16.0, *names), cold)
+        killed = {s.fault.entry for s in cold if isinstance(s.fault, KillEntry)}
+        self.assertEqual(killed, set(names[0]))
 
 
 class EntryStopTest(unittest.TestCase):
@@ -195,6 +219,13 @@
 
 
 class SoakTest(unittest.TestCase):
+    def test_cold_servers_beside_zone_drains(self):
+        """Guards against rushes to cold servers, which this seed can show."""
+        options = RunOptions(102, zone_drains=True, cold_servers=True)
+        result = run_seed(options)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.runs, 100)
+
     def test_regression_seeds(self):
         """Guards against regressions of the faults that the soak has found."""
         for seed in REGRESSION_SEEDS:
