Test crowds through forwards and the operators' interface

Crowds and bounds of the cases that were still missing: calls that one entry signs and forwards to another (100 clients with bodies of 1 MB, whole and unread, or one byte short), the operators' interface with a valid token (whole and unfinished bodies, status pages that nobody reads), unfinished bodies with an unknown key, and the refusal of unknown callers before their body.

--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
+import json
 import resource
 import signal
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from fakes.platform_fleet import MODEL_SERVICE, PLAIN_SERVICE, PlatformFleet
+from fakes.platform_fleet import KEY, MODEL_SERVICE, PLAIN_SERVICE, PlatformFleet
+from fakes.processes import ACCOUNT_TOKENS, Fleet, call, token_hash
 from tests.client_crowd import (
     Crowd,
     ProcessWatch,
@@ -39,6 +41,25 @@
 LONG_STREAM = request_head(
     "POST", "/draft/1?events=1000&padding=32000", "Content-Length: 0"
 )
+# The largest body that the fake service of `ForwardedCrowdTest` takes is 1 MiB.
+FORWARDED_BODY_BYTES = 1_000_000
+FORWARDED_CROWD = 100
+# The key of the callers is also the operators' token.
+OPERATOR_SETTINGS = f"""
+[admin]
+token_sha256 = "{token_hash(KEY)}"
+"""
+OBJECT_PATH = "/admin/v1/objects/binding/odd"
+# Listener, request and status of calls without a valid key, token or signature.
+UNKNOWN_CALLERS = (
+    ("callers", "POST", "/order/1", 401),
+    ("own", "POST", "/services/orders/1", 401),
+    ("own", "POST", "/v1/completions", 401),
+    ("own", "POST", "/v1/idempotency-keys", 401),
+    ("own", "POST", "/peer/v1/forwarded/orders/1", 403),
+    ("own", "PUT", OBJECT_PATH, 403),
+    ("metrics", "PUT", OBJECT_PATH, 403),
+)
 
 
 class ClientCrowdTest(unittest.TestCase):
@@ -137,6 +158,40 @@
         self.send_crowd(body_with_length("PUT", path, BODY_BYTES, 1), "metrics")
         self.assert_ordinary_calls_are_answered()
 
+    def test_bodies_to_the_operators_interface_with_its_token(self):
+        """Guards against a valid token that lifts the limits."""
+        self.start(OPERATOR_SETTINGS)
+        for missing in (0, 1):
+            parts = body_with_length("PUT", OBJECT_PATH, BODY_BYTES, missing)
+            self.send_crowd(parts, "metrics", count=CROWD // 2)
+        self.assert_ordinary_calls_are_answered()
+
+    def test_answers_of_the_operators_interface_that_nobody_reads(self):
+        """Guards against status pages that wait in the memory for their readers."""
+        self.start(OPERATOR_SETTINGS)
+        for path in ("/metrics", "/status", "/admin/v1/status"):
+            parts = [request_head("GET", path) * 100]
+            self.send_crowd(parts, "metrics", reads=False, wait=False)
+        self.assert_ordinary_calls_are_answered()
+
+    def test_unfinished_bodies_with_an_unknown_key(self):
+        """Guards against strangers whose bodies are received."""
+        self.start()
+        head, *parts = body_with_length("POST", "/order/1", BODY_BYTES, 1)
+        self.send_crowd([head.replace(KEY.encode(), b"unknown"), *parts])
+        self.assert_ordinary_calls_are_answered()
+
+    def test_unknown_callers_are_refused_before_their_body(self):
+        """Guards against a refusal that waits for the body of the call."""
+        self.start("receive_timeout_seconds = 3.0\n" + OPERATOR_SETTINGS)
+        for listener, method, path, expected in UNKNOWN_CALLERS:
+            with self.subTest(listener=listener, path=path):
+                port = self.fleet.gateways_by_name["entry-1"][listener]
+                head = request_head(method, path, f"Content-Length: {BODY_BYTES}")
+                head = head.replace(KEY.encode(), b"unknown")
+                status, _ = exchange_slowly(port, [head], BODY_BYTES)
+                self.assertEqual(status, expected)
+
     def test_unfinished_bodies_to_the_readiness_check(self):
         """Guards against bodies to paths that take none."""
         self.start()
@@ -256,5 +311,92 @@
         self.assertLess(self.watch.peak_megabytes, LIMIT_MEGABYTES)
 
 
+class ForwardedCrowdTest(unittest.TestCase):
+    """Two entries, of which one forwards calls with the other's idempotency keys."""
+
+    def setUp(self):
+        self.fleet = Fleet(SETTINGS)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start_platform()
+        self.fleet.put_defaults()
+        self.fleet.start_service("register-1", "register")
+        names = ("entry-1", "entry-2")
+        for name in names:
+            self.fleet.reserve_entry_ports(name)
+        for name in names:
+            self.fleet.start_entry(name)
+        self.watches_by_name = {
+            name: ProcessWatch(self.fleet.processes_by_name[name].pid) for name in names
+        }
+        for watch in self.watches_by_name.values():
+            self.addCleanup(watch.stop)
+        self.crowds: list[Crowd] = []
+        self.addCleanup(self.stop_crowds)
+
+    def stop_crowds(self):
+        for crowd in self.crowds:
+            crowd.stop()
+        self.crowds = []
+
+    def issue_keys(self, count):
+        """Return keys that are bound to the second entry."""
+        url = self.fleet.url("entry-2") + "/v1/idempotency-keys"
+        token = {"Authorization": f"Bearer {ACCOUNT_TOKENS['hotel']}"}
+        status, body, _ = call("POST", url, {"count": count}, token)
+        self.assertEqual(status, 200, body)
+        return json.loads(body)["keys"]
+
+    def send_crowd(self, sent_bytes, **options):
+        """Send a call for each of many keys to the first entry."""
+        port = self.fleet.ports_by_name["entry-1"]
+        for key in self.issue_keys(FORWARDED_CROWD):
+            head = request_head(
+                "POST",
+                "/services/register/guides",
+                f"Idempotency-Key: {key}",
+                f"Content-Length: {FORWARDED_BODY_BYTES}",
+            ).replace(KEY.encode(), ACCOUNT_TOKENS["hotel"].encode())
+            self.crowds.append(Crowd(port, 1, [head, b"x" * sent_bytes], **options))
+        for crowd in self.crowds:
+            crowd.wait_until_sent()
+
+    def ask(self):
+        """Make an ordinary call that the first entry forwards."""
+        headers = {
+            "Authorization": f"Bearer {ACCOUNT_TOKENS['hotel']}",
+            "Idempotency-Key": self.issue_keys(1)[0],
+        }
+        url = self.fleet.url("entry-1") + "/services/register/guides"
+        return call("POST", url, b"a guide", headers)
+
+    def assert_ordinary_calls_are_answered(self):
+        for watch in self.watches_by_name.values():
+            watch.wait_until_steady()
+        with self.subTest("beside the crowd"):
+            self.assertEqual(wait_for_success(self.ask)[0], 200)
+        self.stop_crowds()
+        with self.subTest("after the crowd"):
+            self.assertEqual(wait_for_success(self.ask)[0], 200)
+        for name, watch in self.watches_by_name.items():
+            watch.stop()
+            with self.subTest(name):
+                self.assertIsNone(self.fleet.processes_by_name[name].poll())
+                self.assertLess(watch.peak_megabytes, LIMIT_MEGABYTES)
+                self.assertLess(watch.peak_descriptors, DESCRIPTOR_LIMIT)
+
+    def test_signed_forwards_with_large_bodies(self):
+        """Guards against bodies that both entries hold, and answers nobody reads."""
+        url = self.fleet.url("register-1") + "/fake/faults"
+        call("POST", url, {"delay_seconds": 3.0})
+        self.send_crowd(FORWARDED_BODY_BYTES, reads=False)
+        call("POST", url, {"delay_seconds": 0.0})
+        self.assert_ordinary_calls_are_answered()
+
+    def test_unfinished_bodies_of_calls_to_forward(self):
+        """Guards against unfinished calls that hold the way between two entries."""
+        self.send_crowd(FORWARDED_BODY_BYTES - 1)
+        self.assert_ordinary_calls_are_answered()
+
+
 if __name__ == "__main__":
     unittest.main()
