Refuse unknown callers before their body is received

The key of a call, the operators' token and the signature of a forwarded call were checked after the body, so that strangers could fill the memory for bodies and waited up to limits.receive_timeout_seconds for their refusal. The digest of a forwarded body is still compared once the body is there.

--- a/src/carawayhitch/codecs/_keys.py
+++ b/src/carawayhitch/codecs/_keys.py
@@ -171,18 +171,15 @@
     return _sign_and_encode(b"forward", msgspec.json.encode(signed), keys)
 
 
-def verify_forwarded_call(
-    header: str,
-    expected: ForwardSignaturePayload,
-    keys: Sequence[settings_types.PeerKey],
-) -> None:
-    """Check that a peer recently signed exactly this request.
+def read_forward_signature(
+    header: str, keys: Sequence[settings_types.PeerKey], unix_time: float
+) -> ForwardSignaturePayload:
+    """Return the fields that a peer recently signed.
 
     Raises
     ------
     MalformedMessageError
-        If no peer key verifies the signature, or if it has expired or covers another
-        request.
+        If no peer key verifies the signature, or if it has expired.
     """
     try:
         content = _decode_and_verify(b"forward", header, keys)
@@ -192,7 +189,7 @@
             result_codes.PEER_SIGNATURE_INVALID,
             "the forwarded request has no valid signature",
         ) from None
-    clock_difference = abs(expected["sent_at"] - signed["sent_at"])
+    clock_difference = abs(unix_time - signed["sent_at"])
     if clock_difference > FORWARD_SIGNATURE_LIFETIME_SECONDS:
         raise errors.MalformedMessageError(
             result_codes.PEER_MESSAGE_REPLAYED,
@@ -201,6 +198,23 @@
             f"{FORWARD_SIGNATURE_LIFETIME_SECONDS:.0f} s; "
             "compare the clocks of the VMs",
         )
+    return signed
+
+
+def verify_forwarded_call(
+    header: str,
+    expected: ForwardSignaturePayload,
+    keys: Sequence[settings_types.PeerKey],
+) -> None:
+    """Check that a peer recently signed exactly this request.
+
+    Raises
+    ------
+    MalformedMessageError
+        If no peer key verifies the signature, or if it has expired or covers another
+        request.
+    """
+    signed = read_forward_signature(header, keys, expected["sent_at"])
     if {**signed, "sent_at": 0.0} != {**expected, "sent_at": 0.0}:
         raise errors.MalformedMessageError(
             result_codes.PEER_SIGNATURE_INVALID,
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -42,7 +42,7 @@
     locality,
     zones,
 )
-from carawayhitch.controllers._admission import find_refusal
+from carawayhitch.controllers._admission import find_caller_refusal, find_refusal
 from carawayhitch.controllers._chain import run_chain
 from carawayhitch.controllers._configuration import (
     build_configuration,
@@ -67,6 +67,7 @@
     "build_configuration",
     "decide",
     "decide_chain",
+    "find_caller_refusal",
     "find_declaration_problems",
     "find_refusal",
     "find_route",
--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -81,6 +81,29 @@
     return None
 
 
+def find_caller_refusal(
+    board: Board, token_sha256: str, host: str = "", path: str = ""
+) -> result_codes.ResultCode | None:
+    """Return the code with which a call is refused whatever its body is, or None.
+
+    Parameters
+    ----------
+    host, path : str
+        Where a call on a declared route is sent; empty for the entry's own interface.
+    """
+    configuration = board.configuration
+    if configuration is None:
+        return None
+    if path:
+        route = find_route(configuration, host, path)
+        if route is None:
+            return result_codes.NO_ROUTE
+        if route.public:
+            return None
+    known = token_sha256 in configuration.accounts_by_token_sha256
+    return None if known else result_codes.UNKNOWN_ACCOUNT
+
+
 @singledispatch
 def evaluate_admission(
     target: Any,
--- a/src/carawayhitch/frontend/_application.py
+++ b/src/carawayhitch/frontend/_application.py
@@ -22,6 +22,7 @@
 from carawayhitch.frontend._operators import add_operator_routes
 from carawayhitch.frontend._peers import add_peer_routes
 from carawayhitch.frontend._receiving import (
+    check_account,
     check_head,
     malformed_request_error,
     receive_body,
@@ -213,7 +214,7 @@
     async def handle_generation(request: Request) -> HTTPResponse | None:
         check_head(request)
         refuse_before_receiving_body(node)
-        await receive_body(node, request)
+        await receive_body(node, request, check_caller=check_account)
         target = codecs.decode_generation_target(path, request.body)
         labels = codecs.parse_labels(request.headers.get(LABELS_HEADER, ""))
         labels = {**labels, "model": target.model, "path": path}
@@ -233,7 +234,7 @@
         request: Request, service: str, path: str
     ) -> HTTPResponse | None:
         check_head(request)
-        await receive_body(node, request)
+        await receive_body(node, request, check_caller=check_account)
         if DOT_SEGMENT_PATTERN.search(path):
             raise malformed_request_error(
                 f"path {path!r} contains a dot segment (. or ..)"
--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -14,7 +14,12 @@
 from carawayhitch.backends import CallContent
 from carawayhitch.core import actions, errors, events, result_codes
 from carawayhitch.frontend._caller import SanicCaller
-from carawayhitch.frontend._receiving import check_head, receive_body, take_body
+from carawayhitch.frontend._receiving import (
+    check_account,
+    check_head,
+    receive_body,
+    take_body,
+)
 from carawayhitch.frontend._refusals import record_handler_error
 from carawayhitch.frontend._sanic import (
     close_connection_after_response,
@@ -160,12 +165,17 @@
         check_head(request)
         apply_caller_limits(request.app, node)
         _check_header_size(node, request)
-        await receive_body(node, request, _body_limit(node))
+        await receive_body(node, request, _body_limit(node), _check_route)
         return await _serve_call(node, request)
 
     return handle_call
 
 
+def _check_route(node: Node, request: Request) -> None:
+    path, _ = _split_target(request)
+    check_account(node, request, request.headers.get("host", ""), path)
+
+
 def _check_header_size(node: Node, request: Request) -> None:
     """Refuse a request whose headers exceed the declared limit."""
     configuration = node.board.configuration
--- a/src/carawayhitch/frontend/_keys.py
+++ b/src/carawayhitch/frontend/_keys.py
@@ -17,7 +17,7 @@
     RequestBody,
 )
 from carawayhitch.core import errors, events, result_codes
-from carawayhitch.frontend._receiving import check_head, receive_body
+from carawayhitch.frontend._receiving import check_account, check_head, receive_body
 from carawayhitch.node import Node
 
 Handler = Callable[[Request, str, str], Awaitable[HTTPResponse | None]]
@@ -59,7 +59,7 @@
 
     async def handle_keys(request: Request) -> HTTPResponse | None:
         check_head(request)
-        await receive_body(node, request)
+        await receive_body(node, request, check_caller=check_account)
         key_count = codecs.decode_key_count(request.body)
         authorization = request.headers.get("authorization", "")
         event = events.KeysRequested(
@@ -82,7 +82,7 @@
         request: Request, service: str, path: str
     ) -> HTTPResponse | None:
         check_head(request)
-        await receive_body(node, request)
+        await receive_body(node, request, check_caller=_check_forward_signature)
         expected_proof = codecs.forward_signature_payload(
             request.method,
             request.path.removeprefix(FORWARD_PATH),
@@ -98,10 +98,25 @@
                 presented_proof, expected_proof, node.settings.peers.keys
             )
         except errors.MalformedMessageError as error:
-            node.count(error.code, "")
-            raise errors.CallRefusedError(
-                result_codes.FORWARD_REFUSED, error.message
-            ) from None
+            raise _forward_refused(node, error) from None
         return await handle(request, service, path)
 
     return handle_forwarded
+
+
+def _check_forward_signature(node: Node, request: Request) -> None:
+    """Refuse a call that no entry signed; its body is compared once it is received."""
+    presented_proof = request.headers.get(PROOF_HEADER, "")
+    try:
+        codecs.read_forward_signature(
+            presented_proof, node.settings.peers.keys, time.time()
+        )
+    except errors.MalformedMessageError as error:
+        raise _forward_refused(node, error) from None
+
+
+def _forward_refused(
+    node: Node, error: errors.MalformedMessageError
+) -> errors.CallRefusedError:
+    node.count(error.code, "")
+    return errors.CallRefusedError(result_codes.FORWARD_REFUSED, error.message)
--- a/src/carawayhitch/frontend/_operators.py
+++ b/src/carawayhitch/frontend/_operators.py
@@ -12,6 +12,7 @@
 
 from carawayhitch import codecs
 from carawayhitch.core import actions, errors, result_codes
+from carawayhitch.frontend._receiving import receive_body
 from carawayhitch.frontend._refusals import JSON_CONTENT_TYPE, refusal_response
 from carawayhitch.node import Node, describe_status
 
@@ -28,7 +29,11 @@
     for method, path, handler in routes:
         name = f"admin_{method}_{path.split('/')[3]}".lower()
         application.add_route(
-            _require_operators_token(node, handler), path, methods=[method], name=name
+            _require_operators_token(node, handler),
+            path,
+            methods=[method],
+            name=name,
+            stream=True,
         )
 
 
@@ -39,6 +44,7 @@
         if not expected or not hmac.compare_digest(presented, expected.lower()):
             message = "bearer token missing or wrong, expected the operators' token"
             return _count_refusal(node, result_codes.OPERATOR_REFUSED, message)
+        await receive_body(node, request)
         return await handler(request, **arguments)
 
     return handle
--- a/src/carawayhitch/frontend/_receiving.py
+++ b/src/carawayhitch/frontend/_receiving.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
 from sanic import Request
 from sanic.exceptions import PayloadTooLarge
 
+from carawayhitch import codecs
 from carawayhitch.backends import SMALL_BODY_BYTES, RequestBody
 from carawayhitch.core import errors, result_codes
 from carawayhitch.core import settings as settings_types
@@ -78,8 +80,25 @@
         raise errors.CallRefusedError(code, code.meaning)
 
 
+def check_account(node: Node, request: Request, host: str = "", path: str = "") -> None:
+    """Refuse a caller without a valid key, or a call without a route.
+
+    Parameters
+    ----------
+    host, path : str
+        Where a call on a declared route is sent.
+    """
+    token_sha256 = codecs.bearer_token_sha256(request.headers.get("authorization", ""))
+    code = node.find_caller_refusal(token_sha256, host, path)
+    if code is not None:
+        raise errors.CallRefusedError(code, code.meaning)
+
+
 async def receive_body(
-    node: Node, request: Request, limit_bytes: int | None = None
+    node: Node,
+    request: Request,
+    limit_bytes: int | None = None,
+    check_caller: Callable[[Node, Request], None] | None = None,
 ) -> None:
     """Receive a body within the limits on size, time, memory and concurrent requests.
 
@@ -87,6 +106,9 @@
     ----------
     limit_bytes : int, optional
         Largest body in bytes; that of the settings by default.
+    check_caller : callable, optional
+        Raises the refusal of a caller whose body must not be received. It is left out
+        for a small body that came with its head, as the call itself is checked too.
     """
     # sanic annotates the stream as its base class, without the attributes of HTTP/1.1.
     stream: Any = request.stream
@@ -98,6 +120,8 @@
         return
     context = request.app.ctx
     if not _is_received(request):
+        if check_caller is not None:
+            check_caller(node, request)
         await _wait_for_place(node, request)
     protocol: Any = request.protocol
     context.receiving_count += 1
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -246,6 +246,12 @@
         """Return the result code with which all new calls are refused, or None."""
         return controllers.find_refusal(self.board)
 
+    def find_caller_refusal(
+        self, token_sha256: str, host: str = "", path: str = ""
+    ) -> result_codes.ResultCode | None:
+        """Return the result code with which a caller is refused, or None."""
+        return controllers.find_caller_refusal(self.board, token_sha256, host, path)
+
     def set_timer(self, deadline: float, event: Any) -> None:
         """Submit an event at a time of the node clock or shortly after, never early."""
         delay = deadline - self.now()
--- a/tests/controllers/test_routed_calls.py
+++ b/tests/controllers/test_routed_calls.py
@@ -115,7 +115,13 @@
         )
         for name, token, expected in cases:
             with self.subTest(name, token=token[:1]):
-                self.assertEqual(refused(RoutedEntry().call(name, token)), expected)
+                entry = RoutedEntry()
+                self.assertEqual(refused(entry.call(name, token)), expected)
+                # Before the body is received.
+                code = controllers.find_caller_refusal(
+                    entry.board, token, "Shop.example", f"/{name}/1"
+                )
+                self.assertEqual(code.name if code else "", expected)
 
     def test_longest_prefix_wins(self):
         """Guards against a nested route that is hidden by a shorter prefix."""
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -189,8 +189,9 @@
                 port = self.fleet.gateways_by_name["entry-1"][listener]
                 head = request_head(method, path, f"Content-Length: {BODY_BYTES}")
                 head = head.replace(KEY.encode(), b"unknown")
-                status, _ = exchange_slowly(port, [head], BODY_BYTES)
-                self.assertEqual(status, expected)
+                for body in (b"", bytes(BODY_BYTES)):
+                    status, _ = exchange_slowly(port, [head, body], 20 * BODY_BYTES)
+                    self.assertEqual(status, expected)
 
     def test_unfinished_bodies_to_the_readiness_check(self):
         """Guards against bodies to paths that take none."""
