Close connections without a request when places are short

tests.test_client_crowds.ClientCrowdTest. test_idle_connections_take_all_descriptors failed once in four runs on, beside other load (load averages of 17 to 35): for 60 s an ordinary caller got ENTRY_OVERLOADED. The crowd of 300 clients opens its connections again at once; idle ones were closed only after 2 s and five at a time, so each attempt of an ordinary caller was one of about two thousand a second for some 40 places. Ruled out: a hang or a shortage of descriptors (the process answered each attempt).

When places are short, all connections that have brought no request for 0.25 s are now closed at once; connections that are idle between two calls keep their 2 s. tests.controllers.test_bodies fails without the change.

--- a/src/carawayhitch/controllers/_bodies.py
+++ b/src/carawayhitch/controllers/_bodies.py
@@ -16,7 +16,11 @@
 from carawayhitch.controllers._targets import can_continue
 from carawayhitch.core import actions, events, result_codes, rows
 
+# Time in which a client begins its first request when connections are short; callers
+# connect in order to send one, over links with delays of milliseconds.
+UNUSED_SECONDS = 0.25
 CODES_BY_STAGE = {
+    "unused": result_codes.CONNECTION_DISPLACED,
     "idle": result_codes.CONNECTION_DISPLACED,
     "receiving": result_codes.CLIENT_STALLED,
     "sending": result_codes.ANSWER_NOT_READ,
@@ -52,9 +56,23 @@
 def _free_connections(
     event: events.ConnectionsNeeded, board: Board, now: float, random: Random
 ) -> Actions:
-    """Close clients that do not move; those that wait for an answer stay."""
-    chosen = _most_blocking(event.connections, _progress_bound(board, now), now)
-    return [action for use in chosen[: event.missing_count] for action in _close(use)]
+    """Close clients that do not move; those that wait for an answer stay.
+
+    All connections without a request are closed: clients that open such connections
+    again at once would take a few free places before any other caller.
+    """
+    unused = [
+        use
+        for use in _most_blocking(event.connections, now - UNUSED_SECONDS, now)
+        if use.stage == "unused"
+    ]
+    others = [
+        use
+        for use in _most_blocking(event.connections, _progress_bound(board, now), now)
+        if use.stage != "unused"
+    ]
+    chosen = [*unused, *others[: max(0, event.missing_count - len(unused))]]
+    return [action for use in chosen for action in _close(use)]
 
 
 def _progress_bound(board: Board, now: float) -> float:
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -282,7 +282,7 @@
     deviation_seconds: float
 
 
-ConnectionStage = Literal["idle", "receiving", "running", "sending"]
+ConnectionStage = Literal["unused", "idle", "receiving", "running", "sending"]
 
 
 class ConnectionUse(NamedTuple):
@@ -290,7 +290,8 @@
 
     Parameters
     ----------
-    stage : {"idle", "receiving", "running", "sending"}
+    stage : {"unused", "idle", "receiving", "running", "sending"}
+        ``"unused"`` before the first answer, ``"idle"`` between two calls;
         ``"running"`` if the client waits for its answer and is not to blame.
     held_bytes : int
         Bytes that a close of the connection frees.
--- a/src/carawayhitch/frontend/_protocol.py
+++ b/src/carawayhitch/frontend/_protocol.py
@@ -86,6 +86,8 @@
 
     async def http1_response_header(self, data: bytes, end_stream: bool) -> None:
         """Send the status line and the headers, and the first part of the body."""
+        protocol: Any = self.protocol
+        protocol.has_answered = True
         response: Any = self.response
         response.headers = ResponseHeaders(response.headers)
         await super().http1_response_header(data, end_stream)
@@ -114,6 +116,7 @@
         "_resumed",
         "_unread_timer",
         "displaced_code",
+        "has_answered",
         "is_paused",
         "relays_stream",
     )
@@ -127,6 +130,7 @@
         self._read_at = 0.0
         self.is_paused = False
         self.relays_stream = False
+        self.has_answered = False
         self.displaced_code: result_codes.ResultCode | None = None
         self._connection_id = next(_connection_ids)
         # Bytes that `_count_buffers` and `hold_answer` have taken from the memory.
@@ -264,7 +268,7 @@
             self._connection_id,
             stage,
             self._buffered_bytes + self._answer_bytes + body_bytes,
-            self._time if stage == "idle" else self._progressed_at,
+            self._time if stage in ("unused", "idle") else self._progressed_at,
         )
 
     def close_for(self, code: result_codes.ResultCode) -> None:
@@ -288,7 +292,7 @@
         if self.is_paused or self._bytes_sent_ahead():
             return "sending"
         if http is None or http.stage is Stage.IDLE or http.stage is Stage.REQUEST:
-            return "idle"
+            return "idle" if self.has_answered else "unused"
         return "running" if self._body is None else "receiving"
 
     def _note_progress(self, size: int) -> None:
--- a/tests/controllers/test_bodies.py
+++ b/tests/controllers/test_bodies.py
@@ -115,6 +115,20 @@
         event = events.ConnectionsNeeded(9, uses)
         self.assertEqual([chosen for chosen, _ in closed(event)], [3, 1])
 
+    def test_connections_without_a_request_make_room_soon(self):
+        """Guards against clients that reconnect and take each place that is freed."""
+        uses = (
+            use(1, "unused", 0, 0.3),
+            use(2, "unused", 0, 0.4),
+            use(3, "unused", 0, 0.1),
+            use(4, "idle", 0, 0.4),
+            use(5, "idle", 0, 3.0),
+        )
+        for missing_count, expected in ((1, [2, 1]), (3, [2, 1, 5])):
+            with self.subTest(missing_count=missing_count):
+                event = events.ConnectionsNeeded(missing_count, uses)
+                self.assertEqual([chosen for chosen, _ in closed(event)], expected)
+
 
 if __name__ == "__main__":
     unittest.main()
