Close refused callers whose body trickles when places are short

A caller that is refused before its body counted as idle while the body was discarded, and each byte renewed its time, so that 150 clients that send a byte every 0.1 s kept all places: tests.test_client_crowds.ClientCrowdTest. test_refused_bodies_that_trickle_take_all_places got ENTRY_OVERLOADED for 60 s. Such connections now count as unused, and only progress_bytes count as progress.

--- a/src/carawayhitch/controllers/_bodies.py
+++ b/src/carawayhitch/controllers/_bodies.py
@@ -16,8 +16,8 @@
 from carawayhitch.controllers._targets import can_continue
 from carawayhitch.core import actions, events, result_codes, rows
 
-# Time in which a client begins its first request when connections are short; callers
-# connect in order to send one, over links with delays of milliseconds.
+# Time in which a client begins its first request, or takes its refusal, when
+# connections are short; links have delays of milliseconds.
 UNUSED_SECONDS = 0.25
 CODES_BY_STAGE = {
     "unused": result_codes.CONNECTION_DISPLACED,
--- a/src/carawayhitch/core/_request_rows.py
+++ b/src/carawayhitch/core/_request_rows.py
@@ -291,7 +291,8 @@
     Parameters
     ----------
     stage : {"unused", "idle", "receiving", "running", "sending"}
-        ``"unused"`` before the first answer, ``"idle"`` between two calls;
+        ``"unused"`` before the first answer, or while the body of a call that was
+        refused without it still arrives; ``"idle"`` between two calls;
         ``"running"`` if the client waits for its answer and is not to blame.
     held_bytes : int
         Bytes that a close of the connection frees.
--- a/src/carawayhitch/frontend/_protocol.py
+++ b/src/carawayhitch/frontend/_protocol.py
@@ -87,7 +87,7 @@
     async def http1_response_header(self, data: bytes, end_stream: bool) -> None:
         """Send the status line and the headers, and the first part of the body."""
         protocol: Any = self.protocol
-        protocol.has_answered = True
+        protocol.note_answer()
         response: Any = self.response
         response.headers = ResponseHeaders(response.headers)
         await super().http1_response_header(data, end_stream)
@@ -107,6 +107,7 @@
         "_body",
         "_buffered_bytes",
         "_connection_id",
+        "_has_answered",
         "_moved_bytes",
         "_progress_bytes",
         "_progressed_at",
@@ -116,7 +117,6 @@
         "_resumed",
         "_unread_timer",
         "displaced_code",
-        "has_answered",
         "is_paused",
         "relays_stream",
     )
@@ -130,7 +130,7 @@
         self._read_at = 0.0
         self.is_paused = False
         self.relays_stream = False
-        self.has_answered = False
+        self._has_answered = False
         self.displaced_code: result_codes.ResultCode | None = None
         self._connection_id = next(_connection_ids)
         # Bytes that `_count_buffers` and `hold_answer` have taken from the memory.
@@ -249,6 +249,11 @@
         """Leave the body to its call."""
         self._body = self._receive_limit = None
 
+    def note_answer(self) -> None:
+        """Note that the client is sent an answer."""
+        self._has_answered = True
+        self._progressed_at = self._node.now()
+
     def hold_answer(self, size: int) -> None:
         """Count an answer as held by this connection until it is sent."""
         if self.transport is not None and not self.transport.is_closing():
@@ -268,7 +273,7 @@
             self._connection_id,
             stage,
             self._buffered_bytes + self._answer_bytes + body_bytes,
-            self._time if stage in ("unused", "idle") else self._progressed_at,
+            self._time if self._awaits_request(stage) else self._progressed_at,
         )
 
     def close_for(self, code: result_codes.ResultCode) -> None:
@@ -292,9 +297,18 @@
         if self.is_paused or self._bytes_sent_ahead():
             return "sending"
         if http is None or http.stage is Stage.IDLE or http.stage is Stage.REQUEST:
-            return "idle" if self.has_answered else "unused"
+            is_reusable = self._has_answered and not self._discards_body()
+            return "idle" if is_reusable else "unused"
         return "running" if self._body is None else "receiving"
 
+    def _discards_body(self) -> bool:
+        """Return whether a call was answered before its body was received."""
+        http = self.http
+        return self._has_answered and http is not None and bool(http.request_body)
+
+    def _awaits_request(self, stage: rows.ConnectionStage) -> bool:
+        return stage in ("unused", "idle") and not self._discards_body()
+
     def _note_progress(self, size: int) -> None:
         self._moved_bytes += size
         if self._moved_bytes >= self._progress_bytes:
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -181,6 +181,16 @@
         self.send_crowd([head.replace(KEY.encode(), b"unknown"), *parts])
         self.assert_ordinary_calls_are_answered()
 
+    def test_refused_bodies_that_trickle_take_all_places(self):
+        """Guards against refused callers that keep their places byte by byte."""
+        self.start("connections = 60\n")
+        head, *_ = body_with_length("POST", "/order/1", BODY_BYTES, 1)
+        parts = [head.replace(KEY.encode(), b"unknown"), *[b"x"] * 1000]
+        self.send_crowd(
+            parts, count=LARGE_CROWD, wait=False, pause_seconds=0.1, reconnects=True
+        )
+        self.assert_ordinary_calls_are_answered()
+
     def test_unknown_callers_are_refused_before_their_body(self):
         """Guards against a refusal that waits for the body of the call."""
         self.start("receive_timeout_seconds = 3.0\n" + OPERATOR_SETTINGS)
