Count store calls by operation, scope, kind and result

Ruled out: counting in the clients of the store, which would need the metrics in two backends. The node counts each action when it ends.

Conclusion: carawayhitch_store_calls_total{operation,scope,kind,result}.

--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -10,6 +10,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers import cold_start, own_duties, own_strength
 from carawayhitch.node._logs import process_log_output
+from carawayhitch.node._stores import StoreCallLabels
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0, 300.0)
 
@@ -27,6 +28,7 @@
     revision: Gauge
     configuration_age: Gauge
     store_contact_age: Gauge
+    store_calls: Counter
     upstreams: Gauge
     cold_upstreams: Gauge
     drained_upstreams: Gauge
@@ -97,6 +99,14 @@
             ["scope"],
             registry=registry,
         ),
+        store_calls=Counter(
+            "carawayhitch_store_calls",
+            "Calls to the store that ended, by operation (list, watch, read, write),"
+            " scope or kind of object, kind (stale, current) and result (answered,"
+            " failed).",
+            list(StoreCallLabels._fields),
+            registry=registry,
+        ),
         upstreams=Gauge(
             "carawayhitch_upstreams",
             "Upstreams known, by whether they may get new work.",
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -39,6 +39,7 @@
     decode_object_for_store,
     execute_store_action,
     fetch_upstream_load,
+    store_call_labels,
 )
 
 if TYPE_CHECKING:
@@ -354,13 +355,20 @@
     node.spawn_and_submit(send_order(node.sessions.fresh, action, node.now))
 
 
+async def _call_store(action: Any, node: Node) -> Any:
+    """Execute a store action, count the call and return its event."""
+    event = await execute_store_action(node.store, action)
+    node.metrics.store_calls.labels(*store_call_labels(action, event)).inc()
+    return event
+
+
 @perform.register(actions.ReadObject)
 @perform.register(actions.WriteObject)
 @perform.register(actions.ListObjects)
 @perform.register(actions.WatchObjects)
 def _perform_store_action(action: Any, node: Node) -> None:
     assert node.store is not None
-    node.spawn_and_submit(execute_store_action(node.store, action))
+    node.spawn_and_submit(_call_store(action, node))
 
 
 @perform.register(actions.DecodeObjects)
@@ -397,14 +405,14 @@
 def _perform_journal_action(action: Any, node: Node) -> None:
     assert node.store is not None
     unix_minus_node_clock = time.time() - node.now()
-    ask = partial(execute_store_action, node.store)
+    ask = partial(_call_store, node=node)
     node.spawn_and_submit(call_journal(action, ask, unix_minus_node_clock))
 
 
 @perform.register(actions.LoadPeerKeys)
 def _load_peer_keys(action: actions.LoadPeerKeys, node: Node) -> None:
     assert node.store is not None
-    ask = partial(execute_store_action, node.store)
+    ask = partial(_call_store, node=node)
     node.spawn_and_submit(load_peer_keys(action, ask, secrets.token_hex))
 
 
@@ -420,7 +428,7 @@
         value,
         action.expected_version,
     )
-    node.spawn_and_submit(execute_store_action(node.store, write))
+    node.spawn_and_submit(_call_store(write, node))
 
 
 @perform.register(actions.IssueKeys)
--- a/src/carawayhitch/node/_stores.py
+++ b/src/carawayhitch/node/_stores.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from functools import singledispatch
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 
 from carawayhitch import codecs, platform
 from carawayhitch.backends import StoreClient, call_store, read_load
-from carawayhitch.core import events
+from carawayhitch.core import actions, events
 from carawayhitch.core import settings as settings_types
 
 Store = StoreClient | platform.PlatformStore
@@ -42,6 +42,52 @@
     return await platform.call_platform_store(store, action)
 
 
+class StoreCallLabels(NamedTuple):
+    """Labels by which store calls are counted."""
+
+    operation: str
+    scope: str
+    kind: str
+    result: str
+
+
+@singledispatch
+def store_call_labels(action: Any, event: Any) -> StoreCallLabels:
+    """Return the labels of a store action that ended with an event."""
+    raise TypeError(f"not a store action: {action!r}")
+
+
+@store_call_labels.register
+def _label_list(action: actions.ListObjects, event: Any) -> StoreCallLabels:
+    kind = _read_kind(action.may_be_stale)
+    return StoreCallLabels("list", action.scope, kind, _result(event))
+
+
+@store_call_labels.register
+def _label_watch(action: actions.WatchObjects, event: Any) -> StoreCallLabels:
+    kind = _read_kind(action.may_be_stale)
+    return StoreCallLabels("watch", action.scope, kind, _result(event))
+
+
+@store_call_labels.register
+def _label_read(action: actions.ReadObject, event: Any) -> StoreCallLabels:
+    kind = _read_kind(action.may_be_stale)
+    return StoreCallLabels("read", action.kind, kind, _result(event))
+
+
+@store_call_labels.register
+def _label_write(action: actions.WriteObject, event: Any) -> StoreCallLabels:
+    return StoreCallLabels("write", action.kind, "current", _result(event))
+
+
+def _read_kind(may_be_stale: bool) -> str:
+    return "stale" if may_be_stale else "current"
+
+
+def _result(event: Any) -> str:
+    return "failed" if isinstance(event, events.StoreCallFailed) else "answered"
+
+
 @singledispatch
 def decode_object_for_store(
     store: Any, stored: events.StoredObject
--- /dev/null
+++ b/tests/node/test_store_metrics.py
@@ -0,0 +1,48 @@
+"""Counts of store calls by what they read and how they ended."""
+
+from __future__ import annotations
+
+import unittest
+
+from carawayhitch.core import actions, events
+from carawayhitch.node._metrics import new_metrics
+from carawayhitch.node._stores import store_call_labels
+
+
+class StoreMetricsTest(unittest.TestCase):
+    def test_calls_are_told_apart_by_price_and_result(self):
+        """Guards against stale reads and failed calls that count like any other."""
+        failed = events.StoreCallFailed("x", "refused", "upstreams")
+        changed = events.ObjectsChanged("store", 3, (), "upstreams", True)
+        watch = actions.WatchObjects("x", 2, 1.0, "upstreams", True)
+        cases = (
+            (watch, changed, ("watch", "upstreams", "stale", "answered")),
+            (watch, failed, ("watch", "upstreams", "stale", "failed")),
+            (
+                actions.ListObjects("x", "entries", False),
+                failed,
+                ("list", "entries", "current", "failed"),
+            ),
+            (
+                actions.ReadObject("x", "lease", "a"),
+                failed,
+                ("read", "lease", "current", "failed"),
+            ),
+            (
+                actions.WriteObject("x", "lease", "a", b"{}", 0),
+                events.ObjectWritten("x", True, 4),
+                ("write", "lease", "current", "answered"),
+            ),
+        )
+        metrics = new_metrics()
+        for action, event, expected in cases:
+            labels = store_call_labels(action, event)
+            self.assertEqual(labels, expected)
+            metrics.store_calls.labels(*labels).inc()
+            value = metrics.registry.get_sample_value
+            name = "carawayhitch_store_calls_total"
+            self.assertEqual(value(name, labels._asdict()), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
