Split the watches of the store into a package by topic

Ruled out: moving decisions between controllers. Functions and their order among the controllers are unchanged; tests only name the package.

Tested: tests.controllers.test_store_watch, test_configuration, test_load_polls, zones.test_drains, tests.test_deploy, tests.test_traces, mypy.

--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -33,13 +33,13 @@
     _retries,
     _scheduling,
     _settings,
-    _store_watch,
     _streams,
     _suspects,
     _upstreams,
     cold_start,
     duties,
     locality,
+    store_watch,
     zones,
 )
 from carawayhitch.controllers._admission import find_refusal
@@ -90,7 +90,7 @@
 # _membership announces the state that the other controllers set, so it runs last.
 CONTROLLERS = (
     _settings.decide,
-    _store_watch.decide,
+    store_watch.decide,
     _configuration.decide,
     _changes.decide,
     _upstreams.decide,
--- a/src/carawayhitch/controllers/_upstreams.py
+++ b/src/carawayhitch/controllers/_upstreams.py
@@ -11,7 +11,7 @@
 from carawayhitch.controllers._cells import derive_cells, other_schedulers
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._selectors import selector_matches
-from carawayhitch.controllers._store_watch import maximum_silence_seconds
+from carawayhitch.controllers.store_watch import maximum_silence_seconds
 from carawayhitch.core import (
     actions,
     declarations,
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -13,7 +13,7 @@
 
 from carawayhitch import codecs, controllers
 from carawayhitch.board import new_board
-from carawayhitch.controllers import _changes, _configuration, _store_watch
+from carawayhitch.controllers import _changes, _configuration, store_watch
 from carawayhitch.controllers._controller import combine_controllers
 from carawayhitch.core import (
     actions,
@@ -25,7 +25,7 @@
 )
 
 decide = combine_controllers(
-    (_store_watch.decide, _configuration.decide, _changes.decide)
+    (store_watch.decide, _configuration.decide, _changes.decide)
 )
 TOKEN = "0" * 63 + "1"
 VALUES = {
@@ -264,7 +264,7 @@
         entry = ready_entry()
         delays = []
         for _ in range(8):
-            entry.feed(events.TimerFired(_store_watch.STORE_CALL_TIMER, ""))
+            entry.feed(events.TimerFired(store_watch.STORE_CALL_TIMER, ""))
             performed = entry.changed(2)
             self.assertIn(result_codes.CONFIGURATION_OUTDATED, counted_codes(performed))
             timer = of_type(performed, actions.SetTimer)[0]
@@ -410,14 +410,14 @@
         entry.board.store_scopes_by_name[""] = rows.StoreScopeRow("", position=10)
         performed = entry.feed(events.TimerFired(_configuration.ANTI_ENTROPY_TIMER))
         self.assertIn(
-            events.TimerFired(_store_watch.STORE_CALL_TIMER),
+            events.TimerFired(store_watch.STORE_CALL_TIMER),
             [action.event for action in of_type(performed, actions.SetTimer)],
         )
 
     def test_failed_calls_back_off_one_at_a_time(self):
         """Guards against retries that overload a recovering store."""
         entry = Entry()
-        failed = events.StoreCallFailed(_store_watch.LIST_OPERATION, "")
+        failed = events.StoreCallFailed(store_watch.LIST_OPERATION, "")
         performed = entry.feed(events.ProcessStarted(1))
         for _ in range(10):
             performed = entry.feed(failed)
@@ -429,9 +429,9 @@
     def test_expired_watch_is_followed_by_a_list(self):
         """Guards against missed changes if the store's history is too short."""
         entry = ready_entry()
-        entry.feed(events.WatchExpired(_store_watch.WATCH_OPERATION))
+        entry.feed(events.WatchExpired(store_watch.WATCH_OPERATION))
         entry.now += 5
-        performed = entry.feed(events.TimerFired(_store_watch.STORE_CALL_TIMER))
+        performed = entry.feed(events.TimerFired(store_watch.STORE_CALL_TIMER))
         self.assertTrue(of_type(performed, actions.ListObjects))
 
     def test_entry_synchronized_by_a_peer_does_not_list(self):
@@ -441,7 +441,7 @@
         entry.add_members("n2", "n3", "n4", "n5", "n6", "n7", "n8")
         entry.feed(peer_answer(4, complete_set()))
         self.assertIsNotNone(entry.board.configuration)
-        performed = entry.feed(events.TimerFired(_store_watch.STORE_CALL_TIMER))
+        performed = entry.feed(events.TimerFired(store_watch.STORE_CALL_TIMER))
         self.assertFalse(of_type(performed, actions.ListObjects))
 
     def test_watcher_synchronized_by_a_peer_watches_from_its_revision(self):
@@ -449,9 +449,9 @@
         entry = Entry(seeds=(settings.SeedPeer("127.0.0.1", 1, 2),))
         entry.feed(events.ProcessStarted(1), peer_answer(4, complete_set()))
         entry.now += 10
-        performed = entry.feed(events.TimerFired(_store_watch.STORE_CALL_TIMER))
+        performed = entry.feed(events.TimerFired(store_watch.STORE_CALL_TIMER))
         self.assertEqual(
-            performed, [actions.WatchObjects(_store_watch.WATCH_OPERATION, 4, 30.0)]
+            performed, [actions.WatchObjects(store_watch.WATCH_OPERATION, 4, 30.0)]
         )
 
 
--- a/tests/controllers/test_load_polls.py
+++ b/tests/controllers/test_load_polls.py
@@ -7,7 +7,7 @@
 
 from carawayhitch import controllers
 from carawayhitch.controllers import _upstreams
-from carawayhitch.controllers._store_watch import answer_interval_seconds
+from carawayhitch.controllers.store_watch import answer_interval_seconds
 from carawayhitch.core import actions, events, rows
 from tests.controllers.scheduling_world import feed, load, scheduling_board
 
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch import controllers
-from carawayhitch.controllers import _store_watch
+from carawayhitch.controllers import store_watch
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
 from tests.boards import ready_board
@@ -63,11 +63,11 @@
             action.deadline - self.now
             for action in decided
             if isinstance(action, actions.SetTimer)
-            and action.event.name == _store_watch.STORE_CALL_TIMER
+            and action.event.name == store_watch.STORE_CALL_TIMER
         ]
 
     def next_call(self, scope="upstreams"):
-        timer = events.TimerFired(_store_watch.STORE_CALL_TIMER, scope)
+        timer = events.TimerFired(store_watch.STORE_CALL_TIMER, scope)
         calls = [
             action
             for action in self.feed(timer)
@@ -76,7 +76,7 @@
         return calls[0] if calls else None
 
     def fail_watch(self):
-        event = events.StoreCallFailed(_store_watch.WATCH_OPERATION, "x", "upstreams")
+        event = events.StoreCallFailed(store_watch.WATCH_OPERATION, "x", "upstreams")
         return self.feed(event)
 
     def test_first_list_of_a_scope_may_be_stale_and_later_ones_not(self):
@@ -86,7 +86,7 @@
         lists = [a for a in started if isinstance(a, actions.ListObjects)]
         self.assertEqual([a.may_be_stale for a in lists], [False, True, True])
         self.listed()
-        self.feed(events.WatchExpired(_store_watch.WATCH_OPERATION, "upstreams"))
+        self.feed(events.WatchExpired(store_watch.WATCH_OPERATION, "upstreams"))
         again = self.next_call()
         self.assertIsInstance(again, actions.ListObjects)
         self.assertFalse(again.may_be_stale)
@@ -105,7 +105,7 @@
     def test_list_of_a_slow_scope_may_always_be_stale(self):
         """Guards against a full charge per entry when the store drops its history."""
         self.feed(events.ObjectsListed(10, (), "entries"))
-        self.feed(events.WatchExpired(_store_watch.WATCH_OPERATION, "entries"))
+        self.feed(events.WatchExpired(store_watch.WATCH_OPERATION, "entries"))
         again = self.next_call("entries")
         self.assertIsInstance(again, actions.ListObjects)
         self.assertTrue(again.may_be_stale)
@@ -205,7 +205,7 @@
                 scope
             ]._replace(position=10, list_after=self.now + 100.0)
         probe = self.next_call(SCOPES[0])
-        self.assertEqual(probe.wait_seconds, _store_watch.PROBE_WATCH_SECONDS)
+        self.assertEqual(probe.wait_seconds, store_watch.PROBE_WATCH_SECONDS)
         regained = self.feed(events.ObjectsChanged("store", 20, (), SCOPES[0]))
         self.assertEqual(self.next_call(SCOPES[0]).wait_seconds, 30.0)
         self.assertEqual(self.call_delays(regained), [0.0, 0.0, 0.0])
@@ -259,7 +259,7 @@
                 configuration_milliseconds=configuration,
                 leaving_milliseconds=leaving,
             )
-            found = _store_watch.answer_interval_seconds(bounded)
+            found = store_watch.answer_interval_seconds(bounded)
             self.assertEqual(found, expected)
 
     def test_only_schedulers_follow_upstreams_at_once(self):
@@ -325,7 +325,7 @@
     def test_expired_watch_is_followed_by_a_list(self):
         """Guards against a watch that continues from a dropped revision."""
         self.listed(upstream("u1", 3))
-        self.feed(events.WatchExpired(_store_watch.WATCH_OPERATION, "upstreams"))
+        self.feed(events.WatchExpired(store_watch.WATCH_OPERATION, "upstreams"))
         self.assertIsInstance(self.next_call(), actions.ListObjects)
 
 
--- a/tests/controllers/zones/test_drains.py
+++ b/tests/controllers/zones/test_drains.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch import controllers, platform
-from carawayhitch.controllers import _idempotency, _queue, _store_watch
+from carawayhitch.controllers import _idempotency, _queue, store_watch
 from carawayhitch.core import actions, declarations, events, messages, rows
 from carawayhitch.core import settings as settings_types
 from tests.controllers.scheduling_world import (
@@ -161,7 +161,7 @@
             )
 
     def next_call(self):
-        timer = events.TimerFired(_store_watch.STORE_CALL_TIMER, SCOPE)
+        timer = events.TimerFired(store_watch.STORE_CALL_TIMER, SCOPE)
         found = feed_chain(self.board, timer)
         calls = (actions.ListObjects, actions.WatchObjects)
         return next(action for action in found if isinstance(action, calls))
@@ -205,7 +205,7 @@
     def test_silent_store_keeps_a_drain(self):
         """Guards against a zone that returns to use because the store is silent."""
         deliver(self.board, drain())
-        failed = events.StoreCallFailed(_store_watch.WATCH_OPERATION, "x", SCOPE)
+        failed = events.StoreCallFailed(store_watch.WATCH_OPERATION, "x", SCOPE)
         for now in (2.0, 10.0, 60.0):
             feed_chain(self.board, failed, now)
         self.assertEqual(drained(self.board), ["b"])
@@ -218,7 +218,7 @@
             leaving_milliseconds=9000.0,
             zone_drain_milliseconds=5000.0,
         )
-        seconds = _store_watch.answer_interval_seconds(store) + store.timeout_seconds
+        seconds = store_watch.answer_interval_seconds(store) + store.timeout_seconds
         self.assertLess(seconds, 5.0)
 
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from carawayhitch import codecs
-from carawayhitch.controllers._store_watch import answer_interval_seconds
+from carawayhitch.controllers.store_watch import answer_interval_seconds
 from fakes.platform_template import render
 
 ROOT = Path(__file__).parent.parent
