Probe a failed store less often and start with stale watches

An entry that is no watcher and schedules no cell now probes as often as the bound for contact needs. Failing scopes take turns. Removals that are held back are applied at the end of the grace period without a list; a registration that was renewed has a higher version. Starting entries watch stale until the bound requires otherwise.

Ruled out: a notice from peers that the store answers again. Each entry regains contact within the bound by itself, and a notice could be lost.

Tests: test_entries_without_duties_repeat_refused_calls_less_often (78 calls in 20 s before), test_scope_that_fails_alone_does_not_stop_the_others, test_starting_entries_do_not_all_watch_consistently. test_one_scope_probes_a_failed_store now allows no retry of a deferred scope at all; test_removals_after_an_outage_are_deferred checks the deferred removal itself and a renewed registration instead of the list that is no longer made.

--- a/src/carawayhitch/controllers/store_watch/_outages.py
+++ b/src/carawayhitch/controllers/store_watch/_outages.py
@@ -7,7 +7,15 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions
-from carawayhitch.controllers.store_watch._scopes import set_call_timer, update_scope
+from carawayhitch.controllers.store_watch._scopes import (
+    DEFERRED_CALL,
+    set_call_timer,
+    update_scope,
+)
+from carawayhitch.controllers.store_watch._waits import (
+    answer_interval_seconds,
+    keeps_close_contact,
+)
 from carawayhitch.core import actions, events, rows
 
 RETRY_BASE_DELAY_SECONDS = 0.5
@@ -15,9 +23,9 @@
 # 2.5 s, an unresponsive connection is replaced within the 3 s in which an entry has to
 # regain contact with the store.
 MINIMUM_RETRY_DELAY_SECONDS = 0.05
-# While one scope probes whether the store has recovered, the others retry rarely,
-# because refused calls are charged in full.
-DEFERRED_RETRY_DELAY_SECONDS = 5.0
+# Shortest delay between the probes of an entry on which no other depends, as a share of
+# the longest that lets it regain contact in time. It spreads the fleet's calls.
+RELAXED_RETRY_SPREAD = 0.75
 # Registrations expire after several missed heartbeats, so an interruption of the store
 # that is shorter than this expires none.
 MINIMUM_OUTAGE_SECONDS = 1.0
@@ -42,7 +50,7 @@
         }
         decided = (
             actions.Log("info", "dependency regained", fields),
-            *_call_failing_scopes(board, scope_row.scope, now),
+            *call_deferred_scopes(board, now),
         )
     update_scope(
         board, scope_row.scope, failure_count=0, failing_since=0.0, contacted_at=now
@@ -50,48 +58,61 @@
     return decided
 
 
-def _call_failing_scopes(board: Board, answered: str, now: float) -> Actions:
-    """Retry the other failing scopes now that the store answers again."""
+def call_deferred_scopes(board: Board, now: float) -> Actions:
+    """Call the scopes that wait for the probe of another one."""
     decided: list[actions.Action] = []
     for row in list(board.store_scopes_by_name.values()):
-        if row.scope != answered and row.failure_count and row.call == "timer":
+        if row.call == DEFERRED_CALL:
             decided += set_call_timer(board, row.scope, now)
     return decided
 
 
 def defer_removals(
     board: Board, scope: str, objects: Iterable[events.StoredObject], now: float
-) -> tuple[events.StoredObject, ...]:
-    scope_row = board.store_scopes_by_name[scope]
-    if now >= scope_row.removals_applied_after:
-        return tuple(objects)
-    kept = tuple(stored for stored in objects if not stored.deleted)
-    # A list after the grace period finds the objects that are really removed.
-    update_scope(board, scope, list_after=scope_row.removals_applied_after)
-    return kept
+) -> tuple[tuple[events.StoredObject, ...], Actions]:
+    """Return the objects to merge now, and actions that merge removals later.
+
+    A registration that is renewed meanwhile has a higher version than its removal,
+    which then has no effect.
+    """
+    deadline = board.store_scopes_by_name[scope].removals_applied_after
+    if now >= deadline:
+        return tuple(objects), ()
+    kept: list[events.StoredObject] = []
+    removed: list[events.StoredObject] = []
+    for stored in objects:
+        (removed if stored.deleted else kept).append(stored)
+    if not removed:
+        return tuple(kept), ()
+    received = events.ObjectsReceived(tuple(removed), -1, 0)
+    return tuple(kept), (actions.SetTimer(deadline, received),)
 
 
 def schedule_retry(board: Board, scope: str, now: float, random: Random) -> Actions:
-    """Set a retry timer whose delay doubles with each consecutive failure.
+    """Set a timer for the next probe of the store after a failed call.
 
-    The delay is measured from the start of the failed call.
+    One scope at a time probes whether the store has recovered, because refused calls
+    are charged in full. Failing scopes take turns, because one may fail for a reason of
+    its own. The delay is measured from the start of the failed call and, at entries on
+    whose contact others depend, doubles with each consecutive failure.
     """
     scope_row = board.store_scopes_by_name[scope]
     count = scope_row.failure_count
-    update_scope(board, scope, failure_count=count + 1)
-    limit = board.settings.store.retry_limit_seconds
-    delay = min(limit, RETRY_BASE_DELAY_SECONDS * 2 ** min(count, 10))
-    if _defers_to_failing_scope(board, scope):
-        delay = max(delay, DEFERRED_RETRY_DELAY_SECONDS)
-    due = scope_row.called_at + delay * random.uniform(0.5, 1.5)
-    return set_call_timer(board, scope, max(now + MINIMUM_RETRY_DELAY_SECONDS, due))
-
-
-def _defers_to_failing_scope(board: Board, scope: str) -> bool:
-    """Return whether an earlier scope fails as well and probes the store."""
-    for row in board.store_scopes_by_name.values():
-        if row.scope == scope:
-            return False
-        if row.failure_count:
-            return True
-    return False
+    update_scope(board, scope, failure_count=count + 1, call=DEFERRED_CALL)
+    failing = [
+        row
+        for row in board.store_scopes_by_name.values()
+        if row.failure_count and row.call
+    ]
+    if any(row.call != DEFERRED_CALL for row in failing):
+        return ()
+    if count and not keeps_close_contact(board, now):
+        longest = answer_interval_seconds(board.settings.store)
+        delay = longest * random.uniform(RELAXED_RETRY_SPREAD, 1.0)
+    else:
+        limit = board.settings.store.retry_limit_seconds
+        delay = min(limit, RETRY_BASE_DELAY_SECONDS * 2 ** min(count, 10))
+        delay *= random.uniform(0.5, 1.5)
+    due = max(now + MINIMUM_RETRY_DELAY_SECONDS, scope_row.called_at + delay)
+    next_scope = min(failing, key=lambda row: row.called_at).scope
+    return set_call_timer(board, next_scope, due)
--- a/src/carawayhitch/controllers/store_watch/_scopes.py
+++ b/src/carawayhitch/controllers/store_watch/_scopes.py
@@ -11,6 +11,8 @@
 LIST_OPERATION = "configuration_list"
 WATCH_OPERATION = "configuration_watch"
 STORE_CALL_TIMER = "configuration_store"
+# Value of `StoreScopeRow.call` of a failing scope while another one probes the store.
+DEFERRED_CALL = "deferred"
 
 
 def update_scope(board: Board, scope: str, **changes: Any) -> rows.StoreScopeRow:
--- a/src/carawayhitch/controllers/store_watch/_waits.py
+++ b/src/carawayhitch/controllers/store_watch/_waits.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import duties
 from carawayhitch.controllers._cells import entry_scheduled_groups
 from carawayhitch.core import settings as settings_types
 
@@ -80,6 +81,22 @@
     )
 
 
+def keeps_close_contact(board: Board, now: float) -> bool:
+    """Return whether other entries depend on this entry's contact with the store.
+
+    Watchers push changes to their zone, and schedulers of cells use changes at once.
+    Other entries have to regain contact only within the bound of the platform. Entries
+    that do not know all objects yet, and deployments without that bound or without
+    relaxed scopes, make no difference.
+    """
+    store = board.settings.store
+    if not store.relaxed_scopes or not store.contact_milliseconds:
+        return True
+    if board.object_set.complete_revision < 0 or duties.is_watcher(board, now):
+        return True
+    return not all(_is_relaxed(board, scope) for scope in store.relaxed_scopes)
+
+
 def pause_seconds(board: Board, scope: str) -> float:
     store = board.settings.store
     if scope in store.slow_scopes:
--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -21,6 +21,7 @@
 )
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers.store_watch._outages import (
+    call_deferred_scopes,
     defer_removals,
     record_contact,
     schedule_retry,
@@ -36,6 +37,7 @@
 )
 from carawayhitch.controllers.store_watch._waits import (
     PROBE_WATCH_SECONDS,
+    answer_interval_seconds,
     pause_seconds,
     watch_seconds,
 )
@@ -59,6 +61,7 @@
 ) -> Actions:
     decided: list[actions.Action] = []
     for scope in board.store_scopes_by_name:
+        update_scope(board, scope, watched_stale_until=_end_of_start(board, now))
         if exchange_peers(board):
             delay = random.uniform(0.1, 1.0) * FIRST_LIST_SPREAD_SECONDS
             decided += set_call_timer(board, scope, now + delay)
@@ -67,16 +70,31 @@
     return decided
 
 
+def _end_of_start(board: Board, now: float) -> float:
+    """Return until when a starting entry leaves consistent watches to others.
+
+    Until it knows the members of its zone, each of hundreds of entries that start
+    together would take itself for a watcher. The end leaves time for a first answer
+    within the bound for regaining contact.
+    """
+    store = board.settings.store
+    if not store.stale_watches or not store.contact_milliseconds:
+        return 0.0
+    return now + answer_interval_seconds(store)
+
+
 def _make_next_call(board: Board, scope: str, now: float, random: Random) -> Actions:
     """Start the next store call of a scope, if this node has to make one."""
     scope_row = board.store_scopes_by_name[scope]
     position = known_revision(board, scope_row)
     store = board.settings.store
     may_be_stale = scope in store.stale_scopes
-    if position >= 0 and not may_be_stale and not duties.is_watcher(board, now):
+    starts = now < scope_row.watched_stale_until
+    is_watcher = not starts and duties.is_watcher(board, now)
+    if position >= 0 and not may_be_stale and not is_watcher:
         if not store.stale_watches:
             update_scope(board, scope, call="")
-            return ()
+            return call_deferred_scopes(board, now)
         may_be_stale = True
     needs_own_list = scope in store.consistent_scopes and scope_row.position < 0
     if position >= 0 and not scope_row.list_after and not needs_own_list:
@@ -92,6 +110,8 @@
         return (actions.ListObjects(LIST_OPERATION, scope, list_may_be_stale),)
     update_scope(board, scope, call="watch", called_at=now)
     wait = watch_seconds(board, scope)
+    if starts and scope not in store.slow_scopes:
+        wait = min(wait, scope_row.watched_stale_until - now)
     if scope_row.failure_count:
         wait = min(wait, PROBE_WATCH_SECONDS)
     watch = actions.WatchObjects(WATCH_OPERATION, position, wait, scope, may_be_stale)
@@ -157,8 +177,6 @@
         # Does not belong to the sequence of calls of its scope.
         received = events.ObjectsReceived(event.objects, -1, 0, is_current=True)
         return (*_report_unreadable_objects(event), actions.Emit(received))
-    # Set before the answer is handled: if `defer_removals` drops removals, it moves
-    # the next list to the end of the grace period, so that one is requested after it.
     scope_row = board.store_scopes_by_name[event.scope]
     list_after = now + LIST_INTERVAL_SECONDS * random.uniform(0.5, 1.5)
     update_scope(board, event.scope, list_after=list_after)
@@ -223,10 +241,11 @@
     scope_row = board.store_scopes_by_name[event.scope]
     if event.revision < known_revision(board, scope_row) and event.may_be_stale:
         # This node knows newer changes already; a later stale read may include them.
-        kept = defer_removals(board, event.scope, objects, now)
+        kept, deferred = defer_removals(board, event.scope, objects, now)
         return (
             *record_contact(board, scope_row, now),
             actions.Emit(events.ObjectsReceived(kept, -1, push_count)),
+            *deferred,
             *set_call_timer(board, event.scope, now + STALE_READ_PAUSE_SECONDS),
         )
     if event.revision < known_revision(board, scope_row):
@@ -237,7 +256,7 @@
             *schedule_retry(board, event.scope, now, random),
         )
     decided = record_contact(board, scope_row, now)
-    kept = defer_removals(board, event.scope, objects, now)
+    kept, deferred = defer_removals(board, event.scope, objects, now)
     update_scope(board, event.scope, position=event.revision)
     complete = complete_revision(board)
     pause = pause_seconds(board, event.scope)
@@ -248,6 +267,7 @@
                 kept, complete, push_count, is_current=not event.may_be_stale
             )
         ),
+        *deferred,
         *set_call_timer(board, event.scope, now + pause),
     )
 
--- a/src/carawayhitch/core/_object_rows.py
+++ b/src/carawayhitch/core/_object_rows.py
@@ -76,7 +76,8 @@
         Name of the scope; empty if one list and one watch cover all objects.
     call : str
         The outstanding store call or timer, of which there is at most one: ``list``,
-        ``watch``, ``timer`` or empty.
+        ``watch``, ``timer`` or empty; ``deferred`` while the scope fails and another
+        failing scope probes the store.
     position : int
         Revision up to which this node knows every change of the scope; -1 before
         the first list.
@@ -87,12 +88,15 @@
     failing_since : float
         Time of the first failure in that sequence.
     removals_applied_after : float
-        Time from which removals are applied. Until then they are ignored, because
-        registrations that lapsed in an outage of the store return shortly after it.
+        Time at which removals are applied that come earlier, because registrations
+        that lapsed in an outage of the store return shortly after it.
     contacted_at : float
         Time of the last answer from the store.
     called_at : float
         Time at which the last store call was made.
+    watched_stale_until : float
+        Time until which the entry, which has just started, leaves consistent watches
+        to others.
     """
 
     scope: str
@@ -104,6 +108,7 @@
     removals_applied_after: float = 0.0
     contacted_at: float = 0.0
     called_at: float = 0.0
+    watched_stale_until: float = 0.0
 
 
 class ChangeRow(NamedTuple):
