Delay registrations while all scopes of the store fail

Ruled out: one scope failing as the condition, since a scope that fails for a reason of its own would keep an entry unregistered.

Test: test_registration_waits_for_the_probe_of_a_store_that_is_down (failed before).

--- a/src/carawayhitch/controllers/_registration.py
+++ b/src/carawayhitch/controllers/_registration.py
@@ -71,11 +71,9 @@
 ) -> Actions:
     if event.operation_id not in (PEER_KEYS_OPERATION, REGISTRATION_OPERATION):
         return ()
-    delay = RETRY_DELAY_SECONDS * random.uniform(0.5, 1.5)
-    timer = events.TimerFired(event.operation_id)
     return (
         actions.Count(result_codes.STORE_CALL_FAILED),
-        actions.SetTimer(now + delay, timer),
+        *_set_retry_timer(event.operation_id, now, random),
     )
 
 
@@ -83,8 +81,25 @@
 def _retry_call(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
+    if event.name not in (PEER_KEYS_OPERATION, REGISTRATION_OPERATION):
+        return ()
+    if _is_store_down(board):
+        return _set_retry_timer(event.name, now, random)
     if event.name == PEER_KEYS_OPERATION:
         return (actions.LoadPeerKeys(PEER_KEYS_OPERATION),)
-    if event.name == REGISTRATION_OPERATION:
-        return (actions.RegisterEntry(REGISTRATION_OPERATION, 0),)
-    return ()
+    return (actions.RegisterEntry(REGISTRATION_OPERATION, 0),)
+
+
+def _is_store_down(board: Board) -> bool:
+    """Return whether a scope of the store is being probed since all of them fail.
+
+    Load pattern: hundreds of entries start while the store is down, and each refused
+    call is charged. The probe shows when the store answers again.
+    """
+    scopes = board.store_scopes_by_name.values()
+    return bool(scopes) and all(row.failure_count for row in scopes)
+
+
+def _set_retry_timer(operation: str, now: float, random: Random) -> Actions:
+    delay = RETRY_DELAY_SECONDS * random.uniform(0.5, 1.5)
+    return (actions.SetTimer(now + delay, events.TimerFired(operation)),)
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from carawayhitch import controllers
-from carawayhitch.controllers import store_watch
+from carawayhitch.controllers import _registration, store_watch
 from carawayhitch.controllers._cells import order_by_rendezvous
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
@@ -344,6 +344,19 @@
         complete = -1 if duty == "starting" else 10
         self.feed(events.ObjectsReceived((), complete, 0))
 
+    def test_registration_waits_for_the_probe_of_a_store_that_is_down(self):
+        """Guards against refused writes of all entries that start in an outage."""
+        timer = events.TimerFired(_registration.REGISTRATION_OPERATION)
+        for scope in SCOPES:
+            found = [type(action) for action in self.feed(timer)]
+            self.assertIn(actions.RegisterEntry, found)
+            self.feed(events.StoreCallFailed(store_watch.LIST_OPERATION, "x", scope))
+        (retry,) = [a for a in self.feed(timer) if isinstance(a, actions.SetTimer)]
+        self.assertEqual(retry.event, timer)
+        self.assertNotIn(actions.RegisterEntry, map(type, self.feed(timer)))
+        self.feed(events.ObjectsListed(10, (), SCOPES[0]))
+        self.assertIn(actions.RegisterEntry, map(type, self.feed(retry.event)))
+
     def test_loss_and_recovery_of_the_store_are_each_logged_once(self):
         """Guards against a log line for each failed call of a long outage."""
         self.listed(upstream("u1", 3))
