Let entries without duties wait longer for changes of the store

Now only the watch of upstreams keeps that interval at entries that are no watchers and schedule no cell (store.relaxed_watch_seconds). If it fails and then succeeds, longer watches that were begun before are replaced, and an entry that becomes a watcher replaces its own at once. The node ends the last watch of a scope when the next one begins.

Ruled out: long waits at watchers. Their pushes carry the bounds, and the answer to one call may be lost while the other connections work.

Tests: test_long_watches_are_replaced_when_a_bound_needs_it, test_new_watch_replaces_the_last_one_of_its_scope.

--- a/src/carawayhitch/controllers/store_watch/_outages.py
+++ b/src/carawayhitch/controllers/store_watch/_outages.py
@@ -51,6 +51,7 @@
         decided = (
             actions.Log("info", "dependency regained", fields),
             *call_deferred_scopes(board, now),
+            *_renew_watches(board, scope_row, now),
         )
     update_scope(
         board, scope_row.scope, failure_count=0, failing_since=0.0, contacted_at=now
@@ -58,6 +59,18 @@
     return decided
 
 
+def _renew_watches(board: Board, regained: rows.StoreScopeRow, now: float) -> Actions:
+    """Replace watches that may wait on connections that failed without a reset."""
+    store = board.settings.store
+    if not store.relaxed_watch_seconds or regained.scope not in store.relaxed_scopes:
+        return ()
+    decided: list[actions.Action] = []
+    for row in list(board.store_scopes_by_name.values()):
+        if row.call == "watch" and row.called_at < regained.failing_since:
+            decided += set_call_timer(board, row.scope, now)
+    return decided
+
+
 def call_deferred_scopes(board: Board, now: float) -> Actions:
     """Call the scopes that wait for the probe of another one."""
     decided: list[actions.Action] = []
--- a/src/carawayhitch/controllers/store_watch/_waits.py
+++ b/src/carawayhitch/controllers/store_watch/_waits.py
@@ -44,8 +44,16 @@
     return min(limits) - BOUND_MARGIN_SECONDS
 
 
-def watch_seconds(board: Board, scope: str) -> float:
+def watch_seconds(board: Board, scope: str, now: float) -> float:
     """Return the longest time that a watch of a scope waits for a change."""
+    longest = _longest_watch_seconds(board, scope)
+    interval = answer_interval_seconds(board.settings.store)
+    if scope in board.settings.store.slow_scopes or longest <= interval:
+        return longest
+    return interval if keeps_close_contact(board, now) else longest
+
+
+def _longest_watch_seconds(board: Board, scope: str) -> float:
     store = board.settings.store
     if scope in store.slow_scopes:
         return store.slow_watch_seconds
@@ -55,7 +63,9 @@
     if scope in store.relaxed_scopes:
         # Schedulers have to notice a silent store before an engine leaves unnoticed.
         return min(interval, store.watch_timeout_seconds)
-    return interval
+    if not store.relaxed_scopes:
+        return interval
+    return max(interval, store.relaxed_watch_seconds)
 
 
 def maximum_silence_seconds(board: Board, scope: str) -> float:
@@ -65,7 +75,7 @@
     """
     pauses_long = scope in board.settings.store.slow_scopes or _is_relaxed(board, scope)
     pause = pause_seconds(board, scope) if pauses_long else 0.0
-    return watch_seconds(board, scope) + pause
+    return _longest_watch_seconds(board, scope) + pause
 
 
 def _is_relaxed(board: Board, scope: str) -> bool:
--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -109,11 +109,12 @@
         list_may_be_stale = _list_may_be_stale(store, scope, position)
         return (actions.ListObjects(LIST_OPERATION, scope, list_may_be_stale),)
     update_scope(board, scope, call="watch", called_at=now)
-    wait = watch_seconds(board, scope)
+    wait = watch_seconds(board, scope, now)
     if starts and scope not in store.slow_scopes:
         wait = min(wait, scope_row.watched_stale_until - now)
     if scope_row.failure_count:
         wait = min(wait, PROBE_WATCH_SECONDS)
+    update_scope(board, scope, watch_deadline=now + wait)
     watch = actions.WatchObjects(WATCH_OPERATION, position, wait, scope, may_be_stale)
     return (watch,)
 
@@ -159,7 +160,19 @@
 
 
 def _watch_idle_scopes(board: Board, now: float, random: Random) -> Actions:
-    idle = [row.scope for row in board.store_scopes_by_name.values() if not row.call]
+    """Begin the watches of a new watcher, in place of long ones that it has begun."""
+    store = board.settings.store
+    latest = now + answer_interval_seconds(store)
+    idle = [
+        row.scope
+        for row in board.store_scopes_by_name.values()
+        if not row.call
+        or (
+            row.call == "watch"
+            and row.watch_deadline > latest
+            and row.scope not in store.slow_scopes
+        )
+    ]
     if not idle or not duties.is_watcher(board, now):
         return ()
     decided: list[actions.Action] = []
--- a/src/carawayhitch/core/_object_rows.py
+++ b/src/carawayhitch/core/_object_rows.py
@@ -94,6 +94,8 @@
         Time of the last answer from the store.
     called_at : float
         Time at which the last store call was made.
+    watch_deadline : float
+        Time at which the last watch ends without a change.
     watched_stale_until : float
         Time until which the entry, which has just started, leaves consistent watches
         to others.
@@ -108,6 +110,7 @@
     removals_applied_after: float = 0.0
     contacted_at: float = 0.0
     called_at: float = 0.0
+    watch_deadline: float = 0.0
     watched_stale_until: float = 0.0
 
 
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -100,6 +100,11 @@
     relaxed_scopes : tuple of str
         Scopes whose changes only the schedulers of cells need at once; the other
         entries pause longer between an answer and the next watch.
+    relaxed_watch_seconds : float
+        Longest wait of a watch, at entries that are no watchers and schedule no cells,
+        of scopes that are neither slow nor relaxed; 0 if only the bounds limit it. The
+        watchers push such changes, and the watches of relaxed scopes notice a silent
+        store.
     contact_milliseconds, configuration_milliseconds, leaving_milliseconds : float
         Bounds of the platform, under which the time between two answers of a watch
         has to stay: for regaining contact after connections have failed, for taking
@@ -138,6 +143,7 @@
     leaving_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
     zone_drain_milliseconds: Annotated[float, Meta(ge=0)] = 0.0
     consistent_scopes: tuple[str, ...] = ()
+    relaxed_watch_seconds: Annotated[float, Meta(ge=0, le=30)] = 0.0
 
 
 class PlatformSettings(NamedTuple):
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -121,6 +121,7 @@
         self.close_idle_connections: Callable[[], None] = lambda: None
         self._pending_events: deque[Any] = deque()
         self._is_processing = False
+        self.watch_tasks_by_scope: dict[str, asyncio.Task[Any]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._recorder: TraceRecorder | None = None
         self.sessions: UpstreamSessions | None = None
@@ -277,7 +278,9 @@
         if not task.cancelled() and task.exception() is not None:
             self.log.error("task failed", error=repr(task.exception()))
 
-    def spawn_and_submit(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+    def spawn_and_submit(
+        self, coroutine: Coroutine[Any, Any, Any]
+    ) -> asyncio.Task[Any]:
         """Run a coroutine as a task and submit the event that it returns, if any."""
 
         async def await_and_submit() -> None:
@@ -285,7 +288,7 @@
             if event is not None:
                 self.submit(event)
 
-        self.spawn(await_and_submit())
+        return self.spawn(await_and_submit())
 
     async def run_operation(self, operation_id: str, event: Any) -> Any:
         """Submit an event and return the action that answers its operation."""
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -365,12 +365,23 @@
 @perform.register(actions.ReadObject)
 @perform.register(actions.WriteObject)
 @perform.register(actions.ListObjects)
-@perform.register(actions.WatchObjects)
 def _perform_store_action(action: Any, node: Node) -> None:
     assert node.store is not None
     node.spawn_and_submit(_call_store(action, node))
 
 
+@perform.register(actions.WatchObjects)
+def _watch_objects(action: actions.WatchObjects, node: Node) -> None:
+    """Watch a scope, in place of its last watch if that one still waits."""
+    assert node.store is not None
+    last = node.watch_tasks_by_scope.get(action.scope)
+    if last is not None:
+        last.cancel()
+    node.watch_tasks_by_scope[action.scope] = node.spawn_and_submit(
+        _call_store(action, node)
+    )
+
+
 @perform.register(actions.DecodeObjects)
 def _decode_objects(action: actions.DecodeObjects, node: Node) -> None:
     assert node.store is not None
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -8,7 +8,6 @@
 
 from carawayhitch import controllers
 from carawayhitch.controllers import _registration, store_watch
-from carawayhitch.controllers._cells import order_by_rendezvous
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
 from tests.boards import ready_board
@@ -311,11 +310,19 @@
         self.assertLess(counts.pop("none"), 20.0 / 2.0 + 2 * len(SCOPES))
         self.assertGreater(min(counts.values()), 20.0)
 
+    def set_members(self, zone):
+        for name in (f"n{number}" for number in range(20)):
+            self.board.members_by_id[name] = rows.MemberRow(
+                name, 1, "alive", "127.0.0.1", 1, 2, zone, "r1"
+            )
+
     def follow_bounds(self, duty):
         """Put this node into a fleet with bounds, with a duty for other entries."""
         store = self.board.settings.store._replace(
             stale_watches=True,
+            stale_scopes=("entries",),
             relaxed_scopes=("upstreams",),
+            relaxed_watch_seconds=20.0,
             contact_milliseconds=CONTACT_SECONDS * 1000.0,
             configuration_milliseconds=3000.0,
             leaving_milliseconds=3000.0,
@@ -325,21 +332,10 @@
         self.board.settings_by_name["in_force"] = self.board.settings._replace(
             store=store
         )
-        for number in range(20):
-            name = f"n{number}"
-            self.board.members_by_id[name] = rows.MemberRow(
-                name, 1, "alive", "127.0.0.1", 1, 2, "a", "r1"
-            )
-        own = self.board.node_id
-        order = order_by_rendezvous("watch/a", {own, *self.board.members_by_id})
-        if duty == "watcher":
-            for name in order[: order.index(own)]:
-                del self.board.members_by_id[name]
-        else:
-            self.assertNotEqual(order[0], own)
+        self.set_members("b" if duty == "watcher" else "a")
         cell_id = "quotes/r1/0"
         self.board.cells_by_id[cell_id] = rows.CellRow(cell_id, "quotes", "r1", ())
-        scheduler = own if duty == "scheduler" else "n1"
+        scheduler = self.board.node_id if duty == "scheduler" else "n1"
         self.board.schedulers_by_cell_id[cell_id] = (scheduler,)
         complete = -1 if duty == "starting" else 10
         self.feed(events.ObjectsReceived((), complete, 0))
@@ -357,6 +353,35 @@
         self.feed(events.ObjectsListed(10, (), SCOPES[0]))
         self.assertIn(actions.RegisterEntry, map(type, self.feed(retry.event)))
 
+    def test_long_watches_are_replaced_when_a_bound_needs_it(self):
+        """Guards against long waits on silent connections and by new watchers."""
+        waits = {}
+        for duty in ("none", "watcher", "scheduler"):
+            self.setUp()
+            self.follow_bounds(duty)
+            self.feed(events.ObjectsListed(10, (), "configuration"))
+            waits[duty] = self.next_call("configuration").wait_seconds
+        self.assertEqual(waits, {"none": 20.0, "watcher": 2.5, "scheduler": 2.5})
+        cases = (
+            ("silent", events.ObjectsChanged("store", 20, (), "upstreams", True)),
+            ("watcher", events.MembershipChanged()),
+        )
+        for cause, event in cases:
+            self.setUp()
+            self.follow_bounds("none")
+            self.now += 2.5
+            self.feed(events.ObjectsListed(10, (), "configuration"))
+            self.next_call("configuration")
+            self.now += 2.5
+            if cause == "watcher":
+                self.set_members("b")
+            else:
+                self.fail_watch()
+                self.next_call()
+            self.feed(event)
+            with self.subTest(cause):
+                self.assertIsNotNone(self.next_call("configuration"))
+
     def test_loss_and_recovery_of_the_store_are_each_logged_once(self):
         """Guards against a log line for each failed call of a long outage."""
         self.listed(upstream("u1", 3))
--- a/tests/node/test_store_metrics.py
+++ b/tests/node/test_store_metrics.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
+from unittest.mock import Mock
 
 from carawayhitch.core import actions, events
 from carawayhitch.node._metrics import new_metrics
+from carawayhitch.node._performers import perform
 from carawayhitch.node._stores import store_call_labels
 
 
@@ -43,6 +46,20 @@
             name = "carawayhitch_store_calls_total"
             self.assertEqual(value(name, labels._asdict()), 1)
 
+    def test_new_watch_replaces_the_last_one_of_its_scope(self):
+        """Guards against two watches of a scope after a silent connection."""
+        tasks = []
+
+        def spawn(coroutine):
+            coroutine.close()
+            tasks.append(Mock())
+            return tasks[-1]
+
+        node = SimpleNamespace(store=1, watch_tasks_by_scope={}, spawn_and_submit=spawn)
+        for scope in ("upstreams", "configuration", "upstreams"):
+            perform(actions.WatchObjects("x", 2, 1.0, scope), node)
+        self.assertEqual([task.cancel.call_count for task in tasks], [1, 0, 0])
+
 
 if __name__ == "__main__":
     unittest.main()
