--- a/src/carawayhitch/node/_exposition.py
+++ b/src/carawayhitch/node/_exposition.py
@@ -23,6 +23,7 @@
 from carawayhitch.controllers import cold_start, own_duties, own_strength
 from carawayhitch.node._logs import process_log_output
 from carawayhitch.node._metrics import SECONDS_BUCKETS, Labels, Metrics
+from carawayhitch.node._stores import StoreCallLabels
 
 ZONE_LABELS = ("entry_zone", "upstream_zone", "reason")
 
@@ -71,6 +72,14 @@
         ("direction", "type"),
         metrics.peer_bytes,
     )
+    yield _counter(
+        "carawayhitch_store_calls",
+        "Calls to the store that ended, by operation (list, watch, read, write),"
+        " scope or kind of object, kind (stale, current) and result (answered,"
+        " failed).",
+        StoreCallLabels._fields,
+        metrics.store_calls,
+    )
     yield _counter(
         "carawayhitch_zone_calls",
         "Calls by zone of the entry and of the upstream, and by reason; only with"
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -31,6 +31,7 @@
     exchange_bytes: Counter[Labels]
     peer_messages: Counter[Labels]
     peer_bytes: Counter[Labels]
+    store_calls: Counter[Labels]
     zone_calls: Counter[Labels]
     zone_bytes: defaultdict[Labels, float]
 
@@ -47,6 +48,7 @@
         exchange_bytes=Counter(),
         peer_messages=Counter(),
         peer_bytes=Counter(),
+        store_calls=Counter(),
         zone_calls=Counter(),
         zone_bytes=defaultdict(float),
     )
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import unittest
+from itertools import pairwise
 from random import Random
 
 from carawayhitch import controllers
-from carawayhitch.controllers import _store_watch
+from carawayhitch.controllers import _registration, store_watch
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
 from tests.boards import ready_board
@@ -14,6 +15,8 @@
 KIND = declarations.UPSTREAM_REGISTRATION
 SCOPES = ("configuration", "upstreams", "entries")
 GRACE_SECONDS = 2.0
+CONTACT_SECONDS = 4.0
+TIMEOUT_SECONDS = 1.0
 
 
 def upstream(name, version, deleted=False):
@@ -63,11 +66,11 @@
             action.deadline - self.now
             for action in decided
             if isinstance(action, actions.SetTimer)
-            and action.event.name == _store_watch.STORE_CALL_TIMER
+            and action.event.name == store_watch.STORE_CALL_TIMER
         ]
 
     def next_call(self, scope="upstreams"):
-        timer = events.TimerFired(_store_watch.STORE_CALL_TIMER, scope)
+        timer = events.TimerFired(store_watch.STORE_CALL_TIMER, scope)
         calls = [
             action
             for action in self.feed(timer)
@@ -76,7 +79,7 @@
         return calls[0] if calls else None
 
     def fail_watch(self):
-        event = events.StoreCallFailed(_store_watch.WATCH_OPERATION, "x", "upstreams")
+        event = events.StoreCallFailed(store_watch.WATCH_OPERATION, "x", "upstreams")
         return self.feed(event)
 
     def test_first_list_of_a_scope_may_be_stale_and_later_ones_not(self):
@@ -86,7 +89,7 @@
         lists = [a for a in started if isinstance(a, actions.ListObjects)]
         self.assertEqual([a.may_be_stale for a in lists], [False, True, True])
         self.listed()
-        self.feed(events.WatchExpired(_store_watch.WATCH_OPERATION, "upstreams"))
+        self.feed(events.WatchExpired(store_watch.WATCH_OPERATION, "upstreams"))
         again = self.next_call()
         self.assertIsInstance(again, actions.ListObjects)
         self.assertFalse(again.may_be_stale)
@@ -105,7 +108,7 @@
     def test_list_of_a_slow_scope_may_always_be_stale(self):
         """Guards against a full charge per entry when the store drops its history."""
         self.feed(events.ObjectsListed(10, (), "entries"))
-        self.feed(events.WatchExpired(_store_watch.WATCH_OPERATION, "entries"))
+        self.feed(events.WatchExpired(store_watch.WATCH_OPERATION, "entries"))
         again = self.next_call("entries")
         self.assertIsInstance(again, actions.ListObjects)
         self.assertTrue(again.may_be_stale)
@@ -146,19 +149,54 @@
         self.assertEqual(self.listed(revision=10), {})
 
     def test_removals_after_an_outage_are_deferred(self):
-        """Guards against a fleet without upstreams after each outage of the store."""
-        self.add_received(upstream("u1", 3))
-        self.listed(upstream("u1", 3))
+        """Guards against a fleet without upstreams after each outage of the store.
+
+        A registration that returns within the grace period stays; the others are
+        removed at its end, without another call to the store.
+        """
+        names = ("gone", "renewed")
+        self.add_received(*(upstream(name, 3) for name in names))
+        self.listed(*(upstream(name, 3) for name in names))
         self.fail_watch()
         self.now += 3.0
         self.fail_watch()
-        changed = events.ObjectsChanged(
-            "store", 20, (upstream("u1", 15, deleted=True),), "upstreams", True
-        )
-        self.assertEqual(self.deleted_by_name(self.feed(changed)), {})
+        lapsed = tuple(upstream(name, 15, deleted=True) for name in names)
+        changed = events.ObjectsChanged("store", 20, lapsed, "upstreams", True)
+        decided = self.feed(changed)
+        self.assertEqual(self.deleted_by_name(decided), {})
+        (deferred,) = [
+            action
+            for action in decided
+            if isinstance(action, actions.SetTimer)
+            and isinstance(action.event, events.ObjectsReceived)
+        ]
+        self.assertEqual(deferred.deadline, self.now + GRACE_SECONDS)
+        self.add_received(upstream("renewed", 21))
         self.now += GRACE_SECONDS
-        self.assertIsInstance(self.next_call(), actions.ListObjects)
-        self.assertEqual(self.listed(revision=25), {"u1": True})
+        self.assertIsInstance(self.next_call(), actions.WatchObjects)
+        self.feed(deferred.event)
+        deleted = {
+            name: self.board.objects_by_key[KIND, name].deleted for name in names
+        }
+        self.assertEqual(deleted, {"gone": True, "renewed": False})
+
+    def test_starting_entries_do_not_all_watch_consistently(self):
+        """Guards against hundreds of entries that each take themselves for a watcher.
+
+        They know no members yet. Consistent watches begin within the bound for contact.
+        """
+        self.join_fleet("none")
+        self.board.members_by_id.clear()
+        started = self.now
+        self.feed(events.ProcessStarted(1))
+        self.feed(events.ObjectsListed(10, (), "configuration"))
+        found = []
+        while self.now < started + CONTACT_SECONDS - TIMEOUT_SECONDS:
+            watch = self.next_call("configuration")
+            found.append((self.now - started, watch.may_be_stale))
+            self.now += watch.wait_seconds
+            self.feed(events.ObjectsChanged("store", 10, (), "configuration", True))
+        self.assertEqual(found, [(0.0, True), (2.5, False)])
 
     def test_short_interruption_does_not_defer_removals(self):
         """Guards against calls to servers that left while one store call failed."""
@@ -196,20 +234,118 @@
         """Guards against refused calls by every scope, which are charged in full."""
         for scope in SCOPES:
             failed = events.StoreCallFailed("configuration_watch", "refused", scope)
-            (delay,) = self.call_delays(self.feed(failed))
-            self.assertLess(delay, 1.0) if scope == SCOPES[0] else self.assertGreater(
-                delay, 2.0
-            )
+            delays = self.call_delays(self.feed(failed))
+            if scope == SCOPES[0]:
+                self.assertEqual(len(delays), 1)
+                self.assertLess(delays[0], 1.0)
+            else:
+                self.assertEqual(delays, [])
         for scope in SCOPES:
             self.board.store_scopes_by_name[scope] = self.board.store_scopes_by_name[
                 scope
             ]._replace(position=10, list_after=self.now + 100.0)
         probe = self.next_call(SCOPES[0])
-        self.assertEqual(probe.wait_seconds, _store_watch.PROBE_WATCH_SECONDS)
+        self.assertEqual(probe.wait_seconds, store_watch.PROBE_WATCH_SECONDS)
         regained = self.feed(events.ObjectsChanged("store", 20, (), SCOPES[0]))
         self.assertEqual(self.next_call(SCOPES[0]).wait_seconds, 30.0)
         self.assertEqual(self.call_delays(regained), [0.0, 0.0, 0.0])
 
+    def join_fleet(self, duty):
+        """Put this node into a fleet with bounds, with a duty for other entries."""
+        self.setUp()
+        store = self.board.settings.store._replace(
+            stale_watches=True,
+            stale_scopes=("entries",),
+            relaxed_scopes=("upstreams",),
+            relaxed_watch_seconds=20.0,
+            contact_milliseconds=CONTACT_SECONDS * 1000.0,
+            configuration_milliseconds=3000.0,
+            leaving_milliseconds=3000.0,
+            timeout_seconds=TIMEOUT_SECONDS,
+            watchers_per_zone=1,
+        )
+        board = self.board
+        board.settings_by_name["in_force"] = board.settings._replace(store=store)
+        self.set_members("b" if duty == "watcher" else "a")
+        board.cells_by_id["quotes"] = rows.CellRow("quotes", "quotes", "r1", ())
+        scheduler = board.node_id if duty == "scheduler" else "n1"
+        board.schedulers_by_cell_id["quotes"] = (scheduler,)
+        self.feed(events.ObjectsReceived((), -1 if duty == "starting" else 10, 0))
+
+    def set_members(self, zone):
+        for name in (f"n{number}" for number in range(20)):
+            self.board.members_by_id[name] = rows.MemberRow(
+                name, 1, "alive", "127.0.0.1", 1, 2, zone, "r1"
+            )
+
+    def refused_calls(self, seconds):
+        """Return times and scopes of the calls to a store that refuses all of them."""
+
+        def refuse(scope):
+            failed = events.StoreCallFailed(store_watch.LIST_OPERATION, "x", scope)
+            timers = [a for a in self.feed(failed) if isinstance(a, actions.SetTimer)]
+            return [(timer.deadline, timer.event.subject) for timer in timers]
+
+        calls, end = [], self.now + seconds
+        due = [timer for scope in SCOPES for timer in refuse(scope)]
+        while min(due)[0] < end:
+            self.now, scope = timer = min(due)
+            due.remove(timer)
+            if self.next_call(scope) is not None:
+                calls.append(timer)
+                due += refuse(scope)
+        return calls
+
+    def test_entries_without_duties_repeat_refused_calls_less_often(self):
+        """Guards against hundreds of entries that probe a store that is down.
+
+        Refused calls are charged in full. Each entry still regains contact within the
+        bound by itself, and probes every scope, since one may fail alone.
+        """
+        counts = {}
+        for duty in ("none", "watcher", "scheduler", "starting"):
+            self.join_fleet(duty)
+            calls = self.refused_calls(20.0)
+            counts[duty] = len(calls)
+            gaps = [later[0] - call[0] for call, later in pairwise(calls)]
+            self.assertLess(max(gaps) + TIMEOUT_SECONDS, CONTACT_SECONDS, duty)
+            self.assertEqual({scope for _, scope in calls[-4:]}, set(SCOPES))
+        self.assertLess(counts.pop("none"), 16)
+        self.assertGreater(min(counts.values()), 20)
+
+    def test_registration_waits_for_the_probe_of_a_store_that_is_down(self):
+        """Guards against refused writes of all entries that start in an outage."""
+        timer = events.TimerFired(_registration.REGISTRATION_OPERATION)
+        for scope in SCOPES:
+            found = [type(action) for action in self.feed(timer)]
+            self.assertIn(actions.RegisterEntry, found)
+            self.feed(events.StoreCallFailed(store_watch.LIST_OPERATION, "x", scope))
+        (retry,) = [a for a in self.feed(timer) if isinstance(a, actions.SetTimer)]
+        self.assertEqual(retry.event, timer)
+        self.assertNotIn(actions.RegisterEntry, map(type, self.feed(timer)))
+        self.feed(events.ObjectsListed(10, (), SCOPES[0]))
+        self.assertIn(actions.RegisterEntry, map(type, self.feed(retry.event)))
+
+    def test_long_watches_are_replaced_when_a_bound_needs_it(self):
+        """Guards against long waits on silent connections and by new watchers."""
+        for duty, wait in (("watcher", 2.5), ("scheduler", 2.5), ("none", 20.0)):
+            for cause in ("silent connections", "lost watcher"):
+                self.join_fleet(duty)
+                self.now += 2.5
+                self.feed(events.ObjectsListed(10, (), "configuration"))
+                watch = self.next_call("configuration")
+                self.assertEqual(watch.wait_seconds, wait, duty)
+                self.now += 2.0
+                if cause == "lost watcher":
+                    self.set_members("b")
+                    self.feed(events.MembershipChanged())
+                else:
+                    self.fail_watch()
+                    self.next_call()
+                    self.feed(events.ObjectsChanged("s", 20, (), "upstreams", True))
+                if duty == "none":
+                    self.assertIsNotNone(self.next_call("configuration"), cause)
+
     def test_loss_and_recovery_of_the_store_are_each_logged_once(self):
         """Guards against a log line for each failed call of a long outage."""
         self.listed(upstream("u1", 3))
@@ -259,7 +395,7 @@
                 configuration_milliseconds=configuration,
                 leaving_milliseconds=leaving,
             )
-            found = _store_watch.answer_interval_seconds(bounded)
+            found = store_watch.answer_interval_seconds(bounded)
             self.assertEqual(found, expected)
 
     def test_only_schedulers_follow_upstreams_at_once(self):
@@ -325,7 +461,7 @@
     def test_expired_watch_is_followed_by_a_list(self):
         """Guards against a watch that continues from a dropped revision."""
         self.listed(upstream("u1", 3))
-        self.feed(events.WatchExpired(_store_watch.WATCH_OPERATION, "upstreams"))
+        self.feed(events.WatchExpired(store_watch.WATCH_OPERATION, "upstreams"))
         self.assertIsInstance(self.next_call(), actions.ListObjects)
 
 
