List findings of a valid configuration in the check command

A configuration with a hidden route, a binding that no request reaches or a time-out under its goal passed `check`, because only values that entries refuse were looked at, and only the first of these was printed.

The present checks are reused as the rule `invalid-declaration` and keep exit status 2, which scripts and tests rely on; findings with which entries still accept the configuration give 1.

--- a/src/carawayhitch/cli/_commands.py
+++ b/src/carawayhitch/cli/_commands.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from carawayhitch import __version__
+from carawayhitch.cli._check import add_check_command
 from carawayhitch.cli._declarations import add_declaration_commands
 from carawayhitch.cli._explain import add_explain_command
 from carawayhitch.cli._statuses import USAGE_EXIT_STATUS
@@ -15,6 +16,7 @@
 
 def add_commands(commands: Any) -> None:
     """Add all commands except ``serve`` to the subparsers of the command line."""
+    add_check_command(commands)
     add_declaration_commands(commands)
     add_explain_command(commands)
     replay_parser = commands.add_parser(
--- a/src/carawayhitch/cli/_declarations.py
+++ b/src/carawayhitch/cli/_declarations.py
@@ -1,4 +1,4 @@
-"""The ``check``, ``diff``, ``apply``, ``get`` and ``status`` commands."""
+"""The ``diff``, ``apply``, ``get`` and ``status`` commands."""
 
 from __future__ import annotations
 
@@ -54,16 +54,17 @@
 
 def _read_valid_folder(folder: str) -> codecs.FolderDeclarations:
     declared_folder = codecs.read_declarations(folder)
-    _raise_first_problem(
+    raise_first_problem(
         declared_folder.declarations_by_key, declared_folder.sources_by_key
     )
     return declared_folder
 
 
-def _raise_first_problem(
+def raise_first_problem(
     declared: dict[declarations.ObjectKey, Any],
     sources: dict[declarations.ObjectKey, str],
 ) -> None:
+    """Raise the first invalid value of declarations, if there is one."""
     problems = controllers.find_declaration_problems(declared.values())
     if problems:
         described = controllers.format_problem(problems[0], sources)
@@ -71,21 +72,6 @@
         raise errors.InvalidValueError(INVALID_DECLARATION, described + more)
 
 
-def run_check(options: argparse.Namespace) -> int:
-    """Check settings, declarations or both without network access."""
-    if not options.settings and not options.declarations:
-        message = "check: missing argument, expected --settings, a folder, or both"
-        raise errors.InvalidValueError(result_codes.INVALID_SETTING, message)
-    if options.settings:
-        codecs.read_settings(options.settings)
-        print(f"{options.settings}: settings are valid")
-    if options.declarations:
-        declared_folder = _read_valid_folder(options.declarations)
-        count = len(declared_folder.declarations_by_key)
-        print(f"{options.declarations}: {count} declarations are valid")
-    return 0
-
-
 def find_differences(
     declared: dict[declarations.ObjectKey, Any],
     stored: dict[declarations.ObjectKey, codecs.ObjectBody],
@@ -99,7 +85,7 @@
     for key in codecs.sort_keys_by_dependency(declared):
         known = stored.get(key)
         write_version = known["write_version"] if known else 0
-        current = _stored_declaration(known) if known else None
+        current = stored_declaration(known) if known else None
         if current != declared[key]:
             sign = "+" if current is None else "~"
             differences.append(
@@ -115,7 +101,7 @@
     return differences
 
 
-def _stored_declaration(stored: codecs.ObjectBody) -> Any:
+def stored_declaration(stored: codecs.ObjectBody) -> Any:
     """Return the declaration of an object, or its mapping if it is not valid.
 
     The result is None for a tombstone.
@@ -140,12 +126,12 @@
     if not options.prune:
         merged: dict[declarations.ObjectKey, Any] = {}
         for key, known in stored.items():
-            current = _stored_declaration(known)
+            current = stored_declaration(known)
             if current is not None and not isinstance(current, dict):
                 merged[key] = current
         merged.update(folder.declarations_by_key)
         sources = {key: f"{entry.url} (not in the folder)" for key in merged}
-        _raise_first_problem(merged, {**sources, **folder.sources_by_key})
+        raise_first_problem(merged, {**sources, **folder.sources_by_key})
     return find_differences(folder.declarations_by_key, stored, options.prune)
 
 
@@ -364,10 +350,6 @@
 
 def add_declaration_commands(commands: Any) -> None:
     """Add the commands to the subparsers of the command line."""
-    check = commands.add_parser("check", help="check settings and declarations")
-    check.add_argument("--settings", help="TOML file")
-    check.add_argument("declarations", nargs="?", help="folder of TOML files")
-    check.set_defaults(run=run_check)
     for name, run, text in (
         ("diff", run_diff, "print what apply would change"),
         ("apply", run_apply, "write the changed objects through an entry"),
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -19,6 +19,7 @@
 from carawayhitch.codecs._declaration_files import (
     FolderDeclarations,
     encode_declarations_toml,
+    read_declaration_file,
     read_declarations,
     sort_keys_by_dependency,
 )
@@ -179,6 +180,7 @@
     "message_type_name",
     "object_bodies_from_rows",
     "parse_labels",
+    "read_declaration_file",
     "read_declarations",
     "read_settings",
     "record_from_mapping",
--- a/src/carawayhitch/codecs/_declaration_files.py
+++ b/src/carawayhitch/codecs/_declaration_files.py
@@ -45,6 +45,13 @@
     return found
 
 
+def read_declaration_file(path: str) -> FolderDeclarations:
+    """Return the declarations in one TOML file, or raise as `read_declarations`."""
+    found = FolderDeclarations({}, {})
+    _read_file(Path(path), found)
+    return found
+
+
 def _read_file(path: Path, found: FolderDeclarations) -> None:
     try:
         tables = tomllib.loads(path.read_text(encoding="utf-8"))
