Compare a configuration with the one in force in the check command

Before a change, operators saw with `diff` which objects differ, but not which fields. Groups are compared with the labels of the upstreams that the entry lists, if it lists any.

Differences do not change the exit status, since a configuration that is about to be sent normally differs; no usable answer gives 2. A refusal that is cut off ended the command with a traceback of `http.client`; `check` now reports it in one line.

`python -m unittest tests.controllers.test_configuration_findings`: 7 tests pass; without `http.client.HTTPException` among the read errors the test of an entry that cannot be read fails. `tests.test_configuration_processes`: the output of `get` has no differences from real entries.

--- a/src/carawayhitch/cli/_declarations.py
+++ b/src/carawayhitch/cli/_declarations.py
@@ -390,6 +390,11 @@
     parser.add_argument(
         "--entry", default="http://127.0.0.1:8080", help="URL of any entry"
     )
+    add_token_option(parser)
+
+
+def add_token_option(parser: argparse.ArgumentParser) -> None:
+    """Add the option that names a file with the operators' token."""
     parser.add_argument(
         "--token-file",
         help="file with the operators' token; default: CARAWAYHITCH_ADMIN_TOKEN",
--- a/src/carawayhitch/controllers/configuration_checks/__init__.py
+++ b/src/carawayhitch/controllers/configuration_checks/__init__.py
@@ -5,6 +5,11 @@
 
 from __future__ import annotations
 
+from carawayhitch.controllers.configuration_checks._differences import (
+    Difference,
+    FieldChange,
+    find_changes,
+)
 from carawayhitch.controllers.configuration_checks._findings import (
     INVALID_DECLARATION_RULE,
     RULES,
@@ -15,7 +20,10 @@
 __all__ = [
     "INVALID_DECLARATION_RULE",
     "RULES",
+    "Difference",
+    "FieldChange",
     "Finding",
     "Known",
+    "find_changes",
     "find_findings",
 ]
