Make findings and reports of the check command exact

Differences from a stored object that is not valid named fields that are equal. A refusal that is cut off is reported with the address of the entry instead of the file.

--- a/src/carawayhitch/cli/_check.py
+++ b/src/carawayhitch/cli/_check.py
@@ -4,6 +4,7 @@
 
 import argparse
 import http.client
+import json
 import sys
 from pathlib import Path
 from typing import Any, NamedTuple, TypedDict
@@ -30,14 +31,8 @@
 SHOWN_VALUE_LENGTH = 80
 
 # Python and its libraries raise these for numbers with too many digits, nesting that is
-# too deep, paths that the system does not accept and refusals that are cut off.
-READ_ERRORS = (
-    OSError,
-    ValueError,
-    OverflowError,
-    RecursionError,
-    http.client.HTTPException,
-)
+# too deep and paths that the system does not accept.
+READ_ERRORS = (OSError, ValueError, OverflowError, RecursionError)
 
 
 class FindingBody(TypedDict):
@@ -88,7 +83,7 @@
 
 
 class InForce(NamedTuple):
-    """What an entry reports: its declarations and the labels of its upstreams.
+    """What an entry reports: fields of its objects and labels of its upstreams.
 
     Parameters
     ----------
@@ -96,7 +91,7 @@
         None if the entry lists no upstreams.
     """
 
-    declared: dict[declarations.ObjectKey, Any]
+    objects: dict[declarations.ObjectKey, dict[str, Any]]
     labels_by_upstream_id: dict[str, declarations.Labels] | None
 
 
@@ -107,9 +102,10 @@
         body: ReportBody = {
             "findings": list(report.bodies),
             "differences": list(report.differences),
-            "error": _printable(report.error),
+            "error": report.error,
         }
-        print(codecs.encode_json(body).decode())
+        # ASCII only, so that standard output can encode it whatever its encoding.
+        print(json.dumps(body))
     else:
         differences = map(_format_difference, report.differences)
         for line in (*report.valid, *report.lines, *differences):
@@ -152,6 +148,9 @@
     report: Report,
 ) -> Report:
     path = options.declarations
+    if not Path(path).exists():
+        message = f"{path}: not found, expected a TOML file or a folder of TOML files"
+        raise errors.InvalidValueError(result_codes.INVALID_DECLARATION, message)
     is_file = Path(path).is_file()
     read = codecs.read_declaration_file if is_file else codecs.read_declarations
     declared, sources = read(path)
@@ -160,7 +159,10 @@
         entry = Entry(options.against, read_admin_token(options.token_file))
         in_force = _read_in_force(entry)
         known = known._replace(labels_by_upstream_id=in_force.labels_by_upstream_id)
-        differences = configuration_checks.find_changes(declared, in_force.declared)
+        differences = configuration_checks.find_changes(
+            {key: codecs.mapping_from_record(item) for key, item in declared.items()},
+            in_force.objects,
+        )
         report = report._replace(differences=tuple(map(_difference_body, differences)))
     findings = configuration_checks.find_findings(declared.values(), known)
     report = report._replace(
@@ -179,14 +181,19 @@
 
 
 def _read_in_force(entry: Entry) -> InForce:
-    declared = {
-        key: declaration
-        for key, stored in read_objects(entry).items()
+    try:
+        listed = read_objects(entry)
+        upstreams = read_status(entry)["upstreams"]
+    except http.client.HTTPException as error:
+        message = f"{entry.url}: refusal that is cut off: {error}"
+        raise errors.StoreError(result_codes.CHANGE_UNKNOWN, message) from None
+    objects = {
+        key: codecs.mapping_from_record(declaration)
+        for key, stored in listed.items()
         if (declaration := stored_declaration(stored)) is not None
     }
-    upstreams = read_status(entry)["upstreams"]
     labels = {upstream["id"]: upstream["labels"] for upstream in upstreams}
-    return InForce(declared, labels or None)
+    return InForce(objects, labels or None)
 
 
 def _difference_body(difference: configuration_checks.Difference) -> DifferenceBody:
@@ -197,8 +204,8 @@
         "fields": [
             {
                 "field": field,
-                "in_force": repr(codecs.mapping_from_record(in_force)),
-                "declared": repr(codecs.mapping_from_record(declared)),
+                "in_force": repr(in_force),
+                "declared": repr(declared),
             }
             for field, in_force, declared in difference.fields
         ],
@@ -228,7 +235,7 @@
     key = declarations.ObjectKey(problem.kind, problem.name)
     return {
         "rule": finding.rule,
-        "source": _printable(sources.get(key, "")),
+        "source": sources.get(key, ""),
         "kind": problem.kind,
         "name": problem.name,
         "key": problem.key,
