Count the same cold time in another registration again

A registration is read with each change of any other, so only a changed `coldLeftMs` began a cold time. A server that became cold twice was missed the second time where the value between the two was not read. The version of the registration now tells the two apart.

--- a/src/carawayhitch/controllers/cold_start/_decisions.py
+++ b/src/carawayhitch/controllers/cold_start/_decisions.py
@@ -90,10 +90,12 @@
         address=vm.address,
         started_at=max(row.started_at, vm.started_at),
         announced_seconds=vm.cold_left_seconds,
+        registration_version=vm.version,
     )
     if vm.address != row.address or vm.started_at > row.started_at:
         return [*_begin_whole_warm_up(board, row.upstream_id, "started", now)]
-    if vm.cold_left_seconds in (0.0, row.announced_seconds):
+    known = (row.announced_seconds, row.registration_version)
+    if not vm.cold_left_seconds or (vm.cold_left_seconds, vm.version) == known:
         return []
     until = now + vm.cold_left_seconds
     return [*begin_warm_up(board, row.upstream_id, "registration", until, now)]
--- a/src/carawayhitch/core/_upstream_events.py
+++ b/src/carawayhitch/core/_upstream_events.py
@@ -24,6 +24,8 @@
         Port of an entry's HTTP interface; 0 for upstreams.
     cold_left_seconds : float
         Time for which the upstream was still cold when it wrote its registration.
+    version : int
+        Version of the registration in the store; 0 for a list that has none.
     """
 
     vm_id: str
@@ -37,6 +39,7 @@
     started_at: int = 0
     http_port: int = 0
     cold_left_seconds: float = 0.0
+    version: int = 0
 
 
 class VmListReceived(NamedTuple):
--- a/src/carawayhitch/core/_upstream_rows.py
+++ b/src/carawayhitch/core/_upstream_rows.py
@@ -101,9 +101,9 @@
     report_deadline : float
         Time from which the last load report of an engine is too old to show that it
         has not become cold since; 0 before the first report.
-    announced_seconds : float
-        Remaining time in the last registration that was taken into account; the same
-        registration is read many times.
+    announced_seconds, registration_version : float and int
+        Remaining time in the last registration that was taken into account, and its
+        version; the same registration is read many times.
     """
 
     upstream_id: str
@@ -112,6 +112,7 @@
     cold_until: float
     report_deadline: float = 0.0
     announced_seconds: float = 0.0
+    registration_version: int = 0
 
 
 class SchedulerShareRow(NamedTuple):
--- a/src/carawayhitch/platform/_declarations.py
+++ b/src/carawayhitch/platform/_declarations.py
@@ -144,7 +144,7 @@
             elif stored.kind == declarations.UPSTREAM_REGISTRATION:
                 declaration = decode_registration(
                     stored.name, stored.value, regions_by_zone
-                )
+                )._replace(version=stored.version)
             elif stored.kind == declarations.ENTRY_REGISTRATION:
                 declaration = codecs.decode_entry_registration(
                     stored.name, stored.value
--- a/tests/controllers/test_cold_start.py
+++ b/tests/controllers/test_cold_start.py
@@ -311,6 +311,15 @@
         self.entry.list_upstreams(now + 0.7, cold_left_seconds=0.8)
         self.assertFalse(self.is_cold(now + 0.9))
 
+    def test_same_time_in_another_registration_counts(self):
+        """Guards against a missed sign where a write between two was not read."""
+        now = self.entry.warm()
+        self.entry.report(now)
+        self.entry.list_upstreams(now, cold_left_seconds=0.8, version=5)
+        self.entry.list_upstreams(now + 2.0, cold_left_seconds=0.8, version=9)
+        self.assertTrue(self.is_cold(now + 2.7))
+        self.assertFalse(self.is_cold(now + 2.9))
+
     def test_change_is_logged_once_where_the_cell_is_scheduled(self):
         """Guards against a limit that no operator can see."""
         now = self.entry.warm()
--- a/tests/platform/test_declarations.py
+++ b/tests/platform/test_declarations.py
@@ -80,6 +80,8 @@
             spec = {**REGISTRATION, "coldLeftMs": value}
             decoded = decode(declarations.UPSTREAM_REGISTRATION, spec)
             self.assertEqual(decoded.declaration.cold_left_seconds, expected)
+            # Tells two registrations with the same time apart.
+            self.assertEqual(decoded.declaration.version, decoded.version)
 
 
 class FractionsTest(unittest.IsolatedAsyncioTestCase):
