--- a/src/carawayhitch/node/_start_costs.py
+++ b/src/carawayhitch/node/_start_costs.py
@@ -1,7 +1,7 @@
 """What the start of this process took, for the log.
 
 Together they separate causes of a slow start: much processor time (the start itself),
-little of it and many reads (the disk), or neither (a busy machine).
+little of it and many blocks read (the disk), or neither (a busy machine).
 """
 
 from __future__ import annotations
@@ -25,13 +25,13 @@
         None where the system does not tell when a process was created.
     processor_seconds : float
         Processor time in user and system mode.
-    disk_reads : int
-        Page faults that waited for a disk.
+    disk_blocks : int
+        Blocks of 512 B read from a disk, by page faults as well.
     """
 
     elapsed_seconds: float | None
     processor_seconds: float
-    disk_reads: int
+    disk_blocks: int
 
 
 def read_start_costs() -> StartCosts:
@@ -39,7 +39,7 @@
     return StartCosts(
         _elapsed_seconds(),
         round(time.process_time(), 3),
-        resource.getrusage(resource.RUSAGE_SELF).ru_majflt,
+        resource.getrusage(resource.RUSAGE_SELF).ru_inblock,
     )
 
 
