--- a/src/carawayhitch/codecs/_records.py
+++ b/src/carawayhitch/codecs/_records.py
@@ -41,9 +41,14 @@
     return annotation
 
 
+@cache
+def _field_types(record_type: Any) -> dict[str, Any]:
+    return get_type_hints(record_type, include_extras=True)
+
+
 @cache
 def _struct_type(record_type: Any) -> type[msgspec.Struct]:
-    hints = get_type_hints(record_type, include_extras=True)
+    hints = _field_types(record_type)
     fields = [
         (name, _validation_type(hints[name]))
         if name not in record_type._field_defaults
@@ -61,7 +66,7 @@
 
 def _to_record(value: Any, annotation: Any) -> Any:
     if is_record_type(annotation):
-        hints = get_type_hints(annotation, include_extras=True)
+        hints = _field_types(annotation)
         found = {
             name: _to_record(getattr(value, name), hints[name])
             for name in annotation._fields
