Apply the limits of callers only when they change

Cause: the gateway set two values of sanic's configuration for each call, each through a chain of Python functions.

--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -118,6 +118,7 @@
     config.REQUEST_MAX_SIZE = node.settings.limits.body_bytes
     config.GRACEFUL_SHUTDOWN_TIMEOUT = node.settings.drain.limit_seconds
     config.KEEP_ALIVE = True
+    application.ctx.caller_limits = None
     apply_caller_limits(application, node)
     for path in ("/", "/<path:path>"):
         application.add_route(
@@ -138,6 +139,10 @@
     if configuration is None:
         return
     limits = configuration.caller_limits
+    # Each assignment to the configuration of sanic takes 10 us.
+    if application.ctx.caller_limits is limits:
+        return
+    application.ctx.caller_limits = limits
     application.config.KEEP_ALIVE_TIMEOUT = limits.idle_seconds
     application.config.REQUEST_TIMEOUT = limits.header_seconds
 
