--- a/soak/_world.py
+++ b/soak/_world.py
@@ -31,7 +31,7 @@
 # A cold server crashes well above its bound.
 COLD_CRASH_FACTOR = 2
 COLD_SETTINGS_TEXT = f"cold_overage = {COLD_OVERAGE}\ncold_slack = {COLD_SLACK}\n"
-SERVING_LOG_FIELD = '"event": "serving"'
+SERVING_LOG_FIELD = '"event":"serving"'
 # Routes that exist for the whole run. Clients wait longer than their timeouts.
 PERMANENT_ROUTES = (
     route("look", "safe", PLAIN_SERVICE, timeoutMs=2000),
