Reckon waits from the capacity left, and keep places of refused calls

The wait of an ask was reckoned from the rate of grants alone, once four had been made in a backlog of 2 s. At the start of a burst and after a loss of engines asks waited in vain, and those that came back counted as in time for another goal, so that they delayed calls that could still meet theirs.

With [overload] enabled, the scheduler counts the upstreams that take work and the work that waits and arrives. A refused ask keeps its place and its first goal; returns are spaced by account. Off by default.

Ruled out in trials of the replay: a better Retry-After alone, returned asks before those in time, refusing returns that come too early.

--- a/experiments/returning_clients.py
+++ b/experiments/returning_clients.py
@@ -6,13 +6,13 @@
 engines that leave in turns and return. Engines read prompts one after another and then
 decode at a fixed rate.
 
-Run: python -m experiments.returning_clients --seed 1
+Run: python -m experiments.returning_clients --seeds 4
 """
 
 from __future__ import annotations
 
 import argparse
-from collections import Counter
+from collections import Counter, defaultdict
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -20,7 +20,15 @@
 
 from carawayhitch import controllers
 from carawayhitch.board import Board, new_board
-from carawayhitch.core import actions, declarations, events, messages, rows, settings
+from carawayhitch.core import (
+    actions,
+    declarations,
+    events,
+    messages,
+    result_codes,
+    rows,
+    settings,
+)
 
 CELL = "models/region-1/0"
 GROUP = "models"
@@ -34,6 +42,7 @@
 # Clients honour Retry-After up to this share of the time that they have left.
 HONOURED_SHARE = 1 / 3
 PATIENCE_SECONDS = 9.6
+EXPIRED_RETRY_SECONDS = 5.0
 
 
 class Kind(NamedTuple):
@@ -105,10 +114,10 @@
     free_at_by_engine_id: dict[str, float]
     running_by_request_id: dict[str, tuple[str, float]]
     outcomes: Counter[tuple[str, str]]
-    sums: Counter[tuple[str, str]]
+    sums: dict[tuple[str, str], float]
 
 
-def new_world(load: Load, seed: int, overload: Any = None) -> World:
+def new_world(load: Load, seed: int, is_on: bool = False) -> World:
     """Return a scheduler's board with idle engines and nothing pending."""
     node = settings.NodeSettings(SCHEDULER, "zone-1", "region-1")
     made = settings.Settings(
@@ -116,13 +125,12 @@
         settings.PeerSettings(()),
         settings.StoreSettings("http://127.0.0.1"),
         settings.PlatformSettings("http://127.0.0.1"),
+        overload=settings.OverloadSettings(is_on),
         scheduling=settings.SchedulingSettings(
             prefill_tokens_per_second=PREFILL_TOKENS_PER_SECOND,
             load_interval_seconds=LOAD_SECONDS,
         ),
     )
-    if overload is not None:
-        made = made._replace(overload=overload)
     board = new_board(made, 1)
     capacity = declarations.EngineCapacity(slots=SLOTS, memory_tokens=MEMORY_TOKENS)
     group = declarations.ServingGroup(GROUP, {}, engine=capacity)
@@ -167,7 +175,7 @@
         dict.fromkeys(engine_ids, 0.0),
         {},
         Counter(),
-        Counter(),
+        defaultdict(float),
     )
 
 
@@ -218,11 +226,26 @@
             goal_deadline=now + min(left, call.kind.goal),
         ),
     )
+    expires_at = now + min(left, PATIENCE_SECONDS)
+    schedule(world, expires_at, expire_wait, request_id)
+
+
+def expire_wait(world: World, now: float, request_id: str) -> None:
+    """Answer a call that still waits at its deadline, as its entry does."""
+    if request_id not in world.board.asks_by_request_id:
+        return
+    feed(world, now, messages.AskWithdrawn(ENTRY, request_id, 1, CELL))
+    refusal = messages.AdmissionRefusal(
+        ENTRY, request_id, 1, CELL, result_codes.WAIT_EXPIRED, EXPIRED_RETRY_SECONDS
+    )
+    end_refused(world, now, refusal)
 
 
 def end_refused(world: World, now: float, refusal: messages.AdmissionRefusal) -> None:
     """Let the client of a refused attempt come back, if it does."""
-    call = world.calls_by_request_id.pop(refusal.request_id)
+    call = world.calls_by_request_id.pop(refusal.request_id, None)
+    if call is None:
+        return
     waited = now - world.asked_at_by_request_id.pop(refusal.request_id)
     kind = call.kind.name
     world.outcomes[kind, refusal.code.name] += 1
@@ -367,9 +390,9 @@
             schedule(world, at, ask, call)
 
 
-def run(load: Load, seed: int, overload: Any = None) -> World:
+def run(load: Load, seed: int, is_on: bool = False) -> World:
     """Replay one load and return the state at its end."""
-    world = new_world(load, seed, overload)
+    world = new_world(load, seed, is_on)
     feed(world, 0.0, events.ProcessStarted(1))
     schedule(world, 0.0, report_loads)
     schedule(world, 0.5, report_all)
@@ -383,31 +406,43 @@
     return world
 
 
-def summarise(world: World) -> list[str]:
-    """Return one line for each kind of call."""
+def summarise(worlds: list[World]) -> list[str]:
+    """Return one line for each kind of call, summed over runs."""
     lines = []
-    for kind in world.load.kinds:
+    for kind in worlds[0].load.kinds:
         names = ("in goal", "late", "never", "WAIT_EXPIRED", "DEADLINE_UNREACHABLE")
-        counts = [world.outcomes[kind.name, name] for name in names]
-        told = world.sums[kind.name, "told after s"] / max(1, counts[2])
-        late = world.sums[kind.name, "late first s"] / max(1, counts[1])
-        vain = world.sums[kind.name, "waited in vain s"]
+        counts = [
+            sum(world.outcomes[kind.name, name] for world in worlds) for name in names
+        ]
+        vain, told, late = (
+            sum(world.sums[kind.name, name] for world in worlds)
+            for name in ("waited in vain s", "told after s", "late first s")
+        )
         figures = " | ".join(map(str, counts))
-        lines.append(f"{kind.name} | {figures} | {vain:.0f} | {told:.1f} | {late:.1f}")
+        told_mean, late_mean = told / max(1, counts[2]), late / max(1, counts[1])
+        lines.append(
+            f"{kind.name} | {figures} | {vain:.0f} | {told_mean:.1f} | {late_mean:.1f}"
+        )
     return lines
 
 
 def main() -> None:
     """Print a table of outcomes by kind of call."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--load", choices=sorted(LOADS), default="lah")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--factor", type=float, default=3.0)
+    parser.add_argument("--seeds", type=int, default=4, help="runs seeds 1 to this one")
     arguments = parser.parse_args()
-    load = LOADS[arguments.load]._replace(factor=arguments.factor)
-    print("kind | in goal | late | never | expired | refused | vain s | told s | late s")
-    for line in summarise(run(load, arguments.seed)):
-        print(line)
+    print(
+        "load, burst | enabled | kind | in goal | late | never | expired | refused"
+        " | waited in vain s | told after s | late first token s"
+    )
+    for name, load in LOADS.items():
+        for factor in (1.0, 2.5, 4.0):
+            for is_on in (False, True):
+                changed = load._replace(factor=factor)
+                seeds = range(1, arguments.seeds + 1)
+                worlds = [run(changed, seed, is_on) for seed in seeds]
+                for line in summarise(worlds):
+                    print(f"{name}, {factor} | {is_on} | {line}", flush=True)
 
 
 if __name__ == "__main__":
--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -80,6 +80,10 @@
     zone_demands_by_cell_id: dict[str, rows.ZoneDemandRow]
     zone_reasons_by_request_id: dict[str, str]
     zone_drains_by_name: dict[str, rows.ZoneDrainRow]
+    return_places_by_call: dict[tuple[str, str, str], rows.ReturnPlaceRow]
+    next_return_times_by_account: dict[tuple[str, str, str], float]
+    arriving_work_by_rank: dict[tuple[str, str], rows.ArrivingWorkRow]
+    engine_times_by_binding: dict[str, rows.EngineTimeRow]
     duties_by_kind: dict[str, tuple[str, ...]]
     duty_loads_by_node_id: dict[str, rows.DutyLoadRow]
 
@@ -199,6 +203,10 @@
         zone_demands_by_cell_id={},
         zone_reasons_by_request_id={},
         zone_drains_by_name={},
+        return_places_by_call={},
+        next_return_times_by_account={},
+        arriving_work_by_rank={},
+        engine_times_by_binding={},
         duties_by_kind={},
         duty_loads_by_node_id={},
     )
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -67,6 +67,7 @@
     "failuresSeen": messages.FailuresSeen,
     "leavingSeen": messages.LeavingSeen,
     "backoffSeen": messages.BackoffSeen,
+    "placeKept": messages.PlaceKept,
     "crashesSeen": messages.CrashesSeen,
 }
 _wire_names_by_type = {
@@ -105,6 +106,13 @@
     return min(max(deadline - now, -limit), limit)
 
 
+def _remaining_goal_seconds(goal_deadline: float, now: float) -> float:
+    """Return the time left, or zero if there is no goal deadline."""
+    if not goal_deadline:
+        return 0.0
+    return _remaining_seconds(goal_deadline, now) or DUE_NOW_REMAINING_SECONDS
+
+
 def pack_identifier(text: str) -> bytes:
     """Return an identifier as bytes, with hexadecimal text decoded to half its size."""
     if HEXADECIMAL.fullmatch(text):
@@ -175,19 +183,22 @@
     }
 
 
+@wire_fields.register(messages.PlaceKept)
+def _encode_place(message: messages.PlaceKept, now: float) -> dict[str, Any]:
+    return _fields_by_wire_name(message) | {
+        "queuedAt": _remaining_seconds(message.queued_at, now),
+        "goalDeadline": _remaining_goal_seconds(message.goal_deadline, now),
+        "deadline": _remaining_seconds(message.deadline, now),
+    }
+
+
 @wire_fields.register(messages.AdmissionAsk)
 def _encode_ask(message: messages.AdmissionAsk, now: float) -> dict[str, Any]:
     blocks = message.prefix_blocks[:MAXIMUM_PREFIX_BLOCKS]
     fields = _fields_by_wire_name(message._replace(prefix_blocks=blocks))
-    goal = 0.0
-    if message.goal_deadline:
-        # Zero on the wire means that there is no goal deadline.
-        goal = (
-            _remaining_seconds(message.goal_deadline, now) or DUE_NOW_REMAINING_SECONDS
-        )
     return fields | {
         "deadline": _remaining_seconds(message.deadline, now),
-        "goalDeadline": goal,
+        "goalDeadline": _remaining_goal_seconds(message.goal_deadline, now),
     }
 
 
@@ -568,6 +579,7 @@
     "upstream_ids": _decode_strings,
     "cleared_ids": _decode_strings,
     "deadline": _decode_deadline,
+    "queued_at": _decode_deadline,
     "goal_deadline": _decode_optional_deadline,
     "retry_after": _decode_seconds,
     "code": _decode_code,
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -33,6 +33,7 @@
     leavingSeen @17 :LeavingSeen;
     backoffSeen @18 :BackoffSeen;
     crashesSeen @19 :CrashesSeen;
+    placeKept @20 :PlaceKept;
   }
 }
 
@@ -172,6 +173,16 @@
   startedAt @1 :UInt64;
 }
 
+struct PlaceKept {
+  group @0 :Text;
+  account @1 :Text;
+  fingerprint @2 :Data;
+  # Times are remaining seconds; that of the arrival is negative.
+  queuedAt @3 :Float32;
+  goalDeadline @4 :Float32;
+  deadline @5 :Float32;
+}
+
 struct BackoffSeen {
   upstreamId @0 :Text;
   deadline @1 :Float32;
--- a/src/carawayhitch/controllers/_call_logs.py
+++ b/src/carawayhitch/controllers/_call_logs.py
@@ -79,6 +79,8 @@
         "upstream": upstream_id,
         "code": code.name if code else "",
     }
+    if ask.returned:
+        fields["returned"] = True
     if upstream is not None:
         running = board.grant_ids_by_upstream_id.get(upstream_id, ())
         fields["running"] = len(running)
--- a/src/carawayhitch/controllers/_cells.py
+++ b/src/carawayhitch/controllers/_cells.py
@@ -11,6 +11,7 @@
 from carawayhitch.controllers._selectors import selector_matches
 from carawayhitch.core import actions, declarations, messages, rows
 
+SCHEDULING_TIMER = "scheduling"
 SCHEDULER_CANDIDATE_LIMIT = 3
 SCHEDULING_STATES = frozenset({"alive", "suspect"})
 LIVE_STATES = frozenset({"joining", "alive", "suspect"})
--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import duties, zones
+from carawayhitch.controllers import duties, overload, zones
 from carawayhitch.controllers._backoffs import (
     backoff_notice,
     is_backing_off,
@@ -67,6 +67,7 @@
     now: float,
     random: Random,
     allowed_regions: Sequence[str] = (),
+    call_key: str = "",
 ) -> rows.CellRow | None:
     """Return a cell of the group, in this entry's region if there is one.
 
@@ -74,6 +75,9 @@
 
     The less loaded of two random cells is chosen. An unknown load is assumed to be the
     mean of the known loads, so that the cell is neither overloaded nor left unused.
+
+    Where places of refused calls are kept, the two cells follow from the call's key, so
+    that its next attempt finds its place.
     """
     candidates = _candidate_cells(board, group, allowed_regions)
     if len(candidates) < 2:
@@ -84,8 +88,12 @@
         if (load := board.loads_by_cell_id.get(cell.cell_id)) and now < load.deadline
     }
     mean_load = sum(loads_by_cell_id.values()) / max(1, len(loads_by_cell_id))
+    if call_key and board.settings.overload.enabled:
+        pair = overload.cell_pair(candidates, call_key)
+    else:
+        pair = random.sample(candidates, 2)
     return min(
-        random.sample(candidates, 2),
+        pair,
         key=lambda cell: loads_by_cell_id.get(cell.cell_id, mean_load),
     )
 
@@ -280,7 +288,8 @@
         # Every upstream has named a time that is too late for this call.
         retry_after = available_at - now
         return end_request(row, result_codes.UPSTREAM_REFUSED, retry_after)
-    cell = choose_cell(board, row.group, now, random, row.allowed_regions)
+    call_key = overload.call_key(row.account, row.fingerprint)
+    cell = choose_cell(board, row.group, now, random, row.allowed_regions, call_key)
     if cell is None:
         return _refuse_unplaceable(board, row, now)
     _add_own_request_to_load(board, cell)
--- a/src/carawayhitch/controllers/_prefill.py
+++ b/src/carawayhitch/controllers/_prefill.py
@@ -19,6 +19,13 @@
     return prompt_tokens / rate if rate else 0.0
 
 
+def misses_first_token_goal(board: Board, ask: rows.AskRow, now: float) -> bool:
+    """Return whether the first token can no longer be produced by the goal."""
+    if not ask.goal_deadline:
+        return False
+    return now + prefill_seconds(board, ask.prompt_tokens) > ask.goal_deadline
+
+
 def prefill_backlog_seconds(board: Board, upstream_id: str, now: float) -> float:
     """Return the time that an engine needs to prefill the prompts granted there.
 
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -5,12 +5,11 @@
 from math import exp, sqrt
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _fairness, zones
+from carawayhitch.controllers import _fairness, overload, zones
 from carawayhitch.controllers._call_logs import build_ask_log
 from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.core import actions, messages, result_codes, rows
 
-SCHEDULING_TIMER = "scheduling"
 RETRY_AFTER_MINIMUM_SECONDS = 1.0
 RETRY_AFTER_MAXIMUM_SECONDS = 60.0
 # Used while the grant rate is unknown; a medium value spreads out the retries.
@@ -18,6 +17,12 @@
 # With fewer grants or a shorter backlog the estimated rate is not reliable.
 RATE_GRANT_MINIMUM = 4.0
 RATE_BACKLOG_MINIMUM_SECONDS = 2.0
+# Refusals of work that can be served later.
+LOAD_CODES = (
+    result_codes.QUEUE_FULL,
+    result_codes.DEADLINE_UNREACHABLE,
+    result_codes.WAIT_EXPIRED,
+)
 
 
 def queue_length(board: Board, cell_id: str, rank: str) -> int:
@@ -120,6 +125,10 @@
     allows. The rate is taken two standard deviations above the counted one, so that
     random variation causes no refusals.
     """
+    if overload.applies(board, ask.cell_id):
+        wait = overload.expected_wait(board, ask, now)
+        if wait is not None:
+            return wait
     grants = grants_per_second(board, ask.cell_id, ask.rank, now)
     if not grants:
         return 0.0
@@ -218,12 +227,20 @@
     retry_after: float,
     now: float,
 ) -> list[actions.Action]:
-    """Return the actions that log the refusal of an ask and send it to the entry."""
+    """Return the actions that log the refusal of an ask and send it to the entry.
+
+    Where waits are reckoned from the capacity, its place is kept and Retry-After is the
+    time at which it would be served.
+    """
+    kept: list[actions.Action] = []
+    if code in LOAD_CODES and overload.applies(board, ask.cell_id):
+        retry_after, kept = overload.keep_place(board, ask, now)
     message = messages.AdmissionRefusal(
         board.node_id, ask.request_id, ask.attempt, ask.cell_id, code, retry_after
     )
     return [
         build_ask_log(board, ask, "", code, now),
+        *kept,
         actions.Send(ask.entry_id, message),
     ]
 
@@ -241,4 +258,17 @@
             )
         elif now >= ask.renewed_at + lifetime:
             remove_ask(board, ask.request_id)
+    decided.extend(_refuse_unservable_asks(board, now))
+    return decided
+
+
+def _refuse_unservable_asks(board: Board, now: float) -> list[actions.Action]:
+    decided: list[actions.Action] = []
+    for cell_id in dict.fromkeys(cell_id for cell_id, _ in board.queues_by_rank):
+        if not overload.applies(board, cell_id):
+            continue
+        for ask in overload.unservable_asks(board, cell_id, now):
+            remove_ask(board, ask.request_id)
+            code = result_codes.DEADLINE_UNREACHABLE
+            decided.extend(refuse_ask(board, ask, code, 0.0, now))
     return decided
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -14,12 +14,13 @@
     _queue,
     _rebuild,
     cold_start,
+    overload,
 )
 from carawayhitch.controllers._call_logs import build_ask_log
+from carawayhitch.controllers._cells import SCHEDULING_TIMER
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._crash_records import is_cause_of_crashes
 from carawayhitch.controllers._prompt_evidence import SUSPECT_BLOCK_LIMIT
-from carawayhitch.controllers._queue import SCHEDULING_TIMER
 from carawayhitch.controllers._ranks import rank_class, waiting_ranks
 from carawayhitch.controllers._upstream_choice import choose_upstream, is_usable
 from carawayhitch.core import actions, events, messages, result_codes, rows
@@ -96,6 +97,8 @@
         if granted.attempt > event.attempt:
             return ()
     ask = _ask_row(event, now)
+    if overload.applies(board, event.cell_id):
+        ask = overload.prepare_ask(board, ask, now)
     waiting = board.asks_by_request_id.get(event.request_id)
     if waiting is not None:
         if waiting.attempt > event.attempt:
@@ -268,24 +271,21 @@
             account = _fairness.next_account(board, cell_id, rank, exhausted_accounts)
             if account is None:
                 break
+            late_asks: list[rows.AskRow] = []
             for request_id in _queue.account_queue(board, cell_id, rank, account):
                 if request_id in skipped_request_ids:
                     continue
                 ask = board.asks_by_request_id[request_id]
-                if not _misses_first_token_goal(board, ask, now):
+                if not _prefill.misses_first_token_goal(board, ask, now):
                     return ask
-                first_late_ask = first_late_ask or ask
+                late_asks.append(ask)
+            if first_late_ask is None and late_asks:
+                # An ask that came back is queued last, but keeps its place.
+                first_late_ask = min(late_asks, key=lambda row: row.queued_at)
             exhausted_accounts.add(account)
     return first_late_ask
 
 
-def _misses_first_token_goal(board: Board, ask: rows.AskRow, now: float) -> bool:
-    """Return whether the first token can no longer be produced by the goal."""
-    if not ask.goal_deadline:
-        return False
-    return now + _prefill.prefill_seconds(board, ask.prompt_tokens) > ask.goal_deadline
-
-
 def _grant_ask(
     board: Board, ask: rows.AskRow, upstream_id: str, now: float
 ) -> list[actions.Action]:
@@ -320,6 +320,7 @@
         _rebuild.remove_grant(board, previous, now)
     _rebuild.add_grant(board, grant)
     _queue.remove_ask(board, ask.request_id)
+    overload.forget_place(board, ask)
     _fairness.charge_tokens(board, grant, grant.prompt_tokens, now, grants=1)
     _affinity.record_cached_blocks(board, upstream_id, ask.prefix_blocks)
     cold_start.record_grant(board, upstream_id, now)
--- a/src/carawayhitch/controllers/_suspects.py
+++ b/src/carawayhitch/controllers/_suspects.py
@@ -15,7 +15,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers import _prompt_evidence
 from carawayhitch.controllers._backoffs import load_polls
-from carawayhitch.controllers._cells import send_observation
+from carawayhitch.controllers._cells import SCHEDULING_TIMER, send_observation
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers._crash_records import (
     add_crash,
@@ -26,7 +26,6 @@
     uncleared_crash_count,
 )
 from carawayhitch.controllers._health import FAILURE_STATUS
-from carawayhitch.controllers._queue import SCHEDULING_TIMER
 from carawayhitch.core import actions, events, messages, rows
 
 # Other calls run on the server that a call crashes, and each can be sent to a second
--- /dev/null
+++ b/src/carawayhitch/controllers/overload/__init__.py
@@ -0,0 +1,26 @@
+"""Waits that cannot end in time, and the return of the clients that are refused."""
+
+from __future__ import annotations
+
+from carawayhitch.controllers.overload._capacity import applies, arriving_engines
+from carawayhitch.controllers.overload._cell_pairs import call_key, cell_pair
+from carawayhitch.controllers.overload._decisions import (
+    decide,
+    forget_place,
+    keep_place,
+    prepare_ask,
+)
+from carawayhitch.controllers.overload._waits import expected_wait, unservable_asks
+
+__all__ = [
+    "applies",
+    "arriving_engines",
+    "call_key",
+    "cell_pair",
+    "decide",
+    "expected_wait",
+    "forget_place",
+    "keep_place",
+    "prepare_ask",
+    "unservable_asks",
+]
--- /dev/null
+++ b/src/carawayhitch/controllers/overload/_waits.py
@@ -0,0 +1,237 @@
+"""Expected waits, from the work ahead of an ask and the capacity that is left for it.
+
+An ask that can still meet its goal is served before all that cannot. A late ask gets
+only what arriving work leaves over, so that it may wait in vain although the queue is
+short.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from carawayhitch.board import Board
+from carawayhitch.controllers import _fairness, _prefill
+from carawayhitch.controllers._ranks import rank_class
+from carawayhitch.controllers.overload._capacity import (
+    arriving_engines,
+    usable_engine_count,
+)
+from carawayhitch.core import rows
+
+# A wait that ends in vain costs a caller seconds; a refusal of an ask that could have
+# been served costs it its goal. So asks are refused only if half as much capacity again
+# would not serve them either.
+CAPACITY_MARGIN = 1.5
+# Arriving work may exceed the capacity, and nothing tells for how long. Clients are
+# then told to come back at the rate of this share of the capacity.
+SPARE_SHARE_MINIMUM = 0.25
+# An entry answers its caller itself at the deadline, without a place. The scheduler has
+# to refuse a hopeless ask before: at the sweep (0.5 s) before the deadline.
+REFUSAL_LEAD_SECONDS = 0.6
+
+
+class WaitingWork(NamedTuple):
+    """Work that waits in a cell, in seconds of one engine, by rank and account."""
+
+    in_time: dict[tuple[str, str], float]
+    late: dict[tuple[str, str], float]
+
+
+def waiting_work(board: Board, cell_id: str, now: float) -> WaitingWork:
+    """Return the work that waits in a cell."""
+    work = WaitingWork(defaultdict(float), defaultdict(float))
+    for (queue_cell_id, rank), accounts in board.queues_by_rank.items():
+        if queue_cell_id != cell_id:
+            continue
+        for account, request_ids in accounts.items():
+            for request_id in request_ids:
+                ask = board.asks_by_request_id[request_id]
+                is_late = _prefill.misses_first_token_goal(board, ask, now)
+                group = work.late if is_late else work.in_time
+                group[rank, account] += ask.work_seconds
+    return work
+
+
+def _fair_work_ahead(
+    board: Board, ask: rows.AskRow, own: float, work_by_account: dict[str, float]
+) -> float:
+    """Return the work served before an ask if accounts alternate by quota weight."""
+    weight = _fairness.quota_weight(board, ask.account)
+    return own + sum(
+        min(work, own * _fairness.quota_weight(board, account) / weight)
+        for account, work in work_by_account.items()
+        if account != ask.account
+    )
+
+
+def spare_engines(
+    board: Board, ask: rows.AskRow, priority: float, engines: float, now: float
+) -> float:
+    """Return the engines that the work arriving in ranks before a priority leaves."""
+    return engines - sum(
+        arriving_engines(board, cell_id, rank, now)
+        for cell_id, rank in board.arriving_work_by_rank
+        if cell_id == ask.cell_id and rank_class(board, rank).priority < priority
+    )
+
+
+def _seconds(work: float, engines: float) -> float:
+    return work / engines if engines > 0 else float("inf")
+
+
+def wait_in_time(
+    board: Board, ask: rows.AskRow, work: WaitingWork, engines: float, now: float
+) -> float:
+    """Return the wait of an ask behind those that can meet their goals."""
+    priority = rank_class(board, ask.rank).priority
+    before = 0.0
+    by_account: dict[str, float] = {}
+    for (rank, account), seconds in work.in_time.items():
+        if rank == ask.rank:
+            by_account[account] = seconds
+        elif rank_class(board, rank).priority < priority:
+            before += seconds
+    own = by_account.get(ask.account, 0.0) + ask.work_seconds
+    ahead = before + _fair_work_ahead(board, ask, own, by_account) - ask.work_seconds
+    return _seconds(ahead, spare_engines(board, ask, priority, engines, now))
+
+
+def wait_when_late(
+    board: Board,
+    ask: rows.AskRow,
+    work: WaitingWork,
+    own_late: float,
+    engines: float,
+    now: float,
+) -> float:
+    """Return the wait of an ask that no longer meets its goal.
+
+    Parameters
+    ----------
+    own_late : float
+        Late work of its account that is served before it.
+    """
+    priority = rank_class(board, ask.rank).priority
+    by_account: dict[str, float] = {}
+    before = sum(work.in_time.values())
+    for (rank, account), seconds in work.late.items():
+        if rank == ask.rank:
+            by_account[account] = seconds
+        elif rank_class(board, rank).priority < priority:
+            before += seconds
+    own = own_late + ask.work_seconds
+    ahead = before + _fair_work_ahead(board, ask, own, by_account) - ask.work_seconds
+    spare = spare_engines(board, ask, float("inf"), engines, now)
+    return _seconds(ahead, spare)
+
+
+def _is_judged(ask: rows.AskRow) -> bool:
+    """Return whether an ask may be refused because of its expected wait.
+
+    An ask that came back holds its place, and a second refusal may be the last one
+    that its client accepts. An ask after the first attempt may belong to a call that
+    has run: its refusal would not be "not run", and its client could not come back.
+    """
+    return not ask.returned and ask.attempt == 1
+
+
+def expected_wait(board: Board, ask: rows.AskRow, now: float) -> float | None:
+    """Return the expected wait of a new ask in seconds.
+
+    Returns
+    -------
+    float or None
+        None if the capacity of the cell is not known, because none of its upstreams is
+        usable at present or the size of the work is not known.
+    """
+    cell = board.cells_by_id[ask.cell_id]
+    engines = CAPACITY_MARGIN * usable_engine_count(board, cell, ask.entry_id, now)
+    if not engines or not ask.work_seconds:
+        return None
+    if not _is_judged(ask):
+        return 0.0
+    work = waiting_work(board, ask.cell_id, now)
+    wait = wait_in_time(board, ask, work, engines, now)
+    if not _prefill.misses_first_token_goal(board, ask, now + wait):
+        return wait
+    own_late = work.late.get((ask.rank, ask.account), 0.0)
+    return wait_when_late(board, ask, work, own_late, engines, now)
+
+
+def unservable_asks(board: Board, cell_id: str, now: float) -> list[rows.AskRow]:
+    """Return the waiting asks of a cell whose wait can no longer end in time."""
+    cell = board.cells_by_id.get(cell_id)
+    if cell is None:
+        return []
+    work = waiting_work(board, cell_id, now)
+    engines_by_entry_id: dict[str, float] = {}
+    behind_by_account: dict[tuple[str, str], float] = defaultdict(float)
+    found: list[rows.AskRow] = []
+    for ask in _late_asks(board, cell_id, now):
+        if ask.entry_id not in engines_by_entry_id:
+            count = usable_engine_count(board, cell, ask.entry_id, now)
+            engines_by_entry_id[ask.entry_id] = CAPACITY_MARGIN * count
+        engines = engines_by_entry_id[ask.entry_id]
+        if not engines or not ask.work_seconds:
+            continue
+        account = (ask.rank, ask.account)
+        others = work.late[account] - ask.work_seconds
+        own_late = others - behind_by_account[account]
+        wait = wait_when_late(board, ask, work, own_late, engines, now)
+        if now + max(wait, REFUSAL_LEAD_SECONDS) > ask.deadline:
+            found.append(ask)
+            work.late[account] = others
+        else:
+            behind_by_account[account] += ask.work_seconds
+    return found
+
+
+def _late_asks(board: Board, cell_id: str, now: float) -> list[rows.AskRow]:
+    """Return the asks that may be refused by their wait, those served last first."""
+    return sorted(
+        (
+            ask
+            for ask in board.asks_by_request_id.values()
+            if ask.cell_id == cell_id
+            and _is_judged(ask)
+            and _prefill.misses_first_token_goal(board, ask, now)
+        ),
+        key=lambda ask: ask.queued_at,
+        reverse=True,
+    )
+
+
+def return_seconds(
+    board: Board, ask: rows.AskRow, work: WaitingWork, now: float
+) -> float:
+    """Return the time after which an ask would be served, and 0 if it is not known."""
+    cell = board.cells_by_id[ask.cell_id]
+    engines = usable_engine_count(board, cell, ask.entry_id, now)
+    if not engines:
+        return 0.0
+    priority = rank_class(board, ask.rank).priority
+    ahead = sum(
+        seconds
+        for group in (work.in_time, work.late)
+        for (rank, _), seconds in group.items()
+        if rank_class(board, rank).priority < priority
+    )
+    by_account: dict[str, float] = defaultdict(float)
+    for group in (work.in_time, work.late):
+        for (rank, account), seconds in group.items():
+            if rank == ask.rank:
+                by_account[account] += seconds
+    own = by_account.get(ask.account, 0.0) + ask.work_seconds
+    ahead += _fair_work_ahead(board, ask, own, by_account) - ask.work_seconds
+    return ahead / returning_engines(board, ask, engines, now)
+
+
+def returning_engines(
+    board: Board, ask: rows.AskRow, engines: float, now: float
+) -> float:
+    """Return the engines that are left for the clients of a rank that come back."""
+    # The rank's own arrivals, and those of ranks before it, are served first.
+    after = rank_class(board, ask.rank).priority + 1
+    spare = spare_engines(board, ask, after, engines, now)
+    return max(SPARE_SHARE_MINIMUM * max(1.0, engines), spare)
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -293,6 +293,28 @@
     deadline: float
 
 
+class PlaceKept(NamedTuple):
+    """Notice to the scheduler that the client of a refused ask may come back to.
+
+    Parameters
+    ----------
+    queued_at : float
+        Arrival of the first ask (seconds of the node clock).
+    goal_deadline : float
+        Time by which the answer should have begun; 0 for no target.
+    deadline : float
+        Time at which the place is given up.
+    """
+
+    sender_id: str
+    group: str
+    account: str
+    fingerprint: str
+    queued_at: float
+    goal_deadline: float
+    deadline: float
+
+
 class Probe(NamedTuple):
     """Failure detection probe with piggybacked member and crash rows."""
 
@@ -336,6 +358,7 @@
     | CrashesSeen
     | LeavingSeen
     | BackoffSeen
+    | PlaceKept
     | Probe
     | ProbeAck
     | IndirectProbe
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -28,6 +28,11 @@
     ObjectSetRow,
     StoreScopeRow,
 )
+from carawayhitch.core._overload_rows import (
+    ArrivingWorkRow,
+    EngineTimeRow,
+    ReturnPlaceRow,
+)
 from carawayhitch.core._request_rows import (
     AnsweredMoveRow,
     AnswerTimesRow,
@@ -89,6 +94,7 @@
     "AccountUsageRow",
     "AnswerTimesRow",
     "AnsweredMoveRow",
+    "ArrivingWorkRow",
     "AskRow",
     "CacheCursorRow",
     "CellLoadRow",
@@ -104,6 +110,7 @@
     "EndedRequestRow",
     "EngineFailureRow",
     "EngineStateRow",
+    "EngineTimeRow",
     "EntryShareRow",
     "EvacuationRow",
     "FinishedGrantRow",
@@ -139,6 +146,7 @@
     "RequestRow",
     "ResumeTarget",
     "RetryBudgetRow",
+    "ReturnPlaceRow",
     "RoutedTarget",
     "SchedulerContactRow",
     "SchedulerShareRow",
--- a/src/carawayhitch/core/_scheduling_rows.py
+++ b/src/carawayhitch/core/_scheduling_rows.py
@@ -16,6 +16,11 @@
     goal_deadline : float
         Time by which the answer should begin (seconds of the node clock); 0 for no
         target.
+    returned : bool
+        Whether its client was refused before and came back to the place that was kept.
+    work_seconds : float
+        Time for which the ask alone would use up one engine; 0 if unknown, and without
+        ``overload.enabled``.
     """
 
     request_id: str
@@ -35,6 +40,8 @@
     deadline: float
     renewed_at: float = 0.0
     goal_deadline: float = 0.0
+    returned: bool = False
+    work_seconds: float = 0.0
 
 
 class MemoryForecastRow(NamedTuple):
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -368,6 +368,20 @@
     rate_window_seconds: PositiveSeconds = 5.0
 
 
+class OverloadSettings(NamedTuple):
+    """Refusals while the engines of a cell cannot serve all that waits.
+
+    Parameters
+    ----------
+    enabled : bool
+        Whether waits are reckoned from the capacity that is left and places of refused
+        calls are kept, as described in docs/design/overload.md. If not, waits are
+        reckoned from the rate of grants alone.
+    """
+
+    enabled: bool = False
+
+
 class LogSettings(NamedTuple):
     """Structured logs and the trace of recorded events.
 
@@ -415,3 +429,4 @@
     admin: AdminSettings = AdminSettings()
     gateway: GatewaySettings = GatewaySettings()
     locality: LocalitySettings = LocalitySettings()
+    overload: OverloadSettings = OverloadSettings()
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -8,7 +8,7 @@
 from prometheus_client.exposition import generate_latest
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import cold_start, own_duties, own_strength
+from carawayhitch.controllers import cold_start, overload, own_duties, own_strength
 from carawayhitch.node._logs import process_log_output
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0, 300.0)
@@ -35,6 +35,8 @@
     duties: Gauge
     peer_messages: Counter
     peer_bytes: Counter
+    kept_places: Gauge
+    arriving_work: Gauge
     zone_calls: Counter
     zone_bytes: Counter
 
@@ -145,6 +147,18 @@
             ["direction", "type"],
             registry=registry,
         ),
+        kept_places=Gauge(
+            "carawayhitch_kept_places",
+            "Places of refused calls that are kept here; only with overload.enabled.",
+            registry=registry,
+        ),
+        arriving_work=Gauge(
+            "carawayhitch_arriving_work",
+            "Upstreams that the work arriving in cells scheduled here would keep busy;"
+            " only with overload.enabled.",
+            ["cell", "rank"],
+            registry=registry,
+        ),
         zone_calls=Counter(
             "carawayhitch_zone_calls",
             "Calls by zone of the entry and of the upstream, and by reason; only with"
@@ -184,6 +198,11 @@
         metrics.cold_upstreams.labels(room).set(count)
     for reason, count in process_log_output().dropped_by_reason.items():
         metrics.dropped_log_lines.labels(reason).set(count)
+    metrics.kept_places.set(len(board.return_places_by_call))
+    metrics.arriving_work.clear()
+    for cell_id, rank in board.arriving_work_by_rank:
+        engines = overload.arriving_engines(board, cell_id, rank, now)
+        metrics.arriving_work.labels(cell_id, rank).set(engines)
     metrics.members.clear()
     for member in board.members_by_id.values():
         metrics.members.labels(member.state).inc()
--- a/tests/codecs/test_peer_messages.py
+++ b/tests/codecs/test_peer_messages.py
@@ -31,6 +31,7 @@
     "request_id": identifiers,
     "fingerprint": identifiers,
     "deadline": seconds.map(lambda value: NOW + value),
+    "queued_at": seconds.map(lambda value: NOW + value),
     # Zero means no goal deadline; a deadline at the current time has its own test.
     "goal_deadline": st.one_of(
         st.just(0.0), seconds.filter(bool).map(lambda value: NOW + value)
--- /dev/null
+++ b/tests/controllers/overload/test_overload.py
@@ -0,0 +1,283 @@
+"""Refusals and returns while a burst meets fewer engines, by the scheduler's decisions.
+
+Load: two accounts ask for more than the engines of one cell can serve before the
+deadlines, while engines leave.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from carawayhitch.controllers import _placement, overload
+from carawayhitch.core import actions, declarations, events, messages, rows
+from carawayhitch.core import settings as settings_types
+from experiments import returning_clients
+from tests.controllers import scheduling_world as world
+
+ENGINE_SECONDS = 8.0
+
+
+def overload_board(engine_count=2, enabled=True):
+    """Return a board of full engines, whose answers take 8 s each."""
+    board = world.scheduling_board(engine_count)
+    settings = board.settings
+    board.settings_by_name["in_force"] = settings._replace(
+        overload=settings_types.OverloadSettings(enabled),
+        scheduling=settings.scheduling._replace(prefill_tokens_per_second=100_000.0),
+    )
+    board.engine_times_by_binding["urgent"] = rows.EngineTimeRow(ENGINE_SECONDS)
+    for name, row in board.upstreams_by_id.items():
+        board.upstreams_by_id[name] = row._replace(running_limit=4)
+    for index in range(4 * engine_count):
+        world.feed(board, world.ask(f"running-{index}"), 0.0)
+    return board
+
+
+def ask(name, now, account="hotel", **changes):
+    """Return an ask with a goal of 2 s and a deadline of 10 s."""
+    times = {"deadline": now + 10.0, "goal_deadline": now + 2.0}
+    return world.ask(name, account=account, prompt_tokens=500, **(times | changes))
+
+
+def flood(board, count, now, account="hotel"):
+    """Feed new asks; return the actions."""
+    decided = []
+    for index in range(count):
+        decided += world.feed(board, ask(f"{account}-{now}-{index}", now, account), now)
+    return decided
+
+
+def retry_times(decided):
+    """Return the Retry-After of each refusal, in order."""
+    found = world.sent(decided, messages.AdmissionRefusal)
+    return [message.retry_after for message in found]
+
+
+def set_leaving(board, *names):
+    for name in names:
+        row = board.upstreams_by_id[name]
+        board.upstreams_by_id[name] = row._replace(leaving=True)
+
+
+def sweep(board, now):
+    return world.feed(board, events.TimerFired("scheduling"), now)
+
+
+class RefusalTest(unittest.TestCase):
+    def test_burst_is_refused_before_any_backlog_has_shown_a_rate(self):
+        # Guards against waits in vain in the first seconds of a burst.
+        for enabled in (False, True):
+            refused = world.refusals(flood(overload_board(enabled=enabled), 40, 1.0))
+            self.assertEqual(bool(refused), enabled)
+            self.assertLess(len(refused), 40)
+            self.assertLessEqual(set(refused.values()), {"DEADLINE_UNREACHABLE"})
+
+    def test_lost_engines_count_from_the_next_decision(self):
+        # Guards against a rate from before the loss, which lets asks expire.
+        losses = {
+            "leaving": lambda row: row._replace(leaving=True),
+            "crashed": lambda row: row._replace(unreachable_until=20.0),
+            "refusing": lambda row: row._replace(refused_until=20.0),
+        }
+        whole = len(world.refusals(flood(overload_board(4), 40, 1.0)))
+        for name, lose in losses.items():
+            with self.subTest(name):
+                board = overload_board(4)
+                for lost in ("engine-0", "engine-1"):
+                    row = board.upstreams_by_id[lost]
+                    board.upstreams_by_id[lost] = lose(row)
+                self.assertGreater(len(world.refusals(flood(board, 40, 1.0))), whole)
+
+    def test_other_reasons_for_no_work_take_an_engine_off(self):
+        # Guards against capacity that the choice of an upstream does not have.
+        board = overload_board(5)
+        board.backoff_deadlines_by_entry_upstream["entry-2", "engine-0"] = 20.0
+        health = board.health_by_upstream_id
+        health["engine-1"] = rows.HealthRow("engine-1", ejected_until=20.0)
+        row = board.upstreams_by_id["engine-2"]
+        board.upstreams_by_id["engine-2"] = row._replace(zone="zone-9")
+        board.zone_drains_by_name["zone-9"] = rows.ZoneDrainRow("zone-9", 0.0)
+        cell = board.cells_by_id[world.CELL]
+        count = overload._capacity.usable_engine_count
+        self.assertEqual(count(board, cell, "entry-2", 1.0), 2)
+        self.assertEqual(count(board, cell, "entry-3", 1.0), 3)
+
+    def test_waiting_ask_is_refused_once_engines_leave(self):
+        # Guards against a wait until the deadline that can no longer succeed.
+        board = overload_board(4)
+        flood(board, 6, 1.0)
+        self.assertFalse(world.refusals(sweep(board, 2.0)))
+        set_leaving(board, "engine-1", "engine-2", "engine-3")
+        flood(board, 8, 2.5)
+        self.assertTrue(world.refusals(sweep(board, 4.0)))
+
+    def test_small_account_is_refused_later_than_a_large_one(self):
+        # Guards against a flood of one account that turns the others away.
+        board = overload_board()
+        self.assertTrue(world.refusals(flood(board, 40, 1.0, "large")))
+        self.assertFalse(world.refusals(flood(board, 1, 1.0, "small")))
+        # Many small accounts together are as much work as a large one.
+        crowd = [flood(board, 1, 1.0, f"account-{index}") for index in range(40)]
+        self.assertTrue(world.refusals(sum(crowd, [])))
+
+    def test_second_attempt_is_not_refused_by_its_wait(self):
+        # It may have run: the caller would get no promise and could not come back.
+        board = overload_board()
+        flood(board, 40, 1.0)
+        self.assertFalse(
+            world.refusals(world.feed(board, ask("again", 1.0, attempt=2), 1.0))
+        )
+
+    def test_nothing_is_known_without_a_usable_engine(self):
+        # Guards against refusals of all calls in the moment between two engines.
+        board = overload_board()
+        set_leaving(board, "engine-0", "engine-1")
+        self.assertFalse(world.refusals(flood(board, 5, 1.0)))
+
+    def test_cells_of_entries_are_left_alone(self):
+        # An entry that chooses for itself does not know the calls of the others.
+        board = overload_board()
+        groups = {"quotes": declarations.ServingGroup("quotes", {}, scheduler="entry")}
+        configuration = board.configuration._replace(serving_groups_by_name=groups)
+        board.configuration_by_name["in_force"] = configuration
+        self.assertFalse(world.refusals(flood(board, 40, 1.0)))
+
+
+class ReturnTest(unittest.TestCase):
+    def setUp(self):
+        self.board = overload_board()
+        self.refused = flood(self.board, 40, 1.0, "large")
+        self.name = next(iter(world.refusals(self.refused)))
+
+    def come_back(self, now, name="back"):
+        fingerprint = f"fingerprint of {self.name}"
+        event = ask(name, now, "large", fingerprint=fingerprint)
+        return world.feed(self.board, event, now)
+
+    def test_clients_are_told_different_times(self):
+        # Guards against a second burst by the clients of the first.
+        times = retry_times(self.refused)
+        self.assertGreater(len(times), 5)
+        self.assertGreaterEqual(min(times), 1.0)
+        unclamped = [time for time in times if 1.0 < time < 60.0]
+        self.assertEqual(len(unclamped), len(set(unclamped)))
+
+    def test_accounts_share_the_times_of_return(self):
+        # Guards against returns in order of refusal, and beyond the capacity together.
+        first = retry_times(self.refused)
+        second = retry_times(flood(self.board, 40, 1.0, "small"))
+        self.assertLess(min(second), max(first) / 2)
+        self.assertGreater(second[2] - second[1], 1.9 * (first[2] - first[1]))
+
+    def test_returned_ask_has_its_place_and_its_first_goal(self):
+        # Guards against a return that delays calls that can still meet their goals.
+        self.assertFalse(world.refusals(self.come_back(7.0)))
+        row = self.board.asks_by_request_id["back"]
+        self.assertTrue(row.returned)
+        self.assertEqual((row.queued_at, row.goal_deadline), (1.0, 3.0))
+
+    def test_returned_ask_goes_before_later_late_ones_and_after_those_in_time(self):
+        late = ask("late", 4.0, "large", attempt=2)
+        world.feed(self.board, late, 6.5)
+        self.come_back(7.0)
+        world.feed(self.board, ask("new", 7.0, "large"), 7.0)
+        decided = []
+        for index in range(8):
+            finished = world.finished(f"running-{index}")
+            decided += world.feed(self.board, finished, 7.1)
+        order = list(world.granted(decided))
+        self.assertEqual(order[0], "new")
+        self.assertLess(order.index("back"), order.index("late"))
+        self.assertEqual(self.board.return_places_by_call.get(self.key()), None)
+
+    def key(self):
+        return ("quotes", "large", f"fingerprint of {self.name}")
+
+    def test_place_ends_at_its_deadline(self):
+        # Guards against state that nobody deletes.
+        deadline = self.board.return_places_by_call[self.key()].deadline
+        self.come_back(deadline, "too late")
+        late = self.board.asks_by_request_id.get("too late")
+        self.assertFalse(late and late.returned)
+        for now in (200.0, 300.0):
+            # The first sweep refuses asks that still wait, and keeps their places.
+            sweep(self.board, now)
+        self.assertEqual(self.board.return_places_by_call, {})
+        self.assertEqual(self.board.next_return_times_by_account, {})
+        self.assertEqual(self.board.arriving_work_by_rank, {})
+
+    def test_places_of_an_account_are_bounded(self):
+        flood(self.board, 400, 1.0, "large")
+        counts = [account for _, account, _ in self.board.return_places_by_call]
+        self.assertLessEqual(counts.count("large"), 200)
+
+    def test_other_scheduler_of_the_pair_knows_the_place(self):
+        # Guards against a place that is lost because the client reaches another cell.
+        board = overload_board()
+        for index in (1, 2):
+            cell = board.cells_by_id[world.CELL]
+            other = cell._replace(cell_id=f"quotes/region-1/{index}")
+            board.cells_by_id[other.cell_id] = other
+            board.schedulers_by_cell_id[other.cell_id] = (f"entry-{index + 4}",)
+        told = [
+            action
+            for action in flood(board, 40, 1.0)
+            if isinstance(action, actions.Send)
+            and isinstance(action.message, messages.PlaceKept)
+        ]
+        self.assertTrue(told)
+        receiver = overload_board()
+        for action in told:
+            notice = action.message
+            key = overload.call_key(notice.account, notice.fingerprint)
+            pair = [
+                board.schedulers_by_cell_id[cell.cell_id][0]
+                for cell in overload.cell_pair(list(board.cells_by_id.values()), key)
+            ]
+            self.assertIn(action.node_id, pair)
+            world.feed(receiver, notice, 1.0)
+        again = ask("back", 5.0, fingerprint=told[0].message.fingerprint)
+        world.feed(receiver, again, 5.0)
+        self.assertTrue(receiver.asks_by_request_id["back"].returned)
+
+    def test_entries_choose_between_the_same_two_cells(self):
+        cells = {f"quotes/region-1/{index}" for index in range(5)}
+        board = overload_board()
+        for cell_id in cells:
+            cell = board.cells_by_id[world.CELL]
+            board.cells_by_id[cell_id] = cell._replace(cell_id=cell_id)
+        for number in range(20):
+            key = overload.call_key("hotel", f"body {number}")
+            chosen = {
+                _placement.choose_cell(
+                    board, "quotes", 1.0, world.Random(seed), (), key
+                ).cell_id
+                for seed in range(10)
+            }
+            self.assertLessEqual(len(chosen), 2)
+
+    def test_lost_scheduler_loses_places_without_harm(self):
+        self.board = overload_board()
+        self.assertFalse(world.refusals(self.come_back(7.0)))
+        self.assertFalse(self.board.asks_by_request_id["back"].returned)
+
+
+class BurstReplayTest(unittest.TestCase):
+    """Four times the usual calls of a sheet, while a third of the engines is out."""
+
+    def test_more_calls_are_served_in_time(self):
+        # Guards against asks that wait in vain while returned ones delay new ones.
+        for name, load in returning_clients.LOADS.items():
+            burst = load._replace(factor=4.0, engine_count=5)
+            worlds = [returning_clients.run(burst, 1, on) for on in (False, True)]
+            before, after = (
+                [world.outcomes[kind.name, "in goal"] for kind in load.kinds]
+                for world in worlds
+            )
+            with self.subTest(name, before=before, after=after):
+                self.assertGreater(sum(after), sum(before))
+                self.assertGreaterEqual(after[0], before[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
