--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -262,10 +262,13 @@
     """Return the ask to serve next.
 
     Under overload, serving in order of arrival would make every ask miss its goal.
-    Asks that can still meet their goal are therefore served first.
+    Asks that can still meet their goal are therefore served first. A late ask that came
+    back to its place is only served after those of its own rank, because its client may
+    not come back again.
     """
     first_late_ask: rows.AskRow | None = None
     for rank in waiting_ranks(board, cell_id, now):
+        returned_ask: rows.AskRow | None = None
         exhausted_accounts: set[str] = set()
         while True:
             account = _fairness.next_account(board, cell_id, rank, exhausted_accounts)
@@ -279,10 +282,15 @@
                 if not _prefill.misses_first_token_goal(board, ask, now):
                     return ask
                 late_asks.append(ask)
-            if first_late_ask is None and late_asks:
-                # An ask that came back is queued last, but keeps its place.
-                first_late_ask = min(late_asks, key=lambda row: row.queued_at)
+            # An ask that came back is queued last, but keeps its place.
+            late_asks.sort(key=lambda row: row.queued_at)
+            if late_asks and first_late_ask is None:
+                first_late_ask = late_asks[0]
+            if returned_ask is None:
+                returned_ask = next((row for row in late_asks if row.returned), None)
             exhausted_accounts.add(account)
+        if returned_ask is not None:
+            return returned_ask
     return first_late_ask
 
 
--- a/tests/controllers/overload/test_overload.py
+++ b/tests/controllers/overload/test_overload.py
@@ -190,6 +190,14 @@
         self.assertLess(order.index("back"), order.index("late"))
         self.assertEqual(self.board.return_places_by_call.get(self.key()), None)
 
+    def test_returned_urgent_ask_goes_before_other_ranks(self):
+        # Guards against urgent clients that come back in vain.
+        self.come_back(7.0)
+        new = ask("new", 7.0, rank="patient")
+        world.feed(self.board, new, 7.0)
+        decided = world.feed(self.board, world.finished("running-0"), 7.1)
+        self.assertEqual(list(world.granted(decided)), ["back"])
+
     def key(self):
         return ("quotes", "large", f"fingerprint of {self.name}")
 
