--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -263,7 +263,7 @@
 
     Under overload, serving in order of arrival would make every ask miss its goal.
     Asks that can still meet their goal are therefore served first. A late ask that came
-    back to its place is only served after those of its own rank, because its client may
+    back to its place is served before the ranks after its own, because its client may
     not come back again.
     """
     first_late_ask: rows.AskRow | None = None
--- a/src/carawayhitch/controllers/overload/_waits.py
+++ b/src/carawayhitch/controllers/overload/_waits.py
@@ -26,8 +26,8 @@
 # Arriving work may exceed the capacity, and nothing tells for how long. Clients are
 # then told to come back at the rate of this share of the capacity.
 SPARE_SHARE_MINIMUM = 0.25
-# An entry answers its caller itself at the deadline, without a place. The scheduler has
-# to refuse a hopeless ask before: at the sweep (0.5 s) before the deadline.
+# At the deadline, the entry answers without a place, or the caller has already left. So
+# the last sweep (every 0.5 s) before the deadline refuses an ask.
 REFUSAL_LEAD_SECONDS = 0.6
 
 
@@ -164,11 +164,26 @@
     cell = board.cells_by_id.get(cell_id)
     if cell is None:
         return []
+    first_asks = [
+        ask
+        for ask in board.asks_by_request_id.values()
+        if ask.cell_id == cell_id and ask.attempt == 1
+    ]
+    ending = [ask for ask in first_asks if now + REFUSAL_LEAD_SECONDS >= ask.deadline]
+    late = [
+        ask
+        for ask in first_asks
+        if now + REFUSAL_LEAD_SECONDS < ask.deadline
+        and _is_judged(ask)
+        and _prefill.misses_first_token_goal(board, ask, now)
+    ]
+    # Those served last come first: their refusal shortens no other wait.
+    late.sort(key=lambda ask: ask.queued_at, reverse=True)
     work = waiting_work(board, cell_id, now)
     engines_by_entry_id: dict[str, float] = {}
     behind_by_account: dict[tuple[str, str], float] = defaultdict(float)
-    found: list[rows.AskRow] = []
-    for ask in _late_asks(board, cell_id, now):
+    found = ending
+    for ask in late:
         if ask.entry_id not in engines_by_entry_id:
             count = usable_engine_count(board, cell, ask.entry_id, now)
             engines_by_entry_id[ask.entry_id] = CAPACITY_MARGIN * count
@@ -179,7 +194,7 @@
         others = work.late[account] - ask.work_seconds
         own_late = others - behind_by_account[account]
         wait = wait_when_late(board, ask, work, own_late, engines, now)
-        if now + max(wait, REFUSAL_LEAD_SECONDS) > ask.deadline:
+        if now + wait > ask.deadline:
             found.append(ask)
             work.late[account] = others
         else:
@@ -187,21 +202,6 @@
     return found
 
 
-def _late_asks(board: Board, cell_id: str, now: float) -> list[rows.AskRow]:
-    """Return the asks that may be refused by their wait, those served last first."""
-    return sorted(
-        (
-            ask
-            for ask in board.asks_by_request_id.values()
-            if ask.cell_id == cell_id
-            and _is_judged(ask)
-            and _prefill.misses_first_token_goal(board, ask, now)
-        ),
-        key=lambda ask: ask.queued_at,
-        reverse=True,
-    )
-
-
 def return_seconds(
     board: Board, ask: rows.AskRow, work: WaitingWork, now: float
 ) -> float:
