--- a/src/carawayhitch/controllers/overload/_decisions.py
+++ b/src/carawayhitch/controllers/overload/_decisions.py
@@ -20,14 +20,13 @@
     return_seconds,
     returning_engines,
     spare_engines,
-    waiting_work,
 )
 from carawayhitch.core import actions, events, messages, rows
 
 # Entries and clients need a moment, and an earlier return finds no more than there was.
 RETURN_MINIMUM_SECONDS = 1.0
 RETURN_MAXIMUM_SECONDS = 60.0
-# Used while no upstream of the cell is usable; a medium value spreads out the returns.
+# Used while no upstream of the cell is usable, or the work is not known.
 RETURN_DEFAULT_SECONDS = 10.0
 # Clients may come back later than told. A place lasts for this time after the return,
 # which also covers the wait of the repeated ask.
@@ -120,8 +119,9 @@
     The returns of an account follow each other at its share of the capacity, so that
     they do not come together and those of a small account need not wait for them.
     """
-    work = waiting_work(board, ask.cell_id, now)
-    at = now + (return_seconds(board, ask, work, now) or RETURN_DEFAULT_SECONDS)
+    is_known = engines and ask.work_seconds
+    wait = return_seconds(board, ask, engines, now)
+    at = now + (wait if is_known else RETURN_DEFAULT_SECONDS)
     table = board.next_return_times_by_account
     key = (ask.cell_id, ask.rank, ask.account)
     at = max(at, table.get(key, 0.0))
--- a/src/carawayhitch/controllers/overload/_waits.py
+++ b/src/carawayhitch/controllers/overload/_waits.py
@@ -76,10 +76,6 @@
     )
 
 
-def _seconds(work: float, engines: float) -> float:
-    return work / engines if engines > 0 else float("inf")
-
-
 def wait_in_time(
     board: Board, ask: rows.AskRow, work: WaitingWork, engines: float, now: float
 ) -> float:
@@ -94,7 +90,8 @@
             before += seconds
     own = by_account.get(ask.account, 0.0) + ask.work_seconds
     ahead = before + _fair_work_ahead(board, ask, own, by_account) - ask.work_seconds
-    return _seconds(ahead, spare_engines(board, ask, priority, engines, now))
+    spare = spare_engines(board, ask, priority, engines, now)
+    return ahead / spare if spare > 0 else float("inf")
 
 
 def wait_when_late(
@@ -112,6 +109,9 @@
     own_late : float
         Late work of its account that is served before it.
     """
+    spare = spare_engines(board, ask, float("inf"), engines, now)
+    if spare <= 0:
+        return float("inf")
     priority = rank_class(board, ask.rank).priority
     by_account: dict[str, float] = {}
     before = sum(work.in_time.values())
@@ -122,8 +122,7 @@
             before += seconds
     own = own_late + ask.work_seconds
     ahead = before + _fair_work_ahead(board, ask, own, by_account) - ask.work_seconds
-    spare = spare_engines(board, ask, float("inf"), engines, now)
-    return _seconds(ahead, spare)
+    return ahead / spare
 
 
 def _is_judged(ask: rows.AskRow) -> bool:
@@ -170,65 +169,51 @@
         if ask.cell_id == cell_id and ask.attempt == 1
     ]
     ending = [ask for ask in first_asks if now + REFUSAL_LEAD_SECONDS >= ask.deadline]
-    late = [
-        ask
-        for ask in first_asks
-        if now + REFUSAL_LEAD_SECONDS < ask.deadline
-        and _is_judged(ask)
-        and _prefill.misses_first_token_goal(board, ask, now)
-    ]
-    # Those served last come first: their refusal shortens no other wait.
-    late.sort(key=lambda ask: ask.queued_at, reverse=True)
+    late_by_account: dict[tuple[str, str], list[rows.AskRow]] = defaultdict(list)
+    for ask in first_asks:
+        if (
+            now + REFUSAL_LEAD_SECONDS < ask.deadline
+            and _is_judged(ask)
+            and _prefill.misses_first_token_goal(board, ask, now)
+        ):
+            late_by_account[ask.rank, ask.account].append(ask)
     work = waiting_work(board, cell_id, now)
-    engines_by_entry_id: dict[str, float] = {}
-    behind_by_account: dict[tuple[str, str], float] = defaultdict(float)
     found = ending
-    for ask in late:
-        if ask.entry_id not in engines_by_entry_id:
-            count = usable_engine_count(board, cell, ask.entry_id, now)
-            engines_by_entry_id[ask.entry_id] = CAPACITY_MARGIN * count
-        engines = engines_by_entry_id[ask.entry_id]
-        if not engines or not ask.work_seconds:
-            continue
-        account = (ask.rank, ask.account)
-        others = work.late[account] - ask.work_seconds
-        own_late = others - behind_by_account[account]
-        wait = wait_when_late(board, ask, work, own_late, engines, now)
-        if now + wait > ask.deadline:
+    for account, asks in late_by_account.items():
+        # The ask that is served last comes first. If it is served in time, so are those
+        # before it: this bounds the work of a sweep.
+        for ask in sorted(asks, key=lambda row: row.queued_at, reverse=True):
+            engines = usable_engine_count(board, cell, ask.entry_id, now)
+            if not engines or not ask.work_seconds:
+                break
+            own_late = work.late[account] - ask.work_seconds
+            wait = wait_when_late(
+                board, ask, work, own_late, CAPACITY_MARGIN * engines, now
+            )
+            if now + wait <= ask.deadline:
+                break
             found.append(ask)
-            work.late[account] = others
-        else:
-            behind_by_account[account] += ask.work_seconds
+            work.late[account] = own_late
     return found
 
 
-def return_seconds(
-    board: Board, ask: rows.AskRow, work: WaitingWork, now: float
-) -> float:
-    """Return the time after which an ask would be served, and 0 if it is not known."""
-    cell = board.cells_by_id[ask.cell_id]
-    engines = usable_engine_count(board, cell, ask.entry_id, now)
-    if not engines:
-        return 0.0
-    priority = rank_class(board, ask.rank).priority
-    ahead = sum(
-        seconds
-        for group in (work.in_time, work.late)
-        for (rank, _), seconds in group.items()
-        if rank_class(board, rank).priority < priority
-    )
-    by_account: dict[str, float] = defaultdict(float)
-    for group in (work.in_time, work.late):
-        for (rank, account), seconds in group.items():
-            if rank == ask.rank:
-                by_account[account] += seconds
-    own = by_account.get(ask.account, 0.0) + ask.work_seconds
-    ahead += _fair_work_ahead(board, ask, own, by_account) - ask.work_seconds
-    return ahead / returning_engines(board, ask, engines, now)
+def return_seconds(board: Board, ask: rows.AskRow, engines: int, now: float) -> float:
+    """Return the time after which a refused ask would be served.
+
+    The asks ahead are taken to be as much work as this one, because a sweep may refuse
+    hundreds.
+    """
+    accounts = board.queues_by_rank.get((ask.cell_id, ask.rank), {})
+    length = board.queue_lengths_by_rank.get(
+        (ask.cell_id, ask.rank), rows.QueueLengthRow()
+    ).length
+    own_count = len(accounts.get(ask.account, ())) + 1
+    ahead_count = min(length, own_count * len(accounts))
+    return ahead_count * ask.work_seconds / returning_engines(board, ask, engines, now)
 
 
 def returning_engines(
-    board: Board, ask: rows.AskRow, engines: float, now: float
+    board: Board, ask: rows.AskRow, engines: int, now: float
 ) -> float:
     """Return the engines that are left for the clients of a rank that come back."""
     # The rank's own arrivals, and those of ranks before it, are served first.
