--- a/src/carawayhitch/controllers/overload/_decisions.py
+++ b/src/carawayhitch/controllers/overload/_decisions.py
@@ -82,7 +82,10 @@
     """
     cell = board.cells_by_id[ask.cell_id]
     engines = usable_engine_count(board, cell, ask.entry_id, now)
-    seconds = _reserve_return(board, ask, engines, now)
+    wait = RETURN_DEFAULT_SECONDS
+    if engines and ask.work_seconds:
+        wait = return_seconds(board, ask, engines, now)
+    seconds = _reserve_return(board, ask, wait, engines, now)
     place = rows.ReturnPlaceRow(
         ask.queued_at, ask.goal_deadline, now + seconds + PLACE_GRACE_SECONDS
     )
@@ -98,6 +101,7 @@
             spare_engines(board, ask, float("inf"), engines, now), 2
         ),
         "work_seconds": round(ask.work_seconds, 3),
+        "expected_wait": round(wait, 3),
         "retry_after": seconds,
         "place_kept": is_kept,
     }
@@ -113,18 +117,17 @@
     return seconds, decided
 
 
-def _reserve_return(board: Board, ask: rows.AskRow, engines: int, now: float) -> float:
+def _reserve_return(
+    board: Board, ask: rows.AskRow, wait: float, engines: int, now: float
+) -> float:
     """Return the seconds after which a refused ask would be served.
 
     The returns of an account follow each other at its share of the capacity, so that
     they do not come together and those of a small account need not wait for them.
     """
-    is_known = engines and ask.work_seconds
-    wait = return_seconds(board, ask, engines, now)
-    at = now + (wait if is_known else RETURN_DEFAULT_SECONDS)
     table = board.next_return_times_by_account
     key = (ask.cell_id, ask.rank, ask.account)
-    at = max(at, table.get(key, 0.0))
+    at = max(now + wait, table.get(key, 0.0))
     weights = {
         account: _fairness.quota_weight(board, account)
         for (cell_id, rank, account), time in table.items()
--- a/tests/controllers/overload/test_overload.py
+++ b/tests/controllers/overload/test_overload.py
@@ -24,8 +24,7 @@
         scheduling=settings.scheduling._replace(prefill_tokens_per_second=100_000.0),
     )
     board.engine_times_by_binding["urgent"] = rows.EngineTimeRow(8.0)
-    for name, row in board.upstreams_by_id.items():
-        board.upstreams_by_id[name] = row._replace(running_limit=4)
+    change_upstreams(board, list(board.upstreams_by_id), running_limit=4)
     for index in range(4 * engine_count):
         world.feed(board, world.ask(f"running-{index}"), 0.0)
     return board
@@ -154,6 +153,9 @@
         self.assertGreaterEqual(min(times), 1.0)
         unclamped = [time for time in times if 1.0 < time < 60.0]
         self.assertEqual(len(unclamped), len(set(unclamped)))
+        logs = [item for item in self.refused if isinstance(item, actions.Log)]
+        offered = [log.fields for log in logs if log.event == "return offered"]
+        self.assertEqual([fields["retry_after"] for fields in offered], times)
 
     def test_accounts_share_the_times_of_return(self):
         # Guards against returns in order of refusal, and beyond the capacity together.
@@ -225,12 +227,8 @@
             other = cell._replace(cell_id=f"quotes/region-1/{index}")
             board.cells_by_id[other.cell_id] = other
             board.schedulers_by_cell_id[other.cell_id] = (f"entry-{index + 4}",)
-        told = [
-            action
-            for action in flood(board, 40, 1.0)
-            if isinstance(action, actions.Send)
-            and isinstance(action.message, messages.PlaceKept)
-        ]
+        sends = [a for a in flood(board, 40, 1.0) if isinstance(a, actions.Send)]
+        told = [a for a in sends if isinstance(a.message, messages.PlaceKept)]
         self.assertTrue(told)
         receiver = overload_board()
         for action in told:
