--- a/src/carawayhitch/node/_exposition.py
+++ b/src/carawayhitch/node/_exposition.py
@@ -20,7 +20,7 @@
 from prometheus_client.registry import Collector
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import cold_start, own_duties, own_strength
+from carawayhitch.controllers import cold_start, overload, own_duties, own_strength
 from carawayhitch.node._logs import process_log_output
 from carawayhitch.node._metrics import SECONDS_BUCKETS, Labels, Metrics
 from carawayhitch.node._stores import StoreCallLabels
@@ -176,6 +176,7 @@
         "zone",
         drained_zones,
     )
+    yield from _overload_gauges(board, now)
     yield _labelled_gauge(
         "carawayhitch_members",
         "Entries by membership state.",
@@ -195,6 +196,24 @@
     )
 
 
+def _overload_gauges(board: Board, now: float) -> Iterable[Metric]:
+    yield _gauge(
+        "carawayhitch_kept_places",
+        "Places of refused calls that are kept here; only with overload.enabled.",
+        len(board.return_places_by_call),
+    )
+    arriving = GaugeMetricFamily(
+        "carawayhitch_arriving_work",
+        "Upstreams that the work arriving in cells scheduled here would keep busy;"
+        " only with overload.enabled.",
+        labels=("cell", "rank"),
+    )
+    for cell_id, rank in board.arriving_work_by_rank:
+        engines = overload.arriving_engines(board, cell_id, rank, now)
+        arriving.add_metric((cell_id, rank), engines)
+    yield arriving
+
+
 def _counter(
     name: str, text: str, label_names: Labels, counts: Mapping[Labels, float]
 ) -> Metric:
