Share crowded plain services between accounts by reports of entries

Each entry knew only its own calls to a plain service, so that accounts within their share were refused as often as one that sent most of the calls. Entries report calls by account every 0.5 s to one of them, which answers with the share of the calls that each account may send. Off unless scheduling.service_shares is set.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -80,6 +80,12 @@
     zone_demands_by_cell_id: dict[str, rows.ZoneDemandRow]
     zone_reasons_by_request_id: dict[str, str]
     zone_drains_by_name: dict[str, rows.ZoneDrainRow]
+    call_rates_by_account: dict[tuple[str, str, str], rows.CallRateRow]
+    answer_rates_by_upstream_id: dict[str, rows.CallRateRow]
+    service_reports_by_cell_id: dict[str, rows.ServiceReportRow]
+    reported_loads_by_cell_entry: dict[tuple[str, str], rows.ReportedLoadRow]
+    service_shares_by_cell_id: dict[str, rows.ServiceShareRow]
+    share_limits_by_account: dict[tuple[str, str, str], rows.ShareLimitRow]
     duties_by_kind: dict[str, tuple[str, ...]]
     duty_loads_by_node_id: dict[str, rows.DutyLoadRow]
 
@@ -199,6 +205,12 @@
         zone_demands_by_cell_id={},
         zone_reasons_by_request_id={},
         zone_drains_by_name={},
+        call_rates_by_account={},
+        answer_rates_by_upstream_id={},
+        service_reports_by_cell_id={},
+        reported_loads_by_cell_entry={},
+        service_shares_by_cell_id={},
+        share_limits_by_account={},
         duties_by_kind={},
         duty_loads_by_node_id={},
     )
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -68,6 +68,8 @@
     "leavingSeen": messages.LeavingSeen,
     "backoffSeen": messages.BackoffSeen,
     "crashesSeen": messages.CrashesSeen,
+    "serviceLoad": messages.ServiceLoad,
+    "serviceShares": messages.ServiceShares,
 }
 _wire_names_by_type = {
     message_type: name for name, message_type in _types_by_wire_name.items()
@@ -150,6 +152,9 @@
 @wire_fields.register(messages.Finished)
 @wire_fields.register(messages.UpstreamFailures)
 @wire_fields.register(messages.LeavingSeen)
+@wire_fields.register(messages.AccountRate)
+@wire_fields.register(messages.ServerLoad)
+@wire_fields.register(messages.AccountShare)
 def _encode_fields(record: Any, now: float) -> dict[str, Any]:
     return _fields_by_wire_name(record)
 
@@ -214,6 +219,23 @@
     return {"crashes": [wire_fields(row, now) for row in message.crashes]}
 
 
+@wire_fields.register(messages.ServiceLoad)
+def _encode_service_load(message: messages.ServiceLoad, now: float) -> dict[str, Any]:
+    return _fields_by_wire_name(message) | {
+        "accounts": [wire_fields(rate, now) for rate in message.accounts],
+        "servers": [wire_fields(load, now) for load in message.servers],
+    }
+
+
+@wire_fields.register(messages.ServiceShares)
+def _encode_service_shares(
+    message: messages.ServiceShares, now: float
+) -> dict[str, Any]:
+    return _fields_by_wire_name(message) | {
+        "shares": [wire_fields(share, now) for share in message.shares]
+    }
+
+
 @wire_fields.register(rows.MemberRow)
 def _encode_member(row: rows.MemberRow, now: float) -> dict[str, Any]:
     fields = _fields_by_wire_name(row)
@@ -531,6 +553,18 @@
     return value
 
 
+def _decode_quantity(value: float, now: float) -> float:
+    if not math.isfinite(value) or value < 0:
+        raise ValueError(f"quantity is {value}, expected a finite number from 0 up")
+    return value
+
+
+def _decode_share(value: float, now: float) -> float:
+    if not 0 <= value <= 1:
+        raise ValueError(f"share is {value}, expected a number from 0 to 1")
+    return value
+
+
 def _decode_code(value: int, now: float) -> result_codes.ResultCode:
     return result_codes.codes_by_number[value]
 
@@ -574,6 +608,12 @@
     "state": _decode_state,
     "outcome": _decode_outcome,
     "strength": _decode_strength,
+    "calls_per_second": _decode_quantity,
+    "answers_per_second": _decode_quantity,
+    "share": _decode_share,
+    "accounts": _list_decoder(messages.AccountRate),
+    "servers": _list_decoder(messages.ServerLoad),
+    "shares": _list_decoder(messages.AccountShare),
     "running": _list_decoder(messages.RunningRequest),
     "counts": _list_decoder(messages.RunningCount),
     "failures": _list_decoder(messages.UpstreamFailures),
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -33,6 +33,8 @@
     leavingSeen @17 :LeavingSeen;
     backoffSeen @18 :BackoffSeen;
     crashesSeen @19 :CrashesSeen;
+    serviceLoad @20 :ServiceLoad;
+    serviceShares @21 :ServiceShares;
   }
 }
 
@@ -177,6 +179,35 @@
   deadline @1 :Float32;
 }
 
+struct AccountRate {
+  account @0 :Text;
+  rank @1 :Text;
+  callsPerSecond @2 :Float32;
+}
+
+struct ServerLoad {
+  upstreamId @0 :Text;
+  runningCount @1 :UInt32;
+  answersPerSecond @2 :Float32;
+}
+
+struct ServiceLoad {
+  cellId @0 :Text;
+  accounts @1 :List(AccountRate);
+  servers @2 :List(ServerLoad);
+}
+
+struct AccountShare {
+  account @0 :Text;
+  rank @1 :Text;
+  share @2 :Float32;
+}
+
+struct ServiceShares {
+  cellId @0 :Text;
+  shares @1 :List(AccountShare);
+}
+
 enum MemberState {
   alive @0;
   suspect @1;
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -40,6 +40,7 @@
     cold_start,
     duties,
     locality,
+    service_shares,
     zones,
 )
 from carawayhitch.controllers._admission import find_refusal
@@ -84,6 +85,8 @@
 # The order matters where several controllers handle the same event:
 # _health reads request rows before _retries and _streams assign another upstream.
 # _suspects reads the grants of a failed upstream before _scheduling removes them.
+# service_shares adds the share of a new call to the credit of its account before
+# _scheduling decides on the call, and reads a grant before _scheduling removes it.
 # _admission removes the row of an ended request, so it runs after all controllers
 # that read the row and before _lifecycle, which counts the remaining rows.
 # duties reads the schedulers that _placement derives.
@@ -101,6 +104,7 @@
     _leases.decide,
     _orders.decide,
     _suspects.decide,
+    service_shares.decide,
     _scheduling.decide,
     _evacuation.decide,
     _drain_waits.decide,
--- a/src/carawayhitch/controllers/_call_logs.py
+++ b/src/carawayhitch/controllers/_call_logs.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import locality
+from carawayhitch.controllers import locality, service_shares
 from carawayhitch.controllers._targets import admission_size
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
@@ -79,6 +79,11 @@
         "upstream": upstream_id,
         "code": code.name if code else "",
     }
+    if code is result_codes.ACCOUNT_SHARE_EXCEEDED:
+        limit = service_shares.limit_of(board, ask.cell_id, ask.rank, ask.account, now)
+        if limit is not None:
+            fields["share"] = round(limit.share, 3)
+            fields["counted_by"] = limit.counted_by
     if upstream is not None:
         running = board.grant_ids_by_upstream_id.get(upstream_id, ())
         fields["running"] = len(running)
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -5,7 +5,7 @@
 from math import exp, sqrt
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _fairness, zones
+from carawayhitch.controllers import _fairness, service_shares, zones
 from carawayhitch.controllers._call_logs import build_ask_log
 from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.core import actions, messages, result_codes, rows
@@ -161,6 +161,9 @@
         return result_codes.QUEUE_FULL, _retry_after(board, ask, own_count, now)
     if now >= ask.deadline:
         return result_codes.WAIT_EXPIRED, RETRY_AFTER_MINIMUM_SECONDS
+    if not service_shares.accepts(board, ask, now):
+        retry_after = service_shares.retry_after_seconds(board, ask, now)
+        return result_codes.ACCOUNT_SHARE_EXCEEDED, retry_after
     if now + expected_wait(board, ask, now) > ask.deadline:
         retry_after = _retry_after(board, ask, length, now)
         return result_codes.DEADLINE_UNREACHABLE, retry_after
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -14,6 +14,7 @@
     _queue,
     _rebuild,
     cold_start,
+    service_shares,
 )
 from carawayhitch.controllers._call_logs import build_ask_log
 from carawayhitch.controllers._controller import Actions, new_controller
@@ -115,6 +116,7 @@
         return _queue.refuse_ask(board, ask, *refused, now)
     decided = _queue.displace_ask(board, ask, now)
     decided.extend(_start_settling(board, event.cell_id, now))
+    service_shares.spend_credit(board, ask, now)
     _queue.add_ask(board, ask)
     # If an ask of this rank or of one served earlier is already blocked, the new ask
     # waits for the next finished request, load report or sweep.
@@ -320,7 +322,8 @@
         _rebuild.remove_grant(board, previous, now)
     _rebuild.add_grant(board, grant)
     _queue.remove_ask(board, ask.request_id)
-    _fairness.charge_tokens(board, grant, grant.prompt_tokens, now, grants=1)
+    charged = service_shares.charged_size(board, ask)
+    _fairness.charge_tokens(board, grant, charged, now, grants=1)
     _affinity.record_cached_blocks(board, upstream_id, ask.prefix_blocks)
     cold_start.record_grant(board, upstream_id, now)
     return [logged, *_grant_messages(board, grant)]
--- /dev/null
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -0,0 +1,227 @@
+"""Counts of an entry's calls, their reports, and the limits that follow from them."""
+
+from __future__ import annotations
+
+from random import Random
+
+from carawayhitch.board import Board
+from carawayhitch.controllers import duties
+from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers.service_shares._counting import (
+    REPORT_INTERVAL_SECONDS,
+    answer_report,
+    find_shares,
+    store_report,
+)
+from carawayhitch.controllers.service_shares._limits import (
+    CREDIT_LIMIT,
+    add_event,
+    events_per_second,
+    is_shared,
+    limit_of,
+)
+from carawayhitch.core import actions, events, messages, rows
+
+REPORT_TIMER = "service_report"
+# Limits last until three answers are missing. Then each entry accepts all calls, as
+# without shares.
+LIMIT_LIFETIME_SECONDS = 4 * REPORT_INTERVAL_SECONDS
+# An answer arrives within milliseconds, but single datagrams are lost.
+UNANSWERED_REPORT_LIMIT = 2
+# A candidate that is still a member after this time may count again.
+FAILOVER_SECONDS = 10.0
+# Keeps a report within one datagram. The others have few calls.
+REPORTED_ACCOUNT_LIMIT = 24
+# A call from which this part is left in a rate is some five seconds old.
+FORGOTTEN_CALLS_PER_SECOND = 0.01
+
+decide = new_controller()
+
+
+@decide.register(messages.AdmissionAsk)
+def _count_new_call(
+    event: messages.AdmissionAsk, board: Board, now: float, random: Random
+) -> Actions:
+    """Count a new call and add its share to the credit of a limited account."""
+    if event.attempt > 1 or not is_shared(board, event.group):
+        return ()
+    if event.request_id in board.asks_by_request_id:
+        return ()
+    key = (event.cell_id, event.rank, event.account)
+    rates = board.call_rates_by_account
+    rates[key] = add_event(rates.get(key), now)
+    limit = limit_of(board, *key, now)
+    if limit is not None:
+        credit = min(CREDIT_LIMIT, limit.credit + limit.share)
+        board.share_limits_by_account[key] = limit._replace(credit=credit)
+    return _start_reports(board, event.cell_id, now, random)
+
+
+@decide.register(messages.Finished)
+def _count_ended_call(
+    event: messages.Finished, board: Board, now: float, random: Random
+) -> Actions:
+    # Runs before the controller that removes the grant.
+    grant = board.grants_by_request_id.get(event.request_id)
+    if grant is None or not is_shared(board, grant.group) or event.upstream_refused:
+        return ()
+    rates = board.answer_rates_by_upstream_id
+    rates[grant.upstream_id] = add_event(rates.get(grant.upstream_id), now)
+    return ()
+
+
+def _start_reports(board: Board, cell_id: str, now: float, random: Random) -> Actions:
+    """Set the timer of the first report, at a time that differs among entries."""
+    if cell_id in board.service_reports_by_cell_id:
+        return ()
+    board.service_reports_by_cell_id[cell_id] = rows.ServiceReportRow(cell_id)
+    return (_report_timer(cell_id, now + random.uniform(0, REPORT_INTERVAL_SECONDS)),)
+
+
+def _report_timer(cell_id: str, deadline: float) -> actions.SetTimer:
+    return actions.SetTimer(deadline, events.TimerFired(REPORT_TIMER, cell_id))
+
+
+@decide.register(events.TimerFired)
+def _send_report(
+    event: events.TimerFired, board: Board, now: float, random: Random
+) -> Actions:
+    if event.name != REPORT_TIMER:
+        return ()
+    cell_id = event.subject
+    _delete_outdated_rows(board, cell_id, now)
+    report = _build_report(board, cell_id, now)
+    is_counting = any(key[0] == cell_id for key in board.reported_loads_by_cell_entry)
+    if not report.accounts and not report.servers and not is_counting:
+        board.service_reports_by_cell_id.pop(cell_id, None)
+        board.service_shares_by_cell_id.pop(cell_id, None)
+        return ()
+    timer = _report_timer(cell_id, now + REPORT_INTERVAL_SECONDS)
+    if not report.accounts and not report.servers:
+        return (timer,)
+    row = _next_receiver(board, board.service_reports_by_cell_id[cell_id], now)
+    board.service_reports_by_cell_id[cell_id] = row._replace(
+        unanswered_count=row.unanswered_count + 1
+    )
+    return (actions.Send(row.candidate_ids[row.candidate_index], report), timer)
+
+
+def _delete_outdated_rows(board: Board, cell_id: str, now: float) -> None:
+    is_removed = cell_id not in board.cells_by_id
+    for key, rate in list(board.call_rates_by_account.items()):
+        if key[0] == cell_id and (
+            is_removed or events_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND
+        ):
+            del board.call_rates_by_account[key]
+    for upstream_id, rate in list(board.answer_rates_by_upstream_id.items()):
+        if events_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND:
+            del board.answer_rates_by_upstream_id[upstream_id]
+    for key, limit in list(board.share_limits_by_account.items()):
+        if key[0] == cell_id and (is_removed or now >= limit.deadline):
+            del board.share_limits_by_account[key]
+    for entry_key, load in list(board.reported_loads_by_cell_entry.items()):
+        if entry_key[0] == cell_id and (is_removed or now >= load.deadline):
+            del board.reported_loads_by_cell_entry[entry_key]
+
+
+def _build_report(board: Board, cell_id: str, now: float) -> messages.ServiceLoad:
+    cell = board.cells_by_id.get(cell_id)
+    rates = sorted(
+        (
+            messages.AccountRate(account, rank, events_per_second(rate, now))
+            for (rate_cell_id, rank, account), rate in (
+                board.call_rates_by_account.items()
+            )
+            if rate_cell_id == cell_id
+        ),
+        key=lambda row: -row.calls_per_second,
+    )
+    loads = (
+        messages.ServerLoad(
+            upstream_id,
+            len(board.grant_ids_by_upstream_id.get(upstream_id, ())),
+            events_per_second(board.answer_rates_by_upstream_id.get(upstream_id), now),
+        )
+        for upstream_id in (cell.upstream_ids if cell else ())
+    )
+    return messages.ServiceLoad(
+        board.node_id,
+        cell_id,
+        tuple(rates[:REPORTED_ACCOUNT_LIMIT]),
+        tuple(load for load in loads if load.running_count or load.answers_per_second),
+    )
+
+
+def _next_receiver(
+    board: Board, row: rows.ServiceReportRow, now: float
+) -> rows.ServiceReportRow:
+    """Return the row with the entry that gets the next report.
+
+    The first candidates are the same at all entries with the same members. Entries that
+    report elsewhere for a moment are missing in the sums, so that more is accepted.
+    """
+    if not row.candidate_ids:
+        cell = board.cells_by_id[row.cell_id]
+        order = duties.derive_schedulers(
+            {row.cell_id: cell}, board.members_by_id.values(), board.node_id
+        )
+        row = rows.ServiceReportRow(row.cell_id, order[row.cell_id])
+    if row.failover_deadline and now >= row.failover_deadline:
+        row = rows.ServiceReportRow(row.cell_id, row.candidate_ids)
+    if row.unanswered_count < UNANSWERED_REPORT_LIMIT:
+        return row
+    return row._replace(
+        candidate_index=(row.candidate_index + 1) % len(row.candidate_ids),
+        unanswered_count=0,
+        failover_deadline=row.failover_deadline or now + FAILOVER_SECONDS,
+    )
+
+
+@decide.register(messages.ServiceLoad)
+def _answer_report(
+    event: messages.ServiceLoad, board: Board, now: float, random: Random
+) -> Actions:
+    if event.cell_id not in board.cells_by_id:
+        return ()
+    store_report(board, event, now)
+    shares, logged = find_shares(board, event.cell_id, now)
+    timer = _start_reports(board, event.cell_id, now, random)
+    return (*logged, answer_report(board, event, shares), *timer)
+
+
+@decide.register(messages.ServiceShares)
+def _apply_shares(
+    event: messages.ServiceShares, board: Board, now: float, random: Random
+) -> Actions:
+    row = board.service_reports_by_cell_id.get(event.cell_id)
+    if row is None:
+        return ()
+    if row.candidate_ids and event.sender_id == row.candidate_ids[row.candidate_index]:
+        board.service_reports_by_cell_id[event.cell_id] = row._replace(
+            unanswered_count=0
+        )
+    limits = board.share_limits_by_account
+    earlier = {key: limits.pop(key) for key in list(limits) if key[0] == event.cell_id}
+    for share in event.shares:
+        key = (event.cell_id, share.rank, share.account)
+        known = earlier.get(key)
+        # Many entries learn of the limit at once. If all of them began with the same
+        # credit, they would accept their next calls together.
+        credit = known.credit if known else random.random()
+        limits[key] = rows.ShareLimitRow(
+            share.share, credit, now + LIMIT_LIFETIME_SECONDS, event.sender_id
+        )
+    return ()
+
+
+@decide.register(events.MembershipChanged)
+@decide.register(events.UpstreamsChanged)
+def _derive_candidates_again(
+    event: events.MembershipChanged | events.UpstreamsChanged,
+    board: Board,
+    now: float,
+    random: Random,
+) -> Actions:
+    for cell_id in board.service_reports_by_cell_id:
+        board.service_reports_by_cell_id[cell_id] = rows.ServiceReportRow(cell_id)
+    return ()
--- /dev/null
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -0,0 +1,96 @@
+"""Limits of accounts at an entry: which new calls it accepts."""
+
+from __future__ import annotations
+
+from math import exp
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._cells import entry_scheduled_groups
+from carawayhitch.core import rows
+
+# Window of the rates of calls and answers. Shorter ones make the rates of the entries
+# that see few calls too uneven, longer ones react late to bursts of a few seconds.
+RATE_WINDOW_SECONDS = 1.0
+# Callers that return sooner meet the same limit.
+RETRY_AFTER_MINIMUM_SECONDS = 1.0
+RETRY_AFTER_MAXIMUM_SECONDS = 60.0
+# Credit that an account can save up. More would let it send a burst.
+CREDIT_LIMIT = 2.0
+
+
+def is_shared(board: Board, group: str) -> bool:
+    """Return whether accounts have shares in the servers of a group."""
+    if not board.settings.scheduling.service_shares:
+        return False
+    return group in entry_scheduled_groups(board)
+
+
+def add_event(row: rows.CallRateRow | None, now: float) -> rows.CallRateRow:
+    """Return a rate with one more event."""
+    return rows.CallRateRow(events_per_second(row, now) * RATE_WINDOW_SECONDS + 1, now)
+
+
+def events_per_second(row: rows.CallRateRow | None, now: float) -> float:
+    """Return the smoothed rate of events; 0 if there were none."""
+    if row is None:
+        return 0.0
+    age = max(0.0, now - row.updated_at)
+    return row.events * exp(-age / RATE_WINDOW_SECONDS) / RATE_WINDOW_SECONDS
+
+
+def limit_of(
+    board: Board, cell_id: str, rank: str, account: str, now: float
+) -> rows.ShareLimitRow | None:
+    """Return the limit of an account at this entry, or None."""
+    limit = board.share_limits_by_account.get((cell_id, rank, account))
+    return limit if limit is not None and now < limit.deadline else None
+
+
+def active_limits(
+    board: Board, now: float
+) -> dict[tuple[str, str, str], rows.ShareLimitRow]:
+    """Return the limits of this entry by cell, rank and account."""
+    return {
+        key: limit
+        for key, limit in board.share_limits_by_account.items()
+        if now < limit.deadline
+    }
+
+
+def accepts(board: Board, ask: rows.AskRow, now: float) -> bool:
+    """Return whether the limit of its account lets a new call in.
+
+    A call that was accepted before is not limited when it is tried again.
+    """
+    limit = limit_of(board, ask.cell_id, ask.rank, ask.account, now)
+    return limit is None or ask.attempt > 1 or limit.credit >= 1.0
+
+
+def spend_credit(board: Board, ask: rows.AskRow, now: float) -> None:
+    """Take an accepted call from the credit of its account."""
+    limit = limit_of(board, ask.cell_id, ask.rank, ask.account, now)
+    if limit is not None and ask.attempt == 1:
+        key = (ask.cell_id, ask.rank, ask.account)
+        board.share_limits_by_account[key] = limit._replace(credit=limit.credit - 1.0)
+
+
+def retry_after_seconds(board: Board, ask: rows.AskRow, now: float) -> float:
+    """Return the time after which the account has credit again at its present rate."""
+    limit = limit_of(board, ask.cell_id, ask.rank, ask.account, now)
+    key = (ask.cell_id, ask.rank, ask.account)
+    rate = events_per_second(board.call_rates_by_account.get(key), now)
+    if limit is None or not rate:
+        return RETRY_AFTER_MINIMUM_SECONDS
+    seconds = (1.0 - limit.credit) / (limit.share * rate)
+    return min(
+        RETRY_AFTER_MAXIMUM_SECONDS, max(RETRY_AFTER_MINIMUM_SECONDS, round(seconds, 1))
+    )
+
+
+def charged_size(board: Board, ask: rows.AskRow) -> int:
+    """Return what the fair queue charges for an ask.
+
+    Calls to plain services have no tokens. Without a charge the accounts that wait at
+    an entry would be served in order of their names.
+    """
+    return 1 if is_shared(board, ask.group) else ask.prompt_tokens
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -293,6 +293,47 @@
     deadline: float
 
 
+class AccountRate(NamedTuple):
+    """New calls per second of one account in one rank, at the entry that reports it."""
+
+    account: str
+    rank: str
+    calls_per_second: float
+
+
+class ServerLoad(NamedTuple):
+    """Calls of one entry that run at a server, and their ends per second."""
+
+    upstream_id: str
+    running_count: int
+    answers_per_second: float
+
+
+class ServiceLoad(NamedTuple):
+    """Calls of an entry to the servers of a cell, for the entry that counts them."""
+
+    sender_id: str
+    cell_id: str
+    accounts: tuple[AccountRate, ...]
+    servers: tuple[ServerLoad, ...]
+
+
+class AccountShare(NamedTuple):
+    """Share of an account's new calls that entries accept, from 0 to 1."""
+
+    account: str
+    rank: str
+    share: float
+
+
+class ServiceShares(NamedTuple):
+    """Answer to a `ServiceLoad`: the accounts whose calls are limited."""
+
+    sender_id: str
+    cell_id: str
+    shares: tuple[AccountShare, ...]
+
+
 class Probe(NamedTuple):
     """Failure detection probe with piggybacked member and crash rows."""
 
@@ -336,6 +377,8 @@
     | CrashesSeen
     | LeavingSeen
     | BackoffSeen
+    | ServiceLoad
+    | ServiceShares
     | Probe
     | ProbeAck
     | IndirectProbe
--- a/src/carawayhitch/core/_result_codes.py
+++ b/src/carawayhitch/core/_result_codes.py
@@ -108,6 +108,13 @@
 CONNECTION_DISPLACED = ResultCode(
     1026, "CONNECTION_DISPLACED", "no", 0, "An idle connection made room for others."
 )
+ACCOUNT_SHARE_EXCEEDED = ResultCode(
+    1031,
+    "ACCOUNT_SHARE_EXCEEDED",
+    "no",
+    429,
+    "The account sends more than its share of a crowded service.",
+)
 REQUEST_TIMEOUT = ResultCode(
     1041, "REQUEST_TIMEOUT", "no", 408, "The request did not arrive in time."
 )
--- a/src/carawayhitch/core/_scheduling_rows.py
+++ b/src/carawayhitch/core/_scheduling_rows.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from carawayhitch.core._messages import MoveOrder
+    from carawayhitch.core._messages import MoveOrder, ServiceLoad
 
 
 class AskRow(NamedTuple):
@@ -197,3 +198,94 @@
     granted_at: float
     finished_at: float
     memory: int
+
+
+class CallRateRow(NamedTuple):
+    """Number of events that decays exponentially with a window.
+
+    Parameters
+    ----------
+    updated_at : float
+        Time up to which the number has decayed (seconds of the node clock).
+    """
+
+    events: float = 0.0
+    updated_at: float = 0.0
+
+
+class ServiceReportRow(NamedTuple):
+    """Reports of an entry's calls to the servers of a cell.
+
+    Parameters
+    ----------
+    candidate_ids : tuple of str
+        Entries that may count the cell's calls, in failover order; empty if they have
+        to be derived again.
+    candidate_index : int
+        Which of them gets the reports.
+    unanswered_count : int
+        Reports sent to it since its last answer.
+    failover_deadline : float
+        Time at which the first candidate is tried again; 0 if it gets the reports.
+    """
+
+    cell_id: str
+    candidate_ids: tuple[str, ...] = ()
+    candidate_index: int = 0
+    unanswered_count: int = 0
+    failover_deadline: float = 0.0
+
+
+class ReportedLoadRow(NamedTuple):
+    """Last report of an entry to the one that counts the calls of a cell.
+
+    Parameters
+    ----------
+    deadline : float
+        Time at which the report is too old to count.
+    """
+
+    report: ServiceLoad
+    deadline: float
+
+
+class ServiceShareRow(NamedTuple):
+    """Shares of a cell's servers, at the entry that counts the calls.
+
+    Parameters
+    ----------
+    shares_by_account : dict of (str, str) to float
+        Share of the new calls that is accepted, by rank and account, for the accounts
+        that send more than their part of a crowded service.
+    demand, capacity : float
+        New calls per second, and calls per second that the servers can answer.
+    deadline : float
+        Time at which the shares are derived again.
+    """
+
+    shares_by_account: Mapping[tuple[str, str], float]
+    demand: float
+    capacity: float
+    deadline: float
+
+
+class ShareLimitRow(NamedTuple):
+    """Limit on the calls that an entry accepts from an account.
+
+    Parameters
+    ----------
+    share : float
+        Part of the new calls that is accepted.
+    credit : float
+        Sum of the shares of the calls so far, less the accepted ones. A call is
+        accepted if it raises the credit to 1.
+    deadline : float
+        Time at which the limit ends unless it is renewed.
+    counted_by : str
+        Entry that derived the share.
+    """
+
+    share: float
+    credit: float
+    deadline: float
+    counted_by: str
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -180,6 +180,9 @@
         In any second, all entries together may send a cold upstream its declared rate
         times the overage plus the slack. With an overage of 0, requests to cold
         upstreams are not limited.
+    service_shares : bool
+        Whether client accounts share crowded plain services by quota weight across all
+        entries. Without it, each entry knows only its own calls.
     """
 
     cell_size: Annotated[int, Meta(ge=1)] = 12
@@ -199,6 +202,7 @@
     affinity_bound: UnitFraction = 0.1
     cold_overage: Annotated[float, Meta(ge=0)] = 0.0
     cold_slack: Annotated[float, Meta(ge=0)] = 0.0
+    service_shares: bool = False
 
 
 class StreamSettings(NamedTuple):
--- a/tests/codecs/test_peer_messages.py
+++ b/tests/codecs/test_peer_messages.py
@@ -47,6 +47,9 @@
     "http_port": st.integers(0, 65535),
     # Values beyond the range have their own test.
     "strength": st.integers(rows.MINIMUM_STRENGTH, rows.MAXIMUM_STRENGTH),
+    "share": st.integers(0, 8).map(lambda value: value / 8),
+    "calls_per_second": seconds.map(abs),
+    "answers_per_second": seconds.map(abs),
 }
 
 
