Bound the changes of service capacity; count refusals as no answers

Limits followed reports of the past second and swung between full queues and idle servers; calls that a server refused and that the retry budget did not try again counted as its answers; an entry learned of a limited account only after its first call; and ranks of one priority got capacity one after the other.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -80,12 +80,13 @@
     zone_demands_by_cell_id: dict[str, rows.ZoneDemandRow]
     zone_reasons_by_request_id: dict[str, str]
     zone_drains_by_name: dict[str, rows.ZoneDrainRow]
-    call_rates_by_account: dict[tuple[str, str, str], rows.CallRateRow]
+    call_rates_by_account: dict[tuple[str, int, str], rows.CallRateRow]
     answer_rates_by_upstream_id: dict[str, rows.CallRateRow]
+    refused_attempts_by_request_id: dict[str, int]
     service_reports_by_cell_id: dict[str, rows.ServiceReportRow]
     reported_loads_by_cell_entry: dict[tuple[str, str], rows.ReportedLoadRow]
     service_shares_by_cell_id: dict[str, rows.ServiceShareRow]
-    share_limits_by_account: dict[tuple[str, str, str], rows.ShareLimitRow]
+    share_limits_by_account: dict[tuple[str, int, str], rows.ShareLimitRow]
     duties_by_kind: dict[str, tuple[str, ...]]
     duty_loads_by_node_id: dict[str, rows.DutyLoadRow]
 
@@ -207,6 +208,7 @@
         zone_drains_by_name={},
         call_rates_by_account={},
         answer_rates_by_upstream_id={},
+        refused_attempts_by_request_id={},
         service_reports_by_cell_id={},
         reported_loads_by_cell_entry={},
         service_shares_by_cell_id={},
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -66,6 +66,7 @@
     encode_tombstone,
 )
 from carawayhitch.codecs._operators import (
+    AccountShareBody,
     ChangeBody,
     MemberStatusBody,
     ObjectBody,
@@ -115,6 +116,7 @@
 
 __all__ = [
     "EXCHANGE_SIGNATURE_HEADER",
+    "AccountShareBody",
     "ChangeBody",
     "EventBlock",
     "FolderDeclarations",
--- a/src/carawayhitch/codecs/_operators.py
+++ b/src/carawayhitch/codecs/_operators.py
@@ -70,6 +70,16 @@
     bindings: list[str]
 
 
+class AccountShareBody(TypedDict):
+    """Limit of an account at an entry, and the entry that derived it."""
+
+    cell: str
+    priority: int
+    account: str
+    share: float
+    counted_by: str
+
+
 class StatusBody(TypedDict):
     """Status of an entry.
 
@@ -100,6 +110,7 @@
     open_request_count: NotRequired[int]
     strength: NotRequired[int]
     duties: NotRequired[dict[str, list[str]]]
+    account_shares: NotRequired[list[AccountShareBody]]
     members: list[MemberStatusBody]
     upstreams: list[UpstreamStatusBody]
 
--- a/src/carawayhitch/codecs/_peer_messages.py
+++ b/src/carawayhitch/codecs/_peer_messages.py
@@ -610,6 +610,7 @@
     "strength": _decode_strength,
     "calls_per_second": _decode_quantity,
     "answers_per_second": _decode_quantity,
+    "busy_seconds": _decode_quantity,
     "share": _decode_share,
     "accounts": _list_decoder(messages.AccountRate),
     "servers": _list_decoder(messages.ServerLoad),
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -181,7 +181,7 @@
 
 struct AccountRate {
   account @0 :Text;
-  rank @1 :Text;
+  priority @1 :Int32;
   callsPerSecond @2 :Float32;
 }
 
@@ -189,6 +189,7 @@
   upstreamId @0 :Text;
   runningCount @1 :UInt32;
   answersPerSecond @2 :Float32;
+  busySeconds @3 :Float32;
 }
 
 struct ServiceLoad {
@@ -199,7 +200,7 @@
 
 struct AccountShare {
   account @0 :Text;
-  rank @1 :Text;
+  priority @1 :Int32;
   share @2 :Float32;
 }
 
--- a/src/carawayhitch/controllers/_call_logs.py
+++ b/src/carawayhitch/controllers/_call_logs.py
@@ -80,7 +80,7 @@
         "code": code.name if code else "",
     }
     if code is result_codes.ACCOUNT_SHARE_EXCEEDED:
-        limit = service_shares.limit_of(board, ask.cell_id, ask.rank, ask.account, now)
+        limit = service_shares.limit_of(board, ask, now)
         if limit is not None:
             fields["share"] = round(limit.share, 3)
             fields["counted_by"] = limit.counted_by
--- a/src/carawayhitch/controllers/service_shares/__init__.py
+++ b/src/carawayhitch/controllers/service_shares/__init__.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from carawayhitch.controllers.service_shares._allotment import (
-    RankDemand,
+    PriorityDemand,
     ServerState,
     accepted_shares,
     service_capacity,
@@ -23,7 +23,7 @@
 )
 
 __all__ = [
-    "RankDemand",
+    "PriorityDemand",
     "ServerState",
     "accepted_shares",
     "accepts",
--- a/src/carawayhitch/controllers/service_shares/_allotment.py
+++ b/src/carawayhitch/controllers/service_shares/_allotment.py
@@ -9,18 +9,21 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-# With a smaller part of the slots in use, the ends of calls show the demand instead of
-# the capacity.
-BUSY_SHARE = 0.5
 # A server that answers less than this part of the mean has stopped answering.
 ANSWERING_SHARE = 0.1
 # Calls at the servers, as a multiple of their slots, above which fewer are sent than
 # end. Entries choose servers independently, so that with fewer calls some servers would
 # be idle while others have a queue. At this number a call waits for one answer time.
 RUNNING_TARGET = 2.0
-# Some calls of each account are always accepted, so that answers show it when servers
-# that had stopped answering are back.
-MINIMUM_SHARE = 0.05
+# Multiple of the answers that is accepted while there are fewer calls than that. With
+# 1, servers that became faster would stay partly idle.
+GROWTH = 1.05
+# Bounds on the change of the capacity from one derivation to the next, by which it at
+# most doubles or halves within a second.
+LARGEST_RISE = 1.2
+LARGEST_FALL = 0.85
+# Some calls of each account are always accepted, also of a rank that gets no capacity.
+MINIMUM_SHARE = 0.02
 
 
 class ServerState(NamedTuple):
@@ -32,67 +35,84 @@
         Calls at the server, those in its own queue included.
     answers_per_second : float
         Calls that end there per second.
+    busy_seconds : float
+        Time that the calls which end within a second have been there, in seconds. This
+        is the mean number of calls at the server.
     """
 
     slots: int
     running: float
     answers_per_second: float
+    busy_seconds: float
 
 
-class RankDemand(NamedTuple):
-    """New calls of a rank.
+class PriorityDemand(NamedTuple):
+    """New calls of the ranks of one priority.
 
     Parameters
     ----------
     priority : int
-        Ranks with lower values are served first.
+        Lower values are served first.
     floor : float
-        Part of the capacity that the rank gets in any case while it has calls.
+        Part of the capacity that they get in any case while there are calls.
     rates_by_account : dict of str to float
         Calls per second.
     """
 
-    rank: str
     priority: int
     floor: float
     rates_by_account: Mapping[str, float]
 
 
 def service_capacity(servers: Sequence[ServerState]) -> float | None:
-    """Return the calls per second that servers can answer; None if they are not busy.
+    """Return the calls per second that servers can answer; None if none answers.
 
-    Servers that stopped answering count with nothing, however many calls they hold.
+    Free slots count with the answers of the used ones. Servers that stopped answering
+    count with nothing, however many calls they hold.
     """
-    mean_answers = _answers_per_slot(servers)
+    mean_answers = sum(row.answers_per_second for row in servers) / max(1, len(servers))
     answering = [
         row
         for row in servers
-        if row.answers_per_second >= ANSWERING_SHARE * mean_answers * row.slots
+        if row.answers_per_second > ANSWERING_SHARE * mean_answers
     ]
     slots = sum(row.slots for row in answering)
-    running = sum(row.running for row in answering)
-    if running < BUSY_SHARE * slots or not slots:
+    used_slots = min(slots, sum(row.busy_seconds for row in answering))
+    if used_slots <= 0:
         return None
-    answers = sum(row.answers_per_second for row in answering)
-    capacity = answers * slots / min(running, slots)
-    return capacity * min(1.0, RUNNING_TARGET * slots / running)
+    capacity = sum(row.answers_per_second for row in answering) * slots / used_slots
+    running = sum(row.running for row in answering)
+    return capacity * min(GROWTH, RUNNING_TARGET * slots / max(1.0, running))
+
+
+def next_capacity(estimate: float | None, previous: float) -> float | None:
+    """Return the capacity to use after the previous one, both in calls per second.
 
+    Reports tell of the past second. Without bounds on the change, limits that follow
+    them swing between full queues and idle servers.
 
-def _answers_per_slot(servers: Sequence[ServerState]) -> float:
-    slots = sum(row.slots for row in servers)
-    return sum(row.answers_per_second for row in servers) / slots if slots else 0.0
+    Parameters
+    ----------
+    estimate : float or None
+        Capacity by the last reports; None if no server answers.
+    previous : float
+        Capacity at the last derivation; 0 if it is not known.
+    """
+    if not previous or estimate is None:
+        return estimate
+    return min(max(estimate, previous * LARGEST_FALL), previous * LARGEST_RISE)
 
 
 def accepted_shares(
-    ranks: Sequence[RankDemand],
+    demands: Sequence[PriorityDemand],
     weights_by_account: Mapping[str, float],
     capacity: float,
-) -> dict[tuple[str, str], float]:
-    """Return the accepted share of new calls by rank and account, where it is below 1.
+) -> dict[tuple[int, str], float]:
+    """Return the accepted share of new calls, where it is below 1.
 
-    Ranks get capacity by priority, after the floors of all of them. Within a rank each
-    account gets its demand, but no more than a level that is the same for all accounts
-    in proportion to their quota weights.
+    The priorities get capacity in their order, after the floors of all of them. Within
+    a priority each account gets its demand, but no more than a level that is the same
+    for all accounts in proportion to their quota weights.
 
     Parameters
     ----------
@@ -100,31 +120,37 @@
         Quota weights; 1 for accounts that are not named.
     capacity : float
         Calls per second.
+
+    Returns
+    -------
+    dict of (int, str) to float
+        Shares by priority and account.
     """
-    capacities = _capacities_by_rank(ranks, capacity)
-    shares: dict[tuple[str, str], float] = {}
-    for demand in ranks:
+    capacities = _capacities_by_priority(demands, capacity)
+    shares: dict[tuple[int, str], float] = {}
+    for row in demands:
         level = _fair_level(
-            demand.rates_by_account, weights_by_account, capacities[demand.rank]
+            row.rates_by_account, weights_by_account, capacities[row.priority]
         )
-        for account, rate in demand.rates_by_account.items():
+        for account, rate in row.rates_by_account.items():
             allotted = level * weights_by_account.get(account, 1.0)
             if rate > allotted:
-                shares[demand.rank, account] = max(MINIMUM_SHARE, allotted / rate)
+                share = max(MINIMUM_SHARE, allotted / rate)
+                shares[row.priority, account] = share
     return shares
 
 
-def _capacities_by_rank(
-    ranks: Sequence[RankDemand], capacity: float
-) -> dict[str, float]:
-    demands = {row.rank: sum(row.rates_by_account.values()) for row in ranks}
+def _capacities_by_priority(
+    demands: Sequence[PriorityDemand], capacity: float
+) -> dict[int, float]:
+    totals = {row.priority: sum(row.rates_by_account.values()) for row in demands}
     capacities = {
-        row.rank: min(demands[row.rank], row.floor * capacity) for row in ranks
+        row.priority: min(totals[row.priority], row.floor * capacity) for row in demands
     }
     left = max(0.0, capacity - sum(capacities.values()))
-    for row in sorted(ranks, key=lambda row: row.priority):
-        more = min(left, demands[row.rank] - capacities[row.rank])
-        capacities[row.rank] += more
+    for priority in sorted(totals):
+        more = min(left, totals[priority] - capacities[priority])
+        capacities[priority] += more
         left -= more
     return capacities
 
--- a/src/carawayhitch/controllers/service_shares/_counting.py
+++ b/src/carawayhitch/controllers/service_shares/_counting.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from heapq import nsmallest
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _fairness, zones
-from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.controllers.service_shares._allotment import (
-    RankDemand,
+    PriorityDemand,
     ServerState,
     accepted_shares,
+    next_capacity,
     service_capacity,
 )
 from carawayhitch.core import actions, messages, rows
@@ -21,6 +22,12 @@
 # Reports arrive at all times. Deriving the shares for each of them would cost the
 # counting entry more than the calls themselves.
 DERIVATION_INTERVAL_SECONDS = REPORT_INTERVAL_SECONDS / 2
+# Accounts that an answer names, those with the lowest shares. Keeps it within one
+# datagram.
+NAMED_ACCOUNT_LIMIT = 24
+# Limits begin when the demand exceeds the capacity by this factor and end when it does
+# not exceed it any more. Rates of some hundred calls vary by a twentieth.
+LIMITING_DEMAND = 1.1
 
 
 def store_report(board: Board, report: messages.ServiceLoad, now: float) -> None:
@@ -37,9 +44,9 @@
     known = board.service_shares_by_cell_id.get(cell_id)
     if known is not None and now < known.deadline:
         return known, []
-    derived = _derive_shares(board, cell_id, now)
-    board.service_shares_by_cell_id[cell_id] = derived
     was_limited = known is not None and bool(known.shares_by_account)
+    derived = _derive_shares(board, cell_id, known, now)
+    board.service_shares_by_cell_id[cell_id] = derived
     if was_limited == bool(derived.shares_by_account):
         return derived, []
     fields = {
@@ -52,25 +59,36 @@
     return derived, [actions.Log("info", event, fields)]
 
 
-def _derive_shares(board: Board, cell_id: str, now: float) -> rows.ServiceShareRow:
+def _derive_shares(
+    board: Board, cell_id: str, known: rows.ServiceShareRow | None, now: float
+) -> rows.ServiceShareRow:
+    """Return the shares by the present reports and the earlier derivation."""
     reports = [
         row.report
         for (reported_cell_id, _), row in board.reported_loads_by_cell_entry.items()
         if reported_cell_id == cell_id and now < row.deadline
     ]
-    rates_by_rank: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
+    rates_by_priority: dict[int, dict[str, float]] = defaultdict(
+        lambda: defaultdict(float)
+    )
     for report in reports:
         for row in report.accounts:
-            rates_by_rank[row.rank][row.account] += row.calls_per_second
-    demand = sum(sum(rates.values()) for rates in rates_by_rank.values())
-    capacity = service_capacity(_server_states(board, cell_id, reports, now))
-    shares_by_account: dict[tuple[str, str], float] = {}
-    if capacity is not None and capacity < demand:
+            rates_by_priority[row.priority][row.account] += row.calls_per_second
+    demand = sum(sum(rates.values()) for rates in rates_by_priority.values())
+    estimate = service_capacity(_server_states(board, cell_id, reports, now))
+    capacity = next_capacity(estimate, known.capacity if known else 0.0)
+    is_limited = known is not None and bool(known.shares_by_account)
+    tolerated = 1.0 if is_limited else LIMITING_DEMAND
+    shares_by_account: dict[tuple[int, str], float] = {}
+    if capacity is not None and demand > tolerated * capacity:
         shares_by_account = accepted_shares(
-            [_rank_demand(board, rank, rates) for rank, rates in rates_by_rank.items()],
+            [
+                PriorityDemand(priority, _floor(board, priority), rates)
+                for priority, rates in rates_by_priority.items()
+            ],
             {
                 account: _fairness.quota_weight(board, account)
-                for rates in rates_by_rank.values()
+                for rates in rates_by_priority.values()
                 for account in rates
             },
             capacity,
@@ -80,9 +98,11 @@
     )
 
 
-def _rank_demand(board: Board, rank: str, rates: dict[str, float]) -> RankDemand:
-    declared = rank_class(board, rank)
-    return RankDemand(rank, declared.priority, declared.floor, rates)
+def _floor(board: Board, priority: int) -> float:
+    """Return the floor of a priority, the highest one of its ranks."""
+    configuration = board.configuration
+    ranks = configuration.rank_classes_by_name.values() if configuration else ()
+    return max((rank.floor for rank in ranks if rank.priority == priority), default=0.0)
 
 
 def _server_states(
@@ -92,17 +112,16 @@
 
     A server that refuses calls because it is full is one of them.
     """
-    running_by_id: dict[str, int] = defaultdict(int)
-    answers_by_id: dict[str, float] = defaultdict(float)
+    loads_by_id: dict[str, list[messages.ServerLoad]] = defaultdict(list)
     for report in reports:
         for load in report.servers:
-            running_by_id[load.upstream_id] += load.running_count
-            answers_by_id[load.upstream_id] += load.answers_per_second
+            loads_by_id[load.upstream_id].append(load)
     return [
         ServerState(
             upstream.running_limit,
-            running_by_id[upstream_id],
-            answers_by_id[upstream_id],
+            sum(load.running_count for load in loads_by_id[upstream_id]),
+            sum(load.answers_per_second for load in loads_by_id[upstream_id]),
+            sum(load.busy_seconds for load in loads_by_id[upstream_id]),
         )
         for upstream_id in board.cells_by_id[cell_id].upstream_ids
         if (upstream := board.upstreams_by_id.get(upstream_id))
@@ -115,11 +134,20 @@
 def answer_report(
     board: Board, report: messages.ServiceLoad, shares: rows.ServiceShareRow
 ) -> actions.Send:
-    """Return the answer to a report, with the limited accounts that it names."""
+    """Return the answer to a report.
+
+    It names limited accounts that the sender has not reported as well. Otherwise the
+    first call of an account at each entry would be accepted, which are most of the
+    calls of an account at many entries.
+    """
+    lowest = nsmallest(
+        NAMED_ACCOUNT_LIMIT,
+        shares.shares_by_account.items(),
+        key=lambda item: item[1],
+    )
     limited = tuple(
-        messages.AccountShare(row.account, row.rank, share)
-        for row in report.accounts
-        if (share := shares.shares_by_account.get((row.rank, row.account))) is not None
+        messages.AccountShare(account, priority, share)
+        for (priority, account), share in lowest
     )
     answer = messages.ServiceShares(board.node_id, report.cell_id, limited)
     return actions.Send(report.sender_id, answer)
--- a/src/carawayhitch/controllers/service_shares/_decisions.py
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -15,12 +15,14 @@
 )
 from carawayhitch.controllers.service_shares._limits import (
     CREDIT_LIMIT,
-    add_event,
-    events_per_second,
+    RATE_WINDOW_SECONDS,
+    add_call,
+    calls_per_second,
+    current_rate,
     is_shared,
-    limit_of,
+    limit_key,
 )
-from carawayhitch.core import actions, events, messages, rows
+from carawayhitch.core import actions, events, messages, result_codes, rows
 
 REPORT_TIMER = "service_report"
 # Limits last until three answers are missing. Then each entry accepts all calls, as
@@ -34,6 +36,7 @@
 REPORTED_ACCOUNT_LIMIT = 24
 # A call from which this part is left in a rate is some five seconds old.
 FORGOTTEN_CALLS_PER_SECOND = 0.01
+NOT_RUN_CODES = frozenset({result_codes.RETRY_CONNECT, result_codes.RETRY_REFUSED})
 
 decide = new_controller()
 
@@ -47,26 +50,43 @@
         return ()
     if event.request_id in board.asks_by_request_id:
         return ()
-    key = (event.cell_id, event.rank, event.account)
+    key = limit_key(board, event.cell_id, event.rank, event.account)
     rates = board.call_rates_by_account
-    rates[key] = add_event(rates.get(key), now)
-    limit = limit_of(board, *key, now)
+    rates[key] = add_call(rates.get(key), now)
+    limit = board.share_limits_by_account.get(key)
     if limit is not None:
         credit = min(CREDIT_LIMIT, limit.credit + limit.share)
         board.share_limits_by_account[key] = limit._replace(credit=credit)
     return _start_reports(board, event.cell_id, now, random)
 
 
+@decide.register(events.RetryRequested)
+def _note_refused_call(
+    event: events.RetryRequested, board: Board, now: float, random: Random
+) -> Actions:
+    """Note that a server did not run a call, which may end without another attempt."""
+    if event.code in NOT_RUN_CODES:
+        grant = board.grants_by_request_id.get(event.request_id)
+        if grant is not None and is_shared(board, grant.group):
+            board.refused_attempts_by_request_id[event.request_id] = grant.attempt
+    return ()
+
+
 @decide.register(messages.Finished)
 def _count_ended_call(
     event: messages.Finished, board: Board, now: float, random: Random
 ) -> Actions:
-    # Runs before the controller that removes the grant.
+    """Count the end of a call that its server has run."""
+    refused_attempt = board.refused_attempts_by_request_id.pop(event.request_id, 0)
     grant = board.grants_by_request_id.get(event.request_id)
-    if grant is None or not is_shared(board, grant.group) or event.upstream_refused:
+    if grant is None or not is_shared(board, grant.group):
+        return ()
+    if event.upstream_refused or refused_attempt == event.attempt:
         return ()
     rates = board.answer_rates_by_upstream_id
-    rates[grant.upstream_id] = add_event(rates.get(grant.upstream_id), now)
+    rates[grant.upstream_id] = add_call(
+        rates.get(grant.upstream_id), now, now - grant.granted_at
+    )
     return ()
 
 
@@ -110,15 +130,18 @@
     is_removed = cell_id not in board.cells_by_id
     for key, rate in list(board.call_rates_by_account.items()):
         if key[0] == cell_id and (
-            is_removed or events_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND
+            is_removed or calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND
         ):
             del board.call_rates_by_account[key]
     for upstream_id, rate in list(board.answer_rates_by_upstream_id.items()):
-        if events_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND:
+        if calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND:
             del board.answer_rates_by_upstream_id[upstream_id]
     for key, limit in list(board.share_limits_by_account.items()):
         if key[0] == cell_id and (is_removed or now >= limit.deadline):
             del board.share_limits_by_account[key]
+    for request_id in list(board.refused_attempts_by_request_id):
+        if request_id not in board.grants_by_request_id:
+            del board.refused_attempts_by_request_id[request_id]
     for entry_key, load in list(board.reported_loads_by_cell_entry.items()):
         if entry_key[0] == cell_id and (is_removed or now >= load.deadline):
             del board.reported_loads_by_cell_entry[entry_key]
@@ -128,8 +151,8 @@
     cell = board.cells_by_id.get(cell_id)
     rates = sorted(
         (
-            messages.AccountRate(account, rank, events_per_second(rate, now))
-            for (rate_cell_id, rank, account), rate in (
+            messages.AccountRate(account, priority, calls_per_second(rate, now))
+            for (rate_cell_id, priority, account), rate in (
                 board.call_rates_by_account.items()
             )
             if rate_cell_id == cell_id
@@ -137,11 +160,7 @@
         key=lambda row: -row.calls_per_second,
     )
     loads = (
-        messages.ServerLoad(
-            upstream_id,
-            len(board.grant_ids_by_upstream_id.get(upstream_id, ())),
-            events_per_second(board.answer_rates_by_upstream_id.get(upstream_id), now),
-        )
+        _server_load(board, upstream_id, now)
         for upstream_id in (cell.upstream_ids if cell else ())
     )
     return messages.ServiceLoad(
@@ -152,6 +171,16 @@
     )
 
 
+def _server_load(board: Board, upstream_id: str, now: float) -> messages.ServerLoad:
+    rate = current_rate(board.answer_rates_by_upstream_id.get(upstream_id), now)
+    return messages.ServerLoad(
+        upstream_id,
+        len(board.grant_ids_by_upstream_id.get(upstream_id, ())),
+        rate.calls / RATE_WINDOW_SECONDS,
+        rate.seconds / RATE_WINDOW_SECONDS,
+    )
+
+
 def _next_receiver(
     board: Board, row: rows.ServiceReportRow, now: float
 ) -> rows.ServiceReportRow:
@@ -203,7 +232,7 @@
     limits = board.share_limits_by_account
     earlier = {key: limits.pop(key) for key in list(limits) if key[0] == event.cell_id}
     for share in event.shares:
-        key = (event.cell_id, share.rank, share.account)
+        key = (event.cell_id, share.priority, share.account)
         known = earlier.get(key)
         # Many entries learn of the limit at once. If all of them began with the same
         # credit, they would accept their next calls together.
--- a/src/carawayhitch/controllers/service_shares/_limits.py
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -6,6 +6,7 @@
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._cells import entry_scheduled_groups
+from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.core import rows
 
 # Window of the rates of calls and answers. Shorter ones make the rates of the entries
@@ -25,31 +26,49 @@
     return group in entry_scheduled_groups(board)
 
 
-def add_event(row: rows.CallRateRow | None, now: float) -> rows.CallRateRow:
-    """Return a rate with one more event."""
-    return rows.CallRateRow(events_per_second(row, now) * RATE_WINDOW_SECONDS + 1, now)
+def add_call(
+    row: rows.CallRateRow | None, now: float, seconds: float = 0.0
+) -> rows.CallRateRow:
+    """Return a rate with one more call, which took a time if it has ended."""
+    current = current_rate(row, now)
+    return rows.CallRateRow(current.calls + 1.0, current.seconds + seconds, now)
 
 
-def events_per_second(row: rows.CallRateRow | None, now: float) -> float:
-    """Return the smoothed rate of events; 0 if there were none."""
+def current_rate(row: rows.CallRateRow | None, now: float) -> rows.CallRateRow:
+    """Return a rate decayed to the current time; zero if there were no calls."""
     if row is None:
-        return 0.0
-    age = max(0.0, now - row.updated_at)
-    return row.events * exp(-age / RATE_WINDOW_SECONDS) / RATE_WINDOW_SECONDS
+        return rows.CallRateRow(updated_at=now)
+    factor = exp(-max(0.0, now - row.updated_at) / RATE_WINDOW_SECONDS)
+    return rows.CallRateRow(row.calls * factor, row.seconds * factor, now)
 
 
-def limit_of(
-    board: Board, cell_id: str, rank: str, account: str, now: float
-) -> rows.ShareLimitRow | None:
-    """Return the limit of an account at this entry, or None."""
-    limit = board.share_limits_by_account.get((cell_id, rank, account))
+def calls_per_second(row: rows.CallRateRow | None, now: float) -> float:
+    """Return the smoothed rate of calls."""
+    return current_rate(row, now).calls / RATE_WINDOW_SECONDS
+
+
+def limit_key(
+    board: Board, cell_id: str, rank: str, account: str
+) -> tuple[str, int, str]:
+    """Return the key by which the calls of an account are counted and limited.
+
+    Ranks of one priority have a common limit: they wait for the same room, and a
+    service may have a rank for each of its routes.
+    """
+    return cell_id, rank_class(board, rank).priority, account
+
+
+def limit_of(board: Board, ask: rows.AskRow, now: float) -> rows.ShareLimitRow | None:
+    """Return the limit that applies to an ask at this entry, or None."""
+    key = limit_key(board, ask.cell_id, ask.rank, ask.account)
+    limit = board.share_limits_by_account.get(key)
     return limit if limit is not None and now < limit.deadline else None
 
 
 def active_limits(
     board: Board, now: float
-) -> dict[tuple[str, str, str], rows.ShareLimitRow]:
-    """Return the limits of this entry by cell, rank and account."""
+) -> dict[tuple[str, int, str], rows.ShareLimitRow]:
+    """Return the limits of this entry by cell, priority and account."""
     return {
         key: limit
         for key, limit in board.share_limits_by_account.items()
@@ -62,23 +81,23 @@
 
     A call that was accepted before is not limited when it is tried again.
     """
-    limit = limit_of(board, ask.cell_id, ask.rank, ask.account, now)
+    limit = limit_of(board, ask, now)
     return limit is None or ask.attempt > 1 or limit.credit >= 1.0
 
 
 def spend_credit(board: Board, ask: rows.AskRow, now: float) -> None:
     """Take an accepted call from the credit of its account."""
-    limit = limit_of(board, ask.cell_id, ask.rank, ask.account, now)
+    limit = limit_of(board, ask, now)
     if limit is not None and ask.attempt == 1:
-        key = (ask.cell_id, ask.rank, ask.account)
+        key = limit_key(board, ask.cell_id, ask.rank, ask.account)
         board.share_limits_by_account[key] = limit._replace(credit=limit.credit - 1.0)
 
 
 def retry_after_seconds(board: Board, ask: rows.AskRow, now: float) -> float:
     """Return the time after which the account has credit again at its present rate."""
-    limit = limit_of(board, ask.cell_id, ask.rank, ask.account, now)
-    key = (ask.cell_id, ask.rank, ask.account)
-    rate = events_per_second(board.call_rates_by_account.get(key), now)
+    limit = limit_of(board, ask, now)
+    key = limit_key(board, ask.cell_id, ask.rank, ask.account)
+    rate = calls_per_second(board.call_rates_by_account.get(key), now)
     if limit is None or not rate:
         return RETRY_AFTER_MINIMUM_SECONDS
     seconds = (1.0 - limit.credit) / (limit.share * rate)
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -294,19 +294,28 @@
 
 
 class AccountRate(NamedTuple):
-    """New calls per second of one account in one rank, at the entry that reports it."""
+    """New calls per second of one account in the ranks of one priority."""
 
     account: str
-    rank: str
+    priority: int
     calls_per_second: float
 
 
 class ServerLoad(NamedTuple):
-    """Calls of one entry that run at a server, and their ends per second."""
+    """Calls of one entry that run at a server.
+
+    Parameters
+    ----------
+    answers_per_second : float
+        Calls that end per second.
+    busy_seconds : float
+        Time that the calls which end within a second have run.
+    """
 
     upstream_id: str
     running_count: int
     answers_per_second: float
+    busy_seconds: float
 
 
 class ServiceLoad(NamedTuple):
@@ -322,7 +331,7 @@
     """Share of an account's new calls that entries accept, from 0 to 1."""
 
     account: str
-    rank: str
+    priority: int
     share: float
 
 
--- a/src/carawayhitch/core/_scheduling_rows.py
+++ b/src/carawayhitch/core/_scheduling_rows.py
@@ -201,15 +201,18 @@
 
 
 class CallRateRow(NamedTuple):
-    """Number of events that decays exponentially with a window.
+    """Number of calls that decays exponentially with a window.
 
     Parameters
     ----------
+    seconds : float
+        Time that these calls took, if they have ended.
     updated_at : float
         Time up to which the number has decayed (seconds of the node clock).
     """
 
-    events: float = 0.0
+    calls: float = 0.0
+    seconds: float = 0.0
     updated_at: float = 0.0
 
 
@@ -254,16 +257,16 @@
 
     Parameters
     ----------
-    shares_by_account : dict of (str, str) to float
-        Share of the new calls that is accepted, by rank and account, for the accounts
-        that send more than their part of a crowded service.
+    shares_by_account : dict of (int, str) to float
+        Share of the new calls that is accepted, by priority and account, for the
+        accounts that send more than their part of a crowded service.
     demand, capacity : float
         New calls per second, and calls per second that the servers can answer.
     deadline : float
         Time at which the shares are derived again.
     """
 
-    shares_by_account: Mapping[tuple[str, str], float]
+    shares_by_account: Mapping[tuple[int, str], float]
     demand: float
     capacity: float
     deadline: float
--- a/src/carawayhitch/node/_metrics.py
+++ b/src/carawayhitch/node/_metrics.py
@@ -8,7 +8,12 @@
 from prometheus_client.exposition import generate_latest
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import cold_start, own_duties, own_strength
+from carawayhitch.controllers import (
+    cold_start,
+    own_duties,
+    own_strength,
+    service_shares,
+)
 from carawayhitch.node._logs import process_log_output
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0, 300.0)
@@ -29,6 +34,7 @@
     store_contact_age: Gauge
     upstreams: Gauge
     cold_upstreams: Gauge
+    account_share: Gauge
     drained_upstreams: Gauge
     members: Gauge
     strength: Gauge
@@ -110,6 +116,13 @@
             ["room"],
             registry=registry,
         ),
+        account_share=Gauge(
+            "carawayhitch_account_share",
+            "Share of the calls of an account that this entry accepts, for accounts"
+            " limited at a crowded plain service; only with scheduling.service_shares.",
+            ["cell", "priority", "account"],
+            registry=registry,
+        ),
         drained_upstreams=Gauge(
             "carawayhitch_drained_upstreams",
             "Upstreams in availability zones out of use, by zone.",
@@ -182,6 +195,9 @@
         metrics.upstreams.labels("usable" if is_usable else "unusable").inc()
     for room, count in cold_start.count_cold_upstreams(board, now).items():
         metrics.cold_upstreams.labels(room).set(count)
+    metrics.account_share.clear()
+    for key, limit in service_shares.active_limits(board, now).items():
+        metrics.account_share.labels(*map(str, key)).set(limit.share)
     for reason, count in process_log_output().dropped_by_reason.items():
         metrics.dropped_log_lines.labels(reason).set(count)
     metrics.members.clear()
--- a/src/carawayhitch/node/_status.py
+++ b/src/carawayhitch/node/_status.py
@@ -6,6 +6,7 @@
 
 from carawayhitch import codecs, controllers
 from carawayhitch.board import Board
+from carawayhitch.controllers import service_shares
 from carawayhitch.core import rows
 
 
@@ -51,6 +52,7 @@
             kind: list(subjects)
             for kind, subjects in controllers.own_duties(board, now).items()
         },
+        "account_shares": _account_shares(board, now),
         "members": _member_statuses(board),
         "upstreams": [
             _upstream_status(upstream, board)
@@ -59,6 +61,21 @@
     }
 
 
+def _account_shares(board: Board, now: float) -> list[codecs.AccountShareBody]:
+    return [
+        {
+            "cell": cell_id,
+            "priority": priority,
+            "account": account,
+            "share": round(limit.share, 3),
+            "counted_by": limit.counted_by,
+        }
+        for (cell_id, priority, account), limit in sorted(
+            service_shares.active_limits(board, now).items()
+        )
+    ]
+
+
 def _member_statuses(board: Board) -> list[codecs.MemberStatusBody]:
     statuses: list[codecs.MemberStatusBody] = [
         {
--- a/tests/codecs/test_peer_messages.py
+++ b/tests/codecs/test_peer_messages.py
@@ -50,6 +50,7 @@
     "share": st.integers(0, 8).map(lambda value: value / 8),
     "calls_per_second": seconds.map(abs),
     "answers_per_second": seconds.map(abs),
+    "busy_seconds": seconds.map(abs),
 }
 
 
--- /dev/null
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -0,0 +1,215 @@
+"""Accounts at a plain service that each entry uses by itself, crowded by a few."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from carawayhitch import controllers
+from carawayhitch.controllers import service_shares
+from carawayhitch.core import actions, events, messages, result_codes
+from carawayhitch.node import _status
+from tests.controllers.service_shares.crowded_service import (
+    CELL,
+    RANK,
+    CrowdedService,
+    new_ask,
+    served_share,
+)
+
+SMALL = {f"small-{index:02}": 6.25 for index in range(23)}
+CROWDED = {"large": 450.0, **SMALL}
+STATE = service_shares.ServerState
+
+
+class CrowdTest(unittest.TestCase):
+    def test_small_accounts_are_served_beside_a_large_one(self):
+        # Guards against an account that fills the servers over entries that each see
+        # few of its calls. 300 calls a second can be answered, 594 arrive.
+        for enabled, low, high in ((False, 0.0, 0.3), (True, 0.9, 1.0)):
+            with self.subTest(enabled=enabled):
+                model = CrowdedService(CROWDED, enabled)
+                results = model.run(15.0)
+                self.assertLessEqual(low, served_share(results, SMALL))
+                self.assertLessEqual(served_share(results, SMALL), high)
+        # What the small accounts leave is used.
+        self.assertGreater(served_share(results, ["large"]), 0.25)
+        # 30 entries report twice a second and are answered, whatever the calls.
+        self.assertLess(model.message_count, 30 * 4 * 15.0 + 1)
+
+    def test_quota_weights_divide_a_crowded_service(self):
+        rates = {"light": 300.0, "heavy": 300.0}
+        model = CrowdedService(rates, weights_by_account={"heavy": 3.0})
+        results = model.run(15.0)
+        light, heavy = (served_share(results, [name]) for name in rates)
+        self.assertAlmostEqual(heavy / light, 3.0, delta=0.6)
+
+    def test_account_is_not_limited_while_there_is_room(self):
+        # Guards against limits by the size of an account alone.
+        results = CrowdedService({"large": 125.0, **SMALL}).run(15.0)
+        self.assertGreater(served_share(results, ["large"]), 0.97)
+
+    def test_setting_that_is_off_leaves_no_state(self):
+        # Guards against an effect on deployments that do not ask for shares.
+        model = CrowdedService({"large": 300.0}, enabled=False, entry_count=3)
+        model.run(3.0)
+        self.assertEqual((model.message_count, self.find_state(model)), (0, []))
+
+    def test_state_is_deleted_after_the_crowd(self):
+        model = CrowdedService(dict(CROWDED), entry_count=6)
+        model.run(8.0)
+        self.assertNotEqual(self.find_state(model), [])
+        model.rates_by_account.update(dict.fromkeys(CROWDED, 0.0))
+        model.run(25.0)
+        self.assertEqual(self.find_state(model), [])
+
+    def find_state(self, model):
+        """Return the names of the controller's tables that have rows."""
+        names = (
+            "call_rates_by_account", "answer_rates_by_upstream_id",
+            "refused_attempts_by_request_id", "service_reports_by_cell_id",
+            "reported_loads_by_cell_entry", "service_shares_by_cell_id",
+            "share_limits_by_account",
+        )  # fmt: skip
+        boards = model.boards.values()
+        return [name for board in boards for name in names if getattr(board, name)]
+
+
+class FailureTest(unittest.TestCase):
+    def play(self, fail, **changes):
+        """Return a model that fails at 6 s, and the small accounts' share in goal."""
+        model = CrowdedService(CROWDED, **changes)
+        model.at(6.0, lambda now: fail(model))
+        return model, served_share(model.run(15.0, warm_up=9.0), SMALL)
+
+    def test_counting_entry_is_lost(self):
+        # Guards against limits that depend on one entry.
+        def fail(model):
+            row = model.boards["entry-00"].service_reports_by_cell_id[CELL]
+            model.dead.add(row.candidate_ids[0])
+
+        model, share = self.play(fail)
+        self.assertGreater(share, 0.85)
+        row = model.boards["entry-00"].service_reports_by_cell_id[CELL]
+        self.assertEqual(row.candidate_index, 1)
+
+    def test_entry_that_is_cut_off_keeps_no_outdated_limit(self):
+        model, share = self.play(lambda model: model.cut.add("entry-00"))
+        self.assertGreater(share, 0.85)
+        limits = model.boards["entry-00"].share_limits_by_account.values()
+        self.assertFalse({row.counted_by for row in limits} - {"entry-00"})
+
+    def test_late_news(self):
+        # Guards against swings between full queues and idle servers.
+        _, share = self.play(lambda model: None, message_seconds=0.5)
+        self.assertGreater(share, 0.75)
+
+
+class EntryTest(unittest.TestCase):
+    def setUp(self):
+        self.board = CrowdedService({"large": 0.0}, entry_count=1).boards["entry-00"]
+        self.call("r0", "large", 1.0)
+        shares = (messages.AccountShare("large", RANK.priority, 0.25),)
+        self.feed(messages.ServiceShares("entry-09", CELL, shares), 1.0)
+
+    def feed(self, event, now):
+        return list(controllers.decide(event, self.board, now, Random(1)))
+
+    def call(self, request_id, account, now, attempt=1):
+        ask = new_ask("entry-00", request_id, account, now)
+        return self.feed(ask._replace(attempt=attempt), now)
+
+    def finish(self, request_id, now):
+        ended = messages.Finished("entry-00", request_id, 1, CELL, 0, True, False)
+        self.feed(ended, now)
+
+    def test_limited_account_gets_its_share_of_calls(self):
+        decided = [
+            action
+            for index in range(1, 41)
+            for action in self.call(f"r{index}", "large", 1.1)
+        ]
+        refused = [
+            action.message
+            for action in decided
+            if isinstance(getattr(action, "message", None), messages.AdmissionRefusal)
+        ]
+        self.assertEqual(len(refused), 30)
+        self.assertEqual({row.code.name for row in refused}, {"ACCOUNT_SHARE_EXCEEDED"})
+        self.assertTrue(all(row.retry_after >= 1.0 for row in refused))
+        # A call that was accepted once is not limited when it is tried again.
+        self.call("again", "large", 1.1, attempt=2)
+        self.assertIn("again", self.board.grants_by_request_id)
+        # Guards against refusals that `status` and `explain` do not account for.
+        (shown,) = _status.describe_status(self.board, 1.1)["account_shares"]
+        self.assertEqual((shown["account"], shown["share"]), ("large", 0.25))
+        lines = (row.fields for row in decided if isinstance(row, actions.Log))
+        line = next(row for row in lines if row["code"] == "ACCOUNT_SHARE_EXCEEDED")
+        self.assertEqual((line["share"], line["counted_by"]), (0.25, "entry-09"))
+
+    def test_waiting_accounts_take_turns(self):
+        # Guards against a queue of calls without tokens in order of account names.
+        for name, count in (("a", 40), ("b", 8)):
+            for index in range(count):
+                self.call(f"{name}{index}", name, 2.0)
+        for request_id in list(self.board.grants_by_request_id)[:8]:
+            self.finish(request_id, 2.1)
+        started = [name for name in self.board.grants_by_request_id if name[0] == "b"]
+        self.assertGreaterEqual(len(started), 4)
+
+    def test_refusals_of_servers_are_no_answers(self):
+        # Guards against a capacity that grows with the calls that servers refuse and
+        # that the retry budget does not try again.
+        codes = (result_codes.RETRY_REFUSED, result_codes.RETRY_FAILED_ANSWER)
+        for code, count in zip(codes, (0, 1), strict=True):
+            with self.subTest(code=code.name):
+                self.call(code.name, "small", 1.0)
+                event = events.RetryRequested(
+                    code.name, code, result_codes.UPSTREAM_REFUSED
+                )
+                service_shares.decide(event, self.board, 1.1, Random(1))
+                self.finish(code.name, 1.1)
+                self.assertEqual(len(self.board.answer_rates_by_upstream_id), count)
+
+    def test_answer_names_accounts_that_the_entry_has_not_seen(self):
+        # Guards against accepting the first call of an account at each of many entries.
+        rates = (messages.AccountRate("large", RANK.priority, 100.0),)
+        loads = (messages.ServerLoad("server-0", 40, 50.0, 20.0),)
+        self.feed(messages.ServiceLoad("entry-01", CELL, rates, loads), 3.0)
+        empty = messages.ServiceLoad("entry-02", CELL, (), ())
+        (answer,) = (
+            action.message
+            for action in self.feed(empty, 3.0)
+            if isinstance(action, actions.Send) and action.node_id == "entry-02"
+        )
+        self.assertEqual([row.account for row in answer.shares], ["large"])
+
+
+class AllotmentTest(unittest.TestCase):
+    def test_priorities_get_capacity_in_order_after_their_floors(self):
+        urgent = service_shares.PriorityDemand(0, 0.1, {"a": 90.0, "b": 30.0})
+        patient = service_shares.PriorityDemand(10, 0.2, {"a": 50.0})
+        shares = service_shares.accepted_shares([patient, urgent], {"b": 1.0}, 100.0)
+        expected = {(0, "a"): 50 / 90, (10, "a"): 20 / 50}
+        self.assertEqual(shares.keys(), expected.keys())
+        for key, share in expected.items():
+            self.assertAlmostEqual(shares[key], share)
+        (share,) = service_shares.accepted_shares([patient], {}, 0.0).values()
+        self.assertGreater(share, 0.0)
+
+    def test_capacity_counts_servers_that_answer(self):
+        cases = (
+            # A little more than the servers answer is accepted, to find more capacity.
+            ("partly used", [STATE(6, 3, 50.0, 4.0)] * 2, 157.5),
+            ("a hanging server", [STATE(6, 12, 75, 8), STATE(6, 30, 0, 0)], 75.0),
+            ("long queues are worked off", [STATE(6, 24, 75.0, 24.0)] * 2, 75.0),
+            ("no answer at all", [STATE(6, 30, 0.0, 0.0)], None),
+            ("no server", [], None),
+        )
+        for name, servers, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(service_shares.service_capacity(servers), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
