--- a/src/carawayhitch/controllers/service_shares/_decisions.py
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -34,7 +34,7 @@
 FAILOVER_SECONDS = 10.0
 # Keeps a report within one datagram. The others have few calls.
 REPORTED_ACCOUNT_LIMIT = 24
-# A call from which this part is left in a rate is some five seconds old.
+# After the last call, a rate of one call falls to this within some three seconds.
 FORGOTTEN_CALLS_PER_SECOND = 0.01
 NOT_RUN_CODES = frozenset({result_codes.RETRY_CONNECT, result_codes.RETRY_REFUSED})
 
--- a/src/carawayhitch/controllers/service_shares/_limits.py
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -9,9 +9,9 @@
 from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.core import rows
 
-# Window of the rates of calls and answers. Shorter ones make the rates of the entries
-# that see few calls too uneven, longer ones react late to bursts of a few seconds.
-RATE_WINDOW_SECONDS = 1.0
+# Window of the rates of calls and answers. Longer ones would limit accounts for seconds
+# after the end of a burst; shorter ones would forget calls between two reports.
+RATE_WINDOW_SECONDS = 0.5
 # Callers that return sooner meet the same limit.
 RETRY_AFTER_MINIMUM_SECONDS = 1.0
 RETRY_AFTER_MAXIMUM_SECONDS = 60.0
