--- a/src/carawayhitch/controllers/service_shares/_allotment.py
+++ b/src/carawayhitch/controllers/service_shares/_allotment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
+from math import sqrt
 from typing import NamedTuple
 
 # A server that answers less than this part of the mean has stopped answering.
@@ -15,9 +16,9 @@
 # end. Entries choose servers independently, so that with fewer calls some servers would
 # be idle while others have a queue. At this number a call waits for one answer time.
 RUNNING_TARGET = 2.0
-# Multiple of the answers that is accepted while there are fewer calls than that. With
-# 1, servers that became faster would stay partly idle.
-GROWTH = 1.05
+# Largest multiple of the answers that is accepted while fewer calls are there. With 1,
+# servers that became faster or that limits have emptied would stay partly idle.
+LARGEST_GROWTH = 1.15
 # Bounds on the change of the capacity from one derivation to the next, by which it at
 # most doubles or halves within a second.
 LARGEST_RISE = 1.2
@@ -82,7 +83,8 @@
         return None
     capacity = sum(row.answers_per_second for row in answering) * slots / used_slots
     running = sum(row.running for row in answering)
-    return capacity * min(GROWTH, RUNNING_TARGET * slots / max(1.0, running))
+    ratio = RUNNING_TARGET * slots / max(1.0, running)
+    return capacity * (ratio if ratio < 1.0 else min(LARGEST_GROWTH, sqrt(ratio)))
 
 
 def next_capacity(estimate: float | None, previous: float) -> float | None:
