--- a/src/carawayhitch/controllers/_routes.py
+++ b/src/carawayhitch/controllers/_routes.py
@@ -53,8 +53,9 @@
             priority=index,
             first_token_target_seconds=goal_seconds,
             maximum_wait_seconds=MAXIMUM_WAIT_SECONDS,
+            route_priority=priority,
         )
-        for index, (_, goal_seconds, name) in enumerate(sorted(keys))
+        for index, (priority, goal_seconds, name) in enumerate(sorted(keys))
     }
 
 
--- a/src/carawayhitch/controllers/service_shares/_counting.py
+++ b/src/carawayhitch/controllers/service_shares/_counting.py
@@ -14,6 +14,7 @@
     next_capacity,
     service_capacity,
 )
+from carawayhitch.controllers.service_shares._limits import share_priority
 from carawayhitch.core import actions, messages, rows
 
 REPORT_INTERVAL_SECONDS = 0.5
@@ -102,7 +103,8 @@
     """Return the floor of a priority, the highest one of its ranks."""
     configuration = board.configuration
     ranks = configuration.rank_classes_by_name.values() if configuration else ()
-    return max((rank.floor for rank in ranks if rank.priority == priority), default=0.0)
+    floors = [rank.floor for rank in ranks if share_priority(rank) == priority]
+    return max(floors, default=0.0)
 
 
 def _server_states(
--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -86,6 +86,9 @@
         Longest time in the queue before a request is refused.
     queue_limit : int
         Requests of this class that may be queued in one cell.
+    route_priority : int or None
+        Priority of the routes or accounts from which the class was derived. Classes of
+        one such priority are ordered by their goals.
     """
 
     name: str
@@ -95,6 +98,7 @@
     between_tokens_target_seconds: Annotated[float, Meta(gt=0)] = 0.035
     maximum_wait_seconds: Annotated[float, Meta(gt=0)] = 60.0
     queue_limit: Annotated[int, Meta(ge=1)] = 1000
+    route_priority: int | None = None
 
 
 class ClientAccount(NamedTuple):
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -7,6 +7,8 @@
 
 from carawayhitch import controllers
 from carawayhitch.controllers import service_shares
+from carawayhitch.controllers._routes import route_ranks
+from carawayhitch.controllers.service_shares._limits import limit_key
 from carawayhitch.core import actions, declarations, messages, result_codes
 from carawayhitch.node import _status
 from tests.controllers.scheduling_world import sent
@@ -168,6 +170,19 @@
         (answer,) = sent(self.feed(empty, 3.0), messages.ServiceShares)
         self.assertEqual([row.account for row in answer.shares], ["large"])
 
+    def test_routes_of_one_priority_have_a_common_limit(self):
+        # Guards against a route that is refused alone for its slightly longer goal.
+        routes = [
+            declarations.HttpRoute(name, "h", f"/{name}", (), 1, goal_seconds=goal)
+            for name, goal in (("first", 0.372), ("second", 0.374))
+        ]
+        ranks = route_ranks(routes, ())
+        self.board.configuration_by_name["in_force"] = (
+            self.board.configuration._replace(rank_classes_by_name=ranks)
+        )
+        keys = {limit_key(self.board, CELL, name, "a") for name in ranks}
+        self.assertEqual(keys, {(CELL, 1, "a")})
+
 
 class AllotmentTest(unittest.TestCase):
     def test_priorities_get_capacity_in_order_after_their_floors(self):
