--- a/src/carawayhitch/controllers/service_shares/_allotment.py
+++ b/src/carawayhitch/controllers/service_shares/_allotment.py
@@ -19,6 +19,9 @@
 # Largest multiple of the answers that is accepted while fewer calls are there. With 1,
 # servers that became faster or that limits have emptied would stay partly idle.
 LARGEST_GROWTH = 1.15
+# Part of the answers that is accepted while the queues are longest. With less, servers
+# would run empty before the reports show it.
+SMALLEST_GROWTH = 0.7
 # Bounds on the change of the capacity from one derivation to the next, by which it at
 # most doubles or halves within a second.
 LARGEST_RISE = 1.2
@@ -84,7 +87,9 @@
     capacity = sum(row.answers_per_second for row in answering) * slots / used_slots
     running = sum(row.running for row in answering)
     ratio = RUNNING_TARGET * slots / max(1.0, running)
-    return capacity * (ratio if ratio < 1.0 else min(LARGEST_GROWTH, sqrt(ratio)))
+    if ratio < 1.0:
+        return capacity * max(SMALLEST_GROWTH, ratio)
+    return capacity * min(LARGEST_GROWTH, sqrt(ratio))
 
 
 def next_capacity(estimate: float | None, previous: float) -> float | None:
