Keep a failover of the counting entry when other members change

Each change of members set the reports back to the first candidate, which may be dead and not yet declared so. A call for a removed cell sends no report, and late ends of earlier attempts count once.

--- a/src/carawayhitch/controllers/service_shares/_decisions.py
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -48,7 +48,8 @@
     """Count a new call and add its share to the credit of a limited account."""
     if event.attempt > 1 or not is_shared(board, event.group):
         return ()
-    if event.request_id in board.asks_by_request_id:
+    is_repeated = event.request_id in board.asks_by_request_id
+    if is_repeated or event.cell_id not in board.cells_by_id:
         return ()
     key = limit_key(board, event.cell_id, event.rank, event.account)
     rates = board.call_rates_by_account
@@ -79,7 +80,9 @@
     """Count the end of a call that its server has run."""
     refused_attempt = board.refused_attempts_by_request_id.pop(event.request_id, 0)
     grant = board.grants_by_request_id.get(event.request_id)
-    if grant is None or not is_shared(board, grant.group):
+    if grant is None or grant.attempt != event.attempt:
+        return ()
+    if not is_shared(board, grant.group):
         return ()
     if event.upstream_refused or refused_attempt == event.attempt:
         return ()
@@ -94,10 +97,19 @@
     """Set the timer of the first report, at a time that differs among entries."""
     if cell_id in board.service_reports_by_cell_id:
         return ()
-    board.service_reports_by_cell_id[cell_id] = rows.ServiceReportRow(cell_id)
+    board.service_reports_by_cell_id[cell_id] = rows.ServiceReportRow(
+        cell_id, _derive_candidates(board, cell_id)
+    )
     return (_report_timer(cell_id, now + random.uniform(0, REPORT_INTERVAL_SECONDS)),)
 
 
+def _derive_candidates(board: Board, cell_id: str) -> tuple[str, ...]:
+    """Return the entries that may count the calls of a cell, in failover order."""
+    cells = {cell_id: board.cells_by_id[cell_id]}
+    members = board.members_by_id.values()
+    return duties.derive_schedulers(cells, members, board.node_id)[cell_id]
+
+
 def _report_timer(cell_id: str, deadline: float) -> actions.SetTimer:
     return actions.SetTimer(deadline, events.TimerFired(REPORT_TIMER, cell_id))
 
@@ -189,12 +201,6 @@
     The first candidates are the same at all entries with the same members. Entries that
     report elsewhere for a moment are missing in the sums, so that more is accepted.
     """
-    if not row.candidate_ids:
-        cell = board.cells_by_id[row.cell_id]
-        order = duties.derive_schedulers(
-            {row.cell_id: cell}, board.members_by_id.values(), board.node_id
-        )
-        row = rows.ServiceReportRow(row.cell_id, order[row.cell_id])
     if row.failover_deadline and now >= row.failover_deadline:
         row = rows.ServiceReportRow(row.cell_id, row.candidate_ids)
     if row.unanswered_count < UNANSWERED_REPORT_LIMIT:
@@ -225,7 +231,7 @@
     row = board.service_reports_by_cell_id.get(event.cell_id)
     if row is None:
         return ()
-    if row.candidate_ids and event.sender_id == row.candidate_ids[row.candidate_index]:
+    if event.sender_id == row.candidate_ids[row.candidate_index]:
         board.service_reports_by_cell_id[event.cell_id] = row._replace(
             unanswered_count=0
         )
@@ -245,12 +251,19 @@
 
 @decide.register(events.MembershipChanged)
 @decide.register(events.UpstreamsChanged)
-def _derive_candidates_again(
+def _update_candidates(
     event: events.MembershipChanged | events.UpstreamsChanged,
     board: Board,
     now: float,
     random: Random,
 ) -> Actions:
-    for cell_id in board.service_reports_by_cell_id:
-        board.service_reports_by_cell_id[cell_id] = rows.ServiceReportRow(cell_id)
+    """Derive the candidates again; a failover lasts while they are the same."""
+    for cell_id, row in list(board.service_reports_by_cell_id.items()):
+        if cell_id not in board.cells_by_id:
+            continue
+        candidate_ids = _derive_candidates(board, cell_id)
+        if candidate_ids != row.candidate_ids:
+            board.service_reports_by_cell_id[cell_id] = rows.ServiceReportRow(
+                cell_id, candidate_ids
+            )
     return ()
--- a/src/carawayhitch/core/_scheduling_rows.py
+++ b/src/carawayhitch/core/_scheduling_rows.py
@@ -222,8 +222,7 @@
     Parameters
     ----------
     candidate_ids : tuple of str
-        Entries that may count the cell's calls, in failover order; empty if they have
-        to be derived again.
+        Entries that may count the cell's calls, in failover order.
     candidate_index : int
         Which of them gets the reports.
     unanswered_count : int
@@ -233,7 +232,7 @@
     """
 
     cell_id: str
-    candidate_ids: tuple[str, ...] = ()
+    candidate_ids: tuple[str, ...]
     candidate_index: int = 0
     unanswered_count: int = 0
     failover_deadline: float = 0.0
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -9,7 +9,7 @@
 from carawayhitch.controllers import service_shares
 from carawayhitch.controllers._routes import route_ranks
 from carawayhitch.controllers.service_shares._limits import limit_key
-from carawayhitch.core import actions, declarations, messages, result_codes
+from carawayhitch.core import actions, declarations, events, messages, result_codes
 from carawayhitch.node import _status
 from tests.controllers.scheduling_world import sent
 from tests.controllers.service_shares.crowded_service import (
@@ -89,6 +89,8 @@
 
         model, share = self.play(fail)
         self.assertGreater(share, 0.85)
+        # News of other members do not undo the failover.
+        model.decide("entry-00", events.MembershipChanged(), 15.0)
         row = model.boards["entry-00"].service_reports_by_cell_id[CELL]
         self.assertEqual(row.candidate_index, 1)
 
