--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -84,6 +84,13 @@
     next_return_times_by_account: dict[tuple[str, str, str], float]
     arriving_work_by_rank: dict[tuple[str, str], rows.ArrivingWorkRow]
     engine_times_by_binding: dict[str, rows.EngineTimeRow]
+    call_rates_by_account: dict[tuple[str, int, str], rows.CallRateRow]
+    answer_rates_by_upstream_id: dict[str, rows.CallRateRow]
+    refused_attempts_by_request_id: dict[str, int]
+    service_reports_by_cell_id: dict[str, rows.ServiceReportRow]
+    reported_loads_by_cell_entry: dict[tuple[str, str], rows.ReportedLoadRow]
+    service_shares_by_cell_id: dict[str, rows.ServiceShareRow]
+    share_limits_by_account: dict[tuple[str, int, str], rows.ShareLimitRow]
     duties_by_kind: dict[str, tuple[str, ...]]
     duty_loads_by_node_id: dict[str, rows.DutyLoadRow]
 
@@ -207,6 +214,13 @@
         next_return_times_by_account={},
         arriving_work_by_rank={},
         engine_times_by_binding={},
+        call_rates_by_account={},
+        answer_rates_by_upstream_id={},
+        refused_attempts_by_request_id={},
+        service_reports_by_cell_id={},
+        reported_loads_by_cell_entry={},
+        service_shares_by_cell_id={},
+        share_limits_by_account={},
         duties_by_kind={},
         duty_loads_by_node_id={},
     )
--- a/src/carawayhitch/codecs/__init__.py
+++ b/src/carawayhitch/codecs/__init__.py
@@ -68,6 +68,7 @@
     encode_tombstone,
 )
 from carawayhitch.codecs._operators import (
+    AccountShareBody,
     ChangeBody,
     MemberStatusBody,
     ObjectBody,
@@ -117,6 +118,7 @@
 
 __all__ = [
     "EXCHANGE_SIGNATURE_HEADER",
+    "AccountShareBody",
     "ChangeBody",
     "EventBlock",
     "FolderDeclarations",
--- a/src/carawayhitch/codecs/peers.capnp
+++ b/src/carawayhitch/codecs/peers.capnp
@@ -34,6 +34,8 @@
     backoffSeen @18 :BackoffSeen;
     crashesSeen @19 :CrashesSeen;
     placeKept @20 :PlaceKept;
+    serviceLoad @21 :ServiceLoad;
+    serviceShares @22 :ServiceShares;
   }
 }
 
@@ -188,6 +190,36 @@
   deadline @1 :Float32;
 }
 
+struct AccountRate {
+  account @0 :Text;
+  priority @1 :Int32;
+  callsPerSecond @2 :Float32;
+}
+
+struct ServerLoad {
+  upstreamId @0 :Text;
+  runningCount @1 :UInt32;
+  answersPerSecond @2 :Float32;
+  busySeconds @3 :Float32;
+}
+
+struct ServiceLoad {
+  cellId @0 :Text;
+  accounts @1 :List(AccountRate);
+  servers @2 :List(ServerLoad);
+}
+
+struct AccountShare {
+  account @0 :Text;
+  priority @1 :Int32;
+  share @2 :Float32;
+}
+
+struct ServiceShares {
+  cellId @0 :Text;
+  shares @1 :List(AccountShare);
+}
+
 enum MemberState {
   alive @0;
   suspect @1;
--- a/src/carawayhitch/controllers/__init__.py
+++ b/src/carawayhitch/controllers/__init__.py
@@ -40,6 +40,7 @@
     duties,
     locality,
     overload,
+    service_shares,
     store_watch,
     zones,
 )
@@ -87,6 +88,8 @@
 # _health reads request rows before _retries and _streams assign another upstream.
 # _suspects reads the grants of a failed upstream before _scheduling removes them, and
 # overload those of ended requests.
+# service_shares adds the share of a new call to the credit of its account before
+# _scheduling decides on the call, and reads a grant before _scheduling removes it.
 # _admission removes the row of an ended request, so it runs after all controllers
 # that read the row and before _lifecycle, which counts the remaining rows.
 # duties reads the schedulers that _placement derives.
@@ -105,6 +108,7 @@
     _orders.decide,
     _suspects.decide,
     overload.decide,
+    service_shares.decide,
     _scheduling.decide,
     _evacuation.decide,
     _drain_waits.decide,
--- /dev/null
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -0,0 +1,120 @@
+"""Limits of accounts at an entry: which new calls it accepts."""
+
+from __future__ import annotations
+
+from math import exp
+
+from carawayhitch.board import Board
+from carawayhitch.controllers._cells import entry_scheduled_groups
+from carawayhitch.controllers._ranks import rank_class
+from carawayhitch.core import declarations, rows
+
+# Window of the rates of calls and answers. Longer ones would limit accounts for seconds
+# after the end of a burst; shorter ones would forget calls between two reports.
+RATE_WINDOW_SECONDS = 0.5
+# Callers that return sooner meet the same limit.
+RETRY_AFTER_MINIMUM_SECONDS = 1.0
+RETRY_AFTER_MAXIMUM_SECONDS = 60.0
+# Credit that an account can save up. More would let it send a burst.
+CREDIT_LIMIT = 2.0
+
+
+def is_shared(board: Board, group: str) -> bool:
+    """Return whether accounts have shares in the servers of a group."""
+    if not board.settings.scheduling.service_shares:
+        return False
+    return group in entry_scheduled_groups(board)
+
+
+def add_call(
+    row: rows.CallRateRow | None, now: float, seconds: float = 0.0
+) -> rows.CallRateRow:
+    """Return a rate with one more call, which took a time if it has ended."""
+    current = current_rate(row, now)
+    return rows.CallRateRow(current.calls + 1.0, current.seconds + seconds, now)
+
+
+def current_rate(row: rows.CallRateRow | None, now: float) -> rows.CallRateRow:
+    """Return a rate decayed to the current time; zero if there were no calls."""
+    if row is None:
+        return rows.CallRateRow(updated_at=now)
+    factor = exp(-max(0.0, now - row.updated_at) / RATE_WINDOW_SECONDS)
+    return rows.CallRateRow(row.calls * factor, row.seconds * factor, now)
+
+
+def calls_per_second(row: rows.CallRateRow | None, now: float) -> float:
+    """Return the smoothed rate of calls."""
+    return current_rate(row, now).calls / RATE_WINDOW_SECONDS
+
+
+def limit_key(
+    board: Board, cell_id: str, rank: str, account: str
+) -> tuple[str, int, str]:
+    """Return the key by which the calls of an account are counted and limited."""
+    return cell_id, share_priority(rank_class(board, rank)), account
+
+
+def share_priority(rank: declarations.RankClass) -> int:
+    """Return the priority by which a rank gets its part of a crowded service.
+
+    Ranks of routes with the same priority get theirs together. Otherwise the route with
+    the shorter goal would be served alone, however little shorter its goal is.
+    """
+    return rank.priority if rank.route_priority is None else rank.route_priority
+
+
+def limit_of(board: Board, ask: rows.AskRow, now: float) -> rows.ShareLimitRow | None:
+    """Return the limit that applies to an ask at this entry, or None."""
+    key = limit_key(board, ask.cell_id, ask.rank, ask.account)
+    limit = board.share_limits_by_account.get(key)
+    return limit if limit is not None and now < limit.deadline else None
+
+
+def active_limits(
+    board: Board, now: float
+) -> dict[tuple[str, int, str], rows.ShareLimitRow]:
+    """Return the limits of this entry by cell, priority and account."""
+    return {
+        key: limit
+        for key, limit in board.share_limits_by_account.items()
+        if now < limit.deadline
+    }
+
+
+def accepts(board: Board, ask: rows.AskRow, now: float) -> bool:
+    """Return whether the limit of its account lets a new call in.
+
+    A call that was accepted before is not limited when it is tried again.
+    """
+    limit = limit_of(board, ask, now)
+    return limit is None or ask.attempt > 1 or limit.credit >= 1.0
+
+
+def spend_credit(board: Board, ask: rows.AskRow, now: float) -> None:
+    """Take an accepted call from the credit of its account."""
+    limit = limit_of(board, ask, now)
+    if limit is not None and ask.attempt == 1:
+        key = limit_key(board, ask.cell_id, ask.rank, ask.account)
+        board.share_limits_by_account[key] = limit._replace(credit=limit.credit - 1.0)
+
+
+def retry_after_seconds(board: Board, ask: rows.AskRow, now: float) -> float:
+    """Return the time after which the account has credit again at its present rate."""
+    limit = limit_of(board, ask, now)
+    key = limit_key(board, ask.cell_id, ask.rank, ask.account)
+    rate = calls_per_second(board.call_rates_by_account.get(key), now)
+    if limit is None or not rate:
+        return RETRY_AFTER_MINIMUM_SECONDS
+    seconds = (1.0 - limit.credit) / (limit.share * rate)
+    return min(
+        RETRY_AFTER_MAXIMUM_SECONDS, max(RETRY_AFTER_MINIMUM_SECONDS, round(seconds, 1))
+    )
+
+
+def charged_size(board: Board, ask: rows.AskRow) -> int:
+    """Return what the fair queue charges for an ask.
+
+    Calls to plain services have no tokens. Without a charge the accounts that wait at
+    an entry would be served in order of their names.
+    """
+    return 1 if is_shared(board, ask.group) else ask.prompt_tokens
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -315,6 +315,56 @@
     deadline: float
 
 
+class AccountRate(NamedTuple):
+    """New calls per second of one account in the ranks of one priority."""
+
+    account: str
+    priority: int
+    calls_per_second: float
+
+
+class ServerLoad(NamedTuple):
+    """Calls of one entry that run at a server.
+
+    Parameters
+    ----------
+    answers_per_second : float
+        Calls that end per second.
+    busy_seconds : float
+        Time that the calls which end within a second have run.
+    """
+
+    upstream_id: str
+    running_count: int
+    answers_per_second: float
+    busy_seconds: float
+
+
+class ServiceLoad(NamedTuple):
+    """Calls of an entry to the servers of a cell, for the entry that counts them."""
+
+    sender_id: str
+    cell_id: str
+    accounts: tuple[AccountRate, ...]
+    servers: tuple[ServerLoad, ...]
+
+
+class AccountShare(NamedTuple):
+    """Share of an account's new calls that entries accept, from 0 to 1."""
+
+    account: str
+    priority: int
+    share: float
+
+
+class ServiceShares(NamedTuple):
+    """Answer to a `ServiceLoad`: the accounts whose calls are limited."""
+
+    sender_id: str
+    cell_id: str
+    shares: tuple[AccountShare, ...]
+
+
 class Probe(NamedTuple):
     """Failure detection probe with piggybacked member and crash rows."""
 
@@ -359,6 +409,8 @@
     | LeavingSeen
     | BackoffSeen
     | PlaceKept
+    | ServiceLoad
+    | ServiceShares
     | Probe
     | ProbeAck
     | IndirectProbe
--- a/src/carawayhitch/node/_exposition.py
+++ b/src/carawayhitch/node/_exposition.py
@@ -20,7 +20,13 @@
 from prometheus_client.registry import Collector
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import cold_start, overload, own_duties, own_strength
+from carawayhitch.controllers import (
+    cold_start,
+    overload,
+    own_duties,
+    own_strength,
+    service_shares,
+)
 from carawayhitch.node._logs import process_log_output
 from carawayhitch.node._metrics import SECONDS_BUCKETS, Labels, Metrics
 from carawayhitch.node._stores import StoreCallLabels
@@ -212,6 +218,17 @@
         engines = overload.arriving_engines(board, cell_id, rank, now)
         arriving.add_metric((cell_id, rank), engines)
     yield arriving
+    shares = GaugeMetricFamily(
+        "carawayhitch_account_share",
+        "Share of the calls of an account that this entry accepts, for accounts"
+        " limited at a crowded plain service; only with scheduling.service_shares.",
+        labels=("cell", "priority", "account"),
+    )
+    for (cell_id, priority, account), limit in service_shares.active_limits(
+        board, now
+    ).items():
+        shares.add_metric((cell_id, str(priority), account), limit.share)
+    yield shares
 
 
 def _counter(
