--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -89,8 +89,8 @@
     position = known_revision(board, scope_row)
     store = board.settings.store
     may_be_stale = scope in store.stale_scopes
-    starts = now < scope_row.watched_stale_until
-    is_watcher = not starts and duties.is_watcher(board, now)
+    is_starting = now < scope_row.watched_stale_until
+    is_watcher = not is_starting and duties.is_watcher(board, now)
     if position >= 0 and not may_be_stale and not is_watcher:
         if not store.stale_watches:
             update_scope(board, scope, call="")
@@ -110,7 +110,7 @@
         return (actions.ListObjects(LIST_OPERATION, scope, list_may_be_stale),)
     update_scope(board, scope, call="watch", called_at=now)
     wait = watch_seconds(board, scope, now)
-    if starts and scope not in store.slow_scopes:
+    if is_starting and scope not in store.slow_scopes:
         wait = min(wait, scope_row.watched_stale_until - now)
     if scope_row.failure_count:
         wait = min(wait, PROBE_WATCH_SECONDS)
