--- a/experiments/_processes.py
+++ b/experiments/_processes.py
@@ -18,3 +18,13 @@
 def resident_bytes(pid: int) -> int:
     """Return the resident memory of a process."""
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def anonymous_bytes(pid: int) -> int:
+    """Return the resident memory of a process that no file backs.
+
+    Processes of one machine share the rest: the code of the interpreter and libraries.
+    """
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    (kilobytes,) = (line.split()[1] for line in lines if line.startswith("RssAnon:"))
+    return int(kilobytes) * 1024
--- a/experiments/processor_time.py
+++ b/experiments/processor_time.py
@@ -19,7 +19,7 @@
 
 import aiohttp
 
-from experiments._processes import cpu_seconds, resident_bytes
+from experiments._processes import anonymous_bytes, cpu_seconds, resident_bytes
 from fakes.platform_fleet import (
     HOST,
     KEY,
@@ -175,6 +175,8 @@
         figures.append(Figure("idle entry", 1e3 * idle, "thousandths of a core"))
         resident = mean(resident_bytes(pid) for pid in entry_pids(fleet))
         figures.append(Figure("memory at rest", resident / 1e6, "MB"))
+        anonymous = mean(anonymous_bytes(pid) for pid in entry_pids(fleet))
+        figures.append(Figure("of it not of files", anonymous / 1e6, "MB"))
         for kind in KINDS:
             figures.append(measure_calls(fleet, kind, options.calls, idle))
         streams = [figure.value for figure in figures[-2:]]
