--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -139,7 +139,7 @@
     if configuration is None:
         return
     limits = configuration.caller_limits
-    # Each assignment to the configuration of sanic takes 10 us.
+    # The two assignments took 6% of the instructions of a refused call.
     if application.ctx.caller_limits is limits:
         return
     application.ctx.caller_limits = limits
