Let a fresh list decide on removals after an outage

Cause: removals that arrived within the grace period after an outage were merged by a timer at its end. The next read was due at the same instant or later, and schedulers read stale, so a renewal in time could be unknown. If the store failed again within the grace period, no renewal could arrive at all. The removals then started evacuations. Watchers did not push them, and a stale answer older than the known revision was not deferred at all.

The removals now stand on the row of the scope. At the end of the grace period nothing happens if all were renewed; otherwise the scope is listed consistently and the list decides, and watchers push what it removes. A scope that fails keeps them until its next answer and another grace period. A list that began within the period does not decide.

Ruled out: a list in every case, as before the timer, which costs one call per entry and outage although all servers return. Removal by a stale watch, which may be older than the renewal.

test_removals_after_an_outage_are_deferred demanded the merge without a call and delivered the renewal before the deadline; five tests replace it. On the code before, four fail (no list at the deadline, removals during a failure, by an early list and by an older stale answer); the fifth, that renewed registrations need no list, passes on both. All pass now.

--- a/src/carawayhitch/controllers/store_watch/_outages.py
+++ b/src/carawayhitch/controllers/store_watch/_outages.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from random import Random
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions
+from carawayhitch.controllers.store_watch._removals import extend_grace
 from carawayhitch.controllers.store_watch._scopes import (
     DEFERRED_CALL,
     set_call_timer,
@@ -16,7 +16,7 @@
     answer_interval_seconds,
     keeps_close_contact,
 )
-from carawayhitch.core import actions, events, rows
+from carawayhitch.core import actions, rows
 
 RETRY_BASE_DELAY_SECONDS = 0.5
 # Delay before a call that timed out is repeated. With the platform's call timeout of
@@ -40,8 +40,13 @@
     decided: Actions = ()
     if scope_row.failure_count:
         grace = board.settings.store.lapse_grace_seconds
-        if grace and now - scope_row.failing_since >= MINIMUM_OUTAGE_SECONDS:
-            update_scope(board, scope_row.scope, removals_applied_after=now + grace)
+        was_long = now - scope_row.failing_since >= MINIMUM_OUTAGE_SECONDS
+        # Renewals could not arrive at the end of the last grace period.
+        was_due = scope_row.deferred_removals and (
+            now >= scope_row.removals_applied_after
+        )
+        if grace and (was_long or was_due):
+            decided = extend_grace(board, scope_row, now + grace)
         fields = {
             "dependency": "store",
             "scope": scope_row.scope,
@@ -49,6 +54,7 @@
             "seconds": round(now - scope_row.failing_since, 3),
         }
         decided = (
+            *decided,
             actions.Log("info", "dependency regained", fields),
             *call_deferred_scopes(board, now),
             *_renew_watches(board, scope_row, now),
@@ -80,27 +86,6 @@
     return decided
 
 
-def defer_removals(
-    board: Board, scope: str, objects: Iterable[events.StoredObject], now: float
-) -> tuple[tuple[events.StoredObject, ...], Actions]:
-    """Return the objects to merge now, and actions that merge removals later.
-
-    A registration that is renewed meanwhile has a higher version than its removal,
-    which then has no effect.
-    """
-    deadline = board.store_scopes_by_name[scope].removals_applied_after
-    if now >= deadline:
-        return tuple(objects), ()
-    kept: list[events.StoredObject] = []
-    removed: list[events.StoredObject] = []
-    for stored in objects:
-        (removed if stored.deleted else kept).append(stored)
-    if not removed:
-        return tuple(kept), ()
-    received = events.ObjectsReceived(tuple(removed), -1, 0)
-    return tuple(kept), (actions.SetTimer(deadline, received),)
-
-
 def schedule_retry(board: Board, scope: str, now: float, random: Random) -> Actions:
     """Set a timer for the next probe of the store after a failed call.
 
--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -22,10 +22,14 @@
 from carawayhitch.controllers._controller import Actions, new_controller
 from carawayhitch.controllers.store_watch._outages import (
     call_deferred_scopes,
-    defer_removals,
     record_contact,
     schedule_retry,
 )
+from carawayhitch.controllers.store_watch._removals import (
+    REMOVALS_TIMER,
+    decide_on_removals,
+    defer_removals,
+)
 from carawayhitch.controllers.store_watch._scopes import (
     LIST_OPERATION,
     STORE_CALL_TIMER,
@@ -93,7 +97,7 @@
     is_watcher = not starts and duties.is_watcher(board, now)
     if position >= 0 and not may_be_stale and not is_watcher:
         if not store.stale_watches:
-            update_scope(board, scope, call="")
+            update_scope(board, scope, call="", deferred_removals=())
             return call_deferred_scopes(board, now)
         may_be_stale = True
     needs_own_list = scope in store.consistent_scopes and scope_row.position < 0
@@ -142,10 +146,11 @@
 ) -> Actions:
     if event.name == ANTI_ENTROPY_TIMER:
         return _watch_idle_scopes(board, now, random)
-    if (
-        event.name != STORE_CALL_TIMER
-        or event.subject not in board.store_scopes_by_name
-    ):
+    if event.subject not in board.store_scopes_by_name:
+        return ()
+    if event.name == REMOVALS_TIMER:
+        return decide_on_removals(board, event.subject, now)
+    if event.name != STORE_CALL_TIMER:
         return ()
     if board.store_scopes_by_name[event.subject].call != "timer":
         return ()
@@ -195,13 +200,16 @@
     update_scope(board, event.scope, list_after=list_after)
     removed = _tombstones_of_unlisted(event, board)
     first = known_revision(board, scope_row) < 0
+    deferred = scope_row.deferred_removals
+    if scope_row.called_at >= scope_row.removals_applied_after:
+        update_scope(board, event.scope, deferred_removals=())
     taken = _handle_answer(
         board,
         event,
         (*event.objects, *removed),
         now,
         random,
-        PUSH_FANOUT if first or removed else 0,
+        PUSH_FANOUT if first or removed or deferred else 0,
     )
     return (*_report_unreadable_objects(event), *taken)
 
@@ -252,11 +260,14 @@
     never reverts an object.
     """
     scope_row = board.store_scopes_by_name[event.scope]
+    # A list returns a state between its call and its answer, a watch the last change.
+    read_at = scope_row.called_at if isinstance(event, events.ObjectsListed) else now
     if event.revision < known_revision(board, scope_row) and event.may_be_stale:
         # This node knows newer changes already; a later stale read may include them.
-        kept, deferred = defer_removals(board, event.scope, objects, now)
+        decided = record_contact(board, scope_row, now)
+        kept, deferred = defer_removals(board, event.scope, objects, read_at, now)
         return (
-            *record_contact(board, scope_row, now),
+            *decided,
             actions.Emit(events.ObjectsReceived(kept, -1, push_count)),
             *deferred,
             *set_call_timer(board, event.scope, now + STALE_READ_PAUSE_SECONDS),
@@ -269,7 +280,7 @@
             *schedule_retry(board, event.scope, now, random),
         )
     decided = record_contact(board, scope_row, now)
-    kept, deferred = defer_removals(board, event.scope, objects, now)
+    kept, deferred = defer_removals(board, event.scope, objects, read_at, now)
     update_scope(board, event.scope, position=event.revision)
     complete = complete_revision(board)
     pause = pause_seconds(board, event.scope)
--- a/src/carawayhitch/core/_object_rows.py
+++ b/src/carawayhitch/core/_object_rows.py
@@ -67,6 +67,13 @@
     change_accepted_at: float = 0.0
 
 
+class DeferredRemoval(NamedTuple):
+    """A removal of a stored object that is not applied yet."""
+
+    key: tuple[str, str]
+    version: int
+
+
 class StoreScopeRow(NamedTuple):
     """Part of the store that is listed and watched separately.
 
@@ -90,6 +97,8 @@
     removals_applied_after : float
         Time at which removals are applied that come earlier, because registrations
         that lapsed in an outage of the store return shortly after it.
+    deferred_removals : tuple of DeferredRemoval
+        Removals that came earlier, until a list that begins after that time.
     contacted_at : float
         Time of the last answer from the store.
     called_at : float
@@ -108,6 +117,7 @@
     failure_count: int = 0
     failing_since: float = 0.0
     removals_applied_after: float = 0.0
+    deferred_removals: tuple[DeferredRemoval, ...] = ()
     contacted_at: float = 0.0
     called_at: float = 0.0
     watch_deadline: float = 0.0
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -24,6 +24,7 @@
 )
 from carawayhitch.core._object_rows import (
     ChangeRow,
+    DeferredRemoval,
     ObjectRow,
     ObjectSetRow,
     StoreScopeRow,
@@ -100,6 +101,7 @@
     "ConnectionStage",
     "ConnectionUse",
     "CrashRow",
+    "DeferredRemoval",
     "DutyLoadRow",
     "EndedRequestRow",
     "EngineFailureRow",
