Replace long watches that began while another scope failed

Cause: after a failure, only watches that began before it were replaced. If upstreams failed first, configuration answered and began a watch of 20 s and its connection then fell silent, the watch stayed for 16.75 s after upstreams had returned. The call that replaced a watch waited 20 s as well, though the client may reuse a connection that is silent.

Each long watch that is older than the call that was answered is replaced, whichever scope regains contact, and the first one that follows waits briefly. Watches that end within the bounds stay.

Ruled out: closing all connections of the client, which also ends the calls that were answered.

--- a/src/carawayhitch/controllers/store_watch/_outages.py
+++ b/src/carawayhitch/controllers/store_watch/_outages.py
@@ -66,13 +66,19 @@
 
 
 def _renew_watches(board: Board, regained: rows.StoreScopeRow, now: float) -> Actions:
-    """Replace watches that may wait on connections that failed without a reset."""
+    """Replace long watches that may wait on connections that failed without a reset."""
     store = board.settings.store
-    if not store.relaxed_watch_seconds or regained.scope not in store.relaxed_scopes:
+    if not store.relaxed_watch_seconds:
         return ()
+    latest = now + answer_interval_seconds(store)
     decided: list[actions.Action] = []
     for row in list(board.store_scopes_by_name.values()):
-        if row.call == "watch" and row.called_at < regained.failing_since:
+        if (
+            row.call == "watch"
+            and row.called_at < regained.called_at
+            and row.watch_deadline > latest
+        ):
+            update_scope(board, row.scope, tests_connection=True)
             decided += set_call_timer(board, row.scope, now)
     return decided
 
--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -109,14 +109,14 @@
             list_after=now + LIST_INTERVAL_SECONDS * random.uniform(0.5, 1.5),
         )
     if now >= scope_row.list_after:
-        update_scope(board, scope, call="list", called_at=now)
+        update_scope(board, scope, call="list", called_at=now, tests_connection=False)
         list_may_be_stale = _list_may_be_stale(store, scope, position)
         return (actions.ListObjects(LIST_OPERATION, scope, list_may_be_stale),)
-    update_scope(board, scope, call="watch", called_at=now)
+    update_scope(board, scope, call="watch", called_at=now, tests_connection=False)
     wait = watch_seconds(board, scope, now)
     if starts and scope not in store.slow_scopes:
         wait = min(wait, scope_row.watched_stale_until - now)
-    if scope_row.failure_count:
+    if scope_row.failure_count or scope_row.tests_connection:
         wait = min(wait, PROBE_WATCH_SECONDS)
     update_scope(board, scope, watch_deadline=now + wait)
     watch = actions.WatchObjects(WATCH_OPERATION, position, wait, scope, may_be_stale)
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -422,6 +422,25 @@
                 if duty == "none":
                     self.assertIsNotNone(self.next_call("configuration"), cause)
 
+    def test_watch_that_began_during_a_failure_is_replaced(self):
+        """Guards against a long wait on a connection that fell silent meanwhile.
+
+        The call that replaces it may reuse a silent connection, so it waits briefly.
+        """
+        self.join_fleet("none")
+        self.now += 2.5
+        self.feed(events.ObjectsListed(10, (), "upstreams"))
+        self.next_call()
+        self.fail_watch()
+        self.now += 0.1
+        self.feed(events.ObjectsListed(10, (), "configuration"))
+        self.next_call("configuration")
+        self.now += 3.0
+        self.next_call()
+        self.feed(events.ObjectsChanged("s", 20, (), "upstreams", True))
+        renewed = self.next_call("configuration")
+        self.assertEqual(renewed.wait_seconds, store_watch.PROBE_WATCH_SECONDS)
+
     def test_loss_and_recovery_of_the_store_are_each_logged_once(self):
         """Guards against a log line for each failed call of a long outage."""
         self.listed(upstream("u1", 3))
