Limit watches while a watcher is suspected and after failed calls

Causes: one lost answer left a watch of 20 s silent, which nothing renewed while the watch of upstreams worked. If both watchers of the zone were lost as well, only digests were left until membership had replaced them. And a new scheduler kept its long watches, since only new watchers replaced them; schedulers are derived after the membership change, so the same event can't show them.

The bounds limit all watches while a watcher of the zone is suspected, and for 5 s after a failed call, in which membership replaces lost watchers. At each probe interval an entry compares its long watches with this and with its duties.

Ruled out: an event for each suspicion, which every entry of the fleet would handle to find a watcher of its zone. Bounded waits at all times, which undo the saving.

Before, the new tests found no renewed call for a suspect watcher or a new scheduler, and waits of 20 s four times after a failed call; now 2.5, 2.5, 20 and 20 s. The test of watches that began during a failure expects 2.5 s instead of a replacement, since they are no longer long.

--- a/src/carawayhitch/controllers/duties/__init__.py
+++ b/src/carawayhitch/controllers/duties/__init__.py
@@ -4,6 +4,7 @@
 
 from carawayhitch.controllers.duties._assignment import (
     derive_schedulers,
+    has_suspect_watcher,
     is_watcher,
     order_members,
     own_duties,
@@ -14,6 +15,7 @@
 __all__ = [
     "decide",
     "derive_schedulers",
+    "has_suspect_watcher",
     "is_strength_known",
     "is_watcher",
     "order_members",
--- a/src/carawayhitch/controllers/duties/_assignment.py
+++ b/src/carawayhitch/controllers/duties/_assignment.py
@@ -79,14 +79,33 @@
     if not any(row.node_id != board.node_id for row in live):
         has_met_peers = bool(board.members_by_id.keys() - {board.node_id})
         return has_met_peers or now >= board.object_set.isolated_after
+    return board.node_id in _watcher_ids(board)
+
+
+def has_suspect_watcher(board: Board) -> bool:
+    """Return whether a watcher of this node's zone does not answer its peers."""
+    zone = board.settings.node.zone
+    suspect = {
+        row.node_id
+        for row in board.members_by_id.values()
+        if row.state == "suspect" and row.zone == zone
+    }
+    return bool(suspect) and not suspect.isdisjoint(_watcher_ids(board))
+
+
+def _watcher_ids(board: Board) -> list[str]:
+    """Return the watchers of this node's zone, which may include this node."""
     zone = board.settings.node.zone
-    in_zone = {row.node_id for row in live if row.zone == zone} | {board.node_id}
+    in_zone = {
+        row.node_id
+        for row in board.members_by_id.values()
+        if row.state in LIVE_STATES and row.zone == zone
+    } | {board.node_id}
     count = board.settings.store.watchers_per_zone
     # Not weighted: a watcher that also schedules a cell would read every change of an
     # upstream consistently and at once, which costs the store ten times as much as the
     # stale reads of other schedulers.
-    order = order_by_rendezvous(f"watch/{zone}", in_zone)
-    return board.node_id in order[:count]
+    return order_by_rendezvous(f"watch/{zone}", in_zone)[:count]
 
 
 def own_duties(board: Board, now: float) -> dict[str, tuple[str, ...]]:
--- a/src/carawayhitch/controllers/store_watch/_outages.py
+++ b/src/carawayhitch/controllers/store_watch/_outages.py
@@ -26,6 +26,9 @@
 # Shortest delay between the probes of an entry on which no other depends, as a share of
 # the longest that lets it regain contact in time. It spreads the fleet's calls.
 RELAXED_RETRY_SPREAD = 0.75
+# Time after a failed call in which no watch is long. Peers that are lost together with
+# the connection are replaced within it.
+BOUNDED_WAITS_SECONDS = 5.0
 # Registrations expire after several missed heartbeats, so an interruption of the store
 # that is shorter than this expires none.
 MINIMUM_OUTAGE_SECONDS = 1.0
@@ -102,7 +105,13 @@
     """
     scope_row = board.store_scopes_by_name[scope]
     count = scope_row.failure_count
-    update_scope(board, scope, failure_count=count + 1, call=DEFERRED_CALL)
+    update_scope(
+        board,
+        scope,
+        failure_count=count + 1,
+        bounded_until=now + BOUNDED_WAITS_SECONDS,
+        call=DEFERRED_CALL,
+    )
     failing = [
         row
         for row in board.store_scopes_by_name.values()
--- a/src/carawayhitch/controllers/store_watch/_waits.py
+++ b/src/carawayhitch/controllers/store_watch/_waits.py
@@ -50,7 +50,21 @@
     interval = answer_interval_seconds(board.settings.store)
     if scope in board.settings.store.slow_scopes or longest <= interval:
         return longest
-    return interval if keeps_close_contact(board, now) else longest
+    return interval if needs_bounded_waits(board, now) else longest
+
+
+def needs_bounded_waits(board: Board, now: float) -> bool:
+    """Return whether the bounds of the platform limit all watches of this entry.
+
+    Others may wait longer, because the watchers of the zone push changes to them. That
+    is uncertain while a watcher is suspected, and a call that failed shows that other
+    connections may be silent.
+    """
+    return (
+        keeps_close_contact(board, now)
+        or any(row.bounded_until > now for row in board.store_scopes_by_name.values())
+        or duties.has_suspect_watcher(board)
+    )
 
 
 def _longest_watch_seconds(board: Board, scope: str) -> float:
--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -20,6 +20,7 @@
     report_outdated_answer,
 )
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._membership import PROBE_TIMER
 from carawayhitch.controllers.store_watch._outages import (
     call_deferred_scopes,
     record_contact,
@@ -42,6 +43,7 @@
 from carawayhitch.controllers.store_watch._waits import (
     PROBE_WATCH_SECONDS,
     answer_interval_seconds,
+    needs_bounded_waits,
     pause_seconds,
     watch_seconds,
 )
@@ -144,8 +146,8 @@
 def _handle_timer(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.name == ANTI_ENTROPY_TIMER:
-        return _watch_idle_scopes(board, now, random)
+    if event.name in (ANTI_ENTROPY_TIMER, PROBE_TIMER):
+        return _watch_uncovered_scopes(board, now, random)
     if event.subject not in board.store_scopes_by_name:
         return ()
     if event.name == REMOVALS_TIMER:
@@ -161,27 +163,28 @@
 def _watch_after_membership_change(
     event: events.MembershipChanged, board: Board, now: float, random: Random
 ) -> Actions:
-    return _watch_idle_scopes(board, now, random)
+    return _watch_uncovered_scopes(board, now, random)
 
 
-def _watch_idle_scopes(board: Board, now: float, random: Random) -> Actions:
-    """Begin the watches of a new watcher, in place of long ones that it has begun."""
+def _watch_uncovered_scopes(board: Board, now: float, random: Random) -> Actions:
+    """Begin the watches of a new watcher, and replace those that became too long."""
     store = board.settings.store
     latest = now + answer_interval_seconds(store)
-    idle = [
+    scope_rows = board.store_scopes_by_name.values()
+    idle = [row.scope for row in scope_rows if not row.call]
+    if idle and not duties.is_watcher(board, now):
+        idle = []
+    long = [
         row.scope
-        for row in board.store_scopes_by_name.values()
-        if not row.call
-        or (
-            row.call == "watch"
-            and row.watch_deadline > latest
-            and row.scope not in store.slow_scopes
-        )
+        for row in scope_rows
+        if row.call == "watch"
+        and row.watch_deadline > latest
+        and row.scope not in store.slow_scopes
     ]
-    if not idle or not duties.is_watcher(board, now):
-        return ()
+    if long and not needs_bounded_waits(board, now):
+        long = []
     decided: list[actions.Action] = []
-    for scope in idle:
+    for scope in (*idle, *long):
         pause = pause_seconds(board, scope)
         decided += set_call_timer(board, scope, now + random.uniform(0, pause))
     return decided
--- a/src/carawayhitch/core/_object_rows.py
+++ b/src/carawayhitch/core/_object_rows.py
@@ -105,6 +105,9 @@
         Time at which the last store call was made.
     watch_deadline : float
         Time at which the last watch ends without a change.
+    bounded_until : float
+        Time until which the bounds of the platform limit all watches, because a call
+        of this scope failed.
     tests_connection : bool
         Whether the next watch is short, because it may reuse a silent connection.
     watched_stale_until : float
@@ -123,6 +126,7 @@
     contacted_at: float = 0.0
     called_at: float = 0.0
     watch_deadline: float = 0.0
+    bounded_until: float = 0.0
     tests_connection: bool = False
     watched_stale_until: float = 0.0
 
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -8,6 +8,8 @@
 
 from carawayhitch import controllers
 from carawayhitch.controllers import _registration, store_watch
+from carawayhitch.controllers._cells import order_by_rendezvous
+from carawayhitch.controllers._membership import PROBE_TIMER
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 from carawayhitch.core import settings as settings_types
 from tests.boards import ready_board
@@ -422,24 +424,66 @@
                 if duty == "none":
                     self.assertIsNotNone(self.next_call("configuration"), cause)
 
-    def test_watch_that_began_during_a_failure_is_replaced(self):
+    def test_no_long_watch_outlasts_a_failure(self):
         """Guards against a long wait on a connection that fell silent meanwhile.
 
         The call that replaces it may reuse a silent connection, so it waits briefly.
         """
+        for begins_first, wait in (
+            (True, store_watch.PROBE_WATCH_SECONDS),
+            (False, 2.5),
+        ):
+            self.join_fleet("none")
+            self.now += 2.5
+            self.feed(events.ObjectsListed(10, (), "upstreams"))
+            self.feed(events.ObjectsListed(10, (), "configuration"))
+            last = self.next_call("configuration") if begins_first else None
+            self.next_call()
+            self.fail_watch()
+            last = last or self.next_call("configuration")
+            self.now += 1.0
+            self.next_call()
+            self.feed(events.ObjectsChanged("s", 20, (), "upstreams", True))
+            last = self.next_call("configuration") or last
+            self.assertEqual(last.wait_seconds, wait)
+
+    def test_long_watches_are_replaced_when_no_other_entry_covers_them(self):
+        """Guards against long waits while watchers may be dead, and at new schedulers.
+
+        Neither a suspicion nor a takeover of cells changes the order of watchers.
+        """
+        own = self.board.node_id
+        for case in ("suspect watcher", "other suspect", "new scheduler"):
+            self.join_fleet("none")
+            order = order_by_rendezvous("watch/a", [*self.board.members_by_id, own])
+            self.feed(events.ObjectsListed(10, (), "configuration"))
+            self.now += 2.5
+            self.assertEqual(self.next_call("configuration").wait_seconds, 20.0)
+            if case == "new scheduler":
+                self.board.schedulers_by_cell_id["quotes"] = (own,)
+            else:
+                name = order[0 if case == "suspect watcher" else -1]
+                row = self.board.members_by_id[name]._replace(state="suspect")
+                self.board.members_by_id[name] = row
+            self.feed(events.TimerFired(PROBE_TIMER))
+            watch = self.next_call("configuration")
+            if case == "other suspect":
+                self.assertIsNone(watch)
+            else:
+                self.assertEqual((case, watch.wait_seconds), (case, 2.5))
+
+    def test_watches_stay_within_the_bounds_after_a_failed_call(self):
+        """Guards against one silent connection of several, noticed after 20 s."""
         self.join_fleet("none")
-        self.now += 2.5
-        self.feed(events.ObjectsListed(10, (), "upstreams"))
-        self.next_call()
-        self.fail_watch()
-        self.now += 0.1
         self.feed(events.ObjectsListed(10, (), "configuration"))
-        self.next_call("configuration")
-        self.now += 3.0
-        self.next_call()
-        self.feed(events.ObjectsChanged("s", 20, (), "upstreams", True))
-        renewed = self.next_call("configuration")
-        self.assertEqual(renewed.wait_seconds, store_watch.PROBE_WATCH_SECONDS)
+        self.fail_watch()
+        self.feed(events.ObjectsChanged("s", 10, (), "upstreams", True))
+        waits = []
+        for _ in range(4):
+            self.now += 2.4
+            waits.append(self.next_call("configuration").wait_seconds)
+            self.feed(events.ObjectsChanged("s", 10, (), "configuration", True))
+        self.assertEqual(waits, [2.5, 2.5, 20.0, 20.0])
 
     def test_loss_and_recovery_of_the_store_are_each_logged_once(self):
         """Guards against a log line for each failed call of a long outage."""
