Count the stale start from the creation of the process

Cause: a starting entry watched stale for the answer interval (2.5 s with a bound for contact of 4 s) from ProcessStarted. If start and imports took over 1.4 s, watchers read consistently after the bound, counted from the creation of the process, had passed.

ProcessStarted carries the time since the process was created, which the log of the start reads already, and the stale period ends that much sooner.

Ruled out: half of the bound, which ends too late after 2 s of start and too early after a quick one.

Before, an entry that had taken 1.5 s watched stale for 2.5 s more and one that had taken 6 s as well; now 1.0 s and not at all.

--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -66,8 +66,9 @@
     event: events.ProcessStarted, board: Board, now: float, random: Random
 ) -> Actions:
     decided: list[actions.Action] = []
+    end = _end_of_start(board, now - event.elapsed_seconds)
     for scope in board.store_scopes_by_name:
-        update_scope(board, scope, watched_stale_until=_end_of_start(board, now))
+        update_scope(board, scope, watched_stale_until=end)
         if exchange_peers(board):
             delay = random.uniform(0.1, 1.0) * FIRST_LIST_SPREAD_SECONDS
             decided += set_call_timer(board, scope, now + delay)
@@ -76,17 +77,18 @@
     return decided
 
 
-def _end_of_start(board: Board, now: float) -> float:
+def _end_of_start(board: Board, created_at: float) -> float:
     """Return until when a starting entry leaves consistent watches to others.
 
     Until it knows the members of its zone, each of hundreds of entries that start
     together would take itself for a watcher. The end leaves time for a first answer
-    within the bound for regaining contact.
+    within the bound for regaining contact, which counts from the creation of the
+    process.
     """
     store = board.settings.store
     if not store.stale_watches or not store.contact_milliseconds:
         return 0.0
-    return now + answer_interval_seconds(store)
+    return created_at + answer_interval_seconds(store)
 
 
 def _make_next_call(board: Board, scope: str, now: float, random: Random) -> Actions:
--- a/src/carawayhitch/core/_process_events.py
+++ b/src/carawayhitch/core/_process_events.py
@@ -8,9 +8,16 @@
 
 
 class ProcessStarted(NamedTuple):
-    """The event loop of the node has started; controllers set their first timers."""
+    """The event loop of the node has started; controllers set their first timers.
+
+    Parameters
+    ----------
+    elapsed_seconds : float
+        Time since the process was created; 0 if the system does not tell it.
+    """
 
     incarnation: int
+    elapsed_seconds: float = 0.0
 
 
 class StopRequested(NamedTuple):
--- a/src/carawayhitch/node/_node.py
+++ b/src/carawayhitch/node/_node.py
@@ -27,6 +27,7 @@
 from carawayhitch.node._metrics import Metrics, new_metrics
 from carawayhitch.node._performers import perform
 from carawayhitch.node._recorder import TraceRecorder
+from carawayhitch.node._start_costs import read_start_costs
 from carawayhitch.node._stores import Store, open_store
 
 # A network fault can break all connections to the store at once without a reset.
@@ -156,7 +157,8 @@
             self._recorder = TraceRecorder(self.settings, self.incarnation, self.seed)
         self.peers = PeerSocket(self.incarnation, self)
         await self.peers.open()
-        self.submit(events.ProcessStarted(self.incarnation))
+        elapsed = read_start_costs().elapsed_seconds or 0.0
+        self.submit(events.ProcessStarted(self.incarnation, elapsed))
 
     async def close(self) -> None:
         """Cancel all tasks and close the trace, peer socket and client sessions."""
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -261,20 +261,26 @@
     def test_starting_entries_do_not_all_watch_consistently(self):
         """Guards against hundreds of entries that each take themselves for a watcher.
 
-        They know no members yet. Consistent watches begin within the bound for contact.
+        They know no members yet. Consistent watches begin within the bound for contact,
+        which counts from the creation of the process.
         """
-        self.join_fleet("none")
-        self.board.members_by_id.clear()
-        started = self.now
-        self.feed(events.ProcessStarted(1))
-        self.feed(events.ObjectsListed(10, (), "configuration"))
-        found = []
-        while self.now < started + CONTACT_SECONDS - TIMEOUT_SECONDS:
-            watch = self.next_call("configuration")
-            found.append((self.now - started, watch.may_be_stale))
-            self.now += watch.wait_seconds
-            self.feed(events.ObjectsChanged("store", 10, (), "configuration", True))
-        self.assertEqual(found, [(0.0, True), (2.5, False)])
+        for elapsed, expected in (
+            (0.0, [(0.0, True), (2.5, False)]),
+            (1.5, [(0.0, True), (1.0, False)]),
+            (6.0, [(0.0, False)]),
+        ):
+            self.join_fleet("none")
+            self.board.members_by_id.clear()
+            started = self.now
+            self.feed(events.ProcessStarted(1, elapsed))
+            self.feed(events.ObjectsListed(10, (), "configuration"))
+            found = []
+            while not found or found[-1][1]:
+                watch = self.next_call("configuration")
+                found.append((self.now - started, watch.may_be_stale))
+                self.now += watch.wait_seconds
+                self.feed(events.ObjectsChanged("s", 10, (), "configuration", True))
+            self.assertEqual(found, expected)
 
     def test_short_interruption_does_not_defer_removals(self):
         """Guards against calls to servers that left while one store call failed."""
