Wait long between probes only while all scopes fail

Cause: the long delay of entries without duties applied to each second failure of a scope, also if one scope failed alone, or if a deferred call failed once after the store had returned, because the count was left from the outage. With a bound of 3 s, a probe that was answered after 1.55 s and a deferred call that timed out put its next call at 3.05 s.

The long delay now needs that every scope fails that is called. Slow scopes don't count, since their long watches may not have noticed yet.

Ruled out: a reset of the count when another scope is answered, which hides the failures of one scope from the log.

--- a/src/carawayhitch/controllers/store_watch/_outages.py
+++ b/src/carawayhitch/controllers/store_watch/_outages.py
@@ -100,8 +100,9 @@
 
     One scope at a time probes whether the store has recovered, because refused calls
     are charged in full. Failing scopes take turns, because one may fail for a reason of
-    its own. The delay is measured from the start of the failed call and, at entries on
-    whose contact others depend, doubles with each consecutive failure.
+    its own. The delay is measured from the start of the failed call and doubles with
+    each consecutive failure, up to a limit. Entries on whose contact no other depends
+    wait longer while all scopes fail.
     """
     scope_row = board.store_scopes_by_name[scope]
     count = scope_row.failure_count
@@ -119,7 +120,7 @@
     ]
     if any(row.call != DEFERRED_CALL for row in failing):
         return ()
-    if count and not keeps_close_contact(board, now):
+    if count and _fails_entirely(board) and not keeps_close_contact(board, now):
         longest = answer_interval_seconds(board.settings.store)
         delay = longest * random.uniform(RELAXED_RETRY_SPREAD, 1.0)
     else:
@@ -129,3 +130,13 @@
     due = max(now + MINIMUM_RETRY_DELAY_SECONDS, scope_row.called_at + delay)
     next_scope = min(failing, key=lambda row: row.called_at).scope
     return set_call_timer(board, next_scope, due)
+
+
+def _fails_entirely(board: Board) -> bool:
+    """Return whether all scopes fail that are called, except slow ones."""
+    slow = board.settings.store.slow_scopes
+    return all(
+        row.failure_count
+        for row in board.store_scopes_by_name.values()
+        if row.call and row.scope not in slow
+    )
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -397,6 +397,22 @@
         self.assertLess(counts.pop("none"), 16)
         self.assertGreater(min(counts.values()), 20)
 
+    def test_scope_that_fails_alone_is_repeated_soon(self):
+        """Guards against a long wait after one lost answer of a working store.
+
+        The failures of a scope may be left from an outage that another one has ended.
+        """
+        for outage_seconds in (0.1, 5.0):
+            self.join_fleet("none")
+            self.refused_calls(outage_seconds)
+            for scope in ("configuration", "entries"):
+                self.feed(events.ObjectsListed(20, (), scope))
+            for _ in range(3):
+                self.next_call()
+                (delay,) = self.call_delays(self.fail_watch())
+                with self.subTest(outage_seconds):
+                    self.assertLess(delay, 1.0)
+
     def test_registration_waits_for_the_probe_of_a_store_that_is_down(self):
         """Guards against refused writes of all entries that start in an outage."""
         timer = events.TimerFired(_registration.REGISTRATION_OPERATION)
