--- a/src/carawayhitch/controllers/store_watch/_outages.py
+++ b/src/carawayhitch/controllers/store_watch/_outages.py
@@ -19,9 +19,8 @@
 from carawayhitch.core import actions, rows
 
 RETRY_BASE_DELAY_SECONDS = 0.5
-# Delay before a call that timed out is repeated. With the platform's call timeout of
-# 2.5 s, an unresponsive connection is replaced within the 3 s in which an entry has to
-# regain contact with the store.
+# Delay before a call that timed out is repeated. It is short, because the bound for
+# regaining contact also covers the wait and the timeout of the call.
 MINIMUM_RETRY_DELAY_SECONDS = 0.05
 # Shortest delay between the probes of an entry on which no other depends, as a share of
 # the longest that lets it regain contact in time. It spreads the fleet's calls.
