Count cancelled store calls and end the watch that a list replaces

Causes: a watch that another call replaced was not counted, though the store charges it. And only watches replaced watches: if the next call of the scope was a list, the old watch ran on, and its late failure counted as one of the scope.

A cancelled call counts with result="cancelled". ListObjects says whether it replaces the watch of its scope, since the list of a catch-up runs beside it.

Ruled out: replacing the watch at every list, which would leave a scope without a call after a catch-up.

Before, the new tests found no count, and no cancelled watch after a list.

--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -358,31 +358,47 @@
 
 async def _call_store(action: Any, node: Node) -> Any:
     """Execute a store action, count the call and return its event."""
-    event = await execute_store_action(node.store, action)
+    try:
+        event = await execute_store_action(node.store, action)
+    except asyncio.CancelledError:
+        # The store charges a call that is cancelled like any other.
+        node.metrics.store_calls[store_call_labels(action, None)] += 1
+        raise
     node.metrics.store_calls[store_call_labels(action, event)] += 1
     return event
 
 
 @perform.register(actions.ReadObject)
 @perform.register(actions.WriteObject)
-@perform.register(actions.ListObjects)
 def _perform_store_action(action: Any, node: Node) -> None:
     assert node.store is not None
     node.spawn_and_submit(_call_store(action, node))
 
 
+@perform.register(actions.ListObjects)
+def _list_objects(action: actions.ListObjects, node: Node) -> None:
+    assert node.store is not None
+    if action.replaces_watch:
+        _cancel_watch(action.scope, node)
+    node.spawn_and_submit(_call_store(action, node))
+
+
 @perform.register(actions.WatchObjects)
 def _watch_objects(action: actions.WatchObjects, node: Node) -> None:
     """Watch a scope, in place of its last watch if that one still waits."""
     assert node.store is not None
-    last = node.watch_tasks_by_scope.get(action.scope)
-    if last is not None:
-        last.cancel()
+    _cancel_watch(action.scope, node)
     node.watch_tasks_by_scope[action.scope] = node.spawn_and_submit(
         _call_store(action, node)
     )
 
 
+def _cancel_watch(scope: str, node: Node) -> None:
+    last = node.watch_tasks_by_scope.pop(scope, None)
+    if last is not None:
+        last.cancel()
+
+
 @perform.register(actions.DecodeObjects)
 def _decode_objects(action: actions.DecodeObjects, node: Node) -> None:
     assert node.store is not None
--- a/src/carawayhitch/node/_stores.py
+++ b/src/carawayhitch/node/_stores.py
@@ -85,6 +85,8 @@
 
 
 def _result(event: Any) -> str:
+    if event is None:
+        return "cancelled"
     return "failed" if isinstance(event, events.StoreCallFailed) else "answered"
 
 
--- a/tests/node/test_store_metrics.py
+++ b/tests/node/test_store_metrics.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from collections import Counter
 from types import SimpleNamespace
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from carawayhitch.core import actions, events
+from carawayhitch.node import _performers
 from carawayhitch.node._performers import perform
 from carawayhitch.node._stores import store_call_labels
 
@@ -27,7 +30,10 @@
             self.assertEqual(store_call_labels(action, event), expected)
 
     def test_new_watch_replaces_the_last_one_of_its_scope(self):
-        """Guards against two watches of a scope after a silent connection."""
+        """Guards against two calls of a scope after a silent connection.
+
+        Lists that do not belong to the sequence of calls of the scope end no watch.
+        """
         tasks = []
 
         def spawn(coroutine):
@@ -39,6 +45,31 @@
         for scope in ("upstreams", "configuration", "upstreams"):
             perform(actions.WatchObjects("x", 2, 1.0, scope), node)
         self.assertEqual([task.cancel.call_count for task in tasks], [1, 0, 0])
+        for replaces_watch in (False, True):
+            perform(actions.ListObjects("x", "upstreams", False, replaces_watch), node)
+        cancelled = [task.cancel.call_count for task in tasks]
+        self.assertEqual(cancelled, [1, 0, 1, 0, 0])
+
+    def test_cancelled_calls_are_counted(self):
+        """Guards against calls that the store charges and operators do not see."""
+
+        async def wait_and_cancel():
+            never = asyncio.Event()
+            metrics = SimpleNamespace(store_calls=Counter())
+            node = SimpleNamespace(store=1, metrics=metrics)
+            watch = actions.WatchObjects("x", 2, 1.0, "upstreams", True)
+            with patch.object(
+                _performers, "execute_store_action", lambda *_: never.wait()
+            ):
+                task = asyncio.create_task(_performers._call_store(watch, node))
+                await asyncio.sleep(0)
+                task.cancel()
+                await asyncio.wait([task])
+            return metrics.store_calls, task.cancelled()
+
+        calls, cancelled = asyncio.run(wait_and_cancel())
+        self.assertEqual(calls, {("watch", "upstreams", "stale", "cancelled"): 1})
+        self.assertTrue(cancelled)
 
 
 if __name__ == "__main__":
