Refuse a relaxed watch time without relaxed scopes

Cause: store.relaxed_watch_seconds without store.relaxed_scopes had no effect and the check of the settings did not say so.

Ruled out: refusing it without a bound for contact as well. That bound comes from the platform, and an entry should start where it is 0; the page of the settings says that the time has no effect there.

--- a/src/carawayhitch/codecs/_settings_file.py
+++ b/src/carawayhitch/codecs/_settings_file.py
@@ -28,6 +28,7 @@
     settings = record_from_mapping(settings_types.Settings, mapping, path)
     _validate_peer_keys(settings, path)
     _validate_consistent_scopes(settings.store, path)
+    _validate_relaxed_watches(settings.store, path)
     return settings
 
 
@@ -41,6 +42,15 @@
             )
 
 
+def _validate_relaxed_watches(store: settings_types.StoreSettings, path: str) -> None:
+    if store.relaxed_watch_seconds and not store.relaxed_scopes:
+        raise errors.InvalidValueError(
+            result_codes.INVALID_SETTING,
+            f"{path}: key 'store.relaxed_watch_seconds': expected 0 without"
+            f" 'store.relaxed_scopes', found {store.relaxed_watch_seconds}",
+        )
+
+
 def _validate_peer_keys(settings: settings_types.Settings, path: str) -> None:
     ids = [key.id for key in settings.peers.keys]
     if not ids and settings.gateway.address:
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -104,7 +104,8 @@
         Longest wait of a watch, at entries that are no watchers and schedule no cells,
         of scopes that are neither slow nor relaxed; 0 if only the bounds limit it. The
         watchers push such changes, and the watches of relaxed scopes notice a silent
-        store.
+        store. It needs ``relaxed_scopes``, and has no effect while
+        ``contact_milliseconds`` is 0.
     contact_milliseconds, configuration_milliseconds, leaving_milliseconds : float
         Bounds of the platform, under which the time between two answers of a watch
         has to stay: for regaining contact after connections have failed, for taking
--- a/tests/codecs/test_locality_settings.py
+++ b/tests/codecs/test_locality_settings.py
@@ -22,11 +22,11 @@
 """
 
 
-def read(section):
-    """Return the settings of a file with a locality section."""
+def read(section, store=""):
+    """Return the settings of a file with a section and further lines on the store."""
     with tempfile.TemporaryDirectory() as directory:
         path = Path(directory) / "settings.toml"
-        path.write_text(HEAD + section)
+        path.write_text(HEAD.replace("[platform]", f"{store}[platform]") + section)
         return codecs.read_settings(str(path))
 
 
