Keep the scores by which watchers are ranked

Cause: every entry with a long watch ranked the members of its zone at each membership change, with one hash per member, and now at each probe interval as well.

The order uses the scores that are kept for the other duties, with equal weights, which is the same order (test_watchers_do_not_follow_the_schedulers compares the two).

Ruled out: a ranking on the board, which each change of a member row would have to keep up to date.

--- a/src/carawayhitch/controllers/duties/_assignment.py
+++ b/src/carawayhitch/controllers/duties/_assignment.py
@@ -10,9 +10,8 @@
     SCHEDULER_CANDIDATE_LIMIT,
     SCHEDULING_STATES,
     entry_scheduled_groups,
-    order_by_rendezvous,
 )
-from carawayhitch.controllers.duties._order import order_by_strength
+from carawayhitch.controllers.duties._order import order_by_strength, order_by_weight
 from carawayhitch.core import rows
 
 # Kinds of duties.
@@ -105,7 +104,9 @@
     # Not weighted: a watcher that also schedules a cell would read every change of an
     # upstream consistently and at once, which costs the store ten times as much as the
     # stale reads of other schedulers.
-    return order_by_rendezvous(f"watch/{zone}", in_zone)[:count]
+    # Scores are kept, since this order is needed at each change of the membership.
+    equal = dict.fromkeys(in_zone, rows.MINIMUM_STRENGTH)
+    return order_by_weight(f"watch/{zone}", equal)[:count]
 
 
 def own_duties(board: Board, now: float) -> dict[str, tuple[str, ...]]:
--- a/tests/controllers/duties/test_order.py
+++ b/tests/controllers/duties/test_order.py
@@ -5,12 +5,15 @@
 import math
 import unittest
 from collections import Counter
+from contextlib import ExitStack
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from carawayhitch.controllers import duties, is_watcher
-from carawayhitch.controllers._cells import order_by_rendezvous
+from carawayhitch.controllers import _cells, duties, is_watcher
+from carawayhitch.controllers._cells import order_by_rendezvous, rendezvous_score
+from carawayhitch.controllers.duties import _order
 from carawayhitch.controllers.duties._order import (
     FRACTION_BITS,
     SCORE_BITS,
@@ -26,6 +29,7 @@
     STRONG_VM,
     WEAK_VM,
     ZONES,
+    member,
     uneven_fleet,
 )
 
@@ -137,6 +141,24 @@
             expected = order_by_rendezvous(f"watch/{zone}", names)[:2]
             self.assertEqual(sorted(watchers), sorted(expected))
 
+    def test_a_new_member_ranks_no_other_again(self):
+        """Guards against hashes of the whole zone at each change of the membership."""
+        board = ready_board("own")
+        scored = []
+
+        def score(subject, candidate):
+            scored.append(candidate)
+            return rendezvous_score(subject, candidate)
+
+        with ExitStack() as stack:
+            for module in (_cells, _order):
+                stack.enter_context(patch.object(module, "rendezvous_score", score))
+            for index in range(50):
+                row = member(f"ranked-{index}", "a")
+                board.members_by_id[row.node_id] = row
+                is_watcher(board, 100.0)
+        self.assertEqual(len(scored), len(set(scored)))
+
     def test_rest_takes_over_when_all_strong_members_fail(self):
         """Guards against cells without a scheduler or with few of the weak ones."""
         weak = {name: row for name, row in self.members.items() if not is_strong(name)}
