Keep removals if the list that decides ends another failure

Cause: the list at the end of the grace period cleared the deferred removals before its answer was judged. If it had failed first and succeeded 0.3 s later, it removed at once, though no renewal could arrive meanwhile. If its revision was older than the known one, the removals were forgotten until the next periodic list.

They are cleared after a list that was accepted and began after the end of the grace period, which the end of a failure extends.

Ruled out: a retry that is no list, which delays the decision further.

Before, the new test found both upstreams removed; now both stay for another grace period.

--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -210,8 +210,6 @@
     removed = _tombstones_of_unlisted(event, board)
     first = known_revision(board, scope_row) < 0
     deferred = scope_row.deferred_removals
-    if scope_row.called_at >= scope_row.removals_applied_after:
-        update_scope(board, event.scope, deferred_removals=())
     taken = _handle_answer(
         board,
         event,
@@ -270,7 +268,8 @@
     """
     scope_row = board.store_scopes_by_name[event.scope]
     # A list returns a state between its call and its answer, a watch the last change.
-    read_at = scope_row.called_at if isinstance(event, events.ObjectsListed) else now
+    is_list = isinstance(event, events.ObjectsListed)
+    read_at = scope_row.called_at if is_list else now
     if event.revision < known_revision(board, scope_row) and event.may_be_stale:
         # This node knows newer changes already; a later stale read may include them.
         decided = record_contact(board, scope_row, now)
@@ -290,7 +289,9 @@
         )
     decided = record_contact(board, scope_row, now)
     kept, deferred = defer_removals(board, event.scope, objects, read_at, now)
-    update_scope(board, event.scope, position=event.revision)
+    scope_row = update_scope(board, event.scope, position=event.revision)
+    if is_list and read_at >= scope_row.removals_applied_after:
+        update_scope(board, event.scope, deferred_removals=())
     complete = complete_revision(board)
     pause = pause_seconds(board, event.scope)
     return (
--- a/tests/controllers/test_store_watch.py
+++ b/tests/controllers/test_store_watch.py
@@ -248,6 +248,20 @@
         self.merge(self.only_first_listed())
         self.assertEqual(self.known_names(), {"u1"})
 
+    def test_list_that_ends_another_failure_removes_nothing(self):
+        """Guards against removals as soon as the store returns once more."""
+        timer = self.lapse_in_outage()
+        self.now = timer.deadline
+        self.feed(timer.event)
+        self.next_call()
+        self.fail_watch()
+        self.now += 0.3
+        self.assertIsInstance(self.next_call(), actions.ListObjects)
+        decided = self.merge(events.ObjectsListed(25, (), "upstreams", (KIND,)))
+        self.assertEqual(self.known_names(), {"u1", "u2"})
+        deadlines = {found.deadline for found in self.removal_timers(decided)}
+        self.assertEqual(deadlines, {self.now + GRACE_SECONDS})
+
     def test_older_stale_answer_after_an_outage_removes_nothing(self):
         """Guards against removals in an answer that is older than what is known."""
         self.add_received(upstream("u1", 3))
