Mark lists that run beside a watch instead of those that replace it

The list of a catch-up is the exception and now carries the mark.

tests.test_traces: 11 differing traces before, 1 now (notice_in_report).

--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -529,7 +529,7 @@
     store = board.settings.store
     scopes = [scope for scope in store.scopes if scope not in store.slow_scopes]
     lists = [
-        actions.ListObjects(CATCH_UP_OPERATION, scope, may_be_stale=False)
+        actions.ListObjects(CATCH_UP_OPERATION, scope, beside_watch=True)
         for scope in scopes
     ]
     fields = {"scopes": scopes}
--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -115,11 +115,7 @@
     if now >= scope_row.list_after:
         update_scope(board, scope, call="list", called_at=now, tests_connection=False)
         list_may_be_stale = _list_may_be_stale(store, scope, position)
-        return (
-            actions.ListObjects(
-                LIST_OPERATION, scope, list_may_be_stale, replaces_watch=True
-            ),
-        )
+        return (actions.ListObjects(LIST_OPERATION, scope, list_may_be_stale),)
     update_scope(board, scope, call="watch", called_at=now, tests_connection=False)
     wait = watch_seconds(board, scope, now)
     if starts and scope not in store.slow_scopes:
--- a/src/carawayhitch/core/_actions.py
+++ b/src/carawayhitch/core/_actions.py
@@ -329,14 +329,14 @@
     may_be_stale : bool
         Whether a stale read, which may be seconds old, is sufficient; it costs the
         store less.
-    replaces_watch : bool
-        Whether a watch of the scope that still waits is cancelled.
+    beside_watch : bool
+        Whether a watch of the scope that still waits goes on; it is cancelled if not.
     """
 
     operation_id: str
     scope: str = ""
     may_be_stale: bool = False
-    replaces_watch: bool = False
+    beside_watch: bool = False
 
 
 class WatchObjects(NamedTuple):
--- a/src/carawayhitch/node/_performers.py
+++ b/src/carawayhitch/node/_performers.py
@@ -378,7 +378,7 @@
 @perform.register(actions.ListObjects)
 def _list_objects(action: actions.ListObjects, node: Node) -> None:
     assert node.store is not None
-    if action.replaces_watch:
+    if not action.beside_watch:
         _cancel_watch(action.scope, node)
     node.spawn_and_submit(_call_store(action, node))
 
--- a/tests/node/test_store_metrics.py
+++ b/tests/node/test_store_metrics.py
@@ -45,8 +45,8 @@
         for scope in ("upstreams", "configuration", "upstreams"):
             perform(actions.WatchObjects("x", 2, 1.0, scope), node)
         self.assertEqual([task.cancel.call_count for task in tasks], [1, 0, 0])
-        for replaces_watch in (False, True):
-            perform(actions.ListObjects("x", "upstreams", False, replaces_watch), node)
+        for beside_watch in (True, False):
+            perform(actions.ListObjects("x", "upstreams", False, beside_watch), node)
         cancelled = [task.cancel.call_count for task in tasks]
         self.assertEqual(cancelled, [1, 0, 1, 0, 0])
 
