--- a/src/carawayhitch/controllers/store_watch/_outages.py
+++ b/src/carawayhitch/controllers/store_watch/_outages.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from random import Random
 
 from carawayhitch.board import Board
 from carawayhitch.controllers._controller import Actions
+from carawayhitch.controllers.store_watch._removals import extend_grace
 from carawayhitch.controllers.store_watch._scopes import (
     DEFERRED_CALL,
     set_call_timer,
@@ -16,16 +16,18 @@
     answer_interval_seconds,
     keeps_close_contact,
 )
-from carawayhitch.core import actions, events, rows
+from carawayhitch.core import actions, rows
 
 RETRY_BASE_DELAY_SECONDS = 0.5
-# Delay before a call that timed out is repeated. With the platform's call timeout of
-# 2.5 s, an unresponsive connection is replaced within the 3 s in which an entry has to
-# regain contact with the store.
+# Delay before a call that timed out is repeated. It is short, because the bound for
+# regaining contact also covers the wait and the timeout of the call.
 MINIMUM_RETRY_DELAY_SECONDS = 0.05
 # Shortest delay between the probes of an entry on which no other depends, as a share of
 # the longest that lets it regain contact in time. It spreads the fleet's calls.
 RELAXED_RETRY_SPREAD = 0.75
+# Time after a failed call in which no watch is long. Peers that are lost together with
+# the connection are replaced within it.
+BOUNDED_WAITS_SECONDS = 5.0
 # Registrations expire after several missed heartbeats, so an interruption of the store
 # that is shorter than this expires none.
 MINIMUM_OUTAGE_SECONDS = 1.0
@@ -40,8 +42,13 @@
     decided: Actions = ()
     if scope_row.failure_count:
         grace = board.settings.store.lapse_grace_seconds
-        if grace and now - scope_row.failing_since >= MINIMUM_OUTAGE_SECONDS:
-            update_scope(board, scope_row.scope, removals_applied_after=now + grace)
+        was_long = now - scope_row.failing_since >= MINIMUM_OUTAGE_SECONDS
+        # Renewals could not arrive at the end of the last grace period.
+        was_due = scope_row.deferred_removals and (
+            now >= scope_row.removals_applied_after
+        )
+        if grace and (was_long or was_due):
+            decided = extend_grace(board, scope_row, now + grace)
         fields = {
             "dependency": "store",
             "scope": scope_row.scope,
@@ -49,6 +56,7 @@
             "seconds": round(now - scope_row.failing_since, 3),
         }
         decided = (
+            *decided,
             actions.Log("info", "dependency regained", fields),
             *call_deferred_scopes(board, now),
             *_renew_watches(board, scope_row, now),
@@ -60,13 +68,19 @@
 
 
 def _renew_watches(board: Board, regained: rows.StoreScopeRow, now: float) -> Actions:
-    """Replace watches that may wait on connections that failed without a reset."""
+    """Replace long watches that may wait on connections that failed without a reset."""
     store = board.settings.store
-    if not store.relaxed_watch_seconds or regained.scope not in store.relaxed_scopes:
+    if not store.relaxed_watch_seconds:
         return ()
+    latest = now + answer_interval_seconds(store)
     decided: list[actions.Action] = []
     for row in list(board.store_scopes_by_name.values()):
-        if row.call == "watch" and row.called_at < regained.failing_since:
+        if (
+            row.call == "watch"
+            and row.called_at < regained.called_at
+            and row.watch_deadline > latest
+        ):
+            update_scope(board, row.scope, tests_connection=True)
             decided += set_call_timer(board, row.scope, now)
     return decided
 
@@ -80,38 +94,24 @@
     return decided
 
 
-def defer_removals(
-    board: Board, scope: str, objects: Iterable[events.StoredObject], now: float
-) -> tuple[tuple[events.StoredObject, ...], Actions]:
-    """Return the objects to merge now, and actions that merge removals later.
-
-    A registration that is renewed meanwhile has a higher version than its removal,
-    which then has no effect.
-    """
-    deadline = board.store_scopes_by_name[scope].removals_applied_after
-    if now >= deadline:
-        return tuple(objects), ()
-    kept: list[events.StoredObject] = []
-    removed: list[events.StoredObject] = []
-    for stored in objects:
-        (removed if stored.deleted else kept).append(stored)
-    if not removed:
-        return tuple(kept), ()
-    received = events.ObjectsReceived(tuple(removed), -1, 0)
-    return tuple(kept), (actions.SetTimer(deadline, received),)
-
-
 def schedule_retry(board: Board, scope: str, now: float, random: Random) -> Actions:
     """Set a timer for the next probe of the store after a failed call.
 
     One scope at a time probes whether the store has recovered, because refused calls
     are charged in full. Failing scopes take turns, because one may fail for a reason of
-    its own. The delay is measured from the start of the failed call and, at entries on
-    whose contact others depend, doubles with each consecutive failure.
+    its own. The delay is measured from the start of the failed call and doubles with
+    each consecutive failure, up to a limit. Entries on whose contact no other depends
+    wait longer while all scopes fail.
     """
     scope_row = board.store_scopes_by_name[scope]
     count = scope_row.failure_count
-    update_scope(board, scope, failure_count=count + 1, call=DEFERRED_CALL)
+    update_scope(
+        board,
+        scope,
+        failure_count=count + 1,
+        bounded_until=now + BOUNDED_WAITS_SECONDS,
+        call=DEFERRED_CALL,
+    )
     failing = [
         row
         for row in board.store_scopes_by_name.values()
@@ -119,7 +119,7 @@
     ]
     if any(row.call != DEFERRED_CALL for row in failing):
         return ()
-    if count and not keeps_close_contact(board, now):
+    if count and _fails_entirely(board) and not keeps_close_contact(board, now):
         longest = answer_interval_seconds(board.settings.store)
         delay = longest * random.uniform(RELAXED_RETRY_SPREAD, 1.0)
     else:
@@ -129,3 +129,13 @@
     due = max(now + MINIMUM_RETRY_DELAY_SECONDS, scope_row.called_at + delay)
     next_scope = min(failing, key=lambda row: row.called_at).scope
     return set_call_timer(board, next_scope, due)
+
+
+def _fails_entirely(board: Board) -> bool:
+    """Return whether all scopes fail that are called, except slow ones."""
+    slow = board.settings.store.slow_scopes
+    return all(
+        row.failure_count
+        for row in board.store_scopes_by_name.values()
+        if row.call and row.scope not in slow
+    )
--- a/src/carawayhitch/controllers/store_watch/_watches.py
+++ b/src/carawayhitch/controllers/store_watch/_watches.py
@@ -20,12 +20,17 @@
     report_outdated_answer,
 )
 from carawayhitch.controllers._controller import Actions, new_controller
+from carawayhitch.controllers._membership import PROBE_TIMER
 from carawayhitch.controllers.store_watch._outages import (
     call_deferred_scopes,
-    defer_removals,
     record_contact,
     schedule_retry,
 )
+from carawayhitch.controllers.store_watch._removals import (
+    REMOVALS_TIMER,
+    decide_on_removals,
+    defer_removals,
+)
 from carawayhitch.controllers.store_watch._scopes import (
     LIST_OPERATION,
     STORE_CALL_TIMER,
@@ -38,6 +43,7 @@
 from carawayhitch.controllers.store_watch._waits import (
     PROBE_WATCH_SECONDS,
     answer_interval_seconds,
+    needs_bounded_waits,
     pause_seconds,
     watch_seconds,
 )
@@ -60,8 +66,9 @@
     event: events.ProcessStarted, board: Board, now: float, random: Random
 ) -> Actions:
     decided: list[actions.Action] = []
+    end = _end_of_start(board, now - event.elapsed_seconds)
     for scope in board.store_scopes_by_name:
-        update_scope(board, scope, watched_stale_until=_end_of_start(board, now))
+        update_scope(board, scope, watched_stale_until=end)
         if exchange_peers(board):
             delay = random.uniform(0.1, 1.0) * FIRST_LIST_SPREAD_SECONDS
             decided += set_call_timer(board, scope, now + delay)
@@ -70,17 +77,18 @@
     return decided
 
 
-def _end_of_start(board: Board, now: float) -> float:
+def _end_of_start(board: Board, created_at: float) -> float:
     """Return until when a starting entry leaves consistent watches to others.
 
     Until it knows the members of its zone, each of hundreds of entries that start
     together would take itself for a watcher. The end leaves time for a first answer
-    within the bound for regaining contact.
+    within the bound for regaining contact, which counts from the creation of the
+    process.
     """
     store = board.settings.store
     if not store.stale_watches or not store.contact_milliseconds:
         return 0.0
-    return now + answer_interval_seconds(store)
+    return created_at + answer_interval_seconds(store)
 
 
 def _make_next_call(board: Board, scope: str, now: float, random: Random) -> Actions:
@@ -93,7 +101,7 @@
     is_watcher = not is_starting and duties.is_watcher(board, now)
     if position >= 0 and not may_be_stale and not is_watcher:
         if not store.stale_watches:
-            update_scope(board, scope, call="")
+            update_scope(board, scope, call="", deferred_removals=())
             return call_deferred_scopes(board, now)
         may_be_stale = True
     needs_own_list = scope in store.consistent_scopes and scope_row.position < 0
@@ -105,14 +113,14 @@
             list_after=now + LIST_INTERVAL_SECONDS * random.uniform(0.5, 1.5),
         )
     if now >= scope_row.list_after:
-        update_scope(board, scope, call="list", called_at=now)
+        update_scope(board, scope, call="list", called_at=now, tests_connection=False)
         list_may_be_stale = _list_may_be_stale(store, scope, position)
         return (actions.ListObjects(LIST_OPERATION, scope, list_may_be_stale),)
-    update_scope(board, scope, call="watch", called_at=now)
+    update_scope(board, scope, call="watch", called_at=now, tests_connection=False)
     wait = watch_seconds(board, scope, now)
     if is_starting and scope not in store.slow_scopes:
         wait = min(wait, scope_row.watched_stale_until - now)
-    if scope_row.failure_count:
+    if scope_row.failure_count or scope_row.tests_connection:
         wait = min(wait, PROBE_WATCH_SECONDS)
     update_scope(board, scope, watch_deadline=now + wait)
     watch = actions.WatchObjects(WATCH_OPERATION, position, wait, scope, may_be_stale)
@@ -140,12 +148,13 @@
 def _handle_timer(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.name == ANTI_ENTROPY_TIMER:
-        return _watch_idle_scopes(board, now, random)
-    if (
-        event.name != STORE_CALL_TIMER
-        or event.subject not in board.store_scopes_by_name
-    ):
+    if event.name in (ANTI_ENTROPY_TIMER, PROBE_TIMER):
+        return _watch_uncovered_scopes(board, now, random)
+    if event.subject not in board.store_scopes_by_name:
+        return ()
+    if event.name == REMOVALS_TIMER:
+        return decide_on_removals(board, event.subject, now)
+    if event.name != STORE_CALL_TIMER:
         return ()
     if board.store_scopes_by_name[event.subject].call != "timer":
         return ()
@@ -156,27 +165,28 @@
 def _watch_after_membership_change(
     event: events.MembershipChanged, board: Board, now: float, random: Random
 ) -> Actions:
-    return _watch_idle_scopes(board, now, random)
+    return _watch_uncovered_scopes(board, now, random)
 
 
-def _watch_idle_scopes(board: Board, now: float, random: Random) -> Actions:
-    """Begin the watches of a new watcher, in place of long ones that it has begun."""
+def _watch_uncovered_scopes(board: Board, now: float, random: Random) -> Actions:
+    """Begin the watches of a new watcher, and replace those that became too long."""
     store = board.settings.store
     latest = now + answer_interval_seconds(store)
-    idle = [
+    scope_rows = board.store_scopes_by_name.values()
+    idle = [row.scope for row in scope_rows if not row.call]
+    if idle and not duties.is_watcher(board, now):
+        idle = []
+    long = [
         row.scope
-        for row in board.store_scopes_by_name.values()
-        if not row.call
-        or (
-            row.call == "watch"
-            and row.watch_deadline > latest
-            and row.scope not in store.slow_scopes
-        )
+        for row in scope_rows
+        if row.call == "watch"
+        and row.watch_deadline > latest
+        and row.scope not in store.slow_scopes
     ]
-    if not idle or not duties.is_watcher(board, now):
-        return ()
+    if long and not needs_bounded_waits(board, now):
+        long = []
     decided: list[actions.Action] = []
-    for scope in idle:
+    for scope in (*idle, *long):
         pause = pause_seconds(board, scope)
         decided += set_call_timer(board, scope, now + random.uniform(0, pause))
     return decided
@@ -195,13 +205,14 @@
     update_scope(board, event.scope, list_after=list_after)
     removed = _tombstones_of_unlisted(event, board)
     first = known_revision(board, scope_row) < 0
+    deferred = scope_row.deferred_removals
     taken = _handle_answer(
         board,
         event,
         (*event.objects, *removed),
         now,
         random,
-        PUSH_FANOUT if first or removed else 0,
+        PUSH_FANOUT if first or removed or deferred else 0,
     )
     return (*_report_unreadable_objects(event), *taken)
 
@@ -252,11 +263,15 @@
     never reverts an object.
     """
     scope_row = board.store_scopes_by_name[event.scope]
+    # A list returns a state between its call and its answer, a watch the last change.
+    is_list = isinstance(event, events.ObjectsListed)
+    read_at = scope_row.called_at if is_list else now
     if event.revision < known_revision(board, scope_row) and event.may_be_stale:
         # This node knows newer changes already; a later stale read may include them.
-        kept, deferred = defer_removals(board, event.scope, objects, now)
+        decided = record_contact(board, scope_row, now)
+        kept, deferred = defer_removals(board, event.scope, objects, read_at, now)
         return (
-            *record_contact(board, scope_row, now),
+            *decided,
             actions.Emit(events.ObjectsReceived(kept, -1, push_count)),
             *deferred,
             *set_call_timer(board, event.scope, now + STALE_READ_PAUSE_SECONDS),
@@ -269,8 +284,10 @@
             *schedule_retry(board, event.scope, now, random),
         )
     decided = record_contact(board, scope_row, now)
-    kept, deferred = defer_removals(board, event.scope, objects, now)
-    update_scope(board, event.scope, position=event.revision)
+    kept, deferred = defer_removals(board, event.scope, objects, read_at, now)
+    scope_row = update_scope(board, event.scope, position=event.revision)
+    if is_list and read_at >= scope_row.removals_applied_after:
+        update_scope(board, event.scope, deferred_removals=())
     complete = complete_revision(board)
     pause = pause_seconds(board, event.scope)
     return (
--- a/src/carawayhitch/core/_object_rows.py
+++ b/src/carawayhitch/core/_object_rows.py
@@ -67,6 +67,13 @@
     change_accepted_at: float = 0.0
 
 
+class DeferredRemoval(NamedTuple):
+    """A removal of a stored object that is not applied yet."""
+
+    key: tuple[str, str]
+    version: int
+
+
 class StoreScopeRow(NamedTuple):
     """Part of the store that is listed and watched separately.
 
@@ -90,12 +97,19 @@
     removals_applied_after : float
         Time at which removals are applied that come earlier, because registrations
         that lapsed in an outage of the store return shortly after it.
+    deferred_removals : tuple of DeferredRemoval
+        Removals that came earlier, until a list that begins after that time.
     contacted_at : float
         Time of the last answer from the store.
     called_at : float
         Time at which the last store call was made.
     watch_deadline : float
         Time at which the last watch ends without a change.
+    bounded_until : float
+        Time until which the bounds of the platform limit all watches, because a call
+        of this scope failed.
+    tests_connection : bool
+        Whether the next watch is short, because it may reuse a silent connection.
     watched_stale_until : float
         Time until which the entry, which has just started, leaves consistent watches
         to others.
@@ -108,9 +122,12 @@
     failure_count: int = 0
     failing_since: float = 0.0
     removals_applied_after: float = 0.0
+    deferred_removals: tuple[DeferredRemoval, ...] = ()
     contacted_at: float = 0.0
     called_at: float = 0.0
     watch_deadline: float = 0.0
+    bounded_until: float = 0.0
+    tests_connection: bool = False
     watched_stale_until: float = 0.0
 
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -24,6 +24,7 @@
 )
 from carawayhitch.core._object_rows import (
     ChangeRow,
+    DeferredRemoval,
     ObjectRow,
     ObjectSetRow,
     StoreScopeRow,
@@ -112,6 +113,7 @@
     "ConnectionStage",
     "ConnectionUse",
     "CrashRow",
+    "DeferredRemoval",
     "DutyLoadRow",
     "EndedRequestRow",
     "EngineFailureRow",
