Leave callers of a stopping entry to its own refusal

An entry in "refusing" therefore answered 401 or 404 instead of DRAINING for large bodies, also for a key or a route that only a newer configuration holds, so that a load balancer or client doesn't try another entry.

The check now finds nothing in the states "refusing" and "stopped"; the call is refused as DRAINING when it is admitted. The other refusals of find_refusal stay behind the check: an entry with too many open requests follows the configuration in force, so its 401 is true, and bodies of unknown callers must not be received just when it is full. Without a configuration nothing was checked before either.

tests.controllers.test_routed_calls.AdmissionTest. test_stopping_entry_leaves_unknown_callers_to_its_refusal: 2 of 4 cases (both in "refusing") failed before, all pass now.

--- a/src/carawayhitch/controllers/_admission.py
+++ b/src/carawayhitch/controllers/_admission.py
@@ -92,7 +92,8 @@
         Where a call on a declared route is sent; empty for the entry's own interface.
     """
     configuration = board.configuration
-    if configuration is None:
+    # A stopping entry may hold an old configuration.
+    if configuration is None or find_refusal(board) is result_codes.DRAINING:
         return None
     if path:
         route = find_route(configuration, host, path)
--- a/tests/controllers/test_routed_calls.py
+++ b/tests/controllers/test_routed_calls.py
@@ -123,6 +123,19 @@
                 )
                 self.assertEqual(code.name if code else "", expected)
 
+    def test_stopping_entry_leaves_unknown_callers_to_its_refusal(self):
+        """Guards against a 401 or 404 by an entry whose configuration may be old."""
+        for state, expected in (("draining", True), ("refusing", False)):
+            for name, token in (("order", "2" * 64), ("other", TOKEN)):
+                with self.subTest(state, name=name):
+                    entry = RoutedEntry()
+                    row = entry.board.lifecycle._replace(state=state)
+                    entry.board.lifecycle_by_node_id[row.node_id] = row
+                    code = controllers.find_caller_refusal(
+                        entry.board, token, "Shop.example", f"/{name}/1"
+                    )
+                    self.assertEqual(code is not None, expected)
+
     def test_longest_prefix_wins(self):
         """Guards against a nested route that is hidden by a shorter prefix."""
         configuration = RoutedEntry().board.configuration
