Keep connections whose request waits unread when places are short

The time ran from the accept, also while the process was stopped or throttled: after such a pause, a new accept could close clients whose whole request waited in the kernel.

A connection before its first answer now counts as progressing if bytes wait unread in its socket. Ruled out: counting from the first loop iteration after the accept, since a pause may also begin after it; and leaving out the rule after a late iteration, which needs a timer that always runs. Not covered: a pause of the whole machine, in which the client's bytes don't reach the kernel either.

--- a/src/carawayhitch/frontend/_protocol.py
+++ b/src/carawayhitch/frontend/_protocol.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import resource
+import termios
 from itertools import count
 from typing import Any
 
@@ -269,11 +271,15 @@
         """Return what the connection holds and when its client last moved."""
         stage = self._stage()
         body_bytes = self._body.counted_bytes if self._body is not None else 0
+        progressed_at = self._progressed_at
+        if self._awaits_request(stage):
+            has_sent = stage == "unused" and self._has_unread_bytes()
+            progressed_at = self._node.now() if has_sent else self._time
         return rows.ConnectionUse(
             self._connection_id,
             stage,
             self._buffered_bytes + self._answer_bytes + body_bytes,
-            self._time if self._awaits_request(stage) else self._progressed_at,
+            progressed_at,
         )
 
     def close_for(self, code: result_codes.ResultCode) -> None:
@@ -309,6 +315,13 @@
     def _awaits_request(self, stage: rows.ConnectionStage) -> bool:
         return stage in ("unused", "idle") and not self._discards_body()
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes wait in the kernel, because the event loop is late."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        endpoint = self.transport.get_extra_info("socket")
+        return any(fcntl.ioctl(endpoint.fileno(), termios.FIONREAD, bytes(4)))
+
     def _note_progress(self, size: int) -> None:
         self._moved_bytes += size
         if self._moved_bytes >= self._progress_bytes:
