Limit the time in which the body of a refused call is discarded

Since a caller may be refused before its body is received, that is, outside the time limit of the receipt. sanic then discards the body in its idle stage, where each byte renews the limit, so that a client that sends a byte now and then stayed for as long as it liked, unless connections were short.

Ruled out: discarding before the refusal, since the caller would wait for it as before.

tests.test_client_crowds.ClientCrowdTest. test_refused_body_that_trickles_ends: with receive_timeout_seconds at 3 the connection was open after 600 bytes in 60 s before; it passes now.

--- a/src/carawayhitch/frontend/_protocol.py
+++ b/src/carawayhitch/frontend/_protocol.py
@@ -6,6 +6,7 @@
 import fcntl
 import resource
 import termios
+from collections.abc import AsyncIterator
 from itertools import count
 from typing import Any
 
@@ -23,7 +24,7 @@
 )
 from carawayhitch.core import result_codes, rows
 from carawayhitch.core import settings as settings_types
-from carawayhitch.frontend._receiving import receive_body
+from carawayhitch.frontend._receiving import discard_answered_body, receive_body
 
 # Interval between reads of the connections refused for overload. The resulting
 # 200 refusals per second use less than a tenth of a CPU core.
@@ -94,6 +95,18 @@
         response.headers = ResponseHeaders(response.headers)
         await super().http1_response_header(data, end_stream)
 
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return the parts of the body; none once the call is answered.
+
+        sanic then reads the rest of the body, with a time limit that each byte renews.
+        """
+        if self.stage is Stage.IDLE:
+            protocol: Any = self.protocol
+            await discard_answered_body(self, protocol.app.ctx.node.settings.limits)
+            return
+        async for part in super().__aiter__():
+            yield part
+
 
 class CallerProtocol(HttpProtocol):
     """sanic's HTTP connection with limits on connections and on slow clients.
--- a/src/carawayhitch/frontend/_receiving.py
+++ b/src/carawayhitch/frontend/_receiving.py
@@ -206,8 +206,7 @@
     if not await body.reserve_in_time(expected_bytes, 0.0):
         return _no_memory_error(expected_bytes)
     received = bytearray()
-    limits, loop = node.settings.limits, asyncio.get_running_loop()
-    window_bytes = 0
+    limits, window_bytes = node.settings.limits, 0
     try:
         async for part in stream:
             size = len(received) + len(part)
@@ -218,10 +217,7 @@
                 if not await body.reserve_in_time(expected_bytes, 0.0):
                     return _no_memory_error(expected_bytes)
             received += part
-            window_bytes += len(part)
-            if window_bytes >= 2 * limits.progress_bytes and not limit.expired():
-                window_bytes = 0
-                limit.reschedule(loop.time() + limits.receive_timeout_seconds)
+            window_bytes = _renew_limit(limit, window_bytes + len(part), limits)
     except PayloadTooLarge:
         return errors.CallRefusedError(
             result_codes.BODY_TOO_LARGE,
@@ -231,6 +227,17 @@
     return None
 
 
+def _renew_limit(
+    limit: asyncio.Timeout, window_bytes: int, limits: settings_types.LimitSettings
+) -> int:
+    """Renew a time limit if enough has arrived; return what counts for the next one."""
+    if window_bytes < 2 * limits.progress_bytes or limit.expired():
+        return window_bytes
+    now = asyncio.get_running_loop().time()
+    limit.reschedule(now + limits.receive_timeout_seconds)
+    return 0
+
+
 def _no_memory_error(size: int) -> errors.CallRefusedError:
     return errors.CallRefusedError(
         result_codes.ENTRY_OVERLOADED, f"no memory for a request body of {size} bytes"
@@ -249,3 +256,25 @@
     with suppress(PayloadTooLarge):
         while stream.request_body:
             await stream.read()
+
+
+async def discard_answered_body(
+    stream: Any, limits: settings_types.LimitSettings
+) -> None:
+    """Discard the body of a call that is answered; close the connection if it stalls.
+
+    The time limit is that of a body in receipt, so that no caller keeps its place by
+    single bytes.
+    """
+    stream.request_max_size = DISCARDED_BODY_LIMIT_BYTES
+    window_bytes = 0
+    try:
+        async with asyncio.timeout(limits.receive_timeout_seconds) as limit:
+            while stream.request_body:
+                part = await stream.read()
+                window_bytes = _renew_limit(
+                    limit, window_bytes + len(part or b""), limits
+                )
+    except TimeoutError:
+        stream.request_body = None
+        stream.keep_alive = False
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -9,9 +9,11 @@
 import json
 import resource
 import signal
+import socket
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 
 from fakes.platform_fleet import KEY, MODEL_SERVICE, PLAIN_SERVICE, PlatformFleet
 from fakes.processes import ACCOUNT_TOKENS, Fleet, call, token_hash
@@ -203,6 +205,23 @@
                     status, _ = exchange_slowly(port, [head, body], 20 * BODY_BYTES)
                     self.assertEqual(status, expected)
 
+    def test_refused_body_that_trickles_ends(self):
+        """Guards against refused callers whose every byte renews their time."""
+        self.start("receive_timeout_seconds = 3.0\n")
+        with self.send_unknown_call(BODY_BYTES) as connection, suppress(OSError):
+            for _ in range(600):
+                connection.sendall(b"x")
+                time.sleep(0.1)
+            self.fail("the connection is still open")
+
+    def send_unknown_call(self, size, *lines):
+        """Return a connection on which the head of a call with an unknown key is."""
+        port = self.fleet.ports_by_name["entry-1"]
+        head = request_head("POST", "/order/1", f"Content-Length: {size}", *lines)
+        connection = socket.create_connection(("127.0.0.1", port), timeout=60.0)
+        connection.sendall(head.replace(KEY.encode(), b"unknown"))
+        return connection
+
     def test_unfinished_bodies_to_the_readiness_check(self):
         """Guards against bodies to paths that take none."""
         self.start()
