Refuse calls that expect leave for their body without giving it

sanic puts "100 Continue" before any answer to a call with "Expect: 100-continue" whose body was not read, except for 417. A caller that was refused before its body got both at once and was told to send the body of a refused call.

A final answer now takes the place of "100 Continue", with "Connection: close", because a client may then send its body or not and the bytes that follow can't be told from a new request.

--- a/src/carawayhitch/frontend/_protocol.py
+++ b/src/carawayhitch/frontend/_protocol.py
@@ -91,6 +91,10 @@
         """Send the status line and the headers, and the first part of the body."""
         protocol: Any = self.protocol
         protocol.note_answer()
+        if self.expecting_continue:
+            # The client has no leave to send its body, and may send none, so that the
+            # bytes that follow cannot be told from a new request.
+            self.expecting_continue = self.keep_alive = False
         response: Any = self.response
         response.headers = ResponseHeaders(response.headers)
         await super().http1_response_header(data, end_stream)
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -214,6 +214,19 @@
                 time.sleep(0.1)
             self.fail("the connection is still open")
 
+    def test_refusal_of_an_unknown_call_is_alone_and_complete(self):
+        """Guards against a refusal with leave to send the body, or lost to a reset."""
+        self.start()
+        for size, line, body in (
+            (BODY_BYTES, "Expect: 100-continue", b""),
+            (BODY_BYTES, "Expect: 100-continue", bytes(BODY_BYTES)),
+            (4 * BODY_BYTES, "Accept: */*", bytes(4 * BODY_BYTES)),
+        ):
+            with self.subTest(line, size=size, sent=len(body)):
+                with self.send_unknown_call(size, line) as connection:
+                    connection.sendall(body)
+                    self.assertEqual(connection.recv(12), b"HTTP/1.1 401")
+
     def send_unknown_call(self, size, *lines):
         """Return a connection on which the head of a call with an unknown key is."""
         port = self.fleet.ports_by_name["entry-1"]
