Keep injected failures of servers that the soak makes cold

cool_zone posted cold_seconds to /fake/faults, which sets every fault that a request leaves out back to none, so that a FailServer of the plan ended as soon as the zone of its server was taken back. Keeping faults that a request leaves out was ruled out: tests end their faults by an empty request. Coldness now has a path of its own.

tests.test_soak.ColdZoneTest.test_servers_that_become_cold_keep_their_faults: [200, 200] instead of [500, 200] before, passes now.

--- a/fakes/platform_fleet.py
+++ b/fakes/platform_fleet.py
@@ -199,6 +199,10 @@
         """Inject faults into a server."""
         call("POST", self.url(name) + "/fake/faults", faults)
 
+    def cool_server(self, name: str, seconds: float) -> None:
+        """Make a server cold; its faults stay."""
+        call("POST", self.url(name) + "/fake/cold", {"seconds": seconds})
+
     def server_call_record(self, name: str) -> dict[str, Any]:
         """Return the calls that a server received, and its counters."""
         return json.loads(call("GET", self.url(name) + "/fake/seen")[1])
--- a/fakes/platform_server.py
+++ b/fakes/platform_server.py
@@ -101,6 +101,7 @@
                 web.delete("/carawayhitch/kv-handle/{handle}", self.free),
                 web.post("/fake/copies", self.receive_copy),
                 web.post("/fake/faults", self.inject),
+                web.post("/fake/cold", self.cool),
                 web.get("/fake/seen", self.list_calls),
                 web.route("*", "/{path:.*}", self.serve),
             ]
@@ -304,8 +305,7 @@
         the process as they begin to run, empty for none; ``crash_on_part``: id of the
         prompt part whose streams end the process after the head of the answer;
         ``unframed``: whether streams have neither a length nor chunks; ``endless``:
-        whether the bodies of other answers have no end; ``cold_seconds``: time for
-        which the server is cold from now on.
+        whether the bodies of other answers have no end.
         """
         faults = await request.json()
         self.failures = faults.get("failures", 0)
@@ -319,8 +319,11 @@
         self.crash_on_part = faults.get("crash_on_part", "")
         self.unframed = faults.get("unframed", False)
         self.endless = faults.get("endless", False)
-        if "cold_seconds" in faults:
-            self.cold_until = time.time() + faults["cold_seconds"]
+        return web.json_response({})
+
+    async def cool(self, request: web.Request) -> web.Response:
+        """Make the server cold for some ``seconds`` from now on; keep its faults."""
+        self.cold_until = time.time() + (await request.json())["seconds"]
         return web.json_response({})
 
     async def list_calls(self, request: web.Request) -> web.Response:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -169,7 +169,7 @@
         for name, service in self.services_by_server.items():
             if self.board.zones_by_server[name] == zone and self.is_in_service(name):
                 self.cold_until_by_server[name] = time.time() + WARM_UP_SECONDS
-                self.server_faults(name, cold_seconds=WARM_UP_SECONDS)
+                self.cool_server(name, WARM_UP_SECONDS)
                 self.register(name, service, zone)
 
     def launch_gateway(self, name: str) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import json
 import random
 import signal
 import unittest
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
+from fakes import processes
+from fakes.platform_fleet import PLAIN_SERVICE
 from soak._board import STORE, CallRow, RunRow, SoakBoard, ValidityRow
 from soak._callers import find_stream_fault
 from soak._checks import find_violations
 from soak._faults import KillEntry, draw_cold_returns, draw_plan
 from soak._run import RunOptions, run_seed
 from soak._steps import AwaitExit, perform
+from soak._world import SoakFleet
 
 # Seeds that once violated a guarantee, with the cause.
 REGRESSION_SEEDS = {
@@ -218,6 +222,24 @@
                 self.assertEqual(len(fleet.board.problems), problems)
 
 
+class ColdZoneTest(unittest.TestCase):
+    def test_servers_that_become_cold_keep_their_faults(self):
+        """Guards against a planned fault that ends when its zone is taken back."""
+        fleet = SoakFleet(SoakBoard(), limits_cold_servers=True)
+        self.addCleanup(fleet.stop)
+        fleet.start_store()
+        fleet.start_additional_server(PLAIN_SERVICE)
+        (name,) = fleet.services_by_server
+        fleet.server_faults(name, failures=1)
+        with patch("soak._world.WARM_UP_SECONDS", 600.0):
+            fleet.cool_zone("a")
+        url = fleet.url(name)
+        report = json.loads(processes.call("GET", f"{url}/carawayhitch/report")[1])
+        self.assertGreater(report["coldLeftMs"], 0.0)
+        statuses = [processes.call("POST", f"{url}/order/1", b"")[0] for _ in range(2)]
+        self.assertEqual(statuses, [500, 200])
+
+
 class SoakTest(unittest.TestCase):
     def test_cold_servers_beside_zone_drains(self):
         """Guards against rushes to cold servers, which this seed can show."""
