--- a/tests/controllers/test_bodies.py
+++ b/tests/controllers/test_bodies.py
@@ -103,7 +103,7 @@
         self.assertEqual(closed(event), [(1, "ANSWER_NOT_READ")])
 
     def test_idle_connections_make_room_and_running_calls_stay(self):
-        """Guards against connections without a call that keep out callers."""
+        """Guards against connections without a call that take the places of callers."""
         uses = (
             use(1, "idle", 0, 3.0),
             use(2, "running", 0, 60.0),
--- a/tests/controllers/test_cold_start.py
+++ b/tests/controllers/test_cold_start.py
@@ -276,7 +276,7 @@
         self.assertTrue(self.is_cold(now + 1.5))
 
     def test_zone_that_is_taken_back(self):
-        """Guards against a rush to servers that became cold while their zone rested."""
+        """Guards against a burst to servers that became cold while out of use."""
         entry = Entry(engines(2))
         at = entry.warm()
         drained = events.ZoneDrainsChanged(("zone-1",), ())
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -177,7 +177,7 @@
         self.assert_ordinary_calls_are_answered()
 
     def test_unfinished_bodies_with_an_unknown_key(self):
-        """Guards against strangers whose bodies are received."""
+        """Guards against callers without a valid key whose bodies are received."""
         self.start()
         head, *parts = body_with_length("POST", "/order/1", BODY_BYTES, 1)
         self.send_crowd([head.replace(KEY.encode(), b"unknown"), *parts])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -121,7 +121,7 @@
                 self.assertEqual(self.violated_guarantees(board), set())
 
     def test_requests_to_a_cold_server(self):
-        """Guards against a check that misses a rush or reports what is allowed."""
+        """Guards against a check that misses an excess or reports what is allowed."""
         cases = (
             ("as many as the bound", (20.0, 20.1, 20.9), "", set()),
             ("one more", (20.0, 20.1, 20.2, 20.9), "", {"cold servers"}),
@@ -242,7 +242,7 @@
 
 class SoakTest(unittest.TestCase):
     def test_cold_servers_beside_zone_drains(self):
-        """Guards against rushes to cold servers, which this seed can show."""
+        """Guards against too many requests to cold servers."""
         options = RunOptions(102, zone_drains=True, cold_servers=True)
         result = run_seed(options)
         self.assertEqual(result.violations, [])
