--- a/src/carawayhitch/frontend/_protocol.py
+++ b/src/carawayhitch/frontend/_protocol.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import resource
+import termios
+from collections.abc import AsyncIterator
 from itertools import count
 from typing import Any
 
@@ -21,7 +24,7 @@
 )
 from carawayhitch.core import result_codes, rows
 from carawayhitch.core import settings as settings_types
-from carawayhitch.frontend._receiving import receive_body
+from carawayhitch.frontend._receiving import discard_answered_body, receive_body
 
 # Interval between reads of the connections refused for overload. The resulting
 # 200 refusals per second use less than a tenth of a CPU core.
@@ -88,10 +91,26 @@
         """Send the status line and the headers, and the first part of the body."""
         protocol: Any = self.protocol
         protocol.note_answer()
+        if self.expecting_continue:
+            # The client has no leave to send its body, and may send none, so that the
+            # bytes that follow cannot be told from a new request.
+            self.expecting_continue = self.keep_alive = False
         response: Any = self.response
         response.headers = ResponseHeaders(response.headers)
         await super().http1_response_header(data, end_stream)
 
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return the parts of the body; none once the call is answered.
+
+        sanic then reads the rest of the body, with a time limit that each byte renews.
+        """
+        if self.stage is Stage.IDLE:
+            protocol: Any = self.protocol
+            await discard_answered_body(self, protocol.app.ctx.node.settings.limits)
+            return
+        async for part in super().__aiter__():
+            yield part
+
 
 class CallerProtocol(HttpProtocol):
     """sanic's HTTP connection with limits on connections and on slow clients.
@@ -269,11 +288,15 @@
         """Return what the connection holds and when its client last moved."""
         stage = self._stage()
         body_bytes = self._body.counted_bytes if self._body is not None else 0
+        progressed_at = self._progressed_at
+        if self._awaits_request(stage):
+            has_sent = stage == "unused" and self._has_unread_bytes()
+            progressed_at = self._node.now() if has_sent else self._time
         return rows.ConnectionUse(
             self._connection_id,
             stage,
             self._buffered_bytes + self._answer_bytes + body_bytes,
-            self._time if self._awaits_request(stage) else self._progressed_at,
+            progressed_at,
         )
 
     def close_for(self, code: result_codes.ResultCode) -> None:
@@ -309,6 +332,13 @@
     def _awaits_request(self, stage: rows.ConnectionStage) -> bool:
         return stage in ("unused", "idle") and not self._discards_body()
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes wait in the kernel, because the event loop is late."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        endpoint = self.transport.get_extra_info("socket")
+        return any(fcntl.ioctl(endpoint.fileno(), termios.FIONREAD, bytes(4)))
+
     def _note_progress(self, size: int) -> None:
         self._moved_bytes += size
         if self._moved_bytes >= self._progress_bytes:
