Ignore share messages at entries without service shares

An entry with the setting off that got a report of a peer with it on stored rows, set its timer, sent reports of its own and applied the answer. Its own calls add no credit, so it refused every call of a limited account. The same held for a cell whose group is scheduled by the cell.

Both handlers, the limit of an ask and the limits that are shown now ask for the setting and the group. Checking only the refusal was ruled out: the rows and messages would stay. The timer deletes the rows of a cell once its group is not shared any more.

Test: test_entry_without_the_setting_follows_no_peer. Before: both cases fail with a `service crowded` line and a ServiceShares answer. After: passes.

--- a/src/carawayhitch/controllers/service_shares/_decisions.py
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -20,6 +20,7 @@
     calls_per_second,
     current_rate,
     is_shared,
+    is_shared_cell,
     limit_key,
 )
 from carawayhitch.core import actions, events, messages, result_codes, rows
@@ -124,7 +125,8 @@
     _delete_outdated_rows(board, cell_id, now)
     report = _build_report(board, cell_id, now)
     is_counting = any(key[0] == cell_id for key in board.reported_loads_by_cell_entry)
-    if not report.accounts and not report.servers and not is_counting:
+    is_idle = not report.accounts and not report.servers and not is_counting
+    if is_idle or not is_shared_cell(board, cell_id):
         board.service_reports_by_cell_id.pop(cell_id, None)
         board.service_shares_by_cell_id.pop(cell_id, None)
         return ()
@@ -139,14 +141,23 @@
 
 
 def _delete_outdated_rows(board: Board, cell_id: str, now: float) -> None:
-    is_removed = cell_id not in board.cells_by_id
+    is_removed = not is_shared_cell(board, cell_id)
+    shared_upstream_ids = {
+        upstream_id
+        for cell in board.cells_by_id.values()
+        if is_shared(board, cell.group)
+        for upstream_id in cell.upstream_ids
+    }
     for key, rate in list(board.call_rates_by_account.items()):
         if key[0] == cell_id and (
             is_removed or calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND
         ):
             del board.call_rates_by_account[key]
     for upstream_id, rate in list(board.answer_rates_by_upstream_id.items()):
-        if calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND:
+        if (
+            upstream_id not in shared_upstream_ids
+            or calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND
+        ):
             del board.answer_rates_by_upstream_id[upstream_id]
     for key, limit in list(board.share_limits_by_account.items()):
         if key[0] == cell_id and (is_removed or now >= limit.deadline):
@@ -216,7 +227,7 @@
 def _answer_report(
     event: messages.ServiceLoad, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.cell_id not in board.cells_by_id:
+    if not is_shared_cell(board, event.cell_id):
         return ()
     store_report(board, event, now)
     shares, logged = find_shares(board, event.cell_id, now)
@@ -229,7 +240,7 @@
     event: messages.ServiceShares, board: Board, now: float, random: Random
 ) -> Actions:
     row = board.service_reports_by_cell_id.get(event.cell_id)
-    if row is None:
+    if row is None or not is_shared_cell(board, event.cell_id):
         return ()
     if event.sender_id == row.candidate_ids[row.candidate_index]:
         board.service_reports_by_cell_id[event.cell_id] = row._replace(
--- a/src/carawayhitch/controllers/service_shares/_limits.py
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -26,6 +26,12 @@
     return group in entry_scheduled_groups(board)
 
 
+def is_shared_cell(board: Board, cell_id: str) -> bool:
+    """Return whether accounts have shares in the servers of a known cell."""
+    cell = board.cells_by_id.get(cell_id)
+    return cell is not None and is_shared(board, cell.group)
+
+
 def add_call(
     row: rows.CallRateRow | None, now: float, seconds: float = 0.0
 ) -> rows.CallRateRow:
@@ -65,6 +71,8 @@
 
 def limit_of(board: Board, ask: rows.AskRow, now: float) -> rows.ShareLimitRow | None:
     """Return the limit that applies to an ask at this entry, or None."""
+    if not is_shared(board, ask.group):
+        return None
     key = limit_key(board, ask.cell_id, ask.rank, ask.account)
     limit = board.share_limits_by_account.get(key)
     return limit if limit is not None and now < limit.deadline else None
@@ -77,7 +85,7 @@
     return {
         key: limit
         for key, limit in board.share_limits_by_account.items()
-        if now < limit.deadline
+        if now < limit.deadline and is_shared_cell(board, key[0])
     }
 
 
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -10,6 +10,7 @@
 from carawayhitch.controllers._routes import route_ranks
 from carawayhitch.controllers.service_shares._limits import limit_key
 from carawayhitch.core import actions, declarations, events, messages, result_codes
+from carawayhitch.core import settings as settings_types
 from carawayhitch.node import _status
 from tests.controllers.scheduling_world import sent
 from tests.controllers.service_shares.crowded_service import (
@@ -26,6 +27,17 @@
 STATE = service_shares.ServerState
 
 
+def find_state(boards):
+    """Return the names of the controller's tables that have rows."""
+    names = (
+        "call_rates_by_account", "answer_rates_by_upstream_id",
+        "refused_attempts_by_request_id", "service_reports_by_cell_id",
+        "reported_loads_by_cell_entry", "service_shares_by_cell_id",
+        "share_limits_by_account",
+    )  # fmt: skip
+    return [name for board in boards for name in names if getattr(board, name)]
+
+
 class CrowdTest(unittest.TestCase):
     def test_small_accounts_are_served_beside_a_large_one(self):
         # Guards against an account that fills the servers over entries that each see
@@ -33,7 +45,7 @@
         model = CrowdedService(CROWDED, enabled=False)
         self.assertLess(share_in_goal(model.run(15.0), SMALL), 0.3)
         # A deployment that does not ask for shares has no rows and no messages.
-        self.assertEqual((model.message_count, self.find_state(model)), (0, []))
+        self.assertEqual((model.message_count, find_state(model.boards.values())), (0, []))
         model = CrowdedService(CROWDED)
         results = model.run(15.0)
         self.assertGreater(share_in_goal(results, SMALL), 0.9)
@@ -57,22 +69,10 @@
     def test_state_is_deleted_after_the_crowd(self):
         model = CrowdedService(dict(CROWDED), entry_count=6)
         model.run(8.0)
-        self.assertNotEqual(self.find_state(model), [])
+        self.assertNotEqual(find_state(model.boards.values()), [])
         model.rates_by_account.update(dict.fromkeys(CROWDED, 0.0))
         model.run(25.0)
-        self.assertEqual(self.find_state(model), [])
-
-    def find_state(self, model):
-        """Return the names of the controller's tables that have rows."""
-        names = (
-            "call_rates_by_account", "answer_rates_by_upstream_id",
-            "refused_attempts_by_request_id", "service_reports_by_cell_id",
-            "reported_loads_by_cell_entry", "service_shares_by_cell_id",
-            "share_limits_by_account",
-        )  # fmt: skip
-        boards = model.boards.values()
-        return [name for board in boards for name in names if getattr(board, name)]
-
+        self.assertEqual(find_state(model.boards.values()), [])
 
 class FailureTest(unittest.TestCase):
     def play(self, fail, **changes):
@@ -142,6 +142,49 @@
         line = next(row for row in lines if row["code"] == "ACCOUNT_SHARE_EXCEEDED")
         self.assertEqual((line["share"], line["counted_by"]), (0.25, "entry-09"))
 
+    def test_entry_without_the_setting_follows_no_peer(self):
+        # Guards against limits at an entry that has no shares, while its peers have.
+        rates = (messages.AccountRate("large", RANK.priority, 100.0),)
+        loads = (messages.ServerLoad("server-0", 40, 50.0, 20.0),)
+        shares = (messages.AccountShare("large", RANK.priority, 0.02),)
+        groups = self.board.configuration.serving_groups_by_name
+        for name in ("switched off", "scheduled by cell"):
+            with self.subTest(name):
+                self.setUp()
+                if name == "switched off":
+                    self.change(settings=settings_types.SchedulingSettings())
+                else:
+                    group = groups["portal"]._replace(scheduler="cell")
+                    self.change(group=group)
+                decided = self.feed(
+                    messages.ServiceLoad("entry-01", CELL, rates, loads), 1.2
+                )
+                decided += self.feed(
+                    messages.ServiceShares("entry-09", CELL, shares), 1.2
+                )
+                self.assertEqual(decided, [])
+                for index in range(20):
+                    decided += self.call(f"r{index}", "large", 1.2)
+                self.assertEqual(sent(decided, messages.AdmissionRefusal), [])
+                shown = _status.describe_status(self.board, 1.2)
+                self.assertFalse(shown.get("account_shares"))
+                timer = events.TimerFired("service_report", CELL)
+                self.assertEqual(self.feed(timer, 1.5), [])
+                self.assertEqual(find_state([self.board]), [])
+
+    def change(self, settings=None, group=None):
+        """Put other settings of scheduling or another serving group into force."""
+        if settings is not None:
+            self.board.settings_by_name["in_force"] = self.board.settings._replace(
+                scheduling=settings
+            )
+        if group is not None:
+            self.board.configuration_by_name["in_force"] = (
+                self.board.configuration._replace(
+                    serving_groups_by_name={group.name: group}
+                )
+            )
+
     def test_waiting_accounts_take_turns(self):
         # Guards against a queue of calls without tokens in order of account names.
         for name, count in (("a", 40), ("b", 8)):
