Name the accounts with the most refused calls in answers

An answer named the 24 accounts with the lowest shares. With 24 small accounts of a later priority at the minimum share, a large account with a higher share was left out and had no limit.

The accounts are now ordered by the rate of refused calls when the shares are derived, so that answers only take the first ones. A second answer was ruled out: more messages for accounts that change little.

Test: test_answer_names_accounts_with_the_most_refused_calls. Before: "large" (600 calls/s) is not among the 24 names. After: passes.

--- a/src/carawayhitch/controllers/service_shares/_counting.py
+++ b/src/carawayhitch/controllers/service_shares/_counting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from heapq import nsmallest
+from itertools import islice
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _fairness, zones
@@ -23,8 +23,9 @@
 # Reports arrive at all times. Deriving the shares for each of them would cost the
 # counting entry more than the calls themselves.
 DERIVATION_INTERVAL_SECONDS = REPORT_INTERVAL_SECONDS / 2
-# Accounts that an answer names, those with the lowest shares. Keeps it within one
-# datagram.
+# Accounts that an answer names, those of which the most calls are refused. Keeps it
+# within one datagram. By the lowest shares, many small accounts of a late priority would
+# displace a large one, which would not be limited.
 NAMED_ACCOUNT_LIMIT = 24
 # Limits begin when the demand exceeds the capacity by this factor and end when it does
 # not exceed it any more. Rates of some hundred calls vary by a twentieth.
@@ -94,8 +95,12 @@
             },
             capacity,
         )
+    by_refused_rate = sorted(
+        shares_by_account.items(),
+        key=lambda item: -rates_by_priority[item[0][0]][item[0][1]] * (1.0 - item[1]),
+    )
     return rows.ServiceShareRow(
-        shares_by_account, demand, capacity or 0.0, now + DERIVATION_INTERVAL_SECONDS
+        dict(by_refused_rate), demand, capacity or 0.0, now + DERIVATION_INTERVAL_SECONDS
     )
 
 
@@ -142,14 +147,10 @@
     first call of an account at each entry would be accepted, which are most of the
     calls of an account at many entries.
     """
-    lowest = nsmallest(
-        NAMED_ACCOUNT_LIMIT,
-        shares.shares_by_account.items(),
-        key=lambda item: item[1],
-    )
+    named = islice(shares.shares_by_account.items(), NAMED_ACCOUNT_LIMIT)
     limited = tuple(
         messages.AccountShare(account, priority, share)
-        for (priority, account), share in lowest
+        for (priority, account), share in named
     )
     answer = messages.ServiceShares(board.node_id, report.cell_id, limited)
     return actions.Send(report.sender_id, answer)
--- a/src/carawayhitch/core/_scheduling_rows.py
+++ b/src/carawayhitch/core/_scheduling_rows.py
@@ -265,7 +265,8 @@
     ----------
     shares_by_account : dict of (int, str) to float
         Share of the new calls that is accepted, by priority and account, for the
-        accounts that send more than their part of a crowded service.
+        accounts that send more than their part of a crowded service. Those with the
+        most refused calls come first.
     demand, capacity : float
         New calls per second, and calls per second that the servers can answer.
     deadline : float
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -215,6 +215,17 @@
         (answer,) = sent(self.feed(empty, 3.0), messages.ServiceShares)
         self.assertEqual([row.account for row in answer.shares], ["large"])
 
+    def test_answer_names_accounts_with_the_most_refused_calls(self):
+        # Guards against a large account without a limit beside many small ones of a
+        # later priority, whose shares are lower.
+        small = [messages.AccountRate(f"a{n:02}", 1, 1.0) for n in range(40)]
+        rates = (messages.AccountRate("large", RANK.priority, 600.0), *small)
+        loads = (messages.ServerLoad("server-0", 12, 75.0, 6.0),)
+        report = messages.ServiceLoad("entry-01", CELL, rates, loads)
+        (answer,) = sent(self.feed(report, 3.0), messages.ServiceShares)
+        self.assertEqual(len(answer.shares), 24)
+        self.assertIn("large", [row.account for row in answer.shares])
+
     def test_routes_of_one_priority_have_a_common_limit(self):
         # Guards against a route that is refused alone for its slightly longer goal.
         routes = [
