Count only answered calls as answers of a server

Every end that a server had not refused counted as an answer: calls given up at their deadline at a server that hangs, and calls that failed. Errors of a server that fails fast raised the capacity and ended the limits.

Only complete ends, and ends after the answer had begun, are answers now. The time of the others still counts, because they held a slot; leaving it out was ruled out, since hanging calls would make their slots look free.

Test: test_calls_without_an_answer_are_no_answers. Before: "failed" and "given up" count one answer each. After: passes.

--- a/src/carawayhitch/controllers/service_shares/_allotment.py
+++ b/src/carawayhitch/controllers/service_shares/_allotment.py
@@ -38,9 +38,9 @@
     running : float
         Calls at the server, those in its own queue included.
     answers_per_second : float
-        Calls that end there per second.
+        Calls that end there per second and were answered.
     busy_seconds : float
-        Time that the calls which end within a second have been there, in seconds. This
+        Time that all calls which end within a second have been there, in seconds. This
         is the mean number of calls at the server.
     """
 
--- a/src/carawayhitch/controllers/service_shares/_decisions.py
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -78,7 +78,12 @@
 def _count_ended_call(
     event: messages.Finished, board: Board, now: float, random: Random
 ) -> Actions:
-    """Count the end of a call that its server has run."""
+    """Count the end of a call that its server has run.
+
+    A call that failed or was given up before its server began to answer has only used
+    the server's time. Counted as answers, timeouts of a server that hangs and errors of
+    one that fails fast would raise the capacity.
+    """
     refused_attempt = board.refused_attempts_by_request_id.pop(event.request_id, 0)
     grant = board.grants_by_request_id.get(event.request_id)
     if grant is None or grant.attempt != event.attempt:
@@ -89,7 +94,10 @@
         return ()
     rates = board.answer_rates_by_upstream_id
     rates[grant.upstream_id] = add_call(
-        rates.get(grant.upstream_id), now, now - grant.granted_at
+        rates.get(grant.upstream_id),
+        now,
+        now - grant.granted_at,
+        is_answered=event.complete or event.began,
     )
     return ()
 
--- a/src/carawayhitch/controllers/service_shares/_limits.py
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -33,11 +33,18 @@
 
 
 def add_call(
-    row: rows.CallRateRow | None, now: float, seconds: float = 0.0
+    row: rows.CallRateRow | None,
+    now: float,
+    seconds: float = 0.0,
+    is_answered: bool = True,
 ) -> rows.CallRateRow:
-    """Return a rate with one more call, which took a time if it has ended."""
+    """Return a rate with one more call, which took a time if it has ended.
+
+    Of a call without an answer only the time counts.
+    """
     current = current_rate(row, now)
-    return rows.CallRateRow(current.calls + 1.0, current.seconds + seconds, now)
+    calls = current.calls + is_answered
+    return rows.CallRateRow(calls, current.seconds + seconds, now)
 
 
 def current_rate(row: rows.CallRateRow | None, now: float) -> rows.CallRateRow:
--- a/src/carawayhitch/core/_messages.py
+++ b/src/carawayhitch/core/_messages.py
@@ -329,9 +329,9 @@
     Parameters
     ----------
     answers_per_second : float
-        Calls that end per second.
+        Calls that end per second and were answered.
     busy_seconds : float
-        Time that the calls which end within a second have run.
+        Time that all calls which end within a second have run.
     """
 
     upstream_id: str
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -120,9 +120,9 @@
         ask = new_ask("entry-00", request_id, account, now)
         return self.feed(ask._replace(attempt=attempt), now)
 
-    def finish(self, request_id, now):
+    def finish(self, request_id, now, **changes):
         ended = messages.Finished("entry-00", request_id, 1, CELL, 0, True, False)
-        self.feed(ended, now)
+        self.feed(ended._replace(**changes), now)
 
     def test_limited_account_gets_its_share_of_calls(self):
         decided = []
@@ -206,6 +206,23 @@
                 self.finish(code.name, 1.1)
                 self.assertEqual(len(self.board.answer_rates_by_upstream_id), count)
 
+    def test_calls_without_an_answer_are_no_answers(self):
+        # Guards against a capacity by the timeouts of a hanging server or the errors of
+        # one that fails fast. Their time counts: they have used a slot.
+        cases = (
+            ("failed", {"complete": False, "upstream_failed": True}, 0),
+            ("given up", {"complete": False}, 0),
+            ("broken off", {"complete": False, "began": True}, 1),
+            ("answered", {}, 1),
+        )
+        for name, changes, count in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.call(name, "small", 1.0)
+                self.finish(name, 1.5, **changes)
+                (rate,) = self.board.answer_rates_by_upstream_id.values()
+                self.assertEqual((rate.calls, rate.seconds), (count, 0.5))
+
     def test_answer_names_accounts_that_the_entry_has_not_seen(self):
         # Guards against accepting the first call of an account at each of many entries.
         rates = (messages.AccountRate("large", RANK.priority, 100.0),)
