Delete the limits of a cell with its last report

When a cell had no calls left, its report row and timer ended while limits still had a deadline. They stayed until the next call of the cell, or for good if the cell was removed. `find_shares` and `accepts` did not use them.

They are deleted in the same place as the report row. Running the timer until the last deadline was ruled out: it would only wait for rows that nobody reads.

Test: test_limits_are_deleted_with_the_last_report. Before: share_limits_by_account has rows after the last timer. After: passes.

--- a/src/carawayhitch/controllers/service_shares/_decisions.py
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -137,6 +137,7 @@
     if is_idle or not is_shared_cell(board, cell_id):
         board.service_reports_by_cell_id.pop(cell_id, None)
         board.service_shares_by_cell_id.pop(cell_id, None)
+        _delete_limits(board, cell_id)
         return ()
     timer = _report_timer(cell_id, now + REPORT_INTERVAL_SECONDS)
     if not report.accounts and not report.servers:
@@ -148,6 +149,13 @@
     return (actions.Send(row.candidate_ids[row.candidate_index], report), timer)
 
 
+def _delete_limits(board: Board, cell_id: str) -> None:
+    """Delete the limits of a cell, for which no timer is set any more."""
+    for key in list(board.share_limits_by_account):
+        if key[0] == cell_id:
+            del board.share_limits_by_account[key]
+
+
 def _delete_outdated_rows(board: Board, cell_id: str, now: float) -> None:
     is_removed = not is_shared_cell(board, cell_id)
     shared_upstream_ids = {
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -185,6 +185,16 @@
                 )
             )
 
+    def test_limits_are_deleted_with_the_last_report(self):
+        # Guards against limits that stay until the next call, or for good if the cell
+        # is removed.
+        self.finish("r0", 1.1)
+        shares = (messages.AccountShare("large", RANK.priority, 0.25),)
+        self.feed(messages.ServiceShares("entry-09", CELL, shares), 5.9)
+        timer = events.TimerFired("service_report", CELL)
+        self.assertEqual(self.feed(timer, 6.0), [])
+        self.assertEqual(find_state([self.board]), [])
+
     def test_waiting_accounts_take_turns(self):
         # Guards against a queue of calls without tokens in order of account names.
         for name, count in (("a", 40), ("b", 8)):
