Keep the capacity while no server answers for a moment

A derivation in a window without answers stored a capacity of 0. The limits ended, and the next estimate was taken without the bound on its change.

The capacity now holds for 10 s after the last answer, longer than calls of some seconds take, and then ends as before. A longer window of the rates was ruled out: limits would last for seconds after each burst.

Test: test_limits_hold_between_answers_of_several_seconds. Before: no limit at 3.3 s, 0.3 s after the last answer. After: passes.

--- a/src/carawayhitch/controllers/service_shares/_allotment.py
+++ b/src/carawayhitch/controllers/service_shares/_allotment.py
@@ -103,10 +103,13 @@
     estimate : float or None
         Capacity by the last reports; None if no server answers.
     previous : float
-        Capacity at the last derivation; 0 if it is not known.
+        Capacity at the last derivation; 0 if it is not known or too old. It holds while
+        no server answers.
     """
-    if not previous or estimate is None:
+    if not previous:
         return estimate
+    if estimate is None:
+        return previous
     return min(max(estimate, previous * LARGEST_FALL), previous * LARGEST_RISE)
 
 
--- a/src/carawayhitch/controllers/service_shares/_counting.py
+++ b/src/carawayhitch/controllers/service_shares/_counting.py
@@ -30,6 +30,9 @@
 # Limits begin when the demand exceeds the capacity by this factor and end when it does
 # not exceed it any more. Rates of some hundred calls vary by a twentieth.
 LIMITING_DEMAND = 1.1
+# A capacity holds for this time after the last answer. Servers that take seconds for a
+# call are without answers in some windows; without a capacity the limits would end.
+CAPACITY_LIFETIME_SECONDS = 10.0
 
 
 def store_report(board: Board, report: messages.ServiceLoad, now: float) -> None:
@@ -78,7 +81,12 @@
             rates_by_priority[row.priority][row.account] += row.calls_per_second
     demand = sum(sum(rates.values()) for rates in rates_by_priority.values())
     estimate = service_capacity(_server_states(board, cell_id, reports, now))
-    capacity = next_capacity(estimate, known.capacity if known else 0.0)
+    capacity_deadline = now + CAPACITY_LIFETIME_SECONDS
+    if estimate is None:
+        capacity_deadline = known.capacity_deadline if known else 0.0
+    is_usable = known is not None and now < known.capacity_deadline
+    previous = known.capacity if known is not None and is_usable else 0.0
+    capacity = next_capacity(estimate, previous)
     is_limited = known is not None and bool(known.shares_by_account)
     tolerated = 1.0 if is_limited else LIMITING_DEMAND
     shares_by_account: dict[tuple[int, str], float] = {}
@@ -100,7 +108,11 @@
         key=lambda item: -rates_by_priority[item[0][0]][item[0][1]] * (1.0 - item[1]),
     )
     return rows.ServiceShareRow(
-        dict(by_refused_rate), demand, capacity or 0.0, now + DERIVATION_INTERVAL_SECONDS
+        dict(by_refused_rate),
+        demand,
+        capacity or 0.0,
+        now + DERIVATION_INTERVAL_SECONDS,
+        capacity_deadline,
     )
 
 
--- a/src/carawayhitch/core/_scheduling_rows.py
+++ b/src/carawayhitch/core/_scheduling_rows.py
@@ -271,12 +271,15 @@
         New calls per second, and calls per second that the servers can answer.
     deadline : float
         Time at which the shares are derived again.
+    capacity_deadline : float
+        Time up to which the capacity holds while no server answers.
     """
 
     shares_by_account: Mapping[tuple[int, str], float]
     demand: float
     capacity: float
     deadline: float
+    capacity_deadline: float
 
 
 class ShareLimitRow(NamedTuple):
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -253,6 +253,17 @@
         self.assertEqual(len(answer.shares), 24)
         self.assertIn("large", [row.account for row in answer.shares])
 
+    def test_limits_hold_between_answers_of_several_seconds(self):
+        # Guards against limits that end in each window without an answer, and against
+        # a capacity that holds for good where no server answers any more.
+        rates = (messages.AccountRate("large", RANK.priority, 100.0),)
+        cases = ((3.0, 50.0, 1), (3.3, 0.0, 1), (12.9, 0.0, 1), (13.3, 0.0, 0))
+        for now, answers, count in cases:
+            loads = (messages.ServerLoad("server-0", 40, answers, answers / 2),)
+            report = messages.ServiceLoad("entry-01", CELL, rates, loads)
+            (answer,) = sent(self.feed(report, now), messages.ServiceShares)
+            self.assertEqual(len(answer.shares), count, now)
+
     def test_routes_of_one_priority_have_a_common_limit(self):
         # Guards against a route that is refused alone for its slightly longer goal.
         routes = [
