Refund failed calls of plain services what they were charged

With service shares a call to a plain service is charged one unit when it starts, but a call that failed without output was refunded its prompt tokens, which it has none of. Its account stayed behind the others.

The refund now asks the same function as the charge. A field on the grant for the charged size was ruled out: it differs only if the setting changes while the call runs, by one unit.

Test: test_failed_calls_are_refunded_what_was_charged. Before: one unit stays charged after a failed call. After: passes; test_scheduling and test_scheduling_invariants pass.

--- a/src/carawayhitch/controllers/_rebuild.py
+++ b/src/carawayhitch/controllers/_rebuild.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 from carawayhitch.board import Board
-from carawayhitch.controllers import _fairness, _lengths, _memory, _prefill, _queue
+from carawayhitch.controllers import (
+    _fairness,
+    _lengths,
+    _memory,
+    _prefill,
+    _queue,
+    service_shares,
+)
 from carawayhitch.core import messages, rows
 
 # After a request finished, identical requests may run on several upstreams for this
@@ -68,8 +75,8 @@
 
 def refund_grant(board: Board, grant: rows.GrantRow, now: float) -> None:
     """Refund the tokens charged for a grant that produced no output for its caller."""
-    prompt_tokens = grant.prompt_tokens if grant.prompt_charged else 0
-    _fairness.charge_tokens(board, grant, -(prompt_tokens + grant.charged_tokens), now)
+    prompt = service_shares.charged_size(board, grant) if grant.prompt_charged else 0
+    _fairness.charge_tokens(board, grant, -(prompt + grant.charged_tokens), now)
 
 
 def finish_grant(
--- a/src/carawayhitch/controllers/service_shares/_limits.py
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -126,10 +126,10 @@
     )
 
 
-def charged_size(board: Board, ask: rows.AskRow) -> int:
-    """Return what the fair queue charges for an ask.
+def charged_size(board: Board, call: rows.AskRow | rows.GrantRow) -> int:
+    """Return what the fair queue charges for a call when it starts.
 
     Calls to plain services have no tokens. Without a charge the accounts that wait at
     an entry would be served in order of their names.
     """
-    return 1 if is_shared(board, ask.group) else ask.prompt_tokens
+    return 1 if is_shared(board, call.group) else call.prompt_tokens
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from carawayhitch import controllers
-from carawayhitch.controllers import service_shares
+from carawayhitch.controllers import _fairness, service_shares
 from carawayhitch.controllers._routes import route_ranks
 from carawayhitch.controllers.service_shares._limits import limit_key
 from carawayhitch.core import actions, declarations, events, messages, result_codes
@@ -205,6 +205,17 @@
         started = [name for name in self.board.grants_by_request_id if name[0] == "b"]
         self.assertGreaterEqual(len(started), 4)
 
+    def test_failed_calls_are_refunded_what_was_charged(self):
+        # Guards against an account that waits longer because its calls have failed.
+        for request_id, complete, expected in (("f", False, 0.0), ("a", True, 1.0)):
+            with self.subTest(complete=complete):
+                self.call(request_id, "small", 1.0)
+                key = (CELL, RANK.name, "small")
+                charged = _fairness.usage(self.board, *key).charged - 1.0
+                self.finish(request_id, 1.1, complete=complete)
+                later = _fairness.usage(self.board, *key).charged
+                self.assertEqual(later - charged, expected)
+
     def test_refusals_of_servers_are_no_answers(self):
         # Guards against a capacity that grows with the calls that servers refuse and
         # that the retry budget does not try again.
