Derive the common priority of route ranks outside of declarations

`route_priority` was a field of RankClass, so that declared rank classes could set it. The priorities of routes and those of declared ranks were also used as one key, although ranks of routes are served by an index: a route of priority 5 that is served second shared its key with a declared rank of priority 5.

The configuration now holds the common priority of each derived rank: that of the first rank with the same priority of routes, on the scale of declared ranks. A marker in the key for the kind of rank was ruled out: the shares need one order over both kinds.

The test of routes of one priority now builds its configuration as entries do and compares with a declared rank; it expected the number of the route's priority. Before: [1, 5, 5, 5] instead of [0, 1, 1, 5], and the new case of test_invalid_values_are_reported_in_one_line is accepted. After: both pass.

--- a/src/carawayhitch/controllers/_configuration.py
+++ b/src/carawayhitch/controllers/_configuration.py
@@ -22,7 +22,11 @@
     contained_declarations,
     declared_version,
 )
-from carawayhitch.controllers._routes import route_ranks, routes_by_host
+from carawayhitch.controllers._routes import (
+    common_priorities,
+    route_ranks,
+    routes_by_host,
+)
 from carawayhitch.core import actions, declarations, events, result_codes, rows
 
 DECODE_OPERATION = "configuration_decode"
@@ -77,12 +81,13 @@
     accounts = by_type.get(declarations.ClientAccount, {})
     bindings = by_type.get(declarations.Binding, {}).values()
     routes = by_type.get(declarations.HttpRoute, {}).values()
+    declared_ranks = by_type.get(declarations.RankClass, {})
     return declarations.Configuration(
         revision=revision,
         serving_groups_by_name=by_type.get(declarations.ServingGroup, {}),
         rank_classes_by_name={
             **route_ranks(routes, accounts.values()),
-            **by_type.get(declarations.RankClass, {}),
+            **declared_ranks,
         },
         accounts_by_name=accounts,
         accounts_by_token_sha256={
@@ -102,6 +107,11 @@
         routes_by_host=routes_by_host(routes),
         caller_limits=next(iter(limits), declarations.CallerLimits("default")),
         version=version,
+        common_priorities_by_rank={
+            name: priority
+            for name, priority in common_priorities(routes, accounts.values()).items()
+            if name not in declared_ranks
+        },
     )
 
 
--- a/src/carawayhitch/controllers/_routes.py
+++ b/src/carawayhitch/controllers/_routes.py
@@ -39,24 +39,47 @@
     questions of one account have the same priority. Among them, calls with the shorter
     goal come first.
     """
-    account_priorities = {
-        account.priority for account in accounts if account.priority is not None
-    }
-    keys = {
-        (priority, route.goal_seconds, rank_name(priority, route))
-        for route in routes
-        for priority in (route.priority, *account_priorities)
-    }
     return {
         name: declarations.RankClass(
             name,
             priority=index,
             first_token_target_seconds=goal_seconds,
             maximum_wait_seconds=MAXIMUM_WAIT_SECONDS,
-            route_priority=priority,
         )
-        for index, (priority, goal_seconds, name) in enumerate(sorted(keys))
+        for index, (_, goal_seconds, name) in enumerate(_rank_keys(routes, accounts))
+    }
+
+
+def common_priorities(
+    routes: Iterable[declarations.HttpRoute],
+    accounts: Iterable[declarations.ClientAccount],
+) -> dict[str, int]:
+    """Return the first priority among the ranks of a route's priority, by rank name.
+
+    It is on the same scale as the priorities of declared ranks.
+    """
+    firsts: dict[int, int] = {}
+    return {
+        name: firsts.setdefault(priority, index)
+        for index, (priority, _, name) in enumerate(_rank_keys(routes, accounts))
+    }
+
+
+def _rank_keys(
+    routes: Iterable[declarations.HttpRoute],
+    accounts: Iterable[declarations.ClientAccount],
+) -> list[tuple[int, float, str]]:
+    """Return priority, goal and name of the ranks of routes in order of service."""
+    account_priorities = {
+        account.priority for account in accounts if account.priority is not None
     }
+    return sorted(
+        {
+            (priority, route.goal_seconds, rank_name(priority, route))
+            for route in routes
+            for priority in (route.priority, *account_priorities)
+        }
+    )
 
 
 def find_route(
--- a/src/carawayhitch/controllers/service_shares/_counting.py
+++ b/src/carawayhitch/controllers/service_shares/_counting.py
@@ -24,8 +24,8 @@
 # counting entry more than the calls themselves.
 DERIVATION_INTERVAL_SECONDS = REPORT_INTERVAL_SECONDS / 2
 # Accounts that an answer names, those of which the most calls are refused. Keeps it
-# within one datagram. By the lowest shares, many small accounts of a late priority would
-# displace a large one, which would not be limited.
+# within one datagram. If they were chosen by the lowest shares, many small accounts of
+# a late priority would displace a large one, which would then have no limit.
 NAMED_ACCOUNT_LIMIT = 24
 # Limits begin when the demand exceeds the capacity by this factor and end when it does
 # not exceed it any more. Rates of some hundred calls vary by a twentieth.
@@ -119,8 +119,12 @@
 def _floor(board: Board, priority: int) -> float:
     """Return the floor of a priority, the highest one of its ranks."""
     configuration = board.configuration
-    ranks = configuration.rank_classes_by_name.values() if configuration else ()
-    floors = [rank.floor for rank in ranks if share_priority(rank) == priority]
+    ranks = configuration.rank_classes_by_name if configuration else {}
+    floors = [
+        rank.floor
+        for name, rank in ranks.items()
+        if share_priority(board, name) == priority
+    ]
     return max(floors, default=0.0)
 
 
--- a/src/carawayhitch/controllers/service_shares/_limits.py
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -7,7 +7,7 @@
 from carawayhitch.board import Board
 from carawayhitch.controllers._cells import entry_scheduled_groups
 from carawayhitch.controllers._ranks import rank_class
-from carawayhitch.core import declarations, rows
+from carawayhitch.core import rows
 
 # Window of the rates of calls and answers. Longer ones would limit accounts for seconds
 # after the end of a burst; shorter ones would forget calls between two reports.
@@ -64,16 +64,18 @@
     board: Board, cell_id: str, rank: str, account: str
 ) -> tuple[str, int, str]:
     """Return the key by which the calls of an account are counted and limited."""
-    return cell_id, share_priority(rank_class(board, rank)), account
+    return cell_id, share_priority(board, rank), account
 
 
-def share_priority(rank: declarations.RankClass) -> int:
+def share_priority(board: Board, rank: str) -> int:
     """Return the priority by which a rank gets its part of a crowded service.
 
     Ranks of routes with the same priority get theirs together. Otherwise the route with
     the shorter goal would be served alone, however little shorter its goal is.
     """
-    return rank.priority if rank.route_priority is None else rank.route_priority
+    configuration = board.configuration
+    common = configuration.common_priorities_by_rank if configuration else {}
+    return common[rank] if rank in common else rank_class(board, rank).priority
 
 
 def limit_of(board: Board, ask: rows.AskRow, now: float) -> rows.ShareLimitRow | None:
--- a/src/carawayhitch/core/_declarations.py
+++ b/src/carawayhitch/core/_declarations.py
@@ -86,9 +86,6 @@
         Longest time in the queue before a request is refused.
     queue_limit : int
         Requests of this class that may be queued in one cell.
-    route_priority : int or None
-        Priority of the routes or accounts from which the class was derived. Classes of
-        one such priority are ordered by their goals.
     """
 
     name: str
@@ -98,7 +95,6 @@
     between_tokens_target_seconds: Annotated[float, Meta(gt=0)] = 0.035
     maximum_wait_seconds: Annotated[float, Meta(gt=0)] = 60.0
     queue_limit: Annotated[int, Meta(ge=1)] = 1000
-    route_priority: int | None = None
 
 
 class ClientAccount(NamedTuple):
@@ -336,6 +332,9 @@
         Routes of each host, longest path prefix first.
     version : int
         Version that operators assigned to the set; 0 if they write objects one by one.
+    common_priorities_by_rank : dict of str to int
+        For each rank of routes, the lowest value of `RankClass.priority` among the
+        ranks that have the same priority of routes or accounts.
     """
 
     revision: int
@@ -350,3 +349,4 @@
     routes_by_host: dict[str, tuple[HttpRoute, ...]] = {}
     caller_limits: CallerLimits = CallerLimits("default")
     version: int = 0
+    common_priorities_by_rank: dict[str, int] = {}
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -7,7 +7,7 @@
 
 from carawayhitch import controllers
 from carawayhitch.controllers import _fairness, service_shares
-from carawayhitch.controllers._routes import route_ranks
+from carawayhitch.controllers._configuration import build_configuration
 from carawayhitch.controllers.service_shares._limits import limit_key
 from carawayhitch.core import actions, declarations, events, messages, result_codes
 from carawayhitch.core import settings as settings_types
@@ -45,7 +45,9 @@
         model = CrowdedService(CROWDED, enabled=False)
         self.assertLess(share_in_goal(model.run(15.0), SMALL), 0.3)
         # A deployment that does not ask for shares has no rows and no messages.
-        self.assertEqual((model.message_count, find_state(model.boards.values())), (0, []))
+        self.assertEqual(
+            (model.message_count, find_state(model.boards.values())), (0, [])
+        )
         model = CrowdedService(CROWDED)
         results = model.run(15.0)
         self.assertGreater(share_in_goal(results, SMALL), 0.9)
@@ -74,6 +76,7 @@
         model.run(25.0)
         self.assertEqual(find_state(model.boards.values()), [])
 
+
 class FailureTest(unittest.TestCase):
     def play(self, fail, **changes):
         """Return a model that fails at 6 s, and the small accounts' share in goal."""
@@ -276,17 +279,20 @@
             self.assertEqual(len(answer.shares), count, now)
 
     def test_routes_of_one_priority_have_a_common_limit(self):
-        # Guards against a route that is refused alone for its slightly longer goal.
+        # Guards against a route that is refused alone for its slightly longer goal, and
+        # against priorities of routes and of declared ranks on two scales.
         routes = [
-            declarations.HttpRoute(name, "h", f"/{name}", (), 1, goal_seconds=goal)
+            declarations.HttpRoute(name, "h", f"/{name}", (), 5, goal_seconds=goal)
             for name, goal in (("first", 0.372), ("second", 0.374))
         ]
-        ranks = route_ranks(routes, ())
-        self.board.configuration_by_name["in_force"] = (
-            self.board.configuration._replace(rank_classes_by_name=ranks)
+        urgent = declarations.HttpRoute("urgent", "h", "/u", (), 1, goal_seconds=1.0)
+        declared = declarations.RankClass("declared", 5)
+        self.board.configuration_by_name["in_force"] = build_configuration(
+            1, [*routes, urgent, declared]
         )
-        keys = {limit_key(self.board, CELL, name, "a") for name in ranks}
-        self.assertEqual(keys, {(CELL, 1, "a")})
+        ranks = self.board.configuration.rank_classes_by_name
+        priorities = [limit_key(self.board, CELL, name, "a")[1] for name in ranks]
+        self.assertEqual(priorities, [0, 1, 1, 5])
 
 
 class AllotmentTest(unittest.TestCase):
--- a/tests/controllers/test_configuration_checks.py
+++ b/tests/controllers/test_configuration_checks.py
@@ -41,6 +41,10 @@
         '[[rank_class]]\nname = "x"\npriority = 1\nflor = 0.1',
         ("rank_class/x", "flor"),
     ),
+    "key of derived ranks only": (
+        '[[rank_class]]\nname = "x"\npriority = 1\nroute_priority = 1',
+        ("rank_class/x", "route_priority"),
+    ),
     "wrong type": (
         '[[rank_class]]\nname = "x"\npriority = "high"',
         ("rank_class/x", "'priority'", "'high'", "int"),
