Spread the Retry-After of calls beyond an account's share

All calls of an account that were refused in a burst were told the same time, mostly 1 s, and came back together. At the cap of 60 s all got 60 s.

The earliest time is now at most 30 s, and the times are spread from there by at least 2 s, because Retry-After has whole seconds, and up to twice as long. The position follows from the request id, so that decisions stay without a random source. Reserving times one by one was ruled out: each entry sees a small part of the calls.

Test: test_calls_refused_in_a_burst_are_told_different_times. After: less than three quarters in any second.

--- a/src/carawayhitch/controllers/service_shares/_limits.py
+++ b/src/carawayhitch/controllers/service_shares/_limits.py
@@ -5,7 +5,7 @@
 from math import exp
 
 from carawayhitch.board import Board
-from carawayhitch.controllers._cells import entry_scheduled_groups
+from carawayhitch.controllers._cells import entry_scheduled_groups, rendezvous_score
 from carawayhitch.controllers._ranks import rank_class
 from carawayhitch.core import rows
 
@@ -15,6 +15,9 @@
 # Callers that return sooner meet the same limit.
 RETRY_AFTER_MINIMUM_SECONDS = 1.0
 RETRY_AFTER_MAXIMUM_SECONDS = 60.0
+# Callers that were refused in one burst return over at least this time. Retry-After has
+# whole seconds.
+RETRY_AFTER_SPREAD_SECONDS = 2.0
 # Credit that an account can save up. More would let it send a burst.
 CREDIT_LIMIT = 2.0
 
@@ -116,16 +119,22 @@
 
 
 def retry_after_seconds(board: Board, ask: rows.AskRow, now: float) -> float:
-    """Return the time after which the account has credit again at its present rate."""
+    """Return the time after which the caller of a refused ask may return.
+
+    The earliest time is that at which the account has credit again at its present rate.
+    Times are spread up to twice the earliest one. Otherwise the calls that were refused
+    in a burst would come back together.
+    """
     limit = limit_of(board, ask, now)
     key = limit_key(board, ask.cell_id, ask.rank, ask.account)
     rate = calls_per_second(board.call_rates_by_account.get(key), now)
-    if limit is None or not rate:
-        return RETRY_AFTER_MINIMUM_SECONDS
-    seconds = (1.0 - limit.credit) / (limit.share * rate)
-    return min(
-        RETRY_AFTER_MAXIMUM_SECONDS, max(RETRY_AFTER_MINIMUM_SECONDS, round(seconds, 1))
-    )
+    earliest = RETRY_AFTER_MINIMUM_SECONDS
+    if limit is not None and rate:
+        seconds = (1.0 - limit.credit) / (limit.share * rate)
+        earliest = max(earliest, min(RETRY_AFTER_MAXIMUM_SECONDS / 2, seconds))
+    spread = max(earliest, RETRY_AFTER_SPREAD_SECONDS)
+    position = rendezvous_score(ask.request_id, ask.account) / 2**64
+    return round(earliest + spread * position, 1)
 
 
 def charged_size(board: Board, call: rows.AskRow | rows.GrantRow) -> int:
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
+from math import ceil
 from random import Random
 
 from carawayhitch import controllers
@@ -145,6 +147,23 @@
         line = next(row for row in lines if row["code"] == "ACCOUNT_SHARE_EXCEEDED")
         self.assertEqual((line["share"], line["counted_by"]), (0.25, "entry-09"))
 
+    def test_calls_refused_in_a_burst_are_told_different_times(self):
+        # Guards against refused calls that come back together.
+        for share, least, most in ((0.25, 1.0, 3.0), (0.0001, 30.0, 60.0)):
+            with self.subTest(share=share):
+                self.setUp()
+                shares = (messages.AccountShare("large", RANK.priority, share),)
+                self.feed(messages.ServiceShares("entry-09", CELL, shares), 1.0)
+                decided = []
+                for index in range(1, 61):
+                    decided += self.call(f"r{index}", "large", 1.1)
+                refused = sent(decided, messages.AdmissionRefusal)
+                times = [row.retry_after for row in refused]
+                self.assertGreaterEqual(len(times), 40)
+                self.assertTrue(least <= min(times) and max(times) <= most, times)
+                (_, largest), *_ = Counter(map(ceil, times)).most_common(1)
+                self.assertLess(largest, 0.75 * len(times))
+
     def test_entry_without_the_setting_follows_no_peer(self):
         # Guards against limits at an entry that has no shares, while its peers have.
         rates = (messages.AccountRate("large", RANK.priority, 100.0),)
