Show metrics and status of parts only where they are on

Without scheduling.service_shares the status had an empty `account_shares`, and without overload.enabled the metrics had `carawayhitch_kept_places 0`; both had the headers of the other metrics of these parts.

Each part's metrics and status now depend on its own setting. Leaving out empty families was ruled out: with a part on, a missing metric would then not differ from an old release.

Test: test_parts_that_are_off_are_not_shown. Before: three metrics without the settings. After: passes.

--- a/src/carawayhitch/node/_exposition.py
+++ b/src/carawayhitch/node/_exposition.py
@@ -182,7 +182,10 @@
         "zone",
         drained_zones,
     )
-    yield from _overload_gauges(board, now)
+    if board.settings.overload.enabled:
+        yield from _overload_gauges(board, now)
+    if board.settings.scheduling.service_shares:
+        yield _account_share_gauge(board, now)
     yield _labelled_gauge(
         "carawayhitch_members",
         "Entries by membership state.",
@@ -218,6 +221,9 @@
         engines = overload.arriving_engines(board, cell_id, rank, now)
         arriving.add_metric((cell_id, rank), engines)
     yield arriving
+
+
+def _account_share_gauge(board: Board, now: float) -> Metric:
     shares = GaugeMetricFamily(
         "carawayhitch_account_share",
         "Share of the calls of an account that this entry accepts, for accounts"
@@ -228,7 +234,7 @@
         board, now
     ).items():
         shares.add_metric((cell_id, str(priority), account), limit.share)
-    yield shares
+    return shares
 
 
 def _counter(
--- a/src/carawayhitch/node/_status.py
+++ b/src/carawayhitch/node/_status.py
@@ -15,7 +15,7 @@
     object_set = board.object_set
     configuration = board.configuration
     scopes = board.store_scopes_by_name.values()
-    return {
+    body: codecs.StatusBody = {
         "node": board.node_id,
         "zone": board.settings.node.zone,
         "state": board.lifecycle.state,
@@ -52,13 +52,15 @@
             kind: list(subjects)
             for kind, subjects in controllers.own_duties(board, now).items()
         },
-        "account_shares": _account_shares(board, now),
         "members": _member_statuses(board),
         "upstreams": [
             _upstream_status(upstream, board)
             for upstream in board.upstreams_by_id.values()
         ],
     }
+    if board.settings.scheduling.service_shares:
+        body["account_shares"] = _account_shares(board, now)
+    return body
 
 
 def _account_shares(board: Board, now: float) -> list[codecs.AccountShareBody]:
--- a/tests/node/test_metrics.py
+++ b/tests/node/test_metrics.py
@@ -9,9 +9,10 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram
 from prometheus_client.parser import text_string_to_metric_families
 
-from carawayhitch.core import result_codes
+from carawayhitch.core import result_codes, settings
 from carawayhitch.node import Node, render_metrics
 from carawayhitch.node._metrics import SECONDS_BUCKETS, observe_stage
+from carawayhitch.node._status import describe_status
 from tests.boards import ready_board
 
 STAGE_LABELS = {"stage": "queue", "kind": "quotes", "rank": "patient"}
@@ -27,6 +28,26 @@
 
 
 class MetricsTest(unittest.TestCase):
+    def test_parts_that_are_off_are_not_shown(self):
+        """Guards against other metrics and status where a part is not asked for."""
+        names = (
+            "carawayhitch_kept_places",
+            "carawayhitch_arriving_work",
+            "carawayhitch_account_share",
+        )
+        for enabled in (False, True):
+            with self.subTest(enabled=enabled):
+                board = ready_board(
+                    overload=settings.OverloadSettings(enabled=enabled),
+                    scheduling=settings.SchedulingSettings(service_shares=enabled),
+                )
+                node = Node(board.settings)
+                text = render_metrics(node.metrics, node.board, 1.0).decode()
+                shown = [name for name in names if f"# TYPE {name} " in text]
+                self.assertEqual(shown, list(names) if enabled else [])
+                status = describe_status(board, 1.0)
+                self.assertEqual("account_shares" in status, enabled)
+
     def test_counts_are_exposed_as_by_the_collectors_of_the_library(self):
         """Guards against buckets that are not cumulative or exclude their bound."""
         node = Node(ready_board().settings)
