Delete rates of answers with the last report of an entry

The timer of each cell went through the servers of all cells to find rates that belong to none. It now deletes all rates when the entry reports for no cell any more; before that, they decay at the timer of any cell.

Test: test_entry_without_the_setting_follows_no_peer now ends a call first. Without the deletion both cases find answer_rates_by_upstream_id; with it the test passes.

--- a/src/carawayhitch/controllers/service_shares/_decisions.py
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -138,6 +138,9 @@
         board.service_reports_by_cell_id.pop(cell_id, None)
         board.service_shares_by_cell_id.pop(cell_id, None)
         _delete_limits(board, cell_id)
+        if not board.service_reports_by_cell_id:
+            # No other timer deletes the rates of servers whose cell was removed.
+            board.answer_rates_by_upstream_id.clear()
         return ()
     timer = _report_timer(cell_id, now + REPORT_INTERVAL_SECONDS)
     if not report.accounts and not report.servers:
@@ -158,22 +161,13 @@
 
 def _delete_outdated_rows(board: Board, cell_id: str, now: float) -> None:
     is_removed = not is_shared_cell(board, cell_id)
-    shared_upstream_ids = {
-        upstream_id
-        for cell in board.cells_by_id.values()
-        if is_shared(board, cell.group)
-        for upstream_id in cell.upstream_ids
-    }
     for key, rate in list(board.call_rates_by_account.items()):
         if key[0] == cell_id and (
             is_removed or calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND
         ):
             del board.call_rates_by_account[key]
     for upstream_id, rate in list(board.answer_rates_by_upstream_id.items()):
-        if (
-            upstream_id not in shared_upstream_ids
-            or calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND
-        ):
+        if calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND:
             del board.answer_rates_by_upstream_id[upstream_id]
     for key, limit in list(board.share_limits_by_account.items()):
         if key[0] == cell_id and (is_removed or now >= limit.deadline):
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -173,6 +173,7 @@
         for name in ("switched off", "scheduled by cell"):
             with self.subTest(name):
                 self.setUp()
+                self.finish("r0", 1.1)
                 if name == "switched off":
                     self.change(settings=settings_types.SchedulingSettings())
                 else:
