--- a/src/carawayhitch/controllers/service_shares/_allotment.py
+++ b/src/carawayhitch/controllers/service_shares/_allotment.py
@@ -38,9 +38,9 @@
     running : float
         Calls at the server, those in its own queue included.
     answers_per_second : float
-        Calls that end there per second.
+        Calls that end there per second and were answered.
     busy_seconds : float
-        Time that the calls which end within a second have been there, in seconds. This
+        Time that all calls which end within a second have been there, in seconds. This
         is the mean number of calls at the server.
     """
 
@@ -103,10 +103,13 @@
     estimate : float or None
         Capacity by the last reports; None if no server answers.
     previous : float
-        Capacity at the last derivation; 0 if it is not known.
+        Capacity at the last derivation; 0 if it is not known or too old. It holds while
+        no server answers.
     """
-    if not previous or estimate is None:
+    if not previous:
         return estimate
+    if estimate is None:
+        return previous
     return min(max(estimate, previous * LARGEST_FALL), previous * LARGEST_RISE)
 
 
--- a/src/carawayhitch/controllers/service_shares/_counting.py
+++ b/src/carawayhitch/controllers/service_shares/_counting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from heapq import nsmallest
+from itertools import islice
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _fairness, zones
@@ -23,12 +23,16 @@
 # Reports arrive at all times. Deriving the shares for each of them would cost the
 # counting entry more than the calls themselves.
 DERIVATION_INTERVAL_SECONDS = REPORT_INTERVAL_SECONDS / 2
-# Accounts that an answer names, those with the lowest shares. Keeps it within one
-# datagram.
+# Accounts that an answer names, those of which the most calls are refused. Keeps it
+# within one datagram. If they were chosen by the lowest shares, many small accounts of
+# a late priority would displace a large one, which would then have no limit.
 NAMED_ACCOUNT_LIMIT = 24
 # Limits begin when the demand exceeds the capacity by this factor and end when it does
 # not exceed it any more. Rates of some hundred calls vary by a twentieth.
 LIMITING_DEMAND = 1.1
+# A capacity holds for this time after the last answer. Servers that take seconds for a
+# call are without answers in some windows; without a capacity the limits would end.
+CAPACITY_LIFETIME_SECONDS = 10.0
 
 
 def store_report(board: Board, report: messages.ServiceLoad, now: float) -> None:
@@ -77,7 +81,12 @@
             rates_by_priority[row.priority][row.account] += row.calls_per_second
     demand = sum(sum(rates.values()) for rates in rates_by_priority.values())
     estimate = service_capacity(_server_states(board, cell_id, reports, now))
-    capacity = next_capacity(estimate, known.capacity if known else 0.0)
+    capacity_deadline = now + CAPACITY_LIFETIME_SECONDS
+    if estimate is None:
+        capacity_deadline = known.capacity_deadline if known else 0.0
+    is_usable = known is not None and now < known.capacity_deadline
+    previous = known.capacity if known is not None and is_usable else 0.0
+    capacity = next_capacity(estimate, previous)
     is_limited = known is not None and bool(known.shares_by_account)
     tolerated = 1.0 if is_limited else LIMITING_DEMAND
     shares_by_account: dict[tuple[int, str], float] = {}
@@ -94,16 +103,28 @@
             },
             capacity,
         )
+    by_refused_rate = sorted(
+        shares_by_account.items(),
+        key=lambda item: -rates_by_priority[item[0][0]][item[0][1]] * (1.0 - item[1]),
+    )
     return rows.ServiceShareRow(
-        shares_by_account, demand, capacity or 0.0, now + DERIVATION_INTERVAL_SECONDS
+        dict(by_refused_rate),
+        demand,
+        capacity or 0.0,
+        now + DERIVATION_INTERVAL_SECONDS,
+        capacity_deadline,
     )
 
 
 def _floor(board: Board, priority: int) -> float:
     """Return the floor of a priority, the highest one of its ranks."""
     configuration = board.configuration
-    ranks = configuration.rank_classes_by_name.values() if configuration else ()
-    floors = [rank.floor for rank in ranks if share_priority(rank) == priority]
+    ranks = configuration.rank_classes_by_name if configuration else {}
+    floors = [
+        rank.floor
+        for name, rank in ranks.items()
+        if share_priority(board, name) == priority
+    ]
     return max(floors, default=0.0)
 
 
@@ -142,14 +163,10 @@
     first call of an account at each entry would be accepted, which are most of the
     calls of an account at many entries.
     """
-    lowest = nsmallest(
-        NAMED_ACCOUNT_LIMIT,
-        shares.shares_by_account.items(),
-        key=lambda item: item[1],
-    )
+    named = islice(shares.shares_by_account.items(), NAMED_ACCOUNT_LIMIT)
     limited = tuple(
         messages.AccountShare(account, priority, share)
-        for (priority, account), share in lowest
+        for (priority, account), share in named
     )
     answer = messages.ServiceShares(board.node_id, report.cell_id, limited)
     return actions.Send(report.sender_id, answer)
--- a/src/carawayhitch/controllers/service_shares/_decisions.py
+++ b/src/carawayhitch/controllers/service_shares/_decisions.py
@@ -20,6 +20,7 @@
     calls_per_second,
     current_rate,
     is_shared,
+    is_shared_cell,
     limit_key,
 )
 from carawayhitch.core import actions, events, messages, result_codes, rows
@@ -77,7 +78,12 @@
 def _count_ended_call(
     event: messages.Finished, board: Board, now: float, random: Random
 ) -> Actions:
-    """Count the end of a call that its server has run."""
+    """Count the end of a call that its server has run.
+
+    A call that failed or was given up before its server began to answer has only used
+    the server's time. Counted as answers, timeouts of a server that hangs and errors of
+    one that fails fast would raise the capacity.
+    """
     refused_attempt = board.refused_attempts_by_request_id.pop(event.request_id, 0)
     grant = board.grants_by_request_id.get(event.request_id)
     if grant is None or grant.attempt != event.attempt:
@@ -88,7 +94,10 @@
         return ()
     rates = board.answer_rates_by_upstream_id
     rates[grant.upstream_id] = add_call(
-        rates.get(grant.upstream_id), now, now - grant.granted_at
+        rates.get(grant.upstream_id),
+        now,
+        now - grant.granted_at,
+        is_answered=event.complete or event.began,
     )
     return ()
 
@@ -124,9 +133,14 @@
     _delete_outdated_rows(board, cell_id, now)
     report = _build_report(board, cell_id, now)
     is_counting = any(key[0] == cell_id for key in board.reported_loads_by_cell_entry)
-    if not report.accounts and not report.servers and not is_counting:
+    is_idle = not report.accounts and not report.servers and not is_counting
+    if is_idle or not is_shared_cell(board, cell_id):
         board.service_reports_by_cell_id.pop(cell_id, None)
         board.service_shares_by_cell_id.pop(cell_id, None)
+        _delete_limits(board, cell_id)
+        if not board.service_reports_by_cell_id:
+            # No other timer deletes the rates of servers whose cell was removed.
+            board.answer_rates_by_upstream_id.clear()
         return ()
     timer = _report_timer(cell_id, now + REPORT_INTERVAL_SECONDS)
     if not report.accounts and not report.servers:
@@ -138,8 +152,15 @@
     return (actions.Send(row.candidate_ids[row.candidate_index], report), timer)
 
 
+def _delete_limits(board: Board, cell_id: str) -> None:
+    """Delete the limits of a cell, for which no timer is set any more."""
+    for key in list(board.share_limits_by_account):
+        if key[0] == cell_id:
+            del board.share_limits_by_account[key]
+
+
 def _delete_outdated_rows(board: Board, cell_id: str, now: float) -> None:
-    is_removed = cell_id not in board.cells_by_id
+    is_removed = not is_shared_cell(board, cell_id)
     for key, rate in list(board.call_rates_by_account.items()):
         if key[0] == cell_id and (
             is_removed or calls_per_second(rate, now) < FORGOTTEN_CALLS_PER_SECOND
@@ -216,7 +237,7 @@
 def _answer_report(
     event: messages.ServiceLoad, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.cell_id not in board.cells_by_id:
+    if not is_shared_cell(board, event.cell_id):
         return ()
     store_report(board, event, now)
     shares, logged = find_shares(board, event.cell_id, now)
@@ -229,7 +250,7 @@
     event: messages.ServiceShares, board: Board, now: float, random: Random
 ) -> Actions:
     row = board.service_reports_by_cell_id.get(event.cell_id)
-    if row is None:
+    if row is None or not is_shared_cell(board, event.cell_id):
         return ()
     if event.sender_id == row.candidate_ids[row.candidate_index]:
         board.service_reports_by_cell_id[event.cell_id] = row._replace(
--- a/tests/controllers/service_shares/test_service_shares.py
+++ b/tests/controllers/service_shares/test_service_shares.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
+from math import ceil
 from random import Random
 
 from carawayhitch import controllers
-from carawayhitch.controllers import service_shares
-from carawayhitch.controllers._routes import route_ranks
+from carawayhitch.controllers import _fairness, service_shares
+from carawayhitch.controllers._configuration import build_configuration
 from carawayhitch.controllers.service_shares._limits import limit_key
 from carawayhitch.core import actions, declarations, events, messages, result_codes
+from carawayhitch.core import settings as settings_types
 from carawayhitch.node import _status
 from tests.controllers.scheduling_world import sent
 from tests.controllers.service_shares.crowded_service import (
@@ -26,6 +29,17 @@
 STATE = service_shares.ServerState
 
 
+def find_state(boards):
+    """Return the names of the controller's tables that have rows."""
+    names = (
+        "call_rates_by_account", "answer_rates_by_upstream_id",
+        "refused_attempts_by_request_id", "service_reports_by_cell_id",
+        "reported_loads_by_cell_entry", "service_shares_by_cell_id",
+        "share_limits_by_account",
+    )  # fmt: skip
+    return [name for board in boards for name in names if getattr(board, name)]
+
+
 class CrowdTest(unittest.TestCase):
     def test_small_accounts_are_served_beside_a_large_one(self):
         # Guards against an account that fills the servers over entries that each see
@@ -33,7 +47,9 @@
         model = CrowdedService(CROWDED, enabled=False)
         self.assertLess(share_in_goal(model.run(15.0), SMALL), 0.3)
         # A deployment that does not ask for shares has no rows and no messages.
-        self.assertEqual((model.message_count, self.find_state(model)), (0, []))
+        self.assertEqual(
+            (model.message_count, find_state(model.boards.values())), (0, [])
+        )
         model = CrowdedService(CROWDED)
         results = model.run(15.0)
         self.assertGreater(share_in_goal(results, SMALL), 0.9)
@@ -57,21 +73,10 @@
     def test_state_is_deleted_after_the_crowd(self):
         model = CrowdedService(dict(CROWDED), entry_count=6)
         model.run(8.0)
-        self.assertNotEqual(self.find_state(model), [])
+        self.assertNotEqual(find_state(model.boards.values()), [])
         model.rates_by_account.update(dict.fromkeys(CROWDED, 0.0))
         model.run(25.0)
-        self.assertEqual(self.find_state(model), [])
-
-    def find_state(self, model):
-        """Return the names of the controller's tables that have rows."""
-        names = (
-            "call_rates_by_account", "answer_rates_by_upstream_id",
-            "refused_attempts_by_request_id", "service_reports_by_cell_id",
-            "reported_loads_by_cell_entry", "service_shares_by_cell_id",
-            "share_limits_by_account",
-        )  # fmt: skip
-        boards = model.boards.values()
-        return [name for board in boards for name in names if getattr(board, name)]
+        self.assertEqual(find_state(model.boards.values()), [])
 
 
 class FailureTest(unittest.TestCase):
@@ -120,9 +125,9 @@
         ask = new_ask("entry-00", request_id, account, now)
         return self.feed(ask._replace(attempt=attempt), now)
 
-    def finish(self, request_id, now):
+    def finish(self, request_id, now, **changes):
         ended = messages.Finished("entry-00", request_id, 1, CELL, 0, True, False)
-        self.feed(ended, now)
+        self.feed(ended._replace(**changes), now)
 
     def test_limited_account_gets_its_share_of_calls(self):
         decided = []
@@ -142,6 +147,77 @@
         line = next(row for row in lines if row["code"] == "ACCOUNT_SHARE_EXCEEDED")
         self.assertEqual((line["share"], line["counted_by"]), (0.25, "entry-09"))
 
+    def test_calls_refused_in_a_burst_are_told_different_times(self):
+        # Guards against refused calls that come back together.
+        for share, least, most in ((0.25, 1.0, 3.0), (0.0001, 30.0, 60.0)):
+            with self.subTest(share=share):
+                self.setUp()
+                shares = (messages.AccountShare("large", RANK.priority, share),)
+                self.feed(messages.ServiceShares("entry-09", CELL, shares), 1.0)
+                decided = []
+                for index in range(1, 61):
+                    decided += self.call(f"r{index}", "large", 1.1)
+                refused = sent(decided, messages.AdmissionRefusal)
+                times = [row.retry_after for row in refused]
+                self.assertGreaterEqual(len(times), 40)
+                self.assertTrue(least <= min(times) and max(times) <= most, times)
+                (_, largest), *_ = Counter(map(ceil, times)).most_common(1)
+                self.assertLess(largest, 0.75 * len(times))
+
+    def test_entry_without_the_setting_follows_no_peer(self):
+        # Guards against limits at an entry that has no shares, while its peers have.
+        rates = (messages.AccountRate("large", RANK.priority, 100.0),)
+        loads = (messages.ServerLoad("server-0", 40, 50.0, 20.0),)
+        shares = (messages.AccountShare("large", RANK.priority, 0.02),)
+        groups = self.board.configuration.serving_groups_by_name
+        for name in ("switched off", "scheduled by cell"):
+            with self.subTest(name):
+                self.setUp()
+                self.finish("r0", 1.1)
+                if name == "switched off":
+                    self.change(settings=settings_types.SchedulingSettings())
+                else:
+                    group = groups["portal"]._replace(scheduler="cell")
+                    self.change(group=group)
+                decided = self.feed(
+                    messages.ServiceLoad("entry-01", CELL, rates, loads), 1.2
+                )
+                decided += self.feed(
+                    messages.ServiceShares("entry-09", CELL, shares), 1.2
+                )
+                self.assertEqual(decided, [])
+                for index in range(20):
+                    decided += self.call(f"r{index}", "large", 1.2)
+                self.assertEqual(sent(decided, messages.AdmissionRefusal), [])
+                shown = _status.describe_status(self.board, 1.2)
+                self.assertFalse(shown.get("account_shares"))
+                timer = events.TimerFired("service_report", CELL)
+                self.assertEqual(self.feed(timer, 1.5), [])
+                self.assertEqual(find_state([self.board]), [])
+
+    def change(self, settings=None, group=None):
+        """Put other settings of scheduling or another serving group into force."""
+        if settings is not None:
+            self.board.settings_by_name["in_force"] = self.board.settings._replace(
+                scheduling=settings
+            )
+        if group is not None:
+            self.board.configuration_by_name["in_force"] = (
+                self.board.configuration._replace(
+                    serving_groups_by_name={group.name: group}
+                )
+            )
+
+    def test_limits_are_deleted_with_the_last_report(self):
+        # Guards against limits that stay until the next call, or for good if the cell
+        # is removed.
+        self.finish("r0", 1.1)
+        shares = (messages.AccountShare("large", RANK.priority, 0.25),)
+        self.feed(messages.ServiceShares("entry-09", CELL, shares), 5.9)
+        timer = events.TimerFired("service_report", CELL)
+        self.assertEqual(self.feed(timer, 6.0), [])
+        self.assertEqual(find_state([self.board]), [])
+
     def test_waiting_accounts_take_turns(self):
         # Guards against a queue of calls without tokens in order of account names.
         for name, count in (("a", 40), ("b", 8)):
@@ -152,6 +228,17 @@
         started = [name for name in self.board.grants_by_request_id if name[0] == "b"]
         self.assertGreaterEqual(len(started), 4)
 
+    def test_failed_calls_are_refunded_what_was_charged(self):
+        # Guards against an account that waits longer because its calls have failed.
+        for request_id, complete, expected in (("f", False, 0.0), ("a", True, 1.0)):
+            with self.subTest(complete=complete):
+                self.call(request_id, "small", 1.0)
+                key = (CELL, RANK.name, "small")
+                charged = _fairness.usage(self.board, *key).charged - 1.0
+                self.finish(request_id, 1.1, complete=complete)
+                later = _fairness.usage(self.board, *key).charged
+                self.assertEqual(later - charged, expected)
+
     def test_refusals_of_servers_are_no_answers(self):
         # Guards against a capacity that grows with the calls that servers refuse and
         # that the retry budget does not try again.
@@ -163,6 +250,23 @@
                 self.finish(code.name, 1.1)
                 self.assertEqual(len(self.board.answer_rates_by_upstream_id), count)
 
+    def test_calls_without_an_answer_are_no_answers(self):
+        # Guards against a capacity by the timeouts of a hanging server or the errors of
+        # one that fails fast. Their time counts: they have used a slot.
+        cases = (
+            ("failed", {"complete": False, "upstream_failed": True}, 0),
+            ("given up", {"complete": False}, 0),
+            ("broken off", {"complete": False, "began": True}, 1),
+            ("answered", {}, 1),
+        )
+        for name, changes, count in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.call(name, "small", 1.0)
+                self.finish(name, 1.5, **changes)
+                (rate,) = self.board.answer_rates_by_upstream_id.values()
+                self.assertEqual((rate.calls, rate.seconds), (count, 0.5))
+
     def test_answer_names_accounts_that_the_entry_has_not_seen(self):
         # Guards against accepting the first call of an account at each of many entries.
         rates = (messages.AccountRate("large", RANK.priority, 100.0),)
@@ -172,18 +276,43 @@
         (answer,) = sent(self.feed(empty, 3.0), messages.ServiceShares)
         self.assertEqual([row.account for row in answer.shares], ["large"])
 
+    def test_answer_names_accounts_with_the_most_refused_calls(self):
+        # Guards against a large account without a limit beside many small ones of a
+        # later priority, whose shares are lower.
+        small = [messages.AccountRate(f"a{n:02}", 1, 1.0) for n in range(40)]
+        rates = (messages.AccountRate("large", RANK.priority, 600.0), *small)
+        loads = (messages.ServerLoad("server-0", 12, 75.0, 6.0),)
+        report = messages.ServiceLoad("entry-01", CELL, rates, loads)
+        (answer,) = sent(self.feed(report, 3.0), messages.ServiceShares)
+        self.assertEqual(len(answer.shares), 24)
+        self.assertIn("large", [row.account for row in answer.shares])
+
+    def test_limits_hold_between_answers_of_several_seconds(self):
+        # Guards against limits that end in each window without an answer, and against
+        # a capacity that holds for good where no server answers any more.
+        rates = (messages.AccountRate("large", RANK.priority, 100.0),)
+        cases = ((3.0, 50.0, 1), (3.3, 0.0, 1), (12.9, 0.0, 1), (13.3, 0.0, 0))
+        for now, answers, count in cases:
+            loads = (messages.ServerLoad("server-0", 40, answers, answers / 2),)
+            report = messages.ServiceLoad("entry-01", CELL, rates, loads)
+            (answer,) = sent(self.feed(report, now), messages.ServiceShares)
+            self.assertEqual(len(answer.shares), count, now)
+
     def test_routes_of_one_priority_have_a_common_limit(self):
-        # Guards against a route that is refused alone for its slightly longer goal.
+        # Guards against a route that is refused alone for its slightly longer goal, and
+        # against priorities of routes and of declared ranks on two scales.
         routes = [
-            declarations.HttpRoute(name, "h", f"/{name}", (), 1, goal_seconds=goal)
+            declarations.HttpRoute(name, "h", f"/{name}", (), 5, goal_seconds=goal)
             for name, goal in (("first", 0.372), ("second", 0.374))
         ]
-        ranks = route_ranks(routes, ())
-        self.board.configuration_by_name["in_force"] = (
-            self.board.configuration._replace(rank_classes_by_name=ranks)
+        urgent = declarations.HttpRoute("urgent", "h", "/u", (), 1, goal_seconds=1.0)
+        declared = declarations.RankClass("declared", 5)
+        self.board.configuration_by_name["in_force"] = build_configuration(
+            1, [*routes, urgent, declared]
         )
-        keys = {limit_key(self.board, CELL, name, "a") for name in ranks}
-        self.assertEqual(keys, {(CELL, 1, "a")})
+        ranks = self.board.configuration.rank_classes_by_name
+        priorities = [limit_key(self.board, CELL, name, "a")[1] for name in ranks]
+        self.assertEqual(priorities, [0, 1, 1, 5])
 
 
 class AllotmentTest(unittest.TestCase):
