Keep the operators' token out of error messages

Cause: http.client quotes an invalid header value, and call_entry printed that text, so that a token file with two lines was shown on standard error. A refusal whose body broke off ended the command with IncompleteRead, raised while the refusal was being read.

Ruled out: rewording the error of the library, because its text may change.

--- a/src/carawayhitch/cli/_operator_client.py
+++ b/src/carawayhitch/cli/_operator_client.py
@@ -58,7 +58,8 @@
     Raises
     ------
     InvalidValueError
-        If the file cannot be read, or the token is empty or not set.
+        If the file cannot be read, the token is empty or not set, or a header cannot
+        hold it.
     """
     try:
         token = (
@@ -70,14 +71,19 @@
         raise errors.InvalidValueError(
             result_codes.INVALID_SETTING, f"--token-file {token_file}: {error}"
         ) from None
+    source = (
+        f"--token-file {token_file}" if token_file else ADMIN_TOKEN_ENVIRONMENT_VARIABLE
+    )
     if not token:
-        source = (
-            f"--token-file {token_file}"
-            if token_file
-            else ADMIN_TOKEN_ENVIRONMENT_VARIABLE
-        )
         message = f"{source}: empty or not set, expected the operators' token"
         raise errors.InvalidValueError(result_codes.INVALID_SETTING, message)
+    if not token.isascii() or not token.isprintable():
+        # The HTTP library would quote the token in its own error message.
+        message = (
+            f"{source}: the operators' token contains a line break or another"
+            " character that a header cannot hold"
+        )
+        raise errors.InvalidValueError(result_codes.INVALID_SETTING, message)
     return token
 
 
@@ -127,6 +133,11 @@
             "error"
         ]
         code = result_codes.codes_by_name[body["name"]]
+    except (OSError, http.client.HTTPException) as read_error:
+        return errors.StoreError(
+            result_codes.CHANGE_UNKNOWN,
+            f"{entry.url}: HTTP status {error.code}, body broken off: {read_error}",
+        )
     except (errors.MalformedMessageError, KeyError):
         return errors.StoreError(
             result_codes.CHANGE_UNKNOWN,
