Move a generation elsewhere if its target leaves after the order

The generation went on at the engine that was being reclaimed, and its scheduler counted it as tried.

Now an entry gives a move up before it stops the generation if it knows that the target leaves, and tells the scheduler of that leaving before it reports the failure. The scheduler orders another target at once if the first one leaves.

Ruled out: a later removal of the target from the list of candidates, because the order had been sent. A target that is full fails as before, once for each generation.

tests.controllers.test_evacuation and test_moves: the two new tests fail before.

--- a/src/carawayhitch/controllers/_evacuation.py
+++ b/src/carawayhitch/controllers/_evacuation.py
@@ -415,9 +415,24 @@
         board.grants_by_request_id[event.request_id] = grant._replace(
             attempt=event.attempt
         )
+        if _target_leaves(board, evacuation):
+            return (
+                *_end_unsuccessful_order(board, evacuation, True, now),
+                *_order_next_move(board, evacuation.upstream_id, now),
+            )
     return _end_unsuccessful_order(board, evacuation, retry_later, now)
 
 
+def _target_leaves(board: Board, evacuation: rows.EvacuationRow) -> bool:
+    """Return whether the target of the pending order is leaving or gone.
+
+    Then the failure says nothing of the generation, which may move elsewhere.
+    """
+    assert evacuation.pending_order is not None
+    target = board.upstreams_by_id.get(evacuation.pending_order.target_id)
+    return target is None or target.leaving
+
+
 def _end_unsuccessful_order(
     board: Board, evacuation: rows.EvacuationRow, retry_later: bool, now: float
 ) -> Actions:
--- a/src/carawayhitch/controllers/_moves.py
+++ b/src/carawayhitch/controllers/_moves.py
@@ -13,7 +13,7 @@
 from carawayhitch.controllers import zones
 from carawayhitch.controllers._backoffs import is_backing_off
 from carawayhitch.controllers._controller import Actions, new_controller
-from carawayhitch.controllers._upstreams import is_known_to_leave
+from carawayhitch.controllers._upstreams import is_known_to_leave, leaving_notices
 from carawayhitch.core import actions, events, messages, result_codes, rows
 
 decide = new_controller()
@@ -72,6 +72,18 @@
     return actions.Send(move.scheduler_id, report)
 
 
+def _report_failure(board: Board, move: rows.MoveRow, attempt: int) -> Actions:
+    """Return the report of a failed move, after a notice if its target leaves.
+
+    The scheduler then orders a move to another target.
+    """
+    notices = leaving_notices(board, move.target_id)
+    return (
+        *(actions.Send(move.scheduler_id, notice) for notice in notices),
+        _send_report(board, move, attempt, "failed"),
+    )
+
+
 def _build_move_log(
     row: rows.RequestRow, move: rows.MoveRow, outcome: str, now: float
 ) -> actions.Log:
@@ -128,7 +140,7 @@
         or is_backing_off(board, board.node_id, event.target_id, now)
         or zones.is_drained(board, event.target_id)
     ):
-        return (_send_report(board, move, event.attempt, "failed"),)
+        return _report_failure(board, move, event.attempt)
     board.moves_by_request_id[row.request_id] = move
     return (_copy_memory(move, is_final=False),)
 
@@ -159,7 +171,7 @@
         # The request has ended, so its copy must not occupy memory at the target.
         return _release_copy(event.addresses, event.handle)
     if not event.is_final:
-        if event.outcome != "copied":
+        if event.outcome != "copied" or is_known_to_leave(board, move.target_id):
             return _abort_move(board, row, move, event.outcome, now)
         board.moves_by_request_id[row.request_id] = move._replace(
             phase="stopping", handle=event.handle
@@ -233,13 +245,16 @@
     board: Board, row: rows.RequestRow, move: rows.MoveRow, outcome: str, now: float
 ) -> Actions:
     del board.moves_by_request_id[row.request_id]
+    report: Actions = (
+        (_send_report(board, move, row.attempt, "gone"),)
+        if outcome == "gone"
+        else _report_failure(board, move, row.attempt)
+    )
     return (
         *_release_copy((move.source_address, move.target_address), move.handle),
         actions.Count(result_codes.MOVE_FAILED, row.rank),
         _build_move_log(row, move, outcome, now),
-        _send_report(
-            board, move, row.attempt, "gone" if outcome == "gone" else "failed"
-        ),
+        *report,
     )
 
 
@@ -266,6 +281,11 @@
     # The check of the previous attempt ends with that attempt.
     check = events.StallCheck(row.request_id, continued.attempt)
     check_at = now + board.settings.streams.stall_timeout_seconds
+    report: Actions = (
+        (_send_report(board, move, continued.attempt, "moved"),)
+        if copied
+        else _report_failure(board, move, continued.attempt)
+    )
     return (
         actions.CloseUpstream(row.request_id, cancel_generation=False),
         actions.Count(code, row.rank),
@@ -276,7 +296,7 @@
             f"{move.source_address}/{event.handle}",
         ),
         actions.SetTimer(check_at, check),
-        _send_report(board, move, continued.attempt, "moved" if copied else "failed"),
+        *report,
     )
 
 
--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -234,6 +234,19 @@
                 self.assertEqual(grant.upstream_id, expected)
                 self.assertIn("first", board.grant_ids_by_upstream_id[expected])
 
+    def test_generation_whose_target_leaves_moves_to_another_one(self):
+        """Guards against a stream cut because its target was removed after the order."""
+        board = evacuation_board(engine_count=3)
+        source = start_generation(board, "first")
+        ((_, target),) = orders(announce_leaving(board, source))
+        known = board.upstreams_by_id[target]
+        board.upstreams_by_id[target] = known._replace(leaving=True)
+        decided = feed(board, move_report("first", source, "failed"), NOW + 0.2)
+        (other,) = board.upstreams_by_id.keys() - {source, target}
+        self.assertEqual(orders(decided), [("first", other)])
+        ordered = sent(decided, messages.MoveOrder)
+        self.assertEqual([order.attempt for order in ordered], [2])
+
     def test_order_without_a_report_is_repeated(self):
         """Guards against a generation that is lost with a single datagram.
 
--- a/tests/controllers/test_moves.py
+++ b/tests/controllers/test_moves.py
@@ -106,6 +106,29 @@
         self.assertFalse(of_type(decided, actions.CopyMemory))
         self.assertEqual(reports(decided), ["failed"])
 
+    def test_target_that_leaves_after_the_order_is_reported(self):
+        """Guards against a generation that is stopped for a target that is going.
+
+        The scheduler may not know of the leaving, and would give up the generation.
+        """
+        notice = messages.LeavingSeen(relaying_board().node_id, "engine-2", 0.0)
+        for is_stopped in (False, True):
+            with self.subTest(is_stopped=is_stopped):
+                board = relaying_board()
+                feed(board, ORDER)
+                if is_stopped:
+                    feed(board, copied(False))
+                target = board.upstreams_by_id["engine-2"]
+                board.upstreams_by_id["engine-2"] = target._replace(
+                    leaving=True, is_listed=True
+                )
+                outcome = "refused" if is_stopped else "copied"
+                decided = feed(board, copied(is_stopped, outcome))
+                self.assertFalse(of_type(decided, actions.CopyMemory))
+                sent = [action.message for action in of_type(decided, actions.Send)]
+                self.assertEqual(sent[0], notice)
+                self.assertEqual(reports(decided), ["failed"])
+
     def test_repeated_order_starts_no_second_move(self):
         """Guards against two concurrent moves of one generation."""
         board = relaying_board()
