--- a/tests/controllers/test_evacuation.py
+++ b/tests/controllers/test_evacuation.py
@@ -235,7 +235,7 @@
                 self.assertIn("first", board.grant_ids_by_upstream_id[expected])
 
     def test_generation_whose_target_leaves_moves_to_another_one(self):
-        """Guards against a stream cut because its target was removed after the order."""
+        """Guards against a stream cut as its target was removed after the order."""
         board = evacuation_board(engine_count=3)
         source = start_generation(board, "first")
         ((_, target),) = orders(announce_leaving(board, source))
