Keep the order of accounts and ranks among late asks

Cause: `_next_ask` looked for a returned ask over all accounts of a rank and granted it before the late asks of accounts with less charge and of earlier ranks. A client that resent at once went before all others.

Now a returned ask only makes the late asks go before the ranks after its own; which of them is next follows from rank, account and first arrival. The returned ask of an account wins only a tie of arrival. Also mended: with the setting off, the choice of the next ask built a sorted list of all late asks and heeded `returned`.

Ruled out: serving returned asks of the fair account first; an account's own older asks would then wait behind its repeats.

With the setting off, a returned row went before asks in time of a later rank; now it doesn't.

--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -264,35 +264,40 @@
     """Return the ask to serve next.
 
     Under overload, serving in order of arrival would make every ask miss its goal.
-    Asks that can still meet their goal are therefore served first. A late ask that came
-    back to its place is served before the ranks after its own, because its client may
-    not come back again.
+    Asks that can still meet their goal are therefore served first. If late asks of a
+    rank include one that came back to its place, late asks are served before the ranks
+    after it, because its client may not come back again. Among late asks the order of
+    ranks and accounts holds, or clients that repeat at once would starve the others.
     """
+    keeps_places = overload.applies(board, cell_id)
     first_late_ask: rows.AskRow | None = None
     for rank in waiting_ranks(board, cell_id, now):
-        returned_ask: rows.AskRow | None = None
+        has_returned_ask = False
         exhausted_accounts: set[str] = set()
         while True:
             account = _fairness.next_account(board, cell_id, rank, exhausted_accounts)
             if account is None:
                 break
-            late_asks: list[rows.AskRow] = []
+            late_ask: rows.AskRow | None = None
             for request_id in _queue.account_queue(board, cell_id, rank, account):
                 if request_id in skipped_request_ids:
                     continue
                 ask = board.asks_by_request_id[request_id]
                 if not _prefill.misses_first_token_goal(board, ask, now):
                     return ask
-                late_asks.append(ask)
-            # An ask that came back is queued last, but keeps its place.
-            late_asks.sort(key=lambda row: row.queued_at)
-            if late_asks and first_late_ask is None:
-                first_late_ask = late_asks[0]
-            if returned_ask is None:
-                returned_ask = next((row for row in late_asks if row.returned), None)
+                if late_ask is None:
+                    late_ask = ask
+                elif keeps_places:
+                    # An ask that came back is queued last, but keeps its place.
+                    late_ask = min(
+                        late_ask, ask, key=lambda row: (row.queued_at, not row.returned)
+                    )
+                has_returned_ask = has_returned_ask or (keeps_places and ask.returned)
+            if first_late_ask is None:
+                first_late_ask = late_ask
             exhausted_accounts.add(account)
-        if returned_ask is not None:
-            return returned_ask
+        if has_returned_ask:
+            break
     return first_late_ask
 
 
--- a/tests/controllers/overload/test_overload.py
+++ b/tests/controllers/overload/test_overload.py
@@ -193,6 +193,47 @@
         decided = world.feed(self.board, world.finished("running-0"), 7.1)
         self.assertEqual(list(world.granted(decided)), ["back"])
 
+    def granted_accounts(self, asks, count, returned=True):
+        """Return the accounts granted at 5 s once engines finish `count` calls."""
+        for event in asks:
+            world.feed(self.board, event, 1.0)
+            row = self.board.asks_by_request_id[event.request_id]
+            changes = {"returned": returned and event.account == "large"}
+            changes["queued_at"] = 1.0 - event.attempt
+            self.board.asks_by_request_id[event.request_id] = row._replace(**changes)
+        decided = []
+        for index in range(count):
+            finished = world.finished(f"running-{index}")
+            decided += world.feed(self.board, finished, 5.0)
+        return [name.split("-")[0] for name in world.granted(decided)]
+
+    def test_returned_asks_do_not_starve_others(self):
+        # Guards against a flood that resends at once and so goes before everyone.
+        for ranks in (("urgent", "urgent"), ("urgent", "patient")):
+            asks = [
+                ask(f"{account}-{number}", 1.0, account, rank=rank, attempt=attempt)
+                for account, rank, attempt in zip(
+                    ("small", "large"), ranks, (3, 2), strict=True
+                )
+                for number in range(6)
+            ]
+            orders = []
+            for returned in (False, True):
+                self.board = overload_board()
+                orders.append(self.granted_accounts(asks, 6, returned))
+            with self.subTest(ranks):
+                self.assertGreaterEqual(orders[1].count("small"), 3)
+                self.assertEqual(*orders)
+
+    def test_returned_asks_gain_nothing_once_the_setting_is_off(self):
+        # Guards against an effect on deployments that don't ask for it.
+        self.board = overload_board(enabled=False)
+        asks = [ask("large-0", 1.0, "large", attempt=2)]
+        for number in range(4):
+            name = f"small-{number}"
+            asks.append(ask(name, 1.0, "small", rank="patient", goal_deadline=9.0))
+        self.assertEqual(set(self.granted_accounts(asks, 4)), {"small"})
+
     def key(self):
         return ("quotes", "large", f"fingerprint of {self.name}")
 
