Count waiting work once per 0.1 s instead of for each ask

Cause: `expected_wait` walked the whole queue of the cell for each new ask, so the work of a burst grew with the square of its length.

The sums by rank and account are kept in `waiting_work_by_cell_id` while asks come and go, and counted anew after 0.1 s, since asks become late. Ruled out: reuse without updates, which would not see the asks of the same instant.

A second test compares the sums with a full count after asks were queued, withdrawn and granted.

--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -84,6 +84,7 @@
     next_return_times_by_account: dict[tuple[str, str, str], float]
     arriving_work_by_rank: dict[tuple[str, str], rows.ArrivingWorkRow]
     engine_times_by_binding: dict[str, rows.EngineTimeRow]
+    waiting_work_by_cell_id: dict[str, rows.WaitingWorkRow]
     call_rates_by_account: dict[tuple[str, int, str], rows.CallRateRow]
     answer_rates_by_upstream_id: dict[str, rows.CallRateRow]
     refused_attempts_by_request_id: dict[str, int]
@@ -214,6 +215,7 @@
         next_return_times_by_account={},
         arriving_work_by_rank={},
         engine_times_by_binding={},
+        waiting_work_by_cell_id={},
         call_rates_by_account={},
         answer_rates_by_upstream_id={},
         refused_attempts_by_request_id={},
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -72,6 +72,7 @@
         board.rates_by_rank[key] = rate_row._replace(grants=0.0)
     board.queue_lengths_by_rank[key] = queue_row._replace(length=queue_row.length + 1)
     board.asks_by_request_id[ask.request_id] = ask
+    overload.add_waiting_work(board, ask)
     _fairness.increment_open_count(board, ask.cell_id, ask.rank, ask.account)
 
 
@@ -87,6 +88,7 @@
         del accounts[ask.account]
     if not accounts:
         del board.queues_by_rank[key]
+    overload.subtract_waiting_work(board, ask)
     queue_row = board.queue_lengths_by_rank[key]
     board.queue_lengths_by_rank[key] = queue_row._replace(length=queue_row.length - 1)
     _fairness.decrement_open_count(board, ask.cell_id, ask.rank, ask.account)
--- a/src/carawayhitch/controllers/overload/__init__.py
+++ b/src/carawayhitch/controllers/overload/__init__.py
@@ -10,9 +10,15 @@
     keep_place,
     prepare_ask,
 )
-from carawayhitch.controllers.overload._waits import expected_wait, unservable_asks
+from carawayhitch.controllers.overload._waits import (
+    add_waiting_work,
+    expected_wait,
+    subtract_waiting_work,
+    unservable_asks,
+)
 
 __all__ = [
+    "add_waiting_work",
     "applies",
     "arriving_engines",
     "call_key",
@@ -22,5 +28,6 @@
     "forget_place",
     "keep_place",
     "prepare_ask",
+    "subtract_waiting_work",
     "unservable_asks",
 ]
--- a/src/carawayhitch/controllers/overload/_decisions.py
+++ b/src/carawayhitch/controllers/overload/_decisions.py
@@ -17,6 +17,7 @@
 )
 from carawayhitch.controllers.overload._cell_pairs import other_schedulers_of_pair
 from carawayhitch.controllers.overload._waits import (
+    delete_old_counts,
     return_seconds,
     returning_engines,
     spare_engines,
@@ -207,6 +208,7 @@
         if now >= time:
             del board.next_return_times_by_account[key]
     delete_idle_arrivals(board, now)
+    delete_old_counts(board, now)
     return ()
 
 
--- a/src/carawayhitch/controllers/overload/_waits.py
+++ b/src/carawayhitch/controllers/overload/_waits.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import NamedTuple
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _fairness, _prefill
@@ -31,28 +30,72 @@
 REFUSAL_LEAD_SECONDS = 0.6
 
 
-class WaitingWork(NamedTuple):
-    """Work that waits in a cell, in seconds of one engine, by rank and account."""
+# Counting walks the whole queue, so that not each new ask of a burst can afford it. Asks
+# that become late meanwhile are in the wrong sum, which changes a wait by no more than
+# this time.
+COUNT_LIFETIME_SECONDS = 0.1
 
-    in_time: dict[tuple[str, str], float]
-    late: dict[tuple[str, str], float]
 
-
-def waiting_work(board: Board, cell_id: str, now: float) -> WaitingWork:
-    """Return the work that waits in a cell."""
-    work = WaitingWork(defaultdict(float), defaultdict(float))
+def count_waiting_work(board: Board, cell_id: str, now: float) -> rows.WaitingWorkRow:
+    """Return the work of the asks that wait in a cell, counted one by one."""
+    work = rows.WaitingWorkRow(
+        defaultdict(float), defaultdict(float), set(), now + COUNT_LIFETIME_SECONDS
+    )
     for (queue_cell_id, rank), accounts in board.queues_by_rank.items():
         if queue_cell_id != cell_id:
             continue
         for account, request_ids in accounts.items():
             for request_id in request_ids:
                 ask = board.asks_by_request_id[request_id]
-                is_late = _prefill.misses_first_token_goal(board, ask, now)
-                group = work.late if is_late else work.in_time
-                group[rank, account] += ask.work_seconds
+                _add_work(board, work, ask, now)
+    return work
+
+
+def _add_work(
+    board: Board, work: rows.WaitingWorkRow, ask: rows.AskRow, now: float
+) -> None:
+    if _prefill.misses_first_token_goal(board, ask, now):
+        work.late[ask.rank, ask.account] += ask.work_seconds
+        work.late_request_ids.add(ask.request_id)
+    else:
+        work.in_time[ask.rank, ask.account] += ask.work_seconds
+
+
+def waiting_work(board: Board, cell_id: str, now: float) -> rows.WaitingWorkRow:
+    """Return the work that waits in a cell; it is counted anew after its deadline."""
+    work = board.waiting_work_by_cell_id.get(cell_id)
+    if work is None or now >= work.deadline:
+        work = count_waiting_work(board, cell_id, now)
+        board.waiting_work_by_cell_id[cell_id] = work
     return work
 
 
+def add_waiting_work(board: Board, ask: rows.AskRow) -> None:
+    """Add a queued ask to the counted work of its cell, if there is a count."""
+    work = board.waiting_work_by_cell_id.get(ask.cell_id)
+    if work is not None:
+        _add_work(board, work, ask, ask.renewed_at)
+
+
+def subtract_waiting_work(board: Board, ask: rows.AskRow) -> None:
+    """Take an ask that leaves its queue off the counted work of its cell."""
+    work = board.waiting_work_by_cell_id.get(ask.cell_id)
+    if work is None:
+        return
+    is_late = ask.request_id in work.late_request_ids
+    work.late_request_ids.discard(ask.request_id)
+    seconds_by_account = work.late if is_late else work.in_time
+    key = (ask.rank, ask.account)
+    seconds_by_account[key] = max(0.0, seconds_by_account[key] - ask.work_seconds)
+
+
+def delete_old_counts(board: Board, now: float) -> None:
+    """Delete the counted work of cells to which no asks come any more."""
+    for cell_id, work in list(board.waiting_work_by_cell_id.items()):
+        if now >= work.deadline:
+            del board.waiting_work_by_cell_id[cell_id]
+
+
 def _fair_work_ahead(
     board: Board, ask: rows.AskRow, own: float, work_by_account: dict[str, float]
 ) -> float:
@@ -77,7 +120,7 @@
 
 
 def wait_in_time(
-    board: Board, ask: rows.AskRow, work: WaitingWork, engines: float, now: float
+    board: Board, ask: rows.AskRow, work: rows.WaitingWorkRow, engines: float, now: float
 ) -> float:
     """Return the wait of an ask behind those that can meet their goals."""
     priority = rank_class(board, ask.rank).priority
@@ -97,7 +140,7 @@
 def wait_when_late(
     board: Board,
     ask: rows.AskRow,
-    work: WaitingWork,
+    work: rows.WaitingWorkRow,
     own_late: float,
     engines: float,
     now: float,
@@ -177,7 +220,7 @@
             and _prefill.misses_first_token_goal(board, ask, now)
         ):
             late_by_account[ask.rank, ask.account].append(ask)
-    work = waiting_work(board, cell_id, now)
+    work = count_waiting_work(board, cell_id, now)
     found = ending
     for account, asks in late_by_account.items():
         # The ask that is served last comes first. If it is served in time, so are those
--- a/src/carawayhitch/core/_overload_rows.py
+++ b/src/carawayhitch/core/_overload_rows.py
@@ -37,6 +37,27 @@
     updated_at: float
 
 
+class WaitingWorkRow(NamedTuple):
+    """Work that waits in a cell, in seconds of one engine, by rank and account.
+
+    Parameters
+    ----------
+    in_time : dict
+        Work of the asks that could still meet their goal when they were counted.
+    late : dict
+        Work of the others.
+    late_request_ids : set of str
+        Requests counted as late.
+    deadline : float
+        Time at which the asks are counted anew, since some have become late.
+    """
+
+    in_time: dict[tuple[str, str], float]
+    late: dict[tuple[str, str], float]
+    late_request_ids: set[str]
+    deadline: float
+
+
 class EngineTimeRow(NamedTuple):
     """Smoothed time from the grant of a binding's request to the end of its answer."""
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -32,6 +32,7 @@
     ArrivingWorkRow,
     EngineTimeRow,
     ReturnPlaceRow,
+    WaitingWorkRow,
 )
 from carawayhitch.core._request_rows import (
     AnsweredMoveRow,
@@ -170,4 +171,5 @@
     "ZoneAnswerTimeRow",
     "ZoneDemandRow",
     "ZoneDrainRow",
+    "WaitingWorkRow",
 ]
--- a/tests/controllers/overload/test_overload.py
+++ b/tests/controllers/overload/test_overload.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
-from carawayhitch.controllers import _placement, overload
+from carawayhitch.controllers import _placement, _prefill, overload
 from carawayhitch.core import actions, declarations, events, messages, rows
 from carawayhitch.core import settings as settings_types
 from experiments import returning_clients
@@ -135,6 +136,38 @@
         self.assertFalse(world.refusals(flood(board, 40, 1.0)))
 
 
+class CostTest(unittest.TestCase):
+    """Guards against work for each ask that grows with the queue, in a burst."""
+
+    def test_new_asks_do_not_walk_the_queue(self):
+        board = overload_board()
+        for index in range(40):
+            world.feed(board, ask(f"waiting-{index}", 1.0, attempt=2), 1.0)
+        judge = _prefill.misses_first_token_goal
+        with mock.patch.object(
+            _prefill, "misses_first_token_goal", side_effect=judge
+        ) as judged:
+            flood(board, 20, 1.05)
+        self.assertLess(judged.call_count, 4 * 40)
+
+    def test_counted_work_follows_the_queue(self):
+        # Guards against waits that count asks which were granted or left.
+        board = overload_board()
+        flood(board, 3, 1.0, "small")
+        for index in range(6):
+            world.feed(board, ask(f"more-{index}", 1.0, attempt=2), 1.01)
+        world.feed(board, messages.AskWithdrawn("entry-2", "more-5", 2, world.CELL), 1.02)
+        world.feed(board, world.finished("running-0"), 1.03)
+        counted = overload._waits.waiting_work(board, world.CELL, 1.04)
+        self.assertGreater(counted.deadline, 1.04)
+        exact = overload._waits.count_waiting_work(board, world.CELL, 1.04)
+        for key, seconds in counted.in_time.items():
+            self.assertAlmostEqual(seconds, exact.in_time[key])
+        self.assertEqual(len(board.waiting_work_by_cell_id), 1)
+        sweep(board, 60.0)
+        self.assertEqual(board.waiting_work_by_cell_id, {})
+
+
 class ReturnTest(unittest.TestCase):
     def setUp(self):
         self.board = overload_board()
