--- a/src/carawayhitch/board/_board.py
+++ b/src/carawayhitch/board/_board.py
@@ -81,7 +81,8 @@
     zone_reasons_by_request_id: dict[str, str]
     zone_drains_by_name: dict[str, rows.ZoneDrainRow]
     return_places_by_call: dict[tuple[str, str, str], rows.ReturnPlaceRow]
-    next_return_times_by_account: dict[tuple[str, str, str], float]
+    place_counts_by_account: dict[str, int]
+    returns_by_rank: dict[tuple[str, str], rows.ReturnsRow]
     arriving_work_by_rank: dict[tuple[str, str], rows.ArrivingWorkRow]
     engine_times_by_binding: dict[str, rows.EngineTimeRow]
     waiting_work_by_cell_id: dict[str, rows.WaitingWorkRow]
@@ -212,7 +213,8 @@
         zone_reasons_by_request_id={},
         zone_drains_by_name={},
         return_places_by_call={},
-        next_return_times_by_account={},
+        place_counts_by_account={},
+        returns_by_rank={},
         arriving_work_by_rank={},
         engine_times_by_binding={},
         waiting_work_by_cell_id={},
--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -231,6 +231,7 @@
     code: result_codes.ResultCode,
     retry_after: float,
     now: float,
+    engine_count: int | None = None,
 ) -> list[actions.Action]:
     """Return the actions that log the refusal of an ask and send it to the entry.
 
@@ -239,7 +240,7 @@
     """
     kept: list[actions.Action] = []
     if code in LOAD_CODES and overload.applies(board, ask.cell_id):
-        retry_after, kept = overload.keep_place(board, ask, now)
+        retry_after, kept = overload.keep_place(board, ask, now, engine_count)
     message = messages.AdmissionRefusal(
         board.node_id, ask.request_id, ask.attempt, ask.cell_id, code, retry_after
     )
@@ -272,8 +273,8 @@
     for cell_id in dict.fromkeys(cell_id for cell_id, _ in board.queues_by_rank):
         if not overload.applies(board, cell_id):
             continue
-        for ask in overload.unservable_asks(board, cell_id, now):
+        for ask, count in overload.unservable_asks(board, cell_id, now):
             remove_ask(board, ask.request_id)
             code = result_codes.DEADLINE_UNREACHABLE
-            decided.extend(refuse_ask(board, ask, code, 0.0, now))
+            decided.extend(refuse_ask(board, ask, code, 0.0, now, count))
     return decided
--- a/src/carawayhitch/controllers/overload/__init__.py
+++ b/src/carawayhitch/controllers/overload/__init__.py
@@ -6,10 +6,10 @@
 from carawayhitch.controllers.overload._cell_pairs import call_key, cell_pair
 from carawayhitch.controllers.overload._decisions import (
     decide,
-    forget_place,
     keep_place,
     prepare_ask,
 )
+from carawayhitch.controllers.overload._places import forget_place
 from carawayhitch.controllers.overload._waits import (
     add_waiting_work,
     expected_wait,
--- a/src/carawayhitch/controllers/overload/_waits.py
+++ b/src/carawayhitch/controllers/overload/_waits.py
@@ -30,9 +30,8 @@
 REFUSAL_LEAD_SECONDS = 0.6
 
 
-# Counting walks the whole queue, so that not each new ask of a burst can afford it. Asks
-# that become late meanwhile are in the wrong sum, which changes a wait by no more than
-# this time.
+# Counting walks the whole queue, which is too much work for each new ask of a burst.
+# Asks that have become late since the last count are still in the sum of those in time.
 COUNT_LIFETIME_SECONDS = 0.1
 
 
@@ -41,10 +40,10 @@
     work = rows.WaitingWorkRow(
         defaultdict(float), defaultdict(float), set(), now + COUNT_LIFETIME_SECONDS
     )
-    for (queue_cell_id, rank), accounts in board.queues_by_rank.items():
+    for (queue_cell_id, _), accounts in board.queues_by_rank.items():
         if queue_cell_id != cell_id:
             continue
-        for account, request_ids in accounts.items():
+        for request_ids in accounts.values():
             for request_id in request_ids:
                 ask = board.asks_by_request_id[request_id]
                 _add_work(board, work, ask, now)
@@ -120,7 +119,11 @@
 
 
 def wait_in_time(
-    board: Board, ask: rows.AskRow, work: rows.WaitingWorkRow, engines: float, now: float
+    board: Board,
+    ask: rows.AskRow,
+    work: rows.WaitingWorkRow,
+    engines: float,
+    now: float,
 ) -> float:
     """Return the wait of an ask behind those that can meet their goals."""
     priority = rank_class(board, ask.rank).priority
@@ -201,8 +204,13 @@
     return wait_when_late(board, ask, work, own_late, engines, now)
 
 
-def unservable_asks(board: Board, cell_id: str, now: float) -> list[rows.AskRow]:
-    """Return the waiting asks of a cell whose wait can no longer end in time."""
+def unservable_asks(
+    board: Board, cell_id: str, now: float
+) -> list[tuple[rows.AskRow, int]]:
+    """Return the waiting asks of a cell whose wait can no longer end in time.
+
+    Each is returned with the number of upstreams that accept work of its entry.
+    """
     cell = board.cells_by_id.get(cell_id)
     if cell is None:
         return []
@@ -221,12 +229,16 @@
         ):
             late_by_account[ask.rank, ask.account].append(ask)
     work = count_waiting_work(board, cell_id, now)
+    engine_count_by_entry_id = {
+        entry_id: usable_engine_count(board, cell, entry_id, now)
+        for entry_id in {ask.entry_id for ask in first_asks}
+    }
     found = ending
     for account, asks in late_by_account.items():
         # The ask that is served last comes first. If it is served in time, so are those
-        # before it: this bounds the work of a sweep.
+        # before it.
         for ask in sorted(asks, key=lambda row: row.queued_at, reverse=True):
-            engines = usable_engine_count(board, cell, ask.entry_id, now)
+            engines = engine_count_by_entry_id[ask.entry_id]
             if not engines or not ask.work_seconds:
                 break
             own_late = work.late[account] - ask.work_seconds
@@ -237,7 +249,7 @@
                 break
             found.append(ask)
             work.late[account] = own_late
-    return found
+    return [(ask, engine_count_by_entry_id[ask.entry_id]) for ask in found]
 
 
 def return_seconds(board: Board, ask: rows.AskRow, engines: int, now: float) -> float:
--- a/src/carawayhitch/core/_overload_rows.py
+++ b/src/carawayhitch/core/_overload_rows.py
@@ -24,6 +24,19 @@
     deadline: float
 
 
+class ReturnsRow(NamedTuple):
+    """Times of return that the next refused clients of a rank are told, by account.
+
+    Parameters
+    ----------
+    weight : float
+        Sum of the quota weights of the accounts.
+    """
+
+    next_times_by_account: dict[str, float]
+    weight: float
+
+
 class ArrivingWorkRow(NamedTuple):
     """Work of a rank that arrives in a cell, smoothed exponentially.
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -32,6 +32,7 @@
     ArrivingWorkRow,
     EngineTimeRow,
     ReturnPlaceRow,
+    ReturnsRow,
     WaitingWorkRow,
 )
 from carawayhitch.core._request_rows import (
@@ -155,6 +156,7 @@
     "ResumeTarget",
     "RetryBudgetRow",
     "ReturnPlaceRow",
+    "ReturnsRow",
     "RoutedTarget",
     "SchedulerContactRow",
     "SchedulerShareRow",
@@ -168,8 +170,8 @@
     "UnansweredRequestRow",
     "UpstreamRow",
     "VmKind",
+    "WaitingWorkRow",
     "ZoneAnswerTimeRow",
     "ZoneDemandRow",
     "ZoneDrainRow",
-    "WaitingWorkRow",
 ]
