Keep repeated asks as they wait; count each arrival once

Cause: an ask that its entry repeated while it waited was prepared anew and kept only its time of arrival. If its place had ended, it lost its return and its first goal; if another call with the same body had been refused meanwhile, it became a returned one. And attempts after the first counted as arriving work, against the doc comment of `record_arrival`.

Ruled out: recognizing an ask repeated after a lost refusal; it finds its place and is not counted, except beyond the limits of places. The doc comment says so.

--- a/src/carawayhitch/controllers/overload/_capacity.py
+++ b/src/carawayhitch/controllers/overload/_capacity.py
@@ -95,7 +95,12 @@
 
 
 def record_arrival(board: Board, ask: rows.AskRow, now: float) -> None:
-    """Count the work of an ask that arrives for the first time."""
+    """Count the work of an ask that arrives.
+
+    Callers leave out asks that wait already, later attempts, and those that came back.
+    An ask that is repeated because its refusal was lost has a place, unless a limit of
+    places was reached: then it counts twice.
+    """
     engines = arriving_engines(board, ask.cell_id, ask.rank, now)
     engines += ask.work_seconds / ARRIVAL_WINDOW_SECONDS
     board.arriving_work_by_rank[ask.cell_id, ask.rank] = rows.ArrivingWorkRow(
--- a/src/carawayhitch/controllers/overload/_decisions.py
+++ b/src/carawayhitch/controllers/overload/_decisions.py
@@ -41,8 +41,21 @@
     """Return a new ask with its work and, if one is kept, with its place.
 
     The goal is that of the first ask: an ask that comes back after its goal does not
-    delay those that can still meet theirs.
+    delay those that can still meet theirs. An ask that its entry repeats while it waits
+    stays as it is: its place may have ended, or be that of another call.
     """
+    waiting = board.asks_by_request_id.get(ask.request_id)
+    if (
+        waiting is not None
+        and waiting.attempt == ask.attempt
+        and waiting.cell_id == ask.cell_id
+    ):
+        return ask._replace(
+            queued_at=waiting.queued_at,
+            goal_deadline=waiting.goal_deadline,
+            work_seconds=waiting.work_seconds,
+            returned=waiting.returned,
+        )
     ask = ask._replace(work_seconds=work_seconds(board, ask))
     place = find_place(board, ask, now)
     if place is not None:
@@ -51,7 +64,7 @@
             goal_deadline=place.goal_deadline,
             returned=True,
         )
-    if ask.request_id not in board.asks_by_request_id:
+    if waiting is None and ask.attempt == 1:
         record_arrival(board, ask, now)
     return ask
 
--- a/tests/controllers/overload/test_overload.py
+++ b/tests/controllers/overload/test_overload.py
@@ -336,6 +336,31 @@
         after = flood(self.board, 1, 1.2, "large")
         self.assertLess(retry_times(after)[0], max(retry_times(self.refused)) + 10)
 
+    def test_repeated_ask_stays_as_it_waits(self):
+        # Guards against an ask whose return is lost, or taken from another call.
+        self.come_back(7.0)
+        before = self.board.asks_by_request_id["back"]
+        key = ("quotes", "hotel", "fingerprint of first")
+        self.board.return_places_by_call.clear()
+        world.feed(self.board, ask("first", 7.0, attempt=2), 7.0)
+        other = self.board.asks_by_request_id["first"]
+        self.board.return_places_by_call[key] = rows.ReturnPlaceRow(0.0, 1.0, 90.0)
+        self.come_back(7.5, goal_deadline=9.5)
+        again = ask("first", 7.0, attempt=2)
+        world.feed(self.board, again, 7.5)
+        for row in (before, other):
+            now = self.board.asks_by_request_id[row.request_id]
+            self.assertEqual(
+                now._replace(renewed_at=0, deadline=0, queued_at=0),
+                row._replace(renewed_at=0, deadline=0, queued_at=0),
+            )
+
+    def test_later_attempts_are_no_arrivals(self):
+        # Guards against capacity that is taken as used up by the retries of failures.
+        before = dict(self.board.arriving_work_by_rank)
+        world.feed(self.board, ask("again", 1.0, attempt=2), 1.0)
+        self.assertEqual(self.board.arriving_work_by_rank, before)
+
     def test_unknown_work_is_told_different_times(self):
         # Guards against a burst of returns before an answer time is known.
         board = overload_board()
