--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -264,11 +264,11 @@
             )
         elif now >= ask.renewed_at + lifetime:
             remove_ask(board, ask.request_id)
-    decided.extend(_refuse_unservable_asks(board, now))
     return decided
 
 
-def _refuse_unservable_asks(board: Board, now: float) -> list[actions.Action]:
+def refuse_unservable_asks(board: Board, now: float) -> list[actions.Action]:
+    """Refuse asks whose wait can no longer end in time, where waits are estimated."""
     decided: list[actions.Action] = []
     for cell_id in dict.fromkeys(cell_id for cell_id, _ in board.queues_by_rank):
         if not overload.applies(board, cell_id):
--- a/src/carawayhitch/controllers/_scheduling.py
+++ b/src/carawayhitch/controllers/_scheduling.py
@@ -61,6 +61,12 @@
     _fairness.delete_idle_usage_rows(board)
     _delete_idle_settle_deadlines(board, now)
     decided.extend(_grant_waiting_asks_of_all_cells(board, now))
+    # After the grants, since an ask near its deadline may be one of them. A refused ask
+    # may have blocked others.
+    refused = _queue.refuse_unservable_asks(board, now)
+    if refused:
+        decided.extend(refused)
+        decided.extend(_grant_waiting_asks_of_all_cells(board, now))
     next_sweep = events.TimerFired(SCHEDULING_TIMER)
     return (*decided, actions.SetTimer(now + SWEEP_INTERVAL_SECONDS, next_sweep))
 
--- a/src/carawayhitch/controllers/overload/_cell_pairs.py
+++ b/src/carawayhitch/controllers/overload/_cell_pairs.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from carawayhitch.board import Board
+from carawayhitch.controllers import zones
 from carawayhitch.controllers._cells import order_by_rendezvous
 from carawayhitch.core import rows
 
@@ -25,12 +26,18 @@
 
 
 def other_schedulers_of_pair(board: Board, ask: rows.AskRow) -> list[str]:
-    """Return the node that schedules the other cell of a call, if it is another one."""
+    """Return the node that schedules the other cell of a call, if it is another one.
+
+    The cells are those among which an entry of the region chooses. An entry elsewhere,
+    or a call that may be served in some regions only, can have another pair.
+    """
     own = board.cells_by_id[ask.cell_id]
     cells = [
         cell
         for cell in board.cells_by_id.values()
-        if cell.group == own.group and cell.region == own.region
+        if cell.group == own.group
+        and cell.region == own.region
+        and not zones.has_only_drained_upstreams(board, cell)
     ]
     pair = cell_pair(cells, call_key(ask.account, ask.fingerprint))
     schedulers = [
--- a/tests/controllers/overload/test_overload.py
+++ b/tests/controllers/overload/test_overload.py
@@ -310,6 +310,12 @@
         self.assertNotIn("back", world.refusals(sweep(self.board, 1.7)))
         self.assertIn("back", world.refusals(sweep(self.board, 1.9)))
 
+    def test_sweep_grants_before_it_refuses(self):
+        # Guards against a refusal in the moment in which there is room.
+        self.come_back(1.2, deadline=2.4)
+        change_upstreams(self.board, ["engine-0", "engine-1"], running_limit=40)
+        self.assertIn("back", world.granted(sweep(self.board, 1.9)))
+
     def test_place_ends_at_its_deadline(self):
         # Guards against state that nobody deletes.
         deadline = self.board.return_places_by_call[self.key()].deadline
@@ -384,6 +390,15 @@
             other = cell._replace(cell_id=f"quotes/region-1/{index}")
             board.cells_by_id[other.cell_id] = other
             board.schedulers_by_cell_id[other.cell_id] = (f"entry-{index + 4}",)
+        candidates = list(board.cells_by_id.values())
+        # Entries choose no cell of a zone out of use.
+        drained = cell._replace(cell_id="quotes/region-1/3", upstream_ids=("out",))
+        board.cells_by_id[drained.cell_id] = drained
+        board.schedulers_by_cell_id[drained.cell_id] = ("entry-7",)
+        board.zone_drains_by_name["zone-9"] = rows.ZoneDrainRow("zone-9", 0.0)
+        board.upstreams_by_id["out"] = rows.UpstreamRow(
+            "out", "out:1", "zone-9", "region-1", "engine", {}
+        )
         sends = [a for a in flood(board, 40, 1.0) if isinstance(a, actions.Send)]
         told = [a for a in sends if isinstance(a.message, messages.PlaceKept)]
         self.assertTrue(told)
@@ -393,7 +408,7 @@
             key = overload.call_key(notice.account, notice.fingerprint)
             pair = [
                 board.schedulers_by_cell_id[cell.cell_id][0]
-                for cell in overload.cell_pair(list(board.cells_by_id.values()), key)
+                for cell in overload.cell_pair(candidates, key)
             ]
             self.assertIn(action.node_id, pair)
             world.feed(receiver, notice, 1.0)
