Place calls at random when both cells of their pair are overloaded

Cause: with kept places, all calls of an account with equal bodies were bound to the same two cells, however loaded these were.

If the less loaded of the pair holds more than 1.5 times the mean load, two random cells are drawn, as without the setting. Such a call is a new one where it arrives. Ruled out: three or more cells for each key, since each refusal would be told to all of their schedulers.

Test: 30 draws of a call with 400% load in its pair and 100% in three other cells met 1 cell before and more than 2 now.

--- a/src/carawayhitch/controllers/_placement.py
+++ b/src/carawayhitch/controllers/_placement.py
@@ -58,6 +58,10 @@
 # or only a link failed.
 UPSTREAM_FAILURE_CODES = (result_codes.UPSTREAM_FAILED, result_codes.STREAM_LOST)
 
+# A call whose pair of cells holds more than this times the mean load is better served
+# elsewhere, without its place.
+PAIR_LOAD_MAXIMUM = 1.5
+
 decide = new_controller()
 
 
@@ -77,7 +81,8 @@
     mean of the known loads, so that the cell is neither overloaded nor left unused.
 
     Where places of refused calls are kept, the two cells follow from the call's key, so
-    that its next attempt finds its place.
+    that its next attempt finds its place. If both are far more loaded than the mean, as
+    when many calls have the same key, two random cells are taken.
     """
     candidates = _candidate_cells(board, group, allowed_regions)
     if len(candidates) < 2:
@@ -88,14 +93,15 @@
         if (load := board.loads_by_cell_id.get(cell.cell_id)) and now < load.deadline
     }
     mean_load = sum(loads_by_cell_id.values()) / max(1, len(loads_by_cell_id))
+
+    def load_percent(cell: rows.CellRow) -> float:
+        return loads_by_cell_id.get(cell.cell_id, mean_load)
+
     if call_key and overload.applies(board, candidates[0].cell_id):
-        pair = overload.cell_pair(candidates, call_key)
-    else:
-        pair = random.sample(candidates, 2)
-    return min(
-        pair,
-        key=lambda cell: loads_by_cell_id.get(cell.cell_id, mean_load),
-    )
+        cell = min(overload.cell_pair(candidates, call_key), key=load_percent)
+        if load_percent(cell) <= PAIR_LOAD_MAXIMUM * mean_load:
+            return cell
+    return min(random.sample(candidates, 2), key=load_percent)
 
 
 def _allowed_cells(
--- a/tests/controllers/overload/test_overload.py
+++ b/tests/controllers/overload/test_overload.py
@@ -430,6 +430,15 @@
             return {choose(board, "quotes", 1.0, draw, (), key) for draw in draws}
 
         self.assertLessEqual(max(len(chosen(number)) for number in range(20)), 2)
+        # Calls with equal bodies must not all wait in two cells while others are idle.
+        key = overload.call_key("hotel", "body 0")
+        rows_of_cells = list(board.cells_by_id.values())
+        pair = [cell.cell_id for cell in overload.cell_pair(rows_of_cells, key)]
+        for cell_id in cells:
+            load = 400 if cell_id in pair else 100
+            board.loads_by_cell_id[cell_id] = rows.CellLoadRow(load, 90.0)
+        self.assertGreater(len(chosen(0)), 2)
+        board.loads_by_cell_id.clear()
         leave_choice_to_entries(board)
         self.assertGreater(len(chosen(0)), 2)
 
