--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -235,8 +235,8 @@
 ) -> list[actions.Action]:
     """Return the actions that log the refusal of an ask and send it to the entry.
 
-    Where waits are reckoned from the capacity, its place is kept and Retry-After is the
-    time at which it would be served.
+    Where waits are estimated from the capacity, its place is kept and Retry-After is
+    the time at which it would be served.
     """
     kept: list[actions.Action] = []
     if code in LOAD_CODES and overload.applies(board, ask.cell_id):
--- a/src/carawayhitch/controllers/overload/_capacity.py
+++ b/src/carawayhitch/controllers/overload/_capacity.py
@@ -20,7 +20,7 @@
 
 
 def applies(board: Board, cell_id: str) -> bool:
-    """Return whether waits in a cell are reckoned from its capacity.
+    """Return whether waits in a cell are estimated from its capacity.
 
     They are not where each entry chooses upstreams by itself: it knows neither the
     calls of the others nor its share of the capacity.
--- a/src/carawayhitch/controllers/overload/_waits.py
+++ b/src/carawayhitch/controllers/overload/_waits.py
@@ -19,7 +19,7 @@
 from carawayhitch.core import rows
 
 # A wait that ends in vain costs a caller seconds; a refusal of an ask that could have
-# been served costs it its goal. So asks are refused only if half as much capacity again
+# been served costs it its goal. So asks are refused only if 1.5 times the capacity
 # would not serve them either.
 CAPACITY_MARGIN = 1.5
 # Arriving work may exceed the capacity, and nothing tells for how long. Clients are
@@ -28,8 +28,6 @@
 # At the deadline, the entry answers without a place, or the caller has already left. So
 # the last sweep (every 0.5 s) before the deadline refuses an ask.
 REFUSAL_LEAD_SECONDS = 0.6
-
-
 # Counting walks the whole queue, which is too much work for each new ask of a burst.
 # Asks that have become late since the last count are still in the sum of those in time.
 COUNT_LIFETIME_SECONDS = 0.1
--- a/src/carawayhitch/core/_settings.py
+++ b/src/carawayhitch/core/_settings.py
@@ -384,9 +384,9 @@
     Parameters
     ----------
     enabled : bool
-        Whether waits are reckoned from the capacity that is left and places of refused
+        Whether waits are estimated from the capacity that is left and places of refused
         calls are kept, as described in docs/design/overload.md. If not, waits are
-        reckoned from the rate of grants alone.
+        estimated from the rate of grants alone.
     """
 
     enabled: bool = False
