Delete rows of kept places also after the setting is off

Cause: the handler that deletes expired places, times of return and counts did nothing without the setting, so that rows from before stayed. Its tables are empty where the setting was never on.

Test: after the setting was turned off, an expired place was still there before, and is deleted now.

--- a/src/carawayhitch/controllers/overload/_decisions.py
+++ b/src/carawayhitch/controllers/overload/_decisions.py
@@ -160,7 +160,8 @@
 def _delete_expired_rows(
     event: events.TimerFired, board: Board, now: float, random: Random
 ) -> Actions:
-    if event.name != SCHEDULING_TIMER or not board.settings.overload.enabled:
+    # Also with the setting off, since it may have been on before.
+    if event.name != SCHEDULING_TIMER:
         return ()
     delete_expired_places(board, now)
     delete_idle_arrivals(board, now)
--- a/tests/controllers/overload/test_overload.py
+++ b/tests/controllers/overload/test_overload.py
@@ -322,7 +322,12 @@
         self.come_back(deadline, "too late")
         late = self.board.asks_by_request_id.get("too late")
         self.assertFalse(late and late.returned)
+        # Rows must not outlast the setting either.
+        off = settings_types.OverloadSettings(False)
+        in_force = self.board.settings._replace(overload=off)
         for now in (200.0, 300.0):
+            if now == 300.0:
+                self.board.settings_by_name["in_force"] = in_force
             # The first sweep refuses asks that still wait, and keeps their places.
             sweep(self.board, now)
         self.assertEqual(self.board.return_places_by_call, {})
