--- a/src/carawayhitch/controllers/_queue.py
+++ b/src/carawayhitch/controllers/_queue.py
@@ -72,6 +72,7 @@
         board.rates_by_rank[key] = rate_row._replace(grants=0.0)
     board.queue_lengths_by_rank[key] = queue_row._replace(length=queue_row.length + 1)
     board.asks_by_request_id[ask.request_id] = ask
+    overload.add_waiting_work(board, ask)
     _fairness.increment_open_count(board, ask.cell_id, ask.rank, ask.account)
 
 
@@ -87,6 +88,7 @@
         del accounts[ask.account]
     if not accounts:
         del board.queues_by_rank[key]
+    overload.subtract_waiting_work(board, ask)
     queue_row = board.queue_lengths_by_rank[key]
     board.queue_lengths_by_rank[key] = queue_row._replace(length=queue_row.length - 1)
     _fairness.decrement_open_count(board, ask.cell_id, ask.rank, ask.account)
@@ -229,15 +231,16 @@
     code: result_codes.ResultCode,
     retry_after: float,
     now: float,
+    engine_count: int | None = None,
 ) -> list[actions.Action]:
     """Return the actions that log the refusal of an ask and send it to the entry.
 
-    Where waits are reckoned from the capacity, its place is kept and Retry-After is the
-    time at which it would be served.
+    Where waits are estimated from the capacity, its place is kept and Retry-After is
+    the time at which it would be served.
     """
     kept: list[actions.Action] = []
     if code in LOAD_CODES and overload.applies(board, ask.cell_id):
-        retry_after, kept = overload.keep_place(board, ask, now)
+        retry_after, kept = overload.keep_place(board, ask, now, engine_count)
     message = messages.AdmissionRefusal(
         board.node_id, ask.request_id, ask.attempt, ask.cell_id, code, retry_after
     )
@@ -261,17 +264,17 @@
             )
         elif now >= ask.renewed_at + lifetime:
             remove_ask(board, ask.request_id)
-    decided.extend(_refuse_unservable_asks(board, now))
     return decided
 
 
-def _refuse_unservable_asks(board: Board, now: float) -> list[actions.Action]:
+def refuse_unservable_asks(board: Board, now: float) -> list[actions.Action]:
+    """Refuse asks whose wait can no longer end in time, where waits are estimated."""
     decided: list[actions.Action] = []
     for cell_id in dict.fromkeys(cell_id for cell_id, _ in board.queues_by_rank):
         if not overload.applies(board, cell_id):
             continue
-        for ask in overload.unservable_asks(board, cell_id, now):
+        for ask, count in overload.unservable_asks(board, cell_id, now):
             remove_ask(board, ask.request_id)
             code = result_codes.DEADLINE_UNREACHABLE
-            decided.extend(refuse_ask(board, ask, code, 0.0, now))
+            decided.extend(refuse_ask(board, ask, code, 0.0, now, count))
     return decided
--- a/src/carawayhitch/controllers/overload/__init__.py
+++ b/src/carawayhitch/controllers/overload/__init__.py
@@ -6,13 +6,19 @@
 from carawayhitch.controllers.overload._cell_pairs import call_key, cell_pair
 from carawayhitch.controllers.overload._decisions import (
     decide,
-    forget_place,
     keep_place,
     prepare_ask,
 )
-from carawayhitch.controllers.overload._waits import expected_wait, unservable_asks
+from carawayhitch.controllers.overload._places import forget_place
+from carawayhitch.controllers.overload._waits import (
+    add_waiting_work,
+    expected_wait,
+    subtract_waiting_work,
+    unservable_asks,
+)
 
 __all__ = [
+    "add_waiting_work",
     "applies",
     "arriving_engines",
     "call_key",
@@ -22,5 +28,6 @@
     "forget_place",
     "keep_place",
     "prepare_ask",
+    "subtract_waiting_work",
     "unservable_asks",
 ]
--- a/src/carawayhitch/controllers/overload/_waits.py
+++ b/src/carawayhitch/controllers/overload/_waits.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import NamedTuple
 
 from carawayhitch.board import Board
 from carawayhitch.controllers import _fairness, _prefill
@@ -20,7 +19,7 @@
 from carawayhitch.core import rows
 
 # A wait that ends in vain costs a caller seconds; a refusal of an ask that could have
-# been served costs it its goal. So asks are refused only if half as much capacity again
+# been served costs it its goal. So asks are refused only if 1.5 times the capacity
 # would not serve them either.
 CAPACITY_MARGIN = 1.5
 # Arriving work may exceed the capacity, and nothing tells for how long. Clients are
@@ -29,30 +28,71 @@
 # At the deadline, the entry answers without a place, or the caller has already left. So
 # the last sweep (every 0.5 s) before the deadline refuses an ask.
 REFUSAL_LEAD_SECONDS = 0.6
+# Counting walks the whole queue, which is too much work for each new ask of a burst.
+# Asks that have become late since the last count are still in the sum of those in time.
+COUNT_LIFETIME_SECONDS = 0.1
 
 
-class WaitingWork(NamedTuple):
-    """Work that waits in a cell, in seconds of one engine, by rank and account."""
-
-    in_time: dict[tuple[str, str], float]
-    late: dict[tuple[str, str], float]
-
-
-def waiting_work(board: Board, cell_id: str, now: float) -> WaitingWork:
-    """Return the work that waits in a cell."""
-    work = WaitingWork(defaultdict(float), defaultdict(float))
-    for (queue_cell_id, rank), accounts in board.queues_by_rank.items():
+def count_waiting_work(board: Board, cell_id: str, now: float) -> rows.WaitingWorkRow:
+    """Return the work of the asks that wait in a cell, counted one by one."""
+    work = rows.WaitingWorkRow(
+        defaultdict(float), defaultdict(float), set(), now + COUNT_LIFETIME_SECONDS
+    )
+    for (queue_cell_id, _), accounts in board.queues_by_rank.items():
         if queue_cell_id != cell_id:
             continue
-        for account, request_ids in accounts.items():
+        for request_ids in accounts.values():
             for request_id in request_ids:
                 ask = board.asks_by_request_id[request_id]
-                is_late = _prefill.misses_first_token_goal(board, ask, now)
-                group = work.late if is_late else work.in_time
-                group[rank, account] += ask.work_seconds
+                _add_work(board, work, ask, now)
     return work
 
 
+def _add_work(
+    board: Board, work: rows.WaitingWorkRow, ask: rows.AskRow, now: float
+) -> None:
+    if _prefill.misses_first_token_goal(board, ask, now):
+        work.late[ask.rank, ask.account] += ask.work_seconds
+        work.late_request_ids.add(ask.request_id)
+    else:
+        work.in_time[ask.rank, ask.account] += ask.work_seconds
+
+
+def waiting_work(board: Board, cell_id: str, now: float) -> rows.WaitingWorkRow:
+    """Return the work that waits in a cell; it is counted anew after its deadline."""
+    work = board.waiting_work_by_cell_id.get(cell_id)
+    if work is None or now >= work.deadline:
+        work = count_waiting_work(board, cell_id, now)
+        board.waiting_work_by_cell_id[cell_id] = work
+    return work
+
+
+def add_waiting_work(board: Board, ask: rows.AskRow) -> None:
+    """Add a queued ask to the counted work of its cell, if there is a count."""
+    work = board.waiting_work_by_cell_id.get(ask.cell_id)
+    if work is not None:
+        _add_work(board, work, ask, ask.renewed_at)
+
+
+def subtract_waiting_work(board: Board, ask: rows.AskRow) -> None:
+    """Take an ask that leaves its queue off the counted work of its cell."""
+    work = board.waiting_work_by_cell_id.get(ask.cell_id)
+    if work is None:
+        return
+    is_late = ask.request_id in work.late_request_ids
+    work.late_request_ids.discard(ask.request_id)
+    seconds_by_account = work.late if is_late else work.in_time
+    key = (ask.rank, ask.account)
+    seconds_by_account[key] = max(0.0, seconds_by_account[key] - ask.work_seconds)
+
+
+def delete_old_counts(board: Board, now: float) -> None:
+    """Delete the counted work of cells to which no asks come any more."""
+    for cell_id, work in list(board.waiting_work_by_cell_id.items()):
+        if now >= work.deadline:
+            del board.waiting_work_by_cell_id[cell_id]
+
+
 def _fair_work_ahead(
     board: Board, ask: rows.AskRow, own: float, work_by_account: dict[str, float]
 ) -> float:
@@ -77,7 +117,11 @@
 
 
 def wait_in_time(
-    board: Board, ask: rows.AskRow, work: WaitingWork, engines: float, now: float
+    board: Board,
+    ask: rows.AskRow,
+    work: rows.WaitingWorkRow,
+    engines: float,
+    now: float,
 ) -> float:
     """Return the wait of an ask behind those that can meet their goals."""
     priority = rank_class(board, ask.rank).priority
@@ -97,7 +141,7 @@
 def wait_when_late(
     board: Board,
     ask: rows.AskRow,
-    work: WaitingWork,
+    work: rows.WaitingWorkRow,
     own_late: float,
     engines: float,
     now: float,
@@ -158,8 +202,13 @@
     return wait_when_late(board, ask, work, own_late, engines, now)
 
 
-def unservable_asks(board: Board, cell_id: str, now: float) -> list[rows.AskRow]:
-    """Return the waiting asks of a cell whose wait can no longer end in time."""
+def unservable_asks(
+    board: Board, cell_id: str, now: float
+) -> list[tuple[rows.AskRow, int]]:
+    """Return the waiting asks of a cell whose wait can no longer end in time.
+
+    Each is returned with the number of upstreams that accept work of its entry.
+    """
     cell = board.cells_by_id.get(cell_id)
     if cell is None:
         return []
@@ -177,13 +226,17 @@
             and _prefill.misses_first_token_goal(board, ask, now)
         ):
             late_by_account[ask.rank, ask.account].append(ask)
-    work = waiting_work(board, cell_id, now)
+    work = count_waiting_work(board, cell_id, now)
+    engine_count_by_entry_id = {
+        entry_id: usable_engine_count(board, cell, entry_id, now)
+        for entry_id in {ask.entry_id for ask in first_asks}
+    }
     found = ending
     for account, asks in late_by_account.items():
         # The ask that is served last comes first. If it is served in time, so are those
-        # before it: this bounds the work of a sweep.
+        # before it.
         for ask in sorted(asks, key=lambda row: row.queued_at, reverse=True):
-            engines = usable_engine_count(board, cell, ask.entry_id, now)
+            engines = engine_count_by_entry_id[ask.entry_id]
             if not engines or not ask.work_seconds:
                 break
             own_late = work.late[account] - ask.work_seconds
@@ -194,7 +247,7 @@
                 break
             found.append(ask)
             work.late[account] = own_late
-    return found
+    return [(ask, engine_count_by_entry_id[ask.entry_id]) for ask in found]
 
 
 def return_seconds(board: Board, ask: rows.AskRow, engines: int, now: float) -> float:
--- a/src/carawayhitch/core/_overload_rows.py
+++ b/src/carawayhitch/core/_overload_rows.py
@@ -24,6 +24,19 @@
     deadline: float
 
 
+class ReturnsRow(NamedTuple):
+    """Times of return that the next refused clients of a rank are told, by account.
+
+    Parameters
+    ----------
+    weight : float
+        Sum of the quota weights of the accounts.
+    """
+
+    next_times_by_account: dict[str, float]
+    weight: float
+
+
 class ArrivingWorkRow(NamedTuple):
     """Work of a rank that arrives in a cell, smoothed exponentially.
 
@@ -37,6 +50,27 @@
     updated_at: float
 
 
+class WaitingWorkRow(NamedTuple):
+    """Work that waits in a cell, in seconds of one engine, by rank and account.
+
+    Parameters
+    ----------
+    in_time : dict
+        Work of the asks that could still meet their goal when they were counted.
+    late : dict
+        Work of the others.
+    late_request_ids : set of str
+        Requests counted as late.
+    deadline : float
+        Time at which the asks are counted anew, since some have become late.
+    """
+
+    in_time: dict[tuple[str, str], float]
+    late: dict[tuple[str, str], float]
+    late_request_ids: set[str]
+    deadline: float
+
+
 class EngineTimeRow(NamedTuple):
     """Smoothed time from the grant of a binding's request to the end of its answer."""
 
--- a/src/carawayhitch/core/_rows.py
+++ b/src/carawayhitch/core/_rows.py
@@ -33,6 +33,8 @@
     ArrivingWorkRow,
     EngineTimeRow,
     ReturnPlaceRow,
+    ReturnsRow,
+    WaitingWorkRow,
 )
 from carawayhitch.core._request_rows import (
     AnsweredMoveRow,
@@ -156,6 +158,7 @@
     "ResumeTarget",
     "RetryBudgetRow",
     "ReturnPlaceRow",
+    "ReturnsRow",
     "RoutedTarget",
     "SchedulerContactRow",
     "SchedulerShareRow",
@@ -169,6 +172,7 @@
     "UnansweredRequestRow",
     "UpstreamRow",
     "VmKind",
+    "WaitingWorkRow",
     "ZoneAnswerTimeRow",
     "ZoneDemandRow",
     "ZoneDrainRow",
