--- a/src/carawayhitch/cli/_check.py
+++ b/src/carawayhitch/cli/_check.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import http.client
 import json
 import sys
 from pathlib import Path
@@ -181,12 +180,8 @@
 
 
 def _read_in_force(entry: Entry) -> InForce:
-    try:
-        listed = read_objects(entry)
-        upstreams = read_status(entry)["upstreams"]
-    except http.client.HTTPException as error:
-        message = f"{entry.url}: refusal that is cut off: {error}"
-        raise errors.StoreError(result_codes.CHANGE_UNKNOWN, message) from None
+    listed = read_objects(entry)
+    upstreams = read_status(entry)["upstreams"]
     objects = {
         key: codecs.mapping_from_record(declaration)
         for key, stored in listed.items()
--- a/src/carawayhitch/cli/_operator_client.py
+++ b/src/carawayhitch/cli/_operator_client.py
@@ -136,7 +136,7 @@
     except (OSError, http.client.HTTPException) as read_error:
         return errors.StoreError(
             result_codes.CHANGE_UNKNOWN,
-            f"{entry.url}: HTTP status {error.code}, body broken off: {read_error}",
+            f"{entry.url}: HTTP status {error.code}, body cut off: {read_error}",
         )
     except (errors.MalformedMessageError, KeyError):
         return errors.StoreError(
