Log refusals before the body with the caller's request id

Cause: a call on a declared route that is refused before its body arrives never becomes an event, and its log line named sanic's id of the request. Operators could not find it by the id that the caller knows.

Ruled out: lost log lines, since the line is there with the other id.

test_refusal_before_the_body_is_logged_with_its_request_id sends no body at all: it fails before (no line with the id) and passes after.

--- a/src/carawayhitch/frontend/_gateway.py
+++ b/src/carawayhitch/frontend/_gateway.py
@@ -154,7 +154,9 @@
 
 def _error_handler(node: Node) -> Any:
     async def handle_error(request: Request, error: Exception) -> HTTPResponse:
-        refused = record_handler_error(node, request, error)
+        headers = tuple(request.headers.items())
+        request_id = platform.valid_request_id(headers, "")
+        refused = record_handler_error(node, request, error, request_id)
         if refused.code in (
             result_codes.MALFORMED_REQUEST,
             result_codes.HEADERS_TOO_LARGE,
--- a/src/carawayhitch/frontend/_refusals.py
+++ b/src/carawayhitch/frontend/_refusals.py
@@ -97,19 +97,25 @@
 
 
 def record_handler_error(
-    node: Node, request: Request, error: Exception
+    node: Node, request: Request, error: Exception, request_id: str = ""
 ) -> actions.RefuseCall:
-    """Count and log an error raised by a request handler; return the refusal."""
+    """Count and log an error raised by a request handler; return the refusal.
+
+    Parameters
+    ----------
+    request_id : str
+        Id by which the caller knows the request, if it sent one.
+    """
     code = result_code_for_error(error, request)
     node.count(code, "")
     if code is result_codes.INTERNAL_ERROR:
         node.log.error(
             "call failed",
-            **_log_fields(request, code),
+            **_log_fields(request, code, request_id),
             **_error_type_and_location(error),
         )
     else:
-        node.log.info("call refused", **_log_fields(request, code))
+        node.log.info("call refused", **_log_fields(request, code, request_id))
     message = code.meaning
     if isinstance(error, errors.CarawayhitchError):
         message = error.message
@@ -117,9 +123,11 @@
     return actions.RefuseCall("", code, message, retry_after)
 
 
-def _log_fields(request: Request, code: result_codes.ResultCode) -> dict[str, str]:
+def _log_fields(
+    request: Request, code: result_codes.ResultCode, request_id: str
+) -> dict[str, str]:
     return {
-        "request_id": str(request.id),
+        "request_id": request_id or str(request.id),
         "account": "",
         "rank": "",
         "upstream": "",
--- a/src/carawayhitch/platform/__init__.py
+++ b/src/carawayhitch/platform/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from carawayhitch.platform._calls import CallHead, decode_call
+from carawayhitch.platform._calls import CallHead, decode_call, valid_request_id
 from carawayhitch.platform._declarations import decode_object
 from carawayhitch.platform._engines import copy_memory, read_report, release_memory
 from carawayhitch.platform._names import READINESS_PATH
@@ -24,4 +24,5 @@
     "read_report",
     "release_memory",
     "run_routed_call",
+    "valid_request_id",
 ]
--- a/src/carawayhitch/platform/_calls.py
+++ b/src/carawayhitch/platform/_calls.py
@@ -78,9 +78,7 @@
         If a header in ``SINGLE_HEADERS`` is repeated or a numeric header is invalid.
     """
     values = _index_headers(head.headers)
-    request_id = values.get(_names.REQUEST_ID.lower(), "")
-    if not REQUEST_ID_PATTERN.fullmatch(request_id):
-        request_id = fallback_id
+    request_id = valid_request_id(head.headers, fallback_id)
     token_sha256 = codecs.bearer_token_sha256(values.get("authorization", ""))
     return events.CallReceived(
         request_id=request_id,
@@ -179,6 +177,12 @@
     )
 
 
+def valid_request_id(headers: Headers, fallback_id: str) -> str:
+    """Return the request id that the caller sent, or another one if it is invalid."""
+    request_id = caller_request_id(headers)
+    return request_id if REQUEST_ID_PATTERN.fullmatch(request_id) else fallback_id
+
+
 def caller_request_id(headers: Headers) -> str:
     """Return the request id that the caller sent; empty if it sent none."""
     id_header = _names.REQUEST_ID.lower()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -445,6 +446,18 @@
         (refused,) = self.log_lines_of("entry-0", "id-of-none")
         self.assertEqual(refused["code"], "NO_ROUTE")
 
+    def test_refusal_before_the_body_is_logged_with_its_request_id(self):
+        """Guards against a refused request that cannot be found by its id."""
+        self.start()
+        head = "POST /none/1 HTTP/1.1", "Host: h", "Content-Length: 9"
+        sent_id = "Carawayhitch-Request-Id: id-of-none"
+        port = self.fleet.ports_by_name["entry-0"]
+        with socket.create_connection(("127.0.0.1", port), timeout=20.0) as caller:
+            caller.sendall("\r\n".join((*head, sent_id, "", "")).encode())
+            self.assertEqual(caller.recv(12), b"HTTP/1.1 404")
+        (refused,) = self.log_lines_of("entry-0", "id-of-none")
+        self.assertEqual(refused["code"], "NO_ROUTE")
+
     def log_lines_of(self, entry, request_id):
         lines = [
             json.loads(line)
