--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -509,6 +509,8 @@
             sealed.append("Transfer-Encoding: chunked")
             writer.write(head_bytes(200, sealed))
             while made < total:
+                if time.time() >= self.options.endless_from:
+                    await self.send_without_end(request_id, writer)
                 await asyncio.sleep(self.options.event_ms / 1000)
                 made += 1
                 data = f"id: {made}\ndata: {request_id}\n\n".encode()
@@ -523,6 +525,26 @@
         self.note("end", request_id)
         return True
 
+    async def send_without_end(
+        self, request_id: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send chunks that are no events in a stream, until the caller closes."""
+        size = self.options.endless_chunk
+        text = b":\n\n" * 3000
+        parts = [text[at : at + size] for at in range(0, len(text), size)]
+        part = b"".join(b"%x\r\n%b\r\n" % (len(data), data) for data in parts)
+        started_at, sent = time.monotonic(), 0
+        try:
+            while True:
+                writer.write(part)
+                await writer.drain()
+                sent += len(part)
+                due = started_at + sent / self.options.endless_rate
+                if due > time.monotonic():
+                    await asyncio.sleep(due - time.monotonic())
+        finally:
+            self.note("closed", request_id, str(sent))
+
 
 def head_bytes(status: int, lines: list[str]) -> bytes:
     """Return the head of an answer."""
@@ -543,6 +565,11 @@
     parser.add_argument("--log", required=True)
     parser.add_argument("--work-ms", type=float, default=30.0)
     parser.add_argument("--event-ms", type=float, default=30.0)
+    # Unix time from which streams bring bytes without end, the size of their chunks,
+    # and bytes a second on the wire of each connection.
+    parser.add_argument("--endless-from", type=float, default=float("inf"))
+    parser.add_argument("--endless-chunk", type=int, default=1)
+    parser.add_argument("--endless-rate", type=float, default=40_000_000)
     return parser.parse_args(arguments)
 
 
