--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -506,7 +506,10 @@
             total = int(path.partition("events=")[2])
             made = int(headers.get("last-event-id", "0"))
             sealed.append("Content-Type: text/event-stream")
-            sealed.append("Transfer-Encoding: chunked")
+            unframed = bool(self.options.unframed)
+            sealed.append(
+                "Connection: close" if unframed else "Transfer-Encoding: chunked"
+            )
             writer.write(head_bytes(200, sealed))
             while made < total:
                 if time.time() >= self.options.endless_from:
@@ -514,8 +517,11 @@
                 await asyncio.sleep(self.options.event_ms / 1000)
                 made += 1
                 data = f"id: {made}\ndata: {request_id}\n\n".encode()
-                writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+                writer.write(data if unframed else b"%x\r\n%b\r\n" % (len(data), data))
                 await writer.drain()
+            if unframed:
+                self.note("end", request_id)
+                return False
             writer.write(b"0\r\n\r\n")
         else:
             await asyncio.sleep(self.options.work_ms / 1000)
@@ -565,6 +571,8 @@
     parser.add_argument("--log", required=True)
     parser.add_argument("--work-ms", type=float, default=30.0)
     parser.add_argument("--event-ms", type=float, default=30.0)
+    # Whether streams have neither a length nor chunks and end with their connection.
+    parser.add_argument("--unframed", type=int, default=0)
     # Unix time from which streams bring bytes without end, the size of their chunks,
     # and bytes a second on the wire of each connection.
     parser.add_argument("--endless-from", type=float, default=float("inf"))
