--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -482,6 +482,11 @@
         self.note("arrives", request_id, method, path, str(len(body)))
         return await self.run(request_id, path, headers, body, reader, writer)
 
+    @property
+    def endless_until(self) -> float:
+        """Unix time until which streams bring bytes without end."""
+        return self.options.endless_from + self.options.endless_seconds
+
     @property
     def name(self) -> str:
         """Id of the server."""
@@ -512,8 +517,9 @@
             )
             writer.write(head_bytes(200, sealed))
             while made < total:
-                if time.time() >= self.options.endless_from:
+                if self.options.endless_from <= time.time() < self.endless_until:
                     await self.send_without_end(request_id, writer)
+                    return False
                 await asyncio.sleep(self.options.event_ms / 1000)
                 made += 1
                 data = f"id: {made}\ndata: {request_id}\n\n".encode()
@@ -534,14 +540,14 @@
     async def send_without_end(
         self, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
-        """Send chunks that are no events in a stream, until the caller closes."""
+        """Send chunks that are no events, until the caller closes or all is over."""
         size = self.options.endless_chunk
         text = b":\n\n" * 3000
         parts = [text[at : at + size] for at in range(0, len(text), size)]
         part = b"".join(b"%x\r\n%b\r\n" % (len(data), data) for data in parts)
         started_at, sent = time.monotonic(), 0
         try:
-            while True:
+            while time.time() < self.endless_until:
                 writer.write(part)
                 await writer.drain()
                 sent += len(part)
@@ -576,6 +582,7 @@
     # Unix time from which streams bring bytes without end, the size of their chunks,
     # and bytes a second on the wire of each connection.
     parser.add_argument("--endless-from", type=float, default=float("inf"))
+    parser.add_argument("--endless-seconds", type=float, default=6.5)
     parser.add_argument("--endless-chunk", type=int, default=1)
     parser.add_argument("--endless-rate", type=float, default=40_000_000)
     return parser.parse_args(arguments)
